--- /dev/null
+++ b/Makefile
@@ -0,0 +1,103 @@
+# gypsumvalve: `make demo` and `make check` work on a fresh machine as root.
+
+CC ?= gcc
+PKGS = liburcu-bp msgpack libmicrohttpd neon glib-2.0 log4c yaml-0.1 \
+       json-glib-1.0 libxxhash
+DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
+       python3 python3-hypothesis liburcu-dev libmsgpack-dev \
+       libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
+       liblog4c-dev libyaml-dev libxxhash-dev libclang-rt-14-dev gnuplot-nox
+
+B ?= build
+WARN = -Wall -Wextra -Werror
+CFLAGS ?= -O2 -g
+ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -fPIC $(WARN) $(CFLAGS) $(SAN) \
+             -iquote src $(shell pkg-config --cflags $(PKGS))
+LIBS = $(shell pkg-config --libs $(PKGS)) -pthread -lm
+
+# Sources with a main function or operator commands stay out of the library.
+MAINS = $(wildcard src/gventryd.c src/gypsumvalve.c src/standin_*.c)
+PROGS = $(subst _,-,$(MAINS:src/%.c=%))
+CMDS = $(wildcard src/cmd_*.c)
+LIBSRC = $(filter-out $(MAINS) $(CMDS),$(wildcard src/*.c))
+LIBOBJ = $(LIBSRC:src/%.c=$(B)/%.o)
+CMDOBJ = $(CMDS:src/%.c=$(B)/%.o)
+LIB = $(B)/libgypsumvalve.a
+# Plug-ins register themselves in constructors, so the whole archive links.
+WHOLE = -Wl,--whole-archive $(LIB) -Wl,--no-whole-archive
+
+TESTSRC = $(wildcard tests/*.c)
+TESTS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/test_*.c)) \
+        $(B)/tests/script
+SCRIPTSRC = $(wildcard tests/script*.c)
+
+.PHONY: all packages check lint format demo bench fuzz asan tsan clean install
+all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
+
+packages:
+	@dpkg -s $(DEBS) >/dev/null 2>&1 || \
+	    { apt-get update -qq && apt-get install -y -qq $(DEBS); } >/dev/null
+
+$(B)/%.o: src/%.c | $(B)
+	$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIBOBJ)
+	rm -f $@ && ar rcs $@ $^
+
+$(B)/libgypsumvalve.so: $(LIBOBJ)
+	$(CC) $(SAN) -shared $^ -o $@ $(LIBS)
+
+$(B)/gventryd: $(B)/gventryd.o $(LIB)
+	$(CC) $(SAN) $< $(WHOLE) -o $@ $(LIBS)
+
+$(B)/gypsumvalve: $(B)/gypsumvalve.o $(CMDOBJ) $(LIB)
+	$(CC) $(SAN) $< $(CMDOBJ) $(WHOLE) -o $@ $(LIBS)
+
+$(B)/standin-%: $(B)/standin_%.o $(LIB)
+	$(CC) $(SAN) $< $(WHOLE) -o $@ $(LIBS)
+
+$(B)/tests/%: tests/%.c $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
+
+$(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
+
+$(B):
+	mkdir -p $(B) $(B)/tests
+
+check: packages
+	@$(MAKE) --no-print-directory all $(TESTS)
+	@python3 tests/run.py --build $(B)
+
+lint: packages
+	clang-format --dry-run -Werror $(wildcard src/*.[ch]) $(wildcard tests/*.[ch]) \
+	    $(wildcard bench/*.[ch])
+	printf '%s\n' $(wildcard src/*.c) $(TESTSRC) $(wildcard bench/*.c) | \
+	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) \
+	    2>/dev/null' lint
+
+format:
+	clang-format -i $(wildcard src/*.[ch]) $(TESTSRC) $(wildcard bench/*.[ch])
+
+demo: packages
+	@$(MAKE) --no-print-directory all
+	@bash examples/demo.sh $(B)
+
+asan: packages
+	@$(MAKE) --no-print-directory check B=build/asan CFLAGS='-O1 -g' \
+	    SAN='-fsanitize=address,undefined -fno-sanitize-recover=undefined'
+
+tsan: packages
+	@$(MAKE) --no-print-directory check B=build/tsan CC=clang \
+	    CFLAGS='-O1 -g' SAN=-fsanitize=thread
+
+install: all
+	install -D -m 755 -t $(DESTDIR)/usr/sbin $(B)/gventryd
+	install -D -m 755 -t $(DESTDIR)/usr/bin $(B)/gypsumvalve
+	install -D -m 644 -t $(DESTDIR)/usr/lib $(B)/libgypsumvalve.so
+	install -D -m 644 -t $(DESTDIR)/usr/include src/gypsumvalve.h
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(B)/*.d) $(wildcard $(B)/tests/*.d)
--- /dev/null
+++ b/src/limits.h
@@ -0,0 +1,75 @@
+#ifndef GV_LIMITS_H
+#define GV_LIMITS_H
+
+/* All tunable constants of the project, each with its unit. */
+
+/* Names (service, pool, host, team, entry host) */
+#define GV_NAME_MAX_BYTES 63
+
+/* Requests */
+#define GV_BODY_MAX_BYTES      (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES   (16 * 1024)
+#define GV_HTTP_CONNECTIONS    2048
+#define GV_HTTP_THREADS        4
+#define GV_DEADLINE_DEFAULT_MS 5000
+#define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
+#define GV_QUEUE_MAX_REQUESTS  1000
+#define GV_SHARDS              16
+
+/* Peer frames: one whole ledger snapshot has to fit. */
+#define GV_FRAME_MAX_BYTES   (2 * 1024 * 1024)
+#define GV_FRAME_VERSION     1
+#define GV_PEER_OUTPUT_BYTES (4 * 1024 * 1024)
+#define GV_HEARTBEAT_MS      500
+/* Six missed heartbeats: shorter pauses are common on small hosts. */
+#define GV_PEER_DEAD_MS    3000
+#define GV_PEER_CONNECT_MS 1000
+
+/* Log */
+#define GV_RECORD_MAX_BYTES        (1024 * 1024)
+#define GV_RECORD_FORMAT           1
+#define GV_APPEND_MAX_RECORDS      64
+#define GV_RECORD_TTL_MS           (10 * 60 * 1000)
+#define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
+#define GV_LOG_POLL_MS             2000
+#define GV_LOG_READ_MAX_RECORDS    512
+#define GV_CHECKPOINT_RECORDS      2000
+#define GV_PLATFORM_TIMEOUT_MS     5000
+#define GV_PLATFORM_BACKOFF_MS     250
+#define GV_PLATFORM_BACKOFF_MAX_MS 5000
+
+/* Settings files */
+#define GV_SETTINGS_MAX_BYTES  (64 * 1024)
+#define GV_SETTINGS_MAX_ERRORS 100
+#define GV_DOCUMENTS_MAX       512
+#define GV_HOSTS_MAX           16384
+#define GV_ENTRY_HOSTS_MAX     256
+
+/* At-most-once table */
+#define GV_TICKET_TTL_MS (10 * 60 * 1000)
+/* Answers stay available this long after the ticket's expiry, so that a
+   caller that repeats late learns the outcome instead of "unknown". */
+#define GV_TICKET_GRACE_MS   (60 * 1000)
+#define GV_ONCE_MAX_ENTRIES  65536
+#define GV_ONCE_ANSWER_BYTES (64 * 1024)
+#define GV_KEY_TTL_MS        (60 * 60 * 1000)
+#define GV_KEYS_MAX          65536
+#define GV_KEY_BATCH         64
+
+/* Targets */
+#define GV_TARGET_SLOTS       8
+#define GV_TARGET_CONNECTIONS 64
+#define GV_PROBE_INTERVAL_MS  2000
+#define GV_PROBE_TIMEOUT_MS   1000
+/* Added to the run limit sent to a target before an abandoned exchange is
+   counted as ended: covers clock rate differences and delivery. */
+#define GV_ABANDON_GRACE_MS   1000
+#define GV_RACK_HOSTS_OUT_MAX 1
+
+/* Daemon threads */
+#define GV_TIMER_TICK_MS      50
+#define GV_MAINTAIN_MS        500
+#define GV_WORKERS_MAX        512
+#define GV_WORKER_STACK_BYTES (256 * 1024)
+
+#endif
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,49 @@
+#ifndef GV_PEER_H
+#define GV_PEER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "message.h"
+
+/* Links between entry hosts: one thread, non-blocking sockets, framed
+   messages. */
+typedef struct gv_peers_s gv_peers_t;
+
+typedef struct {
+    gv_str_t name; /* entry host */
+    gv_str_t dc;
+    gv_str_t region;
+    gv_str_t addr;
+} gv_peer_addr_t;
+
+typedef struct {
+    gv_str_t listen_addr;
+    gv_msg_hello_t self;
+    /* Called on the peer thread for every message that is not an answer to
+       GvPeers_Call. m is valid during the call only. An answer is sent with
+       GvPeers_Send and the same number. */
+    void (*on_message)(void *user, gv_str_t from, uint64_t from_incarnation,
+                       const gv_message_t *m);
+    void *user;
+} gv_peers_opts_t;
+
+int GvPeers_Start(const gv_peers_opts_t *o, gv_peers_t **out);
+void GvPeers_Stop(gv_peers_t *ps);
+/* Adds or updates the address of a peer; thread-safe. */
+void GvPeers_Set(gv_peers_t *ps, const gv_peer_addr_t *a);
+/* Queues one message; opens the link when needed. Returns 0, GV_ENOENT for an
+   unknown peer, GV_EFULL when the link's output bound is reached, GV_ECONN
+   when the peer is known to be unreachable now. */
+int GvPeers_Send(gv_peers_t *ps, gv_str_t to, const gv_message_t *m);
+/* Sends a request with a fresh number and calls done exactly once on the peer
+   thread: with the answer, or with NULL and GV_ETIMEDOUT, GV_ECONN (link lost
+   after sending) or GV_EREFUSED (certainly not sent). */
+typedef void (*gv_call_done_t)(void *user, int err, const gv_message_t *m);
+int GvPeers_Call(gv_peers_t *ps, gv_str_t to, gv_message_t *m,
+                 int64_t timeout_ms, gv_call_done_t done, void *user);
+/* Tells whether a message arrived from the peer within GV_PEER_DEAD_MS, and
+   its incarnation then. */
+bool GvPeers_Alive(gv_peers_t *ps, gv_str_t name, uint64_t *incarnation);
+
+#endif
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""Runs every test and closes with the line "N passed, N failed".
+
+Three kinds: GLib test programs (build/tests/test_*), scripted runs
+(tests/*.script fed to build/tests/script, output compared with the .expected
+file of the same name), and Python programs tests/proc_*.py, which drive real
+processes and take the build directory as their argument.
+
+Tests listed in KNOWN-RED.txt (lines "NAME: ...") are run and printed but do
+not fail the run.
+"""
+import argparse
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TIMEOUT_S = 300
+
+
+def known_red():
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+    return {line.split(":")[0].strip() for line in path.read_text().split("\n")
+            if ":" in line and not line.startswith((" ", "#"))}
+
+
+def run(cmd, text=None):
+    try:
+        done = subprocess.run(cmd, input=text, capture_output=True, text=True,
+                              timeout=TIMEOUT_S, cwd=ROOT, check=False)
+    except subprocess.TimeoutExpired as late:
+        out = late.stdout or b""
+        return 1, out.decode(errors="replace") + "\ntest timed out\n"
+    return done.returncode, done.stdout + done.stderr
+
+
+def run_script(build, script):
+    code, out = run([str(build / "tests" / "script")], script.read_text())
+    expected = script.with_suffix(".expected")
+    want = expected.read_text() if expected.exists() else ""
+    if code == 0 and out == want:
+        return 0, out
+    return code or 1, f"exit {code}\n--- expected\n{want}--- got\n{out}"
+
+
+def tests(build):
+    for prog in sorted((build / "tests").glob("test_*")):
+        if prog.suffix == "":
+            yield prog.name, lambda p=prog: run([str(p)])
+    for script in sorted((ROOT / "tests").glob("*.script")):
+        yield script.stem, lambda s=script: run_script(build, s)
+    for prog in sorted((ROOT / "tests").glob("proc_*.py")):
+        yield prog.stem, lambda p=prog: run(
+            ["/usr/bin/python3", str(p), str(build)])
+
+
+def main():
+    args = argparse.ArgumentParser()
+    args.add_argument("--build", type=pathlib.Path, default=ROOT / "build")
+    args.add_argument("only", nargs="*", help="names of tests to run")
+    opts = args.parse_args()
+    build = opts.build.resolve()
+    red = known_red()
+    passed = failed = 0
+    for name, call in tests(build):
+        if opts.only and name not in opts.only:
+            continue
+        code, out = call()
+        if code == 0:
+            passed += 1
+            print(f"ok   {name}", flush=True)
+        elif name in red:
+            print(f"KNOWN RED {name}\n{out[-3000:]}", flush=True)
+        else:
+            failed += 1
+            print(f"FAIL {name}\n{out[-6000:]}", flush=True)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/script.h
@@ -0,0 +1,22 @@
+#ifndef GV_SCRIPT_H
+#define GV_SCRIPT_H
+
+/* A scripted run: each line of standard input is a verb with words after it;
+   a verb prints what happened. Verb files register themselves. */
+typedef struct gv_verb_s {
+    const char *name;
+    void (*run)(int argc, char **argv); /* argv[0] is the verb */
+    struct gv_verb_s *next;
+} gv_verb_t;
+
+void GvScript_Add(gv_verb_t *v);
+
+#define GV_VERB(name_, fn)                                                    \
+    static gv_verb_t fn##_verb = {.name = name_, .run = fn};                  \
+    __attribute__((constructor)) static void fn##_register(void)              \
+    {                                                                         \
+        GvScript_Add(&fn##_verb);                                             \
+    }                                                                         \
+    struct gv_verb_s
+
+#endif
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,62 @@
+#include <glib.h>
+#include <string.h>
+
+#include "counter.h"
+#include "error.h"
+#include "outcome.h"
+#include "pack.h"
+#include "str.h"
+
+/* A name with a separator in it would make tickets ambiguous. */
+static void
+test_names(void)
+{
+    g_assert_true(GvStr_IsName(GV_STR("parish-desk")));
+    g_assert_false(GvStr_IsName(GV_STR("")));
+    g_assert_false(GvStr_IsName(GV_STR("a.b")));
+    g_assert_false(GvStr_IsName(GV_STR("a b")));
+}
+
+/* A wrong type in a message must end in one error, not in a crash. */
+static void
+test_unpack_errors(void)
+{
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, 2);
+    GvPack_Uint(&pk, 7);
+    GvPack_Str(&pk, GV_STR("x"));
+    msgpack_unpacked un;
+    g_assert_cmpint(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)), ==, GV_OK);
+    gv_unpack_t u = GvUnpack_Array(&un.data, 2);
+    g_assert_cmpint((int)GvUnpack_Uint(&u), ==, 7);
+    GvUnpack_Uint(&u);
+    g_assert_cmpint(u.err, ==, GV_EINVAL);
+    g_assert_cmpint(GvUnpack_Str(&u).n, ==, 0);
+    msgpack_unpacked_destroy(&un);
+    g_assert_cmpint(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size - 1)), ==,
+                    GV_EINVAL);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+}
+
+static void
+test_outcomes(void)
+{
+    gv_outcome_t o;
+    g_assert_cmpint(GvOutcome_Parse(GV_STR("not-run"), &o), ==, GV_OK);
+    g_assert_cmpint(o, ==, GV_OUTCOME_NOT_RUN);
+    g_assert_cmpint(GvOutcome_Parse(GV_STR("maybe"), &o), ==, GV_EINVAL);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/names", test_names);
+    g_test_add_func("/base/unpack-errors", test_unpack_errors);
+    g_test_add_func("/base/outcomes", test_outcomes);
+    return g_test_run();
+}
