--- a/src/limits.h
+++ b/src/limits.h
@@ -33,6 +33,7 @@
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
+#define GV_REPLICA_RING_RECORDS    1024
 #define GV_CHECKPOINT_RECORDS      2000
 #define GV_PLATFORM_TIMEOUT_MS     5000
 #define GV_PLATFORM_BACKOFF_MS     250
