--- /dev/null
+++ b/tests/history.py
@@ -0,0 +1,96 @@
+"""History checker: what callers were told against what targets ran.
+
+A caller event is a Call. A target event is a line of the stand-in target's
+/history: "start ATTEMPT METHOD PATH TAG MS", "finish ATTEMPT",
+"cut ATTEMPT". Each request carries its tag in the query string (tag=...), so
+that it survives every hop; repeats of one request use one tag.
+"""
+import dataclasses
+import re
+import urllib.parse
+
+
+@dataclasses.dataclass
+class Call:
+    """One submission by a caller, with what the caller was told."""
+    tag: str
+    idempotent: bool
+    body: str
+    outcome: str  # "run", "not-run", "unknown"; "" when the connection broke
+    status: int = 0
+    answer: str = ""
+    last: bool = True  # no later submission of this tag was made
+
+
+@dataclasses.dataclass
+class Run:
+    """One start of a request at a target."""
+    attempt: str
+    tag: str
+    finished: bool = False
+    cut: bool = False
+
+
+def parse_history(text):
+    """Returns the runs in a target's history, in order."""
+    runs = {}
+    for line in text.splitlines():
+        word = line.split(" ")
+        if word[0] == "start":
+            query = urllib.parse.urlsplit(word[3]).query
+            tag = urllib.parse.parse_qs(query).get("tag", [""])[0]
+            # The attempt id may repeat only when a hop duplicates it.
+            runs.setdefault(word[1], []).append(Run(word[1], tag))
+        elif word[0] == "finish" and word[1] in runs:
+            runs[word[1]][-1].finished = True
+        elif word[0] == "cut" and word[1] in runs:
+            runs[word[1]][-1].cut = True
+    return [run for per_attempt in runs.values() for run in per_attempt]
+
+
+def check(calls, runs):
+    """Returns the violations as a list of sentences; empty when all hold."""
+    bad = []
+    started = {}
+    for run in runs:
+        started.setdefault(run.tag, []).append(run)
+        if run.cut:
+            bad.append(f"planned stop cut off {run.tag} ({run.attempt})")
+    by_tag = {}
+    for call in calls:
+        by_tag.setdefault(call.tag, []).append(call)
+    for tag, group in by_tag.items():
+        own = started.get(tag, [])
+        if not group[0].idempotent and len(own) > 1:
+            bad.append(f"non-idempotent {tag} started {len(own)} times")
+        if own and all(c.outcome == "not-run" for c in group):
+            bad.append(f"{tag} was told not-run but started")
+        for call in group:
+            bad.extend(check_answer(call, own))
+    return bad
+
+
+def check_answer(call, own):
+    """Checks one told outcome against the starts of its tag."""
+    if call.outcome not in ("run", "not-run", "unknown", ""):
+        return [f"{call.tag}: outcome {call.outcome!r} is not in the set"]
+    if call.outcome != "run":
+        return []
+    if not any(run.finished for run in own):
+        return [f"{call.tag} was told run but no target finished it"]
+    if call.status == 200 and call.answer != "ok " + call.body:
+        return [f"{call.tag} got an answer that is not its own or not whole: "
+                f"{call.answer[:60]!r}"]
+    return []
+
+
+def unlisted(calls, runs):
+    """Returns tags that ran although no caller sent them."""
+    sent = {call.tag for call in calls}
+    return sorted({run.tag for run in runs} - sent)
+
+
+def attempt_entry(attempt):
+    """Returns the entry host named in an attempt id, if it names one."""
+    found = re.match(r"([A-Za-z0-9_-]+)\.", attempt)
+    return found.group(1) if found else ""
