--- a/src/limits.h
+++ b/src/limits.h
@@ -26,10 +26,13 @@
 #define GV_PEER_CONNECT_MS 1000
 
 /* Log */
-#define GV_RECORD_MAX_BYTES        (1024 * 1024)
-#define GV_RECORD_FORMAT           1
-#define GV_APPEND_MAX_RECORDS      64
-#define GV_RECORD_TTL_MS           (10 * 60 * 1000)
+#define GV_RECORD_MAX_BYTES   (1024 * 1024)
+#define GV_RECORD_FORMAT      1
+#define GV_APPEND_MAX_RECORDS 64
+#define GV_RECORD_KIND_BYTES  15
+#define GV_RECORD_TTL_MS      (10 * 60 * 1000)
+/* A creation time further ahead of the append time shows a wrong clock. */
+#define GV_RECORD_SKEW_MS          (5 * 60 * 1000)
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
@@ -45,6 +48,28 @@
 #define GV_DOCUMENTS_MAX       512
 #define GV_HOSTS_MAX           16384
 #define GV_ENTRY_HOSTS_MAX     256
+#define GV_SETTINGS_TEXT_BYTES (256 * 1024) /* all documents in force */
+#define GV_TEAMS_MAX           256          /* per service */
+#define GV_QUOTA_MAX           1000000
+#define GV_WEIGHT_MAX          1000
+#define GV_IDEMPOTENT_MAX      64 /* methods or paths of a service */
+#define GV_METHOD_MAX_BYTES    16
+#define GV_PATH_MAX_BYTES      256
+/* Longest deadline of a service that sets none. */
+#define GV_DEADLINE_SERVICE_MS  60000
+#define GV_QUEUE_LIMIT_REQUESTS 100000
+
+/* Ledger. A checkpoint of the whole state has to fit in one record of
+   GV_RECORD_MAX_BYTES: keys take 24 bytes each (384 KiB in all), the other
+   tables share GV_STATE_MAX_BYTES. */
+#define GV_STATE_MAX_BYTES (600 * 1024)
+#define GV_WAVES_MAX       128
+#define GV_ORIGINS_MAX     4096
+#define GV_FORMER_MAX      512  /* entry hosts that left */
+#define GV_TOMBSTONES_MAX  1024 /* hosts that are gone */
+/* A host list lags by seconds; six hours cover an entry host that resumes
+   with an old list after a long pause. */
+#define GV_TOMBSTONE_KEEP_MS (6 * 60 * 60 * 1000)
 
 /* At-most-once table */
 #define GV_TICKET_TTL_MS (10 * 60 * 1000)
@@ -54,7 +79,7 @@
 #define GV_ONCE_MAX_ENTRIES  65536
 #define GV_ONCE_ANSWER_BYTES (64 * 1024)
 #define GV_KEY_TTL_MS        (60 * 60 * 1000)
-#define GV_KEYS_MAX          65536
+#define GV_KEYS_MAX          16384
 #define GV_KEY_BATCH         64
 
 /* Targets */
--- /dev/null
+++ b/src/settings_link.c
@@ -0,0 +1,101 @@
+#include "error.h"
+#include "settings_state.h"
+
+/* Orders rows by name; rows of the same name keep the order of their place,
+   so that problems are the same in every process. */
+static int
+compare_services(const void *a, const void *b)
+{
+    const gv_service_row_t *x = *(gv_service_row_t *const *)a;
+    const gv_service_row_t *y = *(gv_service_row_t *const *)b;
+    int c = GvStr_Compare(x->service.name, y->service.name);
+    c = c != 0 ? c : g_strcmp0(x->file, y->file);
+    return c != 0 ? c : x->line - y->line;
+}
+
+/* As compare_services, for pools. */
+static int
+compare_pools(const void *a, const void *b)
+{
+    const gv_pool_row_t *x = *(gv_pool_row_t *const *)a;
+    const gv_pool_row_t *y = *(gv_pool_row_t *const *)b;
+    int c = GvStr_Compare(x->pool.name, y->pool.name);
+    c = c != 0 ? c : g_strcmp0(x->file, y->file);
+    return c != 0 ? c : x->line - y->line;
+}
+
+/* Checks a service against the pools of the set. */
+static int
+link_service(gv_settings_t *s, const gv_service_row_t *r,
+             const gv_service_row_t *before, gv_problems_t *ps)
+{
+    int bad = 0;
+    const gv_service_t *sv = &r->service;
+    if (sv->name.n == 0) {
+        return 0; /* reported by the parser */
+    }
+    if (before != NULL && GvStr_Equal(before->service.name, sv->name)) {
+        GvProblems_Add(ps, r->file, r->line, "service",
+                       "service %.*s is already declared in %s line %d",
+                       GV_STR_ARG(sv->name), before->file, before->line);
+        bad++;
+    }
+    if (sv->pool.n > 0 && GvSettings_Pool(s, sv->pool) == NULL) {
+        GvProblems_Add(ps, r->file, r->line, "pool",
+                       "pool %.*s is not declared", GV_STR_ARG(sv->pool));
+        bad++;
+    }
+    return bad;
+}
+
+/* Checks a pool: declared once, and its spare pool is one. */
+static int
+link_pool(gv_settings_t *s, const gv_pool_row_t *r,
+          const gv_pool_row_t *before, gv_problems_t *ps)
+{
+    int bad = 0;
+    const gv_pool_t *p = &r->pool;
+    if (p->name.n > 0 && before != NULL &&
+        GvStr_Equal(before->pool.name, p->name)) {
+        GvProblems_Add(ps, r->file, r->line, "pool",
+                       "pool %.*s is already declared in %s line %d",
+                       GV_STR_ARG(p->name), before->file, before->line);
+        bad++;
+    }
+    if (p->spare.n == 0) {
+        return bad;
+    }
+    const gv_pool_t *spare = GvSettings_Pool(s, p->spare);
+    if (spare == NULL) {
+        GvProblems_Add(ps, r->file, r->line, "spare",
+                       "pool %.*s is not declared", GV_STR_ARG(p->spare));
+        bad++;
+    }
+    else if (!spare->is_spare || spare == p) {
+        GvProblems_Add(ps, r->file, r->line, "spare",
+                       "pool %.*s is not a spare pool", GV_STR_ARG(p->spare));
+        bad++;
+    }
+    return bad;
+}
+
+/* Sorts the set and checks references between its documents. Returns 0, or
+   GV_EINVAL with every problem in ps. */
+int
+GvSettings_Link(gv_settings_t *s, gv_problems_t *ps)
+{
+    int bad = 0;
+    g_ptr_array_sort(s->services, compare_services);
+    g_ptr_array_sort(s->pools, compare_pools);
+    for (unsigned i = 0; i < s->services->len; i++) {
+        bad += link_service(
+            s, g_ptr_array_index(s->services, i),
+            i == 0 ? NULL : g_ptr_array_index(s->services, i - 1), ps);
+    }
+    for (unsigned i = 0; i < s->pools->len; i++) {
+        bad +=
+            link_pool(s, g_ptr_array_index(s->pools, i),
+                      i == 0 ? NULL : g_ptr_array_index(s->pools, i - 1), ps);
+    }
+    return bad == 0 ? GV_OK : GV_EINVAL;
+}
