--- a/src/ledger.h
+++ b/src/ledger.h
@@ -117,6 +117,7 @@
 uint64_t GvLedger_Next(const gv_ledger_t *l);
 int64_t GvLedger_TimeMs(const gv_ledger_t *l);
 uint64_t GvLedger_Covered(const gv_ledger_t *l); /* last checkpoint seen */
+int64_t GvLedger_CoveredMs(const gv_ledger_t *l);
 uint64_t GvLedger_Digest(const gv_ledger_t *l);
 void GvLedger_Save(const gv_ledger_t *l, msgpack_sbuffer *out);
 int GvLedger_Load(gv_str_t bytes, gv_ledger_t **out);
@@ -125,8 +126,10 @@
 
 uint64_t GvLedger_SettingsVersion(const gv_ledger_t *l);
 gv_settings_t *GvLedger_Settings(const gv_ledger_t *l);
+const GPtrArray *GvLedger_Documents(const gv_ledger_t *l); /* gv_document_t */
 const gv_lhost_t *GvLedger_Host(const gv_ledger_t *l, gv_str_t name);
 const gv_member_t *GvLedger_Member(const gv_ledger_t *l, gv_str_t name);
+/* The wave of the pool that is running or halted. */
 const gv_wave_t *GvLedger_WaveOf(const gv_ledger_t *l, gv_str_t pool);
 const gv_wave_t *GvLedger_Wave(const gv_ledger_t *l, gv_str_t name);
 const gv_key_claim_t *GvLedger_Key(const gv_ledger_t *l, gv_str_t service,
@@ -141,7 +144,8 @@
                       gv_claim_kind_t kind, gv_str_t wave, gv_str_t to_pool,
                       char *reason, size_t n);
 
-/* Payload writers, one for each record kind. */
+/* Payload writers, one for each record kind. A settings record holds all
+   documents of the new version. */
 typedef struct {
     gv_str_t file;
     gv_str_t text;
--- a/src/limits.h
+++ b/src/limits.h
@@ -62,11 +62,16 @@
 /* Ledger. A checkpoint of the whole state has to fit in one record of
    GV_RECORD_MAX_BYTES: keys take 24 bytes each (384 KiB in all), the other
    tables share GV_STATE_MAX_BYTES. */
-#define GV_STATE_MAX_BYTES (600 * 1024)
-#define GV_WAVES_MAX       128
-#define GV_ORIGINS_MAX     4096
-#define GV_FORMER_MAX      512  /* entry hosts that left */
-#define GV_TOMBSTONES_MAX  1024 /* hosts that are gone */
+#define GV_STATE_MAX_BYTES   (600 * 1024)
+#define GV_HOST_STATE_BYTES  512 /* largest packed host, member or wave */
+#define GV_ADDR_MAX_BYTES    31
+#define GV_BOOT_MAX_BYTES    63
+#define GV_SLOTS_MAX         1024
+#define GV_HALT_REASON_BYTES 127
+#define GV_WAVES_MAX         128
+#define GV_ORIGINS_MAX       4096
+#define GV_FORMER_MAX        512  /* entry hosts that left */
+#define GV_TOMBSTONES_MAX    1024 /* hosts that are gone */
 /* A host list lags by seconds; six hours cover an entry host that resumes
    with an old list after a long pause. */
 #define GV_TOMBSTONE_KEEP_MS (6 * 60 * 60 * 1000)
--- a/src/yaml_read.h
+++ b/src/yaml_read.h
@@ -30,14 +30,14 @@
 
 typedef struct gv_field_s {
     const char *name;
-    gv_field_type_t type;
     size_t at; /* offset of the member in the struct */
     double min;
     double max;
-    bool required;
     const struct gv_field_s *fields; /* MAP */
-    int n_fields;
     void (*list)(gv_yaml_t *y, yaml_node_t *seq, const char *path, void *to);
+    gv_field_type_t type;
+    int n_fields;
+    bool required;
 } gv_field_t;
 
 /* Called for the root node of each document. */
