--- a/src/ledger_settings.c
+++ b/src/ledger_settings.c
@@ -133,7 +133,9 @@
     return GV_OK;
 }
 
-/* Applies a settings record: its documents replace the ones in force. */
+/* Applies a settings record: its documents replace the ones in force. The
+   version is the offset after the record, because 0 stands for no settings
+   and a record at offset 0 has to differ from it. */
 static int
 fold_settings(gv_ledger_t *l, uint64_t offset, const gv_record_t *r,
               char *reason, size_t n)
@@ -161,7 +163,7 @@
     l->settings = s;
     l->docs = docs;
     l->docs_bytes = bytes;
-    l->version = offset;
+    l->version = offset + 1;
     return GV_OK;
 }
 
--- a/src/ledger_state.c
+++ b/src/ledger_state.c
@@ -259,7 +259,8 @@
     return l->covered_ms;
 }
 
-/* Returns the offset of the settings record in force, or 0 for none. */
+/* Returns the version in force: the offset after its settings record, or 0
+   for none. */
 uint64_t
 GvLedger_SettingsVersion(const gv_ledger_t *l)
 {
