Check announced sizes before msgpack is unpacked

msgpack-c allocates what an array header announces. The scripted run of malformed records failed under the address sanitizer: a record of five bytes (dd ffffffff) asked for 137 GB. GvUnpack_Root now walks the headers first and refuses input that announces more items than it has bytes.

--- a/src/pack.c
+++ b/src/pack.c
@@ -141,6 +141,82 @@
     return u->err == GV_OK && u->at < u->array->size;
 }
 
+/* Reads a big-endian number of n bytes. */
+static uint64_t
+read_be(const unsigned char *p, size_t n)
+{
+    uint64_t v = 0;
+    for (size_t i = 0; i < n; i++) {
+        v = v << 8 | p[i];
+    }
+    return v;
+}
+
+/* Reads the header of the object at p, of which left bytes follow. Sets the
+   bytes that it takes without its items, and the number of its items.
+   Returns false for a truncated header or a type that does not exist. */
+static bool
+measure(const unsigned char *p, size_t left, uint64_t *bytes, uint64_t *items)
+{
+    /* For 0xc4 to 0xdf: bytes of the length field, or of the fixed body. */
+    static const unsigned char width[] = {1,  2, 4, 1, 2, 4, 4, 8, 1, 2,
+                                          4,  8, 1, 2, 4, 8, 2, 3, 5, 9,
+                                          17, 1, 2, 4, 2, 4, 2, 4};
+    unsigned t = p[0];
+    *bytes = 1;
+    *items = 0;
+    if (t < 0x80 || t >= 0xe0 || t == 0xc0 || t == 0xc2 || t == 0xc3) {
+        return true;
+    }
+    if (t < 0xc0) {
+        unsigned n = t < 0xa0 ? t & 0x0f : t & 0x1f;
+        *items = t < 0x90 ? 2 * n : t < 0xa0 ? n : 0;
+        *bytes += t < 0xa0 ? 0 : n;
+        return true;
+    }
+    if (t == 0xc1 || left < 1u + width[t - 0xc4]) {
+        return false;
+    }
+    *bytes += width[t - 0xc4];
+    if (t >= 0xca && t <= 0xd8) {
+        return true;
+    }
+    uint64_t n = read_be(p + 1, width[t - 0xc4]);
+    if (t >= 0xdc) {
+        *items = t >= 0xde ? 2 * n : n;
+    }
+    else {
+        *bytes += n + (t >= 0xc7 && t <= 0xc9 ? 1 : 0);
+    }
+    return true;
+}
+
+/* Tells whether the sizes in bytes fit its length. msgpack-c allocates what
+   an array header announces, so that five bytes could ask for 100 GB. */
+static bool
+sizes_fit(gv_str_t bytes)
+{
+    uint64_t pending = 1;
+    uint64_t size;
+    uint64_t items;
+    size_t at = 0;
+    while (pending > 0) {
+        size_t left = bytes.n - at;
+        if (left == 0 ||
+            !measure((const unsigned char *)bytes.p + at, left, &size,
+                     &items) ||
+            size > left) {
+            return false;
+        }
+        at += size;
+        pending += items - 1;
+        if (pending > bytes.n - at) {
+            return false;
+        }
+    }
+    return at == bytes.n;
+}
+
 /* Parses exactly one msgpack object from bytes. Returns 0 or GV_EINVAL, also
    for bytes left over. The caller calls msgpack_unpacked_destroy on un in
    every case. */
@@ -149,8 +225,8 @@
 {
     size_t off = 0;
     msgpack_unpacked_init(un);
-    if (bytes.n == 0 || msgpack_unpack_next(un, bytes.p, bytes.n, &off) !=
-                            MSGPACK_UNPACK_SUCCESS) {
+    if (!sizes_fit(bytes) || msgpack_unpack_next(un, bytes.p, bytes.n, &off) !=
+                                 MSGPACK_UNPACK_SUCCESS) {
         return GV_EINVAL;
     }
     return off == bytes.n ? GV_OK : GV_EINVAL;
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -63,7 +63,8 @@
     char id[96];
     snprintf(id, sizeof id, "%s.%" PRIu64, origin, incarnation);
     if (sequences == NULL) {
-        sequences = g_hash_table_new(g_str_hash, g_str_equal);
+        sequences =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     }
     uint64_t seq = GPOINTER_TO_UINT(g_hash_table_lookup(sequences, id)) + 1;
     g_hash_table_insert(sequences, g_strdup(id), GUINT_TO_POINTER(seq));
