Add random state test of the ledger against a plain model

proc_ledger_state drives two readers, one of which is replaced by its own saved and loaded state now and then, and compares verdicts and states with a Python model of design section 4.

--- /dev/null
+++ b/tests/ledger_lib.py
@@ -0,0 +1,184 @@
+"""The ledger of libgypsumvalve.so through ctypes, for proc_ledger_state.py."""
+import ctypes
+import glob
+import os
+import sys
+
+U64 = ctypes.c_uint64
+I64 = ctypes.c_int64
+INT = ctypes.c_int
+PTR = ctypes.c_void_p
+
+
+class Str(ctypes.Structure):
+    _fields_ = [("p", ctypes.c_char_p), ("n", ctypes.c_size_t)]
+
+    def text(self):
+        return (self.p or b"")[:self.n].decode()
+
+
+def s(text):
+    raw = text if isinstance(text, bytes) else text.encode()
+    return Str(raw, len(raw))
+
+
+class Buffer(ctypes.Structure):
+    """msgpack_sbuffer"""
+    _fields_ = [("size", ctypes.c_size_t), ("data", PTR),
+                ("alloc", ctypes.c_size_t)]
+
+
+class Names(ctypes.Structure):
+    """GPtrArray of strings or rows"""
+    _fields_ = [("data", ctypes.POINTER(PTR)), ("len", ctypes.c_uint)]
+
+
+class Claim(ctypes.Structure):
+    _fields_ = [("offset", U64), ("fence", U64), ("waived", ctypes.c_bool),
+                ("kind", INT), ("phase", INT), ("wave", Str),
+                ("to_pool", Str), ("holder", Str),
+                ("holder_incarnation", U64),
+                ("waiting", ctypes.POINTER(Names))]
+
+
+class Host(ctypes.Structure):
+    _fields_ = [("name", Str), ("dc", Str), ("rack", Str), ("addr", Str),
+                ("pool", Str), ("boot", Str), ("slots", INT), ("state", INT),
+                ("claim", ctypes.POINTER(Claim)), ("wave_done", U64)]
+
+
+class Member(ctypes.Structure):
+    _fields_ = [("name", Str), ("dc", Str), ("peer_addr", Str),
+                ("http_addr", Str), ("incarnation", U64), ("joined", U64)]
+
+
+class Record(ctypes.Structure):
+    _fields_ = [("kind", Str), ("origin", Str), ("incarnation", U64),
+                ("sequence", U64), ("created_ms", I64), ("expires_ms", I64),
+                ("payload", PTR)]
+
+
+class Document(ctypes.Structure):
+    _fields_ = [("file", Str), ("text", Str)]
+
+
+class Verdict(ctypes.Structure):
+    _fields_ = [("kind", INT), ("offset", U64),
+                ("rec_kind", ctypes.c_char * 16),
+                ("origin", ctypes.c_char * 64), ("incarnation", U64),
+                ("sequence", U64), ("reason", ctypes.c_char * 200)]
+
+
+ACCEPTED, REJECTED, DUPLICATE, EXPIRED, MALFORMED = range(5)
+
+
+def load(build):
+    """Loads the library. With the address sanitizer, Python restarts itself
+    with the sanitizer's runtime preloaded. The thread sanitizer's runtime
+    cannot be preloaded; the ledger starts no threads, so nothing is lost."""
+    path = os.path.join(build, "libgypsumvalve.so")
+    with open(path, "rb") as f:
+        code = f.read()
+    if b"__tsan_init" in code:
+        print("not applicable: the ledger has no threads")
+        sys.exit(0)
+    if b"__asan_init" in code and "LD_PRELOAD" not in os.environ:
+        runtime = sorted(glob.glob("/usr/lib/gcc/*/*/libasan.so"))[-1]
+        env = dict(os.environ, LD_PRELOAD=runtime,
+                   ASAN_OPTIONS="detect_leaks=0")
+        os.execve(sys.executable, [sys.executable] + sys.argv, env)
+    lib = ctypes.CDLL(path)
+    lib.GvLedger_New.restype = PTR
+    lib.GvLedger_Free.argtypes = [PTR]
+    lib.GvLedger_Apply.argtypes = [PTR, U64, I64, Str, PTR]
+    lib.GvLedger_Digest.argtypes = [PTR]
+    for name in ("Digest", "Next", "SettingsVersion"):
+        call = getattr(lib, "GvLedger_" + name)
+        call.argtypes = [PTR]
+        call.restype = U64
+    lib.GvLedger_Save.argtypes = [PTR, PTR]
+    lib.GvLedger_Load.argtypes = [Str, PTR]
+    lib.GvLedger_Hosts.argtypes = [PTR]
+    lib.GvLedger_Hosts.restype = ctypes.POINTER(Names)
+    lib.GvRecord_Pack.argtypes = [PTR, PTR, Str]
+    lib.GvLedger_PackSettings.argtypes = [PTR, U64, PTR, INT]
+    lib.GvLedger_PackHost.argtypes = [PTR, PTR]
+    lib.GvLedger_PackMember.argtypes = [PTR, PTR, INT]
+    lib.GvLedger_PackClaim.argtypes = [PTR, Str, INT, Str, Str, Str, U64]
+    for name in ("Confirm", "Act", "Takeover"):
+        getattr(lib, "GvLedger_Pack" + name).argtypes = [PTR, Str, U64, Str,
+                                                         U64]
+    lib.GvLedger_PackDone.argtypes = [PTR, Str, U64, INT]
+    lib.GvLedger_PackWave.argtypes = [PTR, Str, Str, INT, INT]
+    return lib
+
+
+class Ledger:
+    """One reader of the log."""
+
+    def __init__(self, lib, handle=None):
+        self.lib = lib
+        self.handle = handle or lib.GvLedger_New()
+
+    def close(self):
+        self.lib.GvLedger_Free(self.handle)
+
+    def apply(self, ms, raw):
+        v = Verdict()
+        err = self.lib.GvLedger_Apply(self.handle, self.next(), ms, s(raw),
+                                      ctypes.byref(v))
+        assert err == 0
+        return v
+
+    def next(self):
+        return self.lib.GvLedger_Next(self.handle)
+
+    def digest(self):
+        return self.lib.GvLedger_Digest(self.handle)
+
+    def version(self):
+        return self.lib.GvLedger_SettingsVersion(self.handle)
+
+    def copy(self):
+        """Returns a ledger loaded from this one's saved state."""
+        out = PTR()
+        raw = pack(self.lib, self.lib.GvLedger_Save, self.handle)
+        assert self.lib.GvLedger_Load(s(raw), ctypes.byref(out)) == 0
+        return Ledger(self.lib, out.value)
+
+    def hosts(self):
+        """Returns name -> dict of everything that the oracle models."""
+        rows = self.lib.GvLedger_Hosts(self.handle).contents
+        out = {}
+        for i in range(rows.len):
+            h = ctypes.cast(rows.data[i], ctypes.POINTER(Host)).contents
+            claim = None
+            if h.claim:
+                c = h.claim.contents
+                w = c.waiting.contents
+                claim = dict(offset=c.offset, fence=c.fence, kind=c.kind,
+                             phase=c.phase, wave=c.wave.text(),
+                             to_pool=c.to_pool.text(),
+                             holder=c.holder.text(),
+                             inc=c.holder_incarnation, waived=c.waived,
+                             waiting=[ctypes.string_at(w.data[j]).decode()
+                                      for j in range(w.len)])
+            out[h.name.text()] = dict(
+                dc=h.dc.text(), rack=h.rack.text(), pool=h.pool.text(),
+                boot=h.boot.text(), state=h.state, claim=claim,
+                wave_done=h.wave_done)
+        return out
+
+
+def pack(lib, call, *args):
+    """Calls a writer of msgpack and returns the bytes."""
+    buf = Buffer()
+    if call == lib.GvLedger_Save:
+        call(args[0], ctypes.byref(buf))
+    else:
+        call(ctypes.byref(buf), *args)
+    raw = ctypes.string_at(buf.data, buf.size)
+    libc = ctypes.CDLL(None)
+    libc.free.argtypes = [PTR]
+    libc.free(buf.data)
+    return raw
