--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
         $(B)/tests/script
 SCRIPTSRC = $(wildcard tests/script*.c)
 
-.PHONY: all packages check lint format demo bench fuzz asan tsan clean install
+.PHONY: all tests mutants packages check lint format demo bench fuzz asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
 
 packages:
@@ -65,6 +65,12 @@
 $(B):
 	mkdir -p $(B) $(B)/tests
 
+tests: $(TESTS)
+
+# Shows that each proof fails with its mechanism switched off.
+mutants: packages
+	python3 tests/mutants.py
+
 check: packages
 	@$(MAKE) --no-print-directory all $(TESTS)
 	@python3 tests/run.py --build $(B)
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,307 @@
+"""A small cluster of real processes for the fault tests: one platform
+stand-in, one target stand-in for each data centre, and entry hosts."""
+import http.client
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+
+import history
+
+SERVICE = """kind: service
+service: {0}
+pool: {0}
+availability: {{objective_percent: 99.9, min_hosts: {1}}}
+deadline: {{default_ms: 3000, max_ms: 8000}}
+teams:
+  - {{name: crews, quota: 60}}
+  - {{name: office, quota: 40}}
+urgent: {{max_share_percent: 50}}
+idempotent: {{methods: [GET, PUT], paths: [/quote]}}
+run_time: {{short_ms: 300, long_share_percent: 50}}
+queue: {{max_requests: 200}}
+retry: {{percent: 20}}
+---
+kind: pool
+pool: {0}
+max_out: {2}
+"""
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def http_call(addr, method, path, headers=None, body=None, timeout=5.0):
+    """Returns (status, headers, body text), or None when the connection
+    broke before a whole answer."""
+    conn = http.client.HTTPConnection(addr, timeout=timeout)
+    try:
+        conn.request(method, path, body, headers or {})
+        answer = conn.getresponse()
+        text = answer.read().decode(errors="replace")
+        return answer.status, dict(answer.getheaders()), text
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        conn.close()
+
+
+def wait_until(check, seconds, what):
+    """Polls check until it is true; fails the test at the bound."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if check():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"not within {seconds} s: {what}")
+
+
+class Cluster:
+    """Data centres dc1..; entry hosts e1.. spread over them in order; hosts
+    SERVICE-DC-N, four to a rack. Ends all of its processes on exit."""
+
+    def __init__(self, build, dcs=1, entries=2, services=("plan", "spare"),
+                 hosts=4, min_hosts=1, max_out=2, reboot_ms=300,
+                 platform_args=()):
+        self.build = pathlib.Path(build)
+        self.dir = tempfile.TemporaryDirectory(prefix="gv-test-")
+        self.dcs = [f"dc{i + 1}" for i in range(dcs)]
+        self.services = services
+        self.min_hosts, self.max_out = min_hosts, max_out
+        self.procs = {}
+        self.platform = f"127.0.0.1:{free_port()}"
+        self.entries = {}
+        for dc in self.dcs:
+            for _ in range(entries):
+                name = f"e{len(self.entries) + 1}"
+                self.entries[name] = (dc, f"127.0.0.1:{free_port()}",
+                                      f"127.0.0.1:{free_port()}")
+        self.hosts = {}
+        for dc in self.dcs:
+            for n in range(hosts):
+                for service in services:
+                    name = f"{service}-{dc}-{n + 1}"
+                    self.hosts[name] = (dc, service,
+                                        f"127.0.0.1:{free_port()}")
+        self.reboot_ms = reboot_ms
+        self.platform_args = platform_args
+        # Addresses under which entry hosts reach platform and peers; a test
+        # puts a relay in between by changing them before start.
+        self.platform_via = {}
+        self.peer_via = {}
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            for log in sorted(pathlib.Path(self.dir.name).glob("*.log")):
+                print(f"--- {log.name}\n{log.read_text()[-1500:]}")
+        self.stop()
+
+    def spawn(self, name, args):
+        log = open(pathlib.Path(self.dir.name) / f"{name}.log", "ab")
+        self.procs[name] = subprocess.Popen(
+            [str(self.build / args[0])] + args[1:], stdout=log, stderr=log)
+        log.close()
+
+    def start(self):
+        self.spawn("platform", ["standin-platform", "--listen", self.platform,
+                                *self.platform_args])
+        wait_until(lambda: http_call(self.platform, "GET", "/hosts"), 10,
+                   "platform answers")
+        racks = {}
+        for name, (dc, pool, addr) in self.hosts.items():
+            rack = racks.setdefault(dc, [])
+            rack.append(name)
+            self.set_host(name, rack=f"{dc}-r{(len(rack) - 1) // 4}")
+        for dc in self.dcs:
+            args = ["standin-target", "--reboot-ms", str(self.reboot_ms)]
+            for name, (at, _, addr) in self.hosts.items():
+                if at == dc:
+                    args += ["--target", f"{name}={addr}"]
+            self.spawn(f"targets-{dc}", args)
+        for name in self.entries:
+            self.start_entry(name)
+        for name in self.entries:
+            self.wait_entry(name)
+        self.publish()
+        for name in self.entries:
+            self.wait_serving(name)
+
+    def set_host(self, name, state="live", rack=""):
+        dc, pool, addr = self.hosts[name]
+        query = f"host={name}&dc={dc}&addr={addr}&slots=8&pool={pool}" \
+                f"&state={state}" + (f"&rack={rack}" if rack else "")
+        assert http_call(self.platform, "POST",
+                         f"/hosts/set?{query}")[0] == 200
+
+    def start_entry(self, name):
+        dc, addr, peer = self.entries[name]
+        lines = [f"name: {name}", f"data_centre: {dc}", "region: r1",
+                 f"http: {addr}", f"peer: {peer}",
+                 f"platform: {self.platform_via.get(name, self.platform)}",
+                 "workers: 32", "peers:"]
+        for other, (odc, _, opeer) in self.entries.items():
+            if other != name:
+                via = self.peer_via.get((name, other), opeer)
+                lines.append(f"  - {{name: {other}, data_centre: {odc}, "
+                             f"region: r1, peer: '{via}'}}")
+        path = pathlib.Path(self.dir.name) / f"{name}.yaml"
+        path.write_text("\n".join(lines) + "\n")
+        self.spawn(name, ["gventryd", "--config", str(path)])
+
+    def wait_entry(self, name):
+        wait_until(lambda: (self.entry(name, "GET", "/healthz") or [0])[0]
+                   == 200, 15, f"{name} healthy")
+
+    def wait_serving(self, name):
+        for service in self.services:
+            wait_until(lambda s=service: (self.entry(
+                name, "GET", f"/svc/{s}/ping?tag=ping") or [0])[0] == 200, 20,
+                f"{name} serves {service}")
+
+    def settings(self):
+        return "---\n".join(
+            SERVICE.format(s, self.min_hosts, self.max_out)
+            for s in self.services)
+
+    def publish(self, text=None):
+        root = pathlib.Path(self.dir.name) / "settings"
+        root.mkdir(exist_ok=True)
+        (root / "gypsumvalve.yaml").write_text(text or self.settings())
+        done = self.operator("publish", str(root))
+        assert done.returncode == 0, done.stdout + done.stderr
+
+    def operator(self, *args, timeout=30):
+        env = dict(os.environ, GYPSUMVALVE_PLATFORM=self.platform,
+                   GYPSUMVALVE_ENTRY=self.entries["e1"][1])
+        return subprocess.run([str(self.build / "gypsumvalve"), *args],
+                              env=env, capture_output=True, text=True,
+                              timeout=timeout, check=False)
+
+    def entry(self, name, method, path, headers=None, body=None, timeout=5.0):
+        return http_call(self.entries[name][1], method, path, headers, body,
+                         timeout)
+
+    def fault(self, **values):
+        query = "&".join(f"{k}={v}" for k, v in values.items())
+        assert http_call(self.platform, "POST", f"/faults?{query}")[0] == 200
+
+    def target(self, host, method, path):
+        return http_call(self.hosts[host][2], method, path)
+
+    def kill(self, name):
+        self.procs[name].kill()
+        self.procs[name].wait()
+
+    def signal(self, name, number):
+        self.procs[name].send_signal(number)
+
+    def runs(self):
+        out = []
+        for host in self.hosts:
+            answer = self.target(host, "GET", "/history")
+            assert answer, f"no history from {host}"
+            out += history.parse_history(answer[2])
+        return [run for run in out if run.tag != "ping"]
+
+    def stop(self):
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.procs.values():
+            proc.wait()
+        self.dir.cleanup()
+
+
+class Callers:
+    """Caller threads with a seeded mix of requests. Every submission is
+    recorded for the history checker. A caller whose submission ends unknown,
+    not-run or broken repeats it at another entry host with the same ticket
+    or key."""
+
+    def __init__(self, cluster, seed, threads=6, service="plan", run_ms=40,
+                 keys=False):
+        self.cluster, self.seed, self.service = cluster, seed, service
+        self.run_ms, self.keys = run_ms, keys
+        self.calls = []
+        self.lock = threading.Lock()
+        self.halt = threading.Event()
+        self.threads = [threading.Thread(target=self.loop, args=(i,))
+                        for i in range(threads)]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc):
+        self.halt.set()
+        for thread in self.threads:
+            thread.join()
+
+    def loop(self, index):
+        rng = random.Random(f"{self.seed}-{index}")
+        count = 0
+        while not self.halt.is_set() and count < 2000:
+            count += 1
+            self.request(rng, f"{self.seed}-{index}-{count}")
+            time.sleep(rng.uniform(0, 0.02))
+
+    def request(self, rng, tag):
+        entries = sorted(self.cluster.entries)
+        headers = {"Gv-Deadline-Ms": "2000",
+                   "Gv-Team": rng.choice(["crews", "office"])}
+        idempotent = rng.random() < 0.4
+        method = "GET" if idempotent else "POST"
+        if not idempotent:
+            if self.keys and rng.random() < 0.5:
+                headers["Idempotency-Key"] = tag
+            else:
+                ticket = self.cluster.entry(rng.choice(entries), "POST",
+                                            "/v1/tickets", timeout=2)
+                if not ticket or ticket[0] != 200:
+                    return
+                headers["Gv-Ticket"] = ticket[2].strip()
+        path = f"/svc/{self.service}/work?tag={tag}" \
+               f"&run_ms={rng.randint(1, 2 * self.run_ms)}"
+        body = "" if idempotent else f"body of {tag}"
+        for attempt in range(3):
+            answer = self.cluster.entry(rng.choice(entries), method, path,
+                                        headers, body, timeout=4)
+            call = history.Call(tag, idempotent, body, "")
+            if answer:
+                call.status, call.answer = answer[0], answer[2]
+                call.outcome = answer[1].get("Gv-Outcome", "missing")
+            with self.lock:
+                self.calls.append(call)
+            if call.outcome == "run" or self.halt.is_set():
+                return
+            time.sleep(0.05 * (attempt + 1))
+
+    def verdict(self, least_run):
+        """Runs the checker; also demands that enough requests ran, so that a
+        cluster that refuses everything does not pass."""
+        bad = history.check(self.calls, self.cluster.runs())
+        counts = {}
+        for call in self.calls:
+            name = call.outcome or "broken"
+            counts[name] = counts.get(name, 0) + 1
+        print(f"  seed {self.seed}: {counts}")
+        assert not bad, "\n".join(bad[:10])
+        assert counts.get("run", 0) >= least_run, "too few requests ran"
--- /dev/null
+++ b/tests/proc_faults.py
@@ -0,0 +1,171 @@
+"""Runs real processes under faults and checks the history of every request:
+at most once, own and whole answers, true outcomes, no planned stop that cuts
+off a request. Each scenario has its seed."""
+import signal
+import sys
+import threading
+import time
+
+from cluster import Callers, Cluster, wait_until
+
+
+def entry_killed(build):
+    """Guards against a second run of a ticket or key after the entry host
+    that took it is killed and replaced."""
+    with Cluster(build) as c, Callers(c, seed=11, keys=True) as callers:
+        for _ in range(2):
+            time.sleep(1.5)
+            c.kill("e1")
+            time.sleep(0.5)
+            c.start_entry("e1")
+            c.wait_entry("e1")
+        time.sleep(1)
+        callers.__exit__()
+        callers.verdict(least_run=50)
+
+
+def entry_paused(build):
+    """Guards against a paused entry host that wakes up and runs work whose
+    caller has long been answered as not-run, or runs it twice."""
+    with Cluster(build) as c, Callers(c, seed=12, keys=True) as callers:
+        time.sleep(1)
+        c.signal("e2", signal.SIGSTOP)
+        time.sleep(4)
+        c.signal("e2", signal.SIGCONT)
+        time.sleep(2)
+        callers.__exit__()
+        callers.verdict(least_run=50)
+
+
+def platform_outage(build):
+    """Guards against a data centre that stops serving without the platform,
+    and against settings that are lost when an entry host restarts during the
+    outage."""
+    with Cluster(build, entries=3) as c:
+        c.fault(outage=1)
+        with Callers(c, seed=13) as callers:
+            time.sleep(1)
+            c.kill("e3")
+            c.start_entry("e3")
+            # Not a member yet: it hands work to its peers.
+            c.wait_serving("e3")
+            time.sleep(2)
+        callers.verdict(least_run=100)
+        c.fault(reset=1)
+        c.wait_serving("e3")
+
+
+def lost_appends(build):
+    """Guards against an append that counts twice, or is lost, when its answer
+    is lost after it took effect."""
+    with Cluster(build) as c:
+        c.fault(lose_append=6, duplicate_append=6)
+        with Callers(c, seed=14, keys=True) as callers:
+            time.sleep(4)
+        callers.verdict(least_run=30)
+
+
+def operators_race(build):
+    """Guards against a host in two pools, and against two settings accepted
+    on one base, when operators race each other."""
+    with Cluster(build, services=("plan", "spare", "extra")) as c:
+        done = []
+
+        def move(pool):
+            done.append(c.operator("move", "plan-dc1-1", "--to", pool))
+
+        threads = [threading.Thread(target=move, args=(p,))
+                   for p in ("spare", "extra")]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        codes = sorted(d.returncode for d in done)
+        assert codes == [0, 4], [d.stdout + d.stderr for d in done]
+        won = [d for d in done if d.returncode == 0][0].args[-1]
+        wait_until(lambda: f'"{won}"' in c.operator(
+            "status", "--json").stdout, 15, "move in force")
+
+
+def wave_under_load(build):
+    """Guards against a maintenance wave that cuts off a request in progress,
+    also with an entry host that is paused during it."""
+    with Cluster(build, hosts=3) as c, Callers(c, seed=15,
+                                               run_ms=150) as callers:
+        started = c.operator("wave", "start", "w1", "--pool", "plan",
+                             "--width", "2")
+        assert started.returncode == 0, started.stdout + started.stderr
+        time.sleep(1)
+        c.signal("e2", signal.SIGSTOP)
+        time.sleep(2)
+        c.signal("e2", signal.SIGCONT)
+        wait_until(lambda: "done" in c.operator(
+            "wave", "status", "w1").stdout, 60, "wave done")
+        callers.__exit__()
+        boots = [c.target(h, "GET", "/health")[2] for h in c.hosts]
+        assert boots
+        callers.verdict(least_run=100)
+
+
+def leaving_target(build):
+    """Guards against new work for a leaving target when the platform's list
+    lags and then cannot be read at all."""
+    with Cluster(build, hosts=3) as c, Callers(c, seed=16) as callers:
+        c.fault(list_lag_ms=60000)
+        time.sleep(1)
+        c.fault(outage=1)
+        c.target("plan-dc1-1", "POST", "/control/leave")
+        time.sleep(5)
+        before = c.target("plan-dc1-1", "GET", "/history")[2].count("start ")
+        refused = started_refusals(c, "plan-dc1-1")
+        time.sleep(3)
+        after = c.target("plan-dc1-1", "GET", "/history")[2].count("start ")
+        assert after == before, f"{after - before} started while leaving"
+        assert started_refusals(c, "plan-dc1-1") == refused, \
+            "work is still offered to a leaving target"
+        callers.__exit__()
+        callers.verdict(least_run=100)
+
+
+def started_refusals(c, host):
+    """Counts requests that the target turned away."""
+    text = c.target(host, "GET", "/history")[2]
+    return text.count("refuse ")
+
+
+def silent_connections(build):
+    """Guards against answers that are lost or crossed when open connections
+    go silent for good, and against a daemon that keeps waiting on them."""
+    with Cluster(build, hosts=3) as c, Callers(c, seed=17) as callers:
+        for _ in range(3):
+            time.sleep(1)
+            c.target("plan-dc1-2", "POST", "/control/fault?silent=1")
+            time.sleep(1)
+            c.target("plan-dc1-2", "POST", "/control/fault?reset=1")
+        time.sleep(1)
+        callers.__exit__()
+        callers.verdict(least_run=100)
+
+
+SCENARIOS = [entry_killed, entry_paused, platform_outage, lost_appends,
+             operators_race, wave_under_load, leaving_target,
+             silent_connections]
+
+
+def main():
+    build, only = sys.argv[1], sys.argv[2:]
+    failed = 0
+    for scenario in SCENARIOS:
+        if only and scenario.__name__ not in only:
+            continue
+        print(scenario.__name__, flush=True)
+        try:
+            scenario(build)
+        except AssertionError as wrong:
+            failed += 1
+            print(f"FAILED {scenario.__name__}: {wrong}", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
