--- a/src/limits.h
+++ b/src/limits.h
@@ -7,10 +7,13 @@
 #define GV_NAME_MAX_BYTES 63
 
 /* Requests */
-#define GV_BODY_MAX_BYTES      (1024 * 1024)
-#define GV_HTTP_HEADER_BYTES   (16 * 1024)
-#define GV_HTTP_CONNECTIONS    2048
-#define GV_HTTP_THREADS        4
+#define GV_BODY_MAX_BYTES    (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES (16 * 1024)
+#define GV_HTTP_CONNECTIONS  2048
+#define GV_HTTP_THREADS      4
+/* A server that closes idle connections does so after some seconds; a younger
+   connection is rarely closed while a request is on its way. */
+#define GV_HTTP_IDLE_MS        2000
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -33,6 +36,8 @@
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
+#define GV_LOG_PAGE_BYTES          (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES          (4 * 1024 * 1024)
 #define GV_REPLICA_RING_RECORDS    1024
 #define GV_CHECKPOINT_RECORDS      2000
 #define GV_PLATFORM_TIMEOUT_MS     5000
@@ -59,6 +64,7 @@
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
+#define GV_TARGET_SLOTS_MAX   1024
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
 #define GV_PROBE_TIMEOUT_MS   1000
