--- /dev/null
+++ b/src/hosttable.c
@@ -0,0 +1,217 @@
+#include "hosttable.h"
+
+#include <string.h>
+
+#include "error.h"
+#include "limits.h"
+#include "pack.h"
+
+typedef struct {
+    int64_t made_ms;
+    GBytes *body;
+} list_t;
+
+struct gv_hosttable_s {
+    GPtrArray *hosts; /* of gv_thost_t */
+    GHashTable *by_name;
+    bool dirty; /* a host changed since the newest list */
+    uint64_t version;
+    GArray *lists; /* of list_t, oldest first */
+};
+
+static const char *const state_names[] = {"live", "leaving", "gone"};
+
+static void
+free_host(gpointer p)
+{
+    gv_thost_t *h = p;
+    GvStr_Free(&h->listed.host);
+    GvStr_Free(&h->listed.dc);
+    GvStr_Free(&h->listed.rack);
+    GvStr_Free(&h->listed.addr);
+    GvStr_Free(&h->listed.pool);
+    GvStr_Free(&h->listed.boot);
+    g_free(h);
+}
+
+static void
+clear_list(gpointer p)
+{
+    g_bytes_unref(((list_t *)p)->body);
+}
+
+/* Creates an empty table; its first list has version 1 and no hosts. */
+gv_hosttable_t *
+GvHostTable_New(void)
+{
+    gv_hosttable_t *t = g_new0(gv_hosttable_t, 1);
+    t->hosts = g_ptr_array_new_with_free_func(free_host);
+    t->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    t->lists = g_array_new(FALSE, FALSE, sizeof(list_t));
+    g_array_set_clear_func(t->lists, clear_list);
+    t->dirty = true;
+    GvHostTable_MakeList(t, 0);
+    return t;
+}
+
+/* Releases the table. */
+void
+GvHostTable_Free(gv_hosttable_t *t)
+{
+    g_hash_table_destroy(t->by_name);
+    g_ptr_array_free(t->hosts, TRUE);
+    g_array_free(t->lists, TRUE);
+    g_free(t);
+}
+
+static gv_thost_t *
+find(const gv_hosttable_t *t, gv_str_t name)
+{
+    char *key = g_strndup(name.p, name.n);
+    gv_thost_t *h = g_hash_table_lookup(t->by_name, key);
+    g_free(key);
+    return h;
+}
+
+static void
+replace(gv_str_t *field, gv_str_t value)
+{
+    gv_str_t copy = GvStr_Dup(value);
+    GvStr_Free(field);
+    *field = copy;
+}
+
+/* Adds or replaces a host; see the header. */
+int
+GvHostTable_Set(gv_hosttable_t *t, const gv_listed_host_t *n)
+{
+    gv_thost_t *h = find(t, n->host);
+    if (h == NULL) {
+        if (t->hosts->len >= GV_HOSTS_MAX) {
+            return GV_EFULL;
+        }
+        h = g_new0(gv_thost_t, 1);
+        h->listed.host = GvStr_Dup(n->host);
+        char *boot = g_strdup_printf("%s-0", h->listed.host.p);
+        h->listed.boot = GvStr_Dup(GvStr_C(n->slots > 0 ? boot : ""));
+        g_free(boot);
+        g_ptr_array_add(t->hosts, h);
+        g_hash_table_insert(t->by_name, (char *)h->listed.host.p, h);
+    }
+    replace(&h->listed.dc, n->dc);
+    replace(&h->listed.rack, n->rack);
+    replace(&h->listed.addr, n->addr);
+    replace(&h->listed.pool, n->pool);
+    h->listed.slots = n->slots;
+    h->rebooting = false;
+    GvHostTable_Mark(t, h, n->state, n->boot);
+    return GV_OK;
+}
+
+/* Finds a host and checks the fence; see the header. */
+int
+GvHostTable_Fence(gv_hosttable_t *t, gv_str_t name, uint64_t fence,
+                  gv_thost_t **out)
+{
+    gv_thost_t *h = find(t, name);
+    if (h == NULL || h->listed.state == GV_LISTED_GONE) {
+        return GV_ENOENT;
+    }
+    if (fence < h->fence) {
+        return GV_ESTALE;
+    }
+    h->fence = fence;
+    *out = h;
+    return GV_OK;
+}
+
+/* Changes state and boot identifier; see the header. */
+void
+GvHostTable_Mark(gv_hosttable_t *t, gv_thost_t *h, gv_listed_state_t state,
+                 gv_str_t boot)
+{
+    h->listed.state = state;
+    if (boot.n > 0) {
+        replace(&h->listed.boot, boot);
+    }
+    t->dirty = true;
+}
+
+/* Returns the number of hosts. */
+int
+GvHostTable_Count(const gv_hosttable_t *t)
+{
+    return (int)t->hosts->len;
+}
+
+/* Returns host i in the order of registration. */
+gv_thost_t *
+GvHostTable_At(const gv_hosttable_t *t, int i)
+{
+    return t->hosts->pdata[i];
+}
+
+static void
+pack_host(msgpack_packer *pk, const gv_listed_host_t *h)
+{
+    msgpack_pack_array(pk, 8);
+    GvPack_Str(pk, h->host);
+    GvPack_Str(pk, h->dc);
+    GvPack_Str(pk, h->rack);
+    GvPack_Str(pk, h->addr);
+    GvPack_Int(pk, h->slots);
+    GvPack_Str(pk, h->pool);
+    GvPack_Str(pk, GvStr_C(state_names[h->state]));
+    GvPack_Str(pk, h->boot);
+}
+
+/* Adds a list version if needed; see the header. */
+void
+GvHostTable_MakeList(gv_hosttable_t *t, int64_t now_ms)
+{
+    if (!t->dirty) {
+        return;
+    }
+    t->dirty = false;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, 2);
+    GvPack_Uint(&pk, ++t->version);
+    msgpack_pack_array(&pk, t->hosts->len);
+    for (guint i = 0; i < t->hosts->len; i++) {
+        pack_host(&pk, &GvHostTable_At(t, (int)i)->listed);
+    }
+    list_t l = {now_ms, g_bytes_new(sb.data, sb.size)};
+    msgpack_sbuffer_destroy(&sb);
+    g_array_append_val(t->lists, l);
+    if (t->lists->len > GV_HOSTTABLE_LISTS) {
+        g_array_remove_index(t->lists, 0);
+    }
+}
+
+/* Returns a reference to one list body; see the header. */
+GBytes *
+GvHostTable_List(const gv_hosttable_t *t, int64_t until_ms, uint64_t older)
+{
+    guint at = t->lists->len - 1;
+    while (at > 0 && g_array_index(t->lists, list_t, at).made_ms > until_ms) {
+        at--;
+    }
+    at -= (guint)MIN(older, at);
+    return g_bytes_ref(g_array_index(t->lists, list_t, at).body);
+}
+
+/* Reads a state name; see the header. */
+int
+GvHostTable_ParseState(const char *text, gv_listed_state_t *state)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(state_names); i++) {
+        if (strcmp(text, state_names[i]) == 0) {
+            *state = (gv_listed_state_t)i;
+            return GV_OK;
+        }
+    }
+    return GV_EINVAL;
+}
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -197,7 +197,8 @@
                  strcmp(method, "OPTIONS") == 0 ||
                  strcmp(method, "DELETE") == 0;
     if (rq->body.n > 0 || !plain) {
-        ne_set_request_body_buffer(req, rq->body.p, rq->body.n);
+        const char *body = rq->body.p == NULL ? "" : rq->body.p;
+        ne_set_request_body_buffer(req, body, rq->body.n);
     }
     g_free(method);
     g_free(path);
@@ -353,3 +354,29 @@
     }
     memset(answer, 0, sizeof *answer);
 }
+
+/* Makes one exchange on a new connection; see the header. */
+int
+GvHttp_Once(const char *addr, const char *method, const char *path,
+            int timeout_ms, char **text)
+{
+    gv_http_client_t *c = GvHttp_New();
+    gv_http_request_t rq = {.addr = GvStr_C(addr),
+                            .method = GvStr_C(method),
+                            .path = GvStr_C(path),
+                            .idempotent = false,
+                            .timeout_ms = timeout_ms,
+                            .max_body = GV_BODY_MAX_BYTES};
+    gv_http_answer_t a;
+    int res = GvHttp_Do(c, &rq, &a);
+    if (text != NULL) {
+        *text =
+            res == GV_OK ? g_strndup((char *)a.body->data, a.body->len) : NULL;
+    }
+    if (res == GV_OK) {
+        res = a.status;
+    }
+    GvHttp_ClearAnswer(&a);
+    GvHttp_Free(c);
+    return res;
+}
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -45,5 +45,10 @@
 int GvHttp_Do(gv_http_client_t *c, const gv_http_request_t *rq,
               gv_http_answer_t *answer);
 void GvHttp_ClearAnswer(gv_http_answer_t *answer);
+/* One request without a body on a connection of its own. Returns the HTTP
+   status or a negative error; *text (if not NULL) gets the body of an answer,
+   to be released with g_free, and NULL on an error. */
+int GvHttp_Once(const char *addr, const char *method, const char *path,
+                int timeout_ms, char **text);
 
 #endif
--- a/src/limits.h
+++ b/src/limits.h
@@ -68,6 +68,8 @@
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
 #define GV_PROBE_TIMEOUT_MS   1000
+/* One lost probe is common while a target is busy; two in a row are not. */
+#define GV_PROBE_FAILURES 2
 /* Added to the run limit sent to a target before an abandoned exchange is
    counted as ended: covers clock rate differences and delivery. */
 #define GV_ABANDON_GRACE_MS   1000
