Add target stand-in

Tests need targets with slots, run times set by the request, an exact history of what started, finished or was cut, and faults: failing all work, freezing, refusing connections, silent connections and late answers. A refused connection is refused by the kernel, because only then does a client know that nothing was sent; any other target of the process takes the reset.

--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -312,8 +312,8 @@
     g_mutex_unlock(&p->lock);
     if (addr != NULL) {
         GvHttp_Once(addr, "POST", path, TARGET_WAIT_MS, NULL);
-        g_free(addr);
     }
+    g_free(addr);
     if (h != NULL) {
         GvServed_ReplyText(rq, 200, "ok\n");
     }
@@ -336,12 +336,10 @@
     if (h == NULL) {
         return;
     }
-    int status = 200;
-    if (addr != NULL) {
-        status =
-            GvHttp_Once(addr, "POST", "/control/reboot", TARGET_WAIT_MS, NULL);
-        g_free(addr);
-    }
+    int status = addr == NULL ? 200
+                              : GvHttp_Once(addr, "POST", "/control/reboot",
+                                            TARGET_WAIT_MS, NULL);
+    g_free(addr);
     if (status == 200) {
         GvServed_ReplyText(rq, 200, "ok\n");
         return;
@@ -586,11 +584,15 @@
         return 2;
     }
     platform_t *p = g_new0(platform_t, 1);
+    g_mutex_init(&p->lock);
+    g_cond_init(&p->wake);
     p->log = GvLogStore_New((uint64_t)records, ms);
     p->hosts = GvHostTable_New();
     int code = serve(p, addr, control);
     GvHostTable_Free(p->hosts);
     GvLogStore_Free(p->log);
+    g_mutex_clear(&p->lock);
+    g_cond_clear(&p->wake);
     g_free(p);
     g_free(addr);
     g_free(control);
--- /dev/null
+++ b/src/standin_target.c
@@ -0,0 +1,513 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "error.h"
+#include "httpserver.h"
+#include "limits.h"
+
+/* Stand-in for targets: each listening address is one target. */
+
+#define RUN_MAX_MS    (60 * 60 * 1000)
+#define HISTORY_LINES 200000
+#define TEXT_BYTES    64
+
+typedef struct {
+    bool fail_all; /* 500 after starting */
+    bool freeze;   /* accepts and does not answer until reset */
+    bool refuse;   /* new connections are refused */
+    bool silent;   /* connections opened before get no answer */
+    uint64_t late_ms;
+} faults_t;
+
+typedef struct {
+    char *name;
+    char *addr;
+    gv_server_t *server;
+    GMutex lock; /* covers everything below */
+    GCond wake;  /* any change of state */
+    bool stopping;
+    bool leaving;
+    int64_t reboot_until_ms; /* 0: not rebooting */
+    int boots;
+    int running;
+    faults_t faults;
+    int64_t silent_us; /* older connections are silent */
+    GQueue history;    /* of char *, oldest first */
+    uint64_t dropped;  /* history lines over the bound */
+} target_t;
+
+static int slots = GV_TARGET_SLOTS;
+static int connections = GV_TARGET_CONNECTIONS;
+static int run_ms = 10;
+static int reboot_ms = 1000;
+static int64_t start_ms;
+
+/* Adds a history line with the time (GvClock_MonoMs); the lock is held. */
+static void
+note(target_t *t, const char *event, const char *attempt, const char *rest)
+{
+    char *line = g_strdup_printf("%s %s%s %" G_GINT64_FORMAT "\n", event,
+                                 attempt, rest, GvClock_MonoMs());
+    g_queue_push_tail(&t->history, line);
+    if (g_queue_get_length(&t->history) > HISTORY_LINES) {
+        g_free(g_queue_pop_head(&t->history));
+        t->dropped++;
+    }
+}
+
+/* Tells whether the target is rebooting, and ends a reboot that is over. */
+static bool
+is_rebooting(target_t *t)
+{
+    if (t->reboot_until_ms != 0 && GvClock_MonoMs() >= t->reboot_until_ms) {
+        t->reboot_until_ms = 0;
+        t->leaving = false;
+        t->boots++;
+    }
+    return t->reboot_until_ms != 0;
+}
+
+/* Waits until end_us (INT64_MAX: no end) for the next change of state. */
+static bool
+wait_change(target_t *t, int64_t end_us)
+{
+    if (end_us == INT64_MAX) {
+        g_cond_wait(&t->wake, &t->lock);
+        return true;
+    }
+    return g_cond_wait_until(&t->wake, &t->lock, end_us);
+}
+
+/* Blocks while a fault keeps the connection without an answer. A silent
+   connection stays silent until reset. Returns false when stopping. */
+static bool
+pass_faults(target_t *t, gv_served_t *rq)
+{
+    while (!t->stopping &&
+           (t->faults.freeze ||
+            (t->faults.silent && GvServed_OpenedUs(rq) < t->silent_us))) {
+        wait_change(t, INT64_MAX);
+    }
+    return !t->stopping;
+}
+
+static void
+reply_not_started(gv_served_t *rq, int status, const char *why)
+{
+    GvServed_AddHeader(rq, "Gv-Not-Started", "true");
+    GvServed_ReplyText(rq, status, "%s\n", why);
+}
+
+/* A header's value if it is one printable word, else "-". */
+static const char *
+word_of(const char *value)
+{
+    if (value == NULL || value[0] == '\0' || strlen(value) > TEXT_BYTES) {
+        return "-";
+    }
+    for (const char *p = value; *p != '\0'; p++) {
+        if (!g_ascii_isgraph(*p)) {
+            return "-";
+        }
+    }
+    return value;
+}
+
+/* Reads run time and deadline of a request. Returns false after answering. */
+static bool
+parse_run(gv_served_t *rq, uint64_t *ms, uint64_t *deadline_ms)
+{
+    const char *header = GvServed_Header(rq, "X-Run-Ms");
+    const char *deadline = GvServed_Header(rq, "Gv-Deadline-Ms");
+    const char *bad = NULL;
+    *ms = (uint64_t)run_ms;
+    *deadline_ms = RUN_MAX_MS;
+    if (header != NULL &&
+        GvServer_ParseNumber(header, RUN_MAX_MS, ms) != GV_OK) {
+        bad = "X-Run-Ms";
+    }
+    if (GvServed_QueryNumber(rq, "run_ms", RUN_MAX_MS, ms) != GV_OK) {
+        bad = "run_ms";
+    }
+    if (deadline != NULL &&
+        GvServer_ParseNumber(deadline, RUN_MAX_MS, deadline_ms) != GV_OK) {
+        bad = "Gv-Deadline-Ms";
+    }
+    if (bad != NULL) {
+        GvServed_AddHeader(rq, "Gv-Not-Started", "true");
+        GvServed_ReplyText(rq, 400, "invalid %s\n", bad);
+    }
+    return bad == NULL;
+}
+
+typedef enum { RUN_DONE, RUN_FAILED, RUN_DEADLINE, RUN_CUT } run_end_t;
+
+/* Holds a slot for ms or until the deadline, a reboot or the end. A frozen
+   target goes on running; only its answers are kept back. */
+static run_end_t
+run(target_t *t, uint64_t ms, int64_t deadline_us)
+{
+    int64_t end_us = GvClock_MonoUs() + (int64_t)ms * 1000;
+    int boots = t->boots;
+    while (!t->stopping && t->reboot_until_ms == 0 && t->boots == boots &&
+           wait_change(t, MIN(end_us, deadline_us))) {
+    }
+    if (t->stopping || t->reboot_until_ms != 0 || t->boots != boots) {
+        return RUN_CUT;
+    }
+    if (deadline_us < end_us) {
+        return RUN_DEADLINE;
+    }
+    return t->faults.fail_all ? RUN_FAILED : RUN_DONE;
+}
+
+/* Keeps an answer back while late, frozen or silent. */
+static bool
+delay_answer(target_t *t, gv_served_t *rq)
+{
+    int64_t end_us = GvClock_MonoUs() + (int64_t)t->faults.late_ms * 1000;
+    while (!t->stopping && t->faults.late_ms > 0 && wait_change(t, end_us)) {
+    }
+    return pass_faults(t, rq);
+}
+
+/* Runs a request in a slot. The lock is held. */
+static void
+run_request(target_t *t, gv_served_t *rq, uint64_t ms, int64_t deadline_us)
+{
+    const char *attempt = word_of(GvServed_Header(rq, "Gv-Attempt-Id"));
+    char *rest =
+        g_strdup_printf(" %s %s %s", GvServed_Method(rq), GvServed_Path(rq),
+                        word_of(GvServed_Header(rq, "X-Tag")));
+    t->running++;
+    note(t, "start", attempt, rest);
+    g_free(rest);
+    run_end_t end = run(t, ms, deadline_us);
+    note(t, end == RUN_CUT ? "cut" : "finish", attempt, "");
+    t->running--;
+    if (end == RUN_CUT || !delay_answer(t, rq)) {
+        return;
+    }
+    if (strcmp(attempt, "-") != 0) {
+        GvServed_AddHeader(rq, "Gv-Attempt-Id", attempt);
+    }
+    switch (end) {
+    case RUN_DONE: {
+        gv_str_t body = GvServed_Body(rq);
+        GString *text = g_string_new("ok ");
+        g_string_append_len(text, body.p, (gssize)body.n);
+        GvServed_Reply(rq, 200, "text/plain", GvStr_N(text->str, text->len));
+        g_string_free(text, TRUE);
+        break;
+    }
+    case RUN_FAILED:
+        GvServed_ReplyText(rq, 500, "failed\n");
+        break;
+    case RUN_DEADLINE:
+        GvServed_ReplyText(rq, 504, "deadline passed\n");
+        break;
+    case RUN_CUT:
+        break;
+    }
+}
+
+/* Accepts or refuses a request. */
+static void
+handle_work(target_t *t, gv_served_t *rq)
+{
+    uint64_t ms;
+    uint64_t deadline_ms;
+    int64_t arrived_us = GvClock_MonoUs();
+    if (!parse_run(rq, &ms, &deadline_ms)) {
+        return;
+    }
+    int64_t deadline_us = arrived_us + (int64_t)deadline_ms * 1000;
+    g_mutex_lock(&t->lock);
+    if (!pass_faults(t, rq)) {
+    }
+    else if (is_rebooting(t)) {
+        reply_not_started(rq, 503, "rebooting");
+    }
+    else if (t->leaving) {
+        reply_not_started(rq, 503, "leaving");
+    }
+    else if (t->running >= slots) {
+        reply_not_started(rq, 503, "all slots taken");
+    }
+    else if (GvClock_MonoUs() >= deadline_us) {
+        reply_not_started(rq, 504, "deadline passed before the start");
+    }
+    else {
+        run_request(t, rq, ms, deadline_us);
+    }
+    g_mutex_unlock(&t->lock);
+}
+
+static void
+handle_health(target_t *t, gv_served_t *rq)
+{
+    g_mutex_lock(&t->lock);
+    if (!pass_faults(t, rq)) {
+    }
+    else if (is_rebooting(t)) {
+        reply_not_started(rq, 503, "rebooting");
+    }
+    else {
+        GvServed_ReplyText(rq, 200,
+                           "state=%s boot=%s-%" G_GINT64_MODIFIER
+                           "x-%d running=%d "
+                           "slots=%d\n",
+                           t->leaving ? "leaving" : "live", t->name, start_ms,
+                           t->boots, t->running, slots);
+    }
+    g_mutex_unlock(&t->lock);
+}
+
+static void
+handle_history(target_t *t, gv_served_t *rq)
+{
+    GString *text = g_string_new(NULL);
+    g_mutex_lock(&t->lock);
+    if (t->dropped > 0) {
+        g_string_append_printf(text, "dropped %" G_GUINT64_FORMAT "\n",
+                               (guint64)t->dropped);
+    }
+    for (GList *l = t->history.head; l != NULL; l = l->next) {
+        g_string_append(text, l->data);
+    }
+    g_mutex_unlock(&t->lock);
+    GvServed_Reply(rq, 200, "text/plain", GvStr_N(text->str, text->len));
+    g_string_free(text, TRUE);
+}
+
+/* Reads the fault switches; returns the name of an invalid one or NULL. */
+static const char *
+parse_faults(gv_served_t *rq, faults_t *f)
+{
+    const struct {
+        const char *name;
+        bool *value;
+    } flags[] = {{"fail_all", &f->fail_all},
+                 {"freeze", &f->freeze},
+                 {"refuse", &f->refuse},
+                 {"silent", &f->silent}};
+    int known = 0;
+    if (GvServed_Query(rq, "reset") != NULL) {
+        memset(f, 0, sizeof *f);
+        known++;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(flags); i++) {
+        uint64_t v = *flags[i].value;
+        if (GvServed_QueryNumber(rq, flags[i].name, 1, &v) != GV_OK) {
+            return flags[i].name;
+        }
+        *flags[i].value = v == 1;
+        known += GvServed_Query(rq, flags[i].name) != NULL;
+    }
+    if (GvServed_QueryNumber(rq, "late_ms", RUN_MAX_MS, &f->late_ms)) {
+        return "late_ms";
+    }
+    known += GvServed_Query(rq, "late_ms") != NULL;
+    known += GvServed_Query(rq, "target") != NULL;
+    return known == GvServed_QueryCount(rq) ? NULL : "unknown fault";
+}
+
+static void
+set_faults(target_t *t, gv_served_t *rq)
+{
+    g_mutex_lock(&t->lock);
+    faults_t f = t->faults;
+    const char *bad = parse_faults(rq, &f);
+    if (bad == NULL) {
+        if (f.silent && !t->faults.silent) {
+            t->silent_us = GvClock_MonoUs();
+        }
+        t->faults = f;
+        g_cond_broadcast(&t->wake);
+    }
+    g_mutex_unlock(&t->lock);
+    if (bad != NULL) {
+        GvServed_ReplyText(rq, 400, "invalid fault: %s\n", bad);
+        return;
+    }
+    int err = GvServer_Refuse(t->server, f.refuse);
+    GvServed_ReplyText(rq, err == GV_OK ? 200 : 500, "%s\n", Gv_StrError(err));
+}
+
+/* Carries out one of leave, live, reboot and fault. */
+static void
+handle_control(target_t *t, gv_served_t *rq, const char *verb)
+{
+    if (strcmp(verb, "fault") == 0) {
+        set_faults(t, rq);
+        return;
+    }
+    bool known = true;
+    g_mutex_lock(&t->lock);
+    if (strcmp(verb, "leave") == 0 || strcmp(verb, "live") == 0) {
+        t->leaving = strcmp(verb, "leave") == 0;
+    }
+    else if (strcmp(verb, "reboot") == 0) {
+        if (!is_rebooting(t)) {
+            t->reboot_until_ms = GvClock_MonoMs() + reboot_ms;
+        }
+        g_cond_broadcast(&t->wake);
+    }
+    else {
+        known = false;
+    }
+    g_mutex_unlock(&t->lock);
+    GvServed_ReplyText(rq, known ? 200 : 404, known ? "ok\n" : "unknown\n");
+}
+
+static GPtrArray *targets; /* of target_t; complete before serving begins */
+
+/* The target that a control call names with ?target=NAME, by default the one
+   on whose address it arrived. NULL for an unknown name. */
+static target_t *
+named_target(gv_served_t *rq, target_t *here)
+{
+    const char *name = GvServed_Query(rq, "target");
+    for (guint i = 0; name != NULL && i < targets->len; i++) {
+        target_t *t = targets->pdata[i];
+        if (strcmp(t->name, name) == 0) {
+            return t;
+        }
+    }
+    return name == NULL ? here : NULL;
+}
+
+static void
+handle(void *user, gv_served_t *rq)
+{
+    target_t *here = user;
+    const char *path = GvServed_Path(rq);
+    bool control = g_str_has_prefix(path, "/control/");
+    bool history = strcmp(path, "/history") == 0;
+    target_t *t = control || history ? named_target(rq, here) : here;
+    if (t == NULL) {
+        GvServed_ReplyText(rq, 404, "no target of that name\n");
+        return;
+    }
+    GvServed_AddHeader(rq, "Gv-Target", t->name);
+    if (control && strcmp(GvServed_Method(rq), "POST") != 0) {
+        GvServed_ReplyText(rq, 405, "POST wanted\n");
+    }
+    else if (control) {
+        handle_control(t, rq, path + strlen("/control/"));
+    }
+    else if (history) {
+        handle_history(t, rq);
+    }
+    else if (strcmp(path, "/health") == 0) {
+        handle_health(t, rq);
+    }
+    else {
+        handle_work(t, rq);
+    }
+}
+
+/* Adds the target of "NAME=ADDR" to the table. */
+static int
+add_target(const char *spec)
+{
+    const char *eq = strchr(spec, '=');
+    target_t *t = g_new0(target_t, 1);
+    t->name = g_strndup(spec, eq == NULL ? 0 : (gsize)(eq - spec));
+    t->addr = g_strdup(eq == NULL ? "" : eq + 1);
+    g_queue_init(&t->history);
+    g_mutex_init(&t->lock);
+    g_cond_init(&t->wake);
+    g_ptr_array_add(targets, t);
+    if (!GvStr_IsName(GvStr_C(t->name))) {
+        g_printerr("standin-target: %s: NAME=ADDR wanted\n", spec);
+        return GV_EINVAL;
+    }
+    return GV_OK;
+}
+
+/* Begins to serve a target. */
+static int
+start_target(target_t *t)
+{
+    gv_server_opts_t o = {t->addr, connections, GV_BODY_MAX_BYTES, handle, t};
+    int err = GvServer_Start(&o, &t->server);
+    if (err != GV_OK) {
+        g_printerr("standin-target: %s: %s\n", t->addr, Gv_StrError(err));
+    }
+    return err;
+}
+
+/* Wakes all waiting requests, then stops the servers. */
+static void
+stop_targets(void)
+{
+    for (guint i = 0; i < targets->len; i++) {
+        target_t *t = targets->pdata[i];
+        g_mutex_lock(&t->lock);
+        t->stopping = true;
+        g_cond_broadcast(&t->wake);
+        g_mutex_unlock(&t->lock);
+    }
+    for (guint i = 0; i < targets->len; i++) {
+        target_t *t = targets->pdata[i];
+        if (t->server != NULL) {
+            GvServer_Stop(t->server);
+        }
+    }
+    for (guint i = 0; i < targets->len; i++) {
+        target_t *t = targets->pdata[i];
+        g_queue_clear_full(&t->history, g_free);
+        g_mutex_clear(&t->lock);
+        g_cond_clear(&t->wake);
+        g_free(t->name);
+        g_free(t->addr);
+        g_free(t);
+    }
+    g_ptr_array_free(targets, TRUE);
+}
+
+int
+main(int argc, char **argv)
+{
+    char **specs = NULL;
+    GOptionEntry entries[] = {
+        {"target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &specs,
+         "A target and its address; may be repeated", "NAME=ADDR"},
+        {"slots", 0, 0, G_OPTION_ARG_INT, &slots, "Slots per target", "N"},
+        {"connections", 0, 0, G_OPTION_ARG_INT, &connections,
+         "Connections per target", "N"},
+        {"run-ms", 0, 0, G_OPTION_ARG_INT, &run_ms, "Default run time", "MS"},
+        {"reboot-ms", 0, 0, G_OPTION_ARG_INT, &reboot_ms,
+         "Duration of a reboot", "MS"},
+        {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+    GError *error = NULL;
+    GOptionContext *ctx = g_option_context_new(NULL);
+    g_option_context_add_main_entries(ctx, entries, NULL);
+    bool ok = g_option_context_parse(ctx, &argc, &argv, &error);
+    g_option_context_free(ctx);
+    if (!ok || specs == NULL || argc > 1 || slots < 1 || connections < 1 ||
+        run_ms < 0 || run_ms > RUN_MAX_MS || reboot_ms < 0) {
+        g_printerr("standin-target: %s\n",
+                   ok ? "--target NAME=ADDR is needed; numbers are positive"
+                      : error->message);
+        return 2;
+    }
+    start_ms = GvClock_WallMs();
+    targets = g_ptr_array_new();
+    int err = GV_OK;
+    for (int i = 0; specs[i] != NULL && err == GV_OK; i++) {
+        err = add_target(specs[i]);
+    }
+    for (guint i = 0; i < targets->len && err == GV_OK; i++) {
+        err = start_target(targets->pdata[i]);
+    }
+    if (err == GV_OK) {
+        GvServer_WaitForSignal();
+    }
+    stop_targets();
+    g_strfreev(specs);
+    return err == GV_OK ? 0 : 1;
+}
