--- /dev/null
+++ b/src/appender.c
@@ -0,0 +1,464 @@
+#include "appender.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+#include "limits.h"
+#include "platform.h"
+
+GV_COUNTER(append_calls, "log_append_calls_total",
+           "Appends sent to the platform's log");
+GV_COUNTER(append_repeats, "log_append_repeats_total",
+           "Appends repeated because their result was unknown");
+GV_COUNTER(append_refused, "log_append_refused_total",
+           "Appends that the platform refused as invalid");
+
+typedef struct {
+    char kind[16];
+    gv_str_t payload;
+    int64_t deadline_ms; /* monotonic */
+    gv_append_done_t done;
+    void *user;
+} item_t;
+
+/* A call of done() that is due once the lock is released. */
+typedef struct {
+    item_t *item;
+    int err;
+    gv_verdict_t verdict;
+} result_t;
+
+/* The batch that is outstanding. Its bytes never change once they may have
+   been sent. */
+typedef struct {
+    gv_str_t bytes[GV_APPEND_MAX_RECORDS];
+    int n;
+    uint64_t first_seq;
+    int64_t expires_ms; /* monotonic; after it the ledger rejects all of it */
+    bool maybe_sent;
+    bool decided[GV_APPEND_MAX_RECORDS]; /* its verdict has arrived */
+} batch_t;
+
+struct gv_appender_s {
+    gv_appender_opts_t opts;
+    gv_platform_t *platform; /* used by the thread only */
+    GThread *thread;
+    GMutex lock; /* covers everything below */
+    GCond change;
+    bool stopping;
+    GQueue pending;      /* of item_t: never sent */
+    GHashTable *waiting; /* sequence (uint64_t *) -> item_t: maybe sent */
+    uint64_t next_seq;
+    batch_t batch;
+    int failures; /* in a row */
+    int64_t retry_at_ms;
+};
+
+static void
+free_item(item_t *it)
+{
+    GvStr_Free(&it->payload);
+    g_free(it);
+}
+
+/* Adds a result to the list of calls that are due. */
+static void
+add_result(GArray *results, item_t *it, int err, const gv_verdict_t *v)
+{
+    result_t res = {.item = it, .err = err};
+    if (v != NULL) {
+        res.verdict = *v;
+    }
+    g_array_append_val(results, res);
+}
+
+/* Calls done() for each result; the lock is not held. */
+static void
+deliver(GArray *results)
+{
+    for (guint i = 0; i < results->len; i++) {
+        result_t *res = &g_array_index(results, result_t, i);
+        if (res->item->done != NULL) {
+            res->item->done(res->item->user, res->err,
+                            res->err == GV_OK ? &res->verdict : NULL);
+        }
+        free_item(res->item);
+    }
+    g_array_free(results, TRUE);
+}
+
+static GArray *
+new_results(void)
+{
+    return g_array_new(FALSE, FALSE, sizeof(result_t));
+}
+
+/* Ends the items whose deadline has passed. Those never sent are refused;
+   the fate of the others is unknown. */
+static void
+expire(gv_appender_t *a, int64_t now_ms, GArray *results)
+{
+    for (GList *l = a->pending.head; l != NULL;) {
+        GList *after = l->next;
+        item_t *it = l->data;
+        if (it->deadline_ms <= now_ms) {
+            g_queue_delete_link(&a->pending, l);
+            add_result(results, it, GV_EREFUSED, NULL);
+        }
+        l = after;
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->waiting);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        item_t *it = value;
+        if (it->deadline_ms <= now_ms) {
+            g_hash_table_iter_remove(&iter);
+            add_result(results, it, GV_ETIMEDOUT, NULL);
+        }
+    }
+}
+
+/* Packs one record with its envelope. */
+static gv_str_t
+pack_item(gv_appender_t *a, const item_t *it, uint64_t seq, int64_t ttl_ms)
+{
+    int64_t now_ms = GvClock_WallMs();
+    gv_record_t r = {.kind = GvStr_C(it->kind),
+                     .origin = a->opts.origin,
+                     .incarnation = a->opts.incarnation,
+                     .sequence = seq,
+                     .created_ms = now_ms,
+                     .expires_ms = now_ms + ttl_ms};
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvRecord_Pack(&sb, &r, it->payload);
+    gv_str_t bytes = GvStr_Dup(GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+    return bytes;
+}
+
+static void
+clear_batch(gv_appender_t *a)
+{
+    for (int i = 0; i < a->batch.n; i++) {
+        GvStr_Free(&a->batch.bytes[i]);
+    }
+    memset(&a->batch, 0, sizeof a->batch);
+}
+
+/* Makes a batch of the first pending items, which stay pending until the
+   batch may have been sent. */
+static void
+build_batch(gv_appender_t *a, int64_t now_ms)
+{
+    batch_t *b = &a->batch;
+    size_t total = 0;
+    b->first_seq = a->next_seq;
+    for (GList *l = a->pending.head; l != NULL && b->n < GV_APPEND_MAX_RECORDS;
+         l = l->next) {
+        const item_t *it = l->data;
+        total += it->payload.n;
+        if (b->n > 0 && total > GV_RECORD_MAX_BYTES) {
+            break;
+        }
+        int64_t left_ms = it->deadline_ms - now_ms;
+        int64_t ttl_ms = MIN(left_ms + GV_RECORD_SKEW_MS, GV_RECORD_TTL_MS);
+        b->expires_ms = MAX(b->expires_ms, now_ms + ttl_ms);
+        b->bytes[b->n] =
+            pack_item(a, it, b->first_seq + (uint64_t)b->n, ttl_ms);
+        b->n++;
+    }
+}
+
+/* Moves the batch's items from pending to waiting before it is sent, so that
+   a verdict that arrives before the platform's answer finds them. */
+static void
+commit_batch(gv_appender_t *a)
+{
+    for (int i = 0; i < a->batch.n; i++) {
+        uint64_t *seq = g_new(uint64_t, 1);
+        *seq = a->next_seq++;
+        g_hash_table_insert(a->waiting, seq, g_queue_pop_head(&a->pending));
+    }
+    a->batch.maybe_sent = true;
+}
+
+/* Takes back what commit_batch did, for a batch that certainly was not sent.
+   Items that have expired meanwhile are gone from waiting. */
+static void
+rollback_batch(gv_appender_t *a)
+{
+    a->next_seq = a->batch.first_seq;
+    for (int i = a->batch.n - 1; i >= 0; i--) {
+        uint64_t seq = a->batch.first_seq + (uint64_t)i;
+        gpointer key;
+        gpointer value;
+        if (g_hash_table_steal_extended(a->waiting, &seq, &key, &value)) {
+            g_free(key);
+            g_queue_push_head(&a->pending, value);
+        }
+    }
+    clear_batch(a);
+}
+
+/* Ends the batch's items, which the platform refused. Nothing of them is in
+   the log unless an earlier try took effect. */
+static void
+refuse_batch(gv_appender_t *a, bool repeated, GArray *results)
+{
+    for (int i = 0; i < a->batch.n; i++) {
+        uint64_t seq = a->batch.first_seq + (uint64_t)i;
+        gpointer key;
+        gpointer value;
+        if (g_hash_table_steal_extended(a->waiting, &seq, &key, &value)) {
+            g_free(key);
+            add_result(results, value, repeated ? GV_ETIMEDOUT : GV_EREFUSED,
+                       NULL);
+        }
+    }
+    GvCounter_Add(&append_refused, 1);
+    clear_batch(a);
+}
+
+/* Sets the time of the next try. */
+static void
+back_off(gv_appender_t *a)
+{
+    int64_t ms = (int64_t)GV_PLATFORM_BACKOFF_MS << MIN(a->failures, 5);
+    ms = MIN(ms, GV_PLATFORM_BACKOFF_MAX_MS);
+    a->failures++;
+    a->retry_at_ms =
+        GvClock_MonoMs() + ms / 2 + g_random_int_range(0, (gint32)ms / 2 + 1);
+}
+
+/* Handles the result of sending the batch. */
+static void
+handle_sent(gv_appender_t *a, int err, bool sent, bool repeated,
+            GArray *results)
+{
+    switch (err) {
+    case GV_OK:
+        a->failures = 0;
+        clear_batch(a);
+        break;
+    case GV_EINVAL:
+    case GV_ETOOBIG:
+        refuse_batch(a, repeated, results);
+        break;
+    default:
+        back_off(a);
+        if (!sent && !repeated) {
+            rollback_batch(a);
+        }
+        break;
+    }
+}
+
+/* Sends the batch; the lock is released meanwhile. */
+static void
+send_batch(gv_appender_t *a, GArray *results)
+{
+    bool repeated = a->batch.maybe_sent;
+    if (!repeated) {
+        commit_batch(a);
+    }
+    GvCounter_Add(&append_calls, 1);
+    GvCounter_Add(&append_repeats, repeated ? 1 : 0);
+    uint64_t first;
+    bool sent = false;
+    g_mutex_unlock(&a->lock);
+    int err = GvPlatform_Append(a->platform, a->batch.bytes, a->batch.n,
+                                &first, &sent);
+    g_mutex_lock(&a->lock);
+    handle_sent(a, err, sent, repeated, results);
+}
+
+/* Returns when the thread has something to do next, at the latest in a
+   second. */
+static int64_t
+next_wake(gv_appender_t *a, int64_t now_ms)
+{
+    int64_t at = now_ms + 1000;
+    if (a->batch.n > 0 || a->pending.length > 0) {
+        at = MIN(at, MAX(a->retry_at_ms, now_ms));
+    }
+    const item_t *head = g_queue_peek_head(&a->pending);
+    if (head != NULL) {
+        at = MIN(at, head->deadline_ms);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->waiting);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        at = MIN(at, ((item_t *)value)->deadline_ms);
+    }
+    return at;
+}
+
+/* Tells whether every record of the batch has its verdict. */
+static bool
+is_decided(const batch_t *b)
+{
+    for (int i = 0; i < b->n; i++) {
+        if (!b->decided[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Does what is due; the lock is held. Returns false when there is nothing. */
+static bool
+step(gv_appender_t *a, GArray *results)
+{
+    int64_t now_ms = GvClock_MonoMs();
+    expire(a, now_ms, results);
+    if (a->batch.n > 0 &&
+        (is_decided(&a->batch) || now_ms >= a->batch.expires_ms)) {
+        a->failures = 0;
+        clear_batch(a);
+    }
+    if (now_ms < a->retry_at_ms && a->failures > 0) {
+        return false;
+    }
+    if (a->batch.n == 0) {
+        build_batch(a, now_ms);
+    }
+    if (a->batch.n == 0) {
+        return false;
+    }
+    send_batch(a, results);
+    return true;
+}
+
+static gpointer
+append_loop(gpointer user)
+{
+    gv_appender_t *a = user;
+    g_mutex_lock(&a->lock);
+    while (!a->stopping) {
+        GArray *results = new_results();
+        bool busy = step(a, results);
+        if (busy || results->len > 0) {
+            g_mutex_unlock(&a->lock);
+            deliver(results);
+            g_mutex_lock(&a->lock);
+            continue;
+        }
+        g_array_free(results, TRUE);
+        int64_t wake_ms = next_wake(a, GvClock_MonoMs());
+        g_cond_wait_until(&a->change, &a->lock, wake_ms * 1000 + 1000);
+    }
+    g_mutex_unlock(&a->lock);
+    return NULL;
+}
+
+/* Starts the appender's thread. Returns 0. */
+int
+GvAppender_Start(const gv_appender_opts_t *o, gv_appender_t **out)
+{
+    gv_appender_t *a = g_new0(gv_appender_t, 1);
+    a->opts.platform_addr = GvStr_Dup(o->platform_addr);
+    a->opts.origin = GvStr_Dup(o->origin);
+    a->opts.incarnation = o->incarnation;
+    a->platform = GvPlatform_New(o->platform_addr);
+    a->next_seq = 1;
+    a->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    g_queue_init(&a->pending);
+    g_mutex_init(&a->lock);
+    g_cond_init(&a->change);
+    *out = a;
+    a->thread = g_thread_new("appender", append_loop, a);
+    return GV_OK;
+}
+
+/* Stops the thread, ends all items and releases a. Waits for an append in
+   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+void
+GvAppender_Stop(gv_appender_t *a)
+{
+    g_mutex_lock(&a->lock);
+    a->stopping = true;
+    g_cond_broadcast(&a->change);
+    g_mutex_unlock(&a->lock);
+    g_thread_join(a->thread);
+    GArray *results = new_results();
+    expire(a, G_MAXINT64, results);
+    deliver(results);
+    clear_batch(a);
+    g_hash_table_destroy(a->waiting);
+    GvPlatform_Free(a->platform);
+    GvStr_Free(&a->opts.platform_addr);
+    GvStr_Free(&a->opts.origin);
+    g_mutex_clear(&a->lock);
+    g_cond_clear(&a->change);
+    g_free(a);
+}
+
+/* Queues one record; see the header. done is called on the appender's thread
+   or on the caller's of GvAppender_OnVerdict, after the time-out at most
+   GV_PLATFORM_TIMEOUT_MS late. Also returns GV_EINVAL for an invalid kind or
+   time-out and GV_ETOOBIG for a payload that cannot fit into a record. */
+int
+GvAppender_Submit(gv_appender_t *a, const char *kind, gv_str_t payload,
+                  int timeout_ms, gv_append_done_t done, void *user)
+{
+    if (strlen(kind) >= sizeof((item_t *)NULL)->kind || timeout_ms <= 0) {
+        return GV_EINVAL;
+    }
+    if (payload.n > GV_RECORD_MAX_BYTES - GV_RECORD_ENVELOPE_BYTES) {
+        return GV_ETOOBIG;
+    }
+    int err = GV_EFULL;
+    g_mutex_lock(&a->lock);
+    if (a->stopping) {
+        err = GV_ESTOPPED;
+    }
+    else if (a->pending.length + g_hash_table_size(a->waiting) <
+             GV_APPEND_QUEUE_MAX) {
+        item_t *it = g_new0(item_t, 1);
+        g_strlcpy(it->kind, kind, sizeof it->kind);
+        it->payload = GvStr_Dup(payload);
+        it->deadline_ms = GvClock_MonoMs() + timeout_ms;
+        it->done = done;
+        it->user = user;
+        g_queue_push_tail(&a->pending, it);
+        g_cond_broadcast(&a->change);
+        err = GV_OK;
+    }
+    g_mutex_unlock(&a->lock);
+    return err;
+}
+
+/* Ends the item that a verdict belongs to. A duplicate means that the first
+   verdict was missed, so that the fate stays unknown. */
+void
+GvAppender_OnVerdict(gv_appender_t *a, const gv_verdict_t *v)
+{
+    if (v->incarnation != a->opts.incarnation ||
+        !GvStr_Equal(GvStr_C(v->origin), a->opts.origin)) {
+        return;
+    }
+    GArray *results = new_results();
+    uint64_t seq = v->sequence;
+    gpointer key;
+    gpointer value;
+    g_mutex_lock(&a->lock);
+    if (g_hash_table_steal_extended(a->waiting, &seq, &key, &value)) {
+        g_free(key);
+        bool dup = v->kind == GV_VERDICT_DUPLICATE;
+        add_result(results, value, dup ? GV_ETIMEDOUT : GV_OK, v);
+    }
+    if (a->batch.n > 0 && seq >= a->batch.first_seq &&
+        seq < a->batch.first_seq + (uint64_t)a->batch.n) {
+        a->batch.decided[seq - a->batch.first_seq] = true;
+        g_cond_broadcast(&a->change);
+    }
+    g_mutex_unlock(&a->lock);
+    deliver(results);
+}
--- a/src/limits.h
+++ b/src/limits.h
@@ -7,13 +7,10 @@
 #define GV_NAME_MAX_BYTES 63
 
 /* Requests */
-#define GV_BODY_MAX_BYTES    (1024 * 1024)
-#define GV_HTTP_HEADER_BYTES (16 * 1024)
-#define GV_HTTP_CONNECTIONS  2048
-#define GV_HTTP_THREADS      4
-/* A server that closes idle connections does so after some seconds; a younger
-   connection is rarely closed while a request is on its way. */
-#define GV_HTTP_IDLE_MS        2000
+#define GV_BODY_MAX_BYTES      (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES   (16 * 1024)
+#define GV_HTTP_CONNECTIONS    2048
+#define GV_HTTP_THREADS        4
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -36,8 +33,6 @@
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
-#define GV_LOG_PAGE_BYTES          (2 * 1024 * 1024)
-#define GV_HOSTLIST_BYTES          (4 * 1024 * 1024)
 #define GV_REPLICA_RING_RECORDS    1024
 #define GV_CHECKPOINT_RECORDS      2000
 #define GV_PLATFORM_TIMEOUT_MS     5000
@@ -64,12 +59,9 @@
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
-#define GV_TARGET_SLOTS_MAX   1024
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
 #define GV_PROBE_TIMEOUT_MS   1000
-/* One lost probe is common while a target is busy; two in a row are not. */
-#define GV_PROBE_FAILURES 2
 /* Added to the run limit sent to a target before an abandoned exchange is
    counted as ended: covers clock rate differences and delivery. */
 #define GV_ABANDON_GRACE_MS   1000
@@ -81,4 +73,39 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* HTTP client: a server that closes idle connections does so after some
+   seconds; a younger connection is rarely closed while a request is on its
+   way. */
+#define GV_HTTP_IDLE_MS 2000
+
+/* Platform client and log reader */
+#define GV_LOG_PAGE_BYTES     (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES     (4 * 1024 * 1024)
+#define GV_REPLICA_RING_BYTES (4 * 1024 * 1024)
+/* Raw records for a peer, less than one frame. */
+#define GV_REPLICA_COPY_BYTES (GV_FRAME_MAX_BYTES - GV_RECORD_MAX_BYTES)
+/* Between requests for a peer's records during an outage: a change has to be
+   in force within seconds. */
+#define GV_PEER_ASK_MS 1000
+
+/* Appender */
+#define GV_RECORD_ENVELOPE_BYTES 256
+#define GV_APPEND_QUEUE_MAX      1024
+/* Added to a record's time-out when its expiry is set: the platform's clock
+   may differ from this host's. */
+#define GV_RECORD_SKEW_MS (60 * 1000)
+
+/* Checkpoints: a random delay, longer than an append takes to be read by all
+   entry hosts, makes mostly one of them write it. */
+#define GV_CHECKPOINT_DELAY_MS 5000
+/* A log that retains few records drops a checkpoint before
+   GV_CHECKPOINT_RECORDS have passed; below this many it is merely short. */
+#define GV_CHECKPOINT_MIN_RECORDS 64
+
+/* Probes: one lost probe is common while a target is busy; two in a row are
+   not. */
+#define GV_PROBE_FAILURES   2
+#define GV_PROBE_THREADS    8
+#define GV_TARGET_SLOTS_MAX 1024
+
 #endif
--- a/src/logreader.h
+++ b/src/logreader.h
@@ -21,11 +21,19 @@
     void *user;
 } gv_logreader_opts_t;
 
+/* The retained log as the last successful read showed it. */
+typedef struct {
+    uint64_t first; /* first retained offset */
+    uint64_t next;  /* offset after the last record */
+    int64_t retention_ms;
+} gv_retained_t;
+
 int GvLogReader_Start(const gv_logreader_opts_t *o, gv_logreader_t **out);
 void GvLogReader_Stop(gv_logreader_t *r);
 bool GvLogReader_PlatformOk(gv_logreader_t *r);
 /* Log head seen at the last successful read. */
 uint64_t GvLogReader_Head(gv_logreader_t *r);
+gv_retained_t GvLogReader_Retained(gv_logreader_t *r);
 /* Blocks until the replica has applied everything that the log held when the
    call was made. Returns 0, GV_ETIMEDOUT or GV_ECONN. */
 int GvLogReader_SyncToHead(gv_logreader_t *r, int timeout_ms);
