--- a/src/appender.c
+++ b/src/appender.c
@@ -166,7 +166,7 @@
             break;
         }
         int64_t left_ms = it->deadline_ms - now_ms;
-        int64_t ttl_ms = MIN(left_ms + GV_RECORD_SKEW_MS, GV_RECORD_TTL_MS);
+        int64_t ttl_ms = MIN(left_ms + GV_APPEND_SKEW_MS, GV_RECORD_TTL_MS);
         b->expires_ms = MAX(b->expires_ms, now_ms + ttl_ms);
         b->bytes[b->n] =
             pack_item(a, it, b->first_seq + (uint64_t)b->n, ttl_ms);
--- a/src/limits.h
+++ b/src/limits.h
@@ -123,7 +123,7 @@
 #define GV_APPEND_QUEUE_MAX      1024
 /* Added to a record's time-out when its expiry is set: the platform's clock
    may differ from this host's. */
-#define GV_RECORD_SKEW_MS (60 * 1000)
+#define GV_APPEND_SKEW_MS (60 * 1000)
 
 /* Checkpoints: a random delay, longer than an append takes to be read by all
    entry hosts, makes mostly one of them write it. */
