Add prober

Polls the host list, probes this entry host's share of the targets on new connections and merges both with peers' reports in the health table. A target that is added later gets the state that was learned before it was known.

--- a/src/health.c
+++ b/src/health.c
@@ -11,6 +11,9 @@
    one is as old as that boot, whose reports no longer arrive. */
 #define BOOTS_KEPT 8
 
+/* Pairs of a peer and a host: a host has few probers over time. */
+#define PEER_ENTRIES_MAX (4 * GV_HOSTS_MAX)
+
 /* A set of boot identifiers that forgets the oldest. */
 typedef struct {
     char *boots[BOOTS_KEPT];
@@ -314,12 +317,16 @@
     char *key =
         g_strdup_printf("%.*s %.*s", GV_STR_ARG(from), GV_STR_ARG(h->host));
     peer_t *p = g_hash_table_lookup(t->peers, key);
-    if (p == NULL) {
-        p = g_new0(peer_t, 1);
-        g_hash_table_insert(t->peers, key, p);
+    if (p != NULL) {
+        g_free(key);
     }
-    else {
+    else if (g_hash_table_size(t->peers) >= PEER_ENTRIES_MAX) {
         g_free(key);
+        return false;
+    }
+    else {
+        p = g_new0(peer_t, 1);
+        g_hash_table_insert(t->peers, key, p);
     }
     if (incarnation < p->incarnation ||
         (incarnation == p->incarnation && h->seen <= p->seen)) {
--- /dev/null
+++ b/src/prober.c
@@ -0,0 +1,382 @@
+#include "prober.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+#include "httpclient.h"
+#include "limits.h"
+#include "platform.h"
+
+GV_COUNTER(probes, "probes_total", "Health probes sent");
+GV_COUNTER(probes_failed, "probes_failed_total",
+           "Health probes without a valid report");
+GV_COUNTER(old_lists, "host_lists_old_total",
+           "Host lists ignored because a newer one was seen");
+
+typedef struct {
+    gv_str_t host;
+    gv_str_t addr;
+    bool busy; /* a probe is in progress */
+} target_t;
+
+/* One change to report, with owned strings. */
+typedef struct {
+    gv_str_t host;
+    gv_str_t boot;
+    bool healthy;
+    bool leaving;
+    int running;
+} change_t;
+
+struct gv_prober_s {
+    gv_prober_opts_t opts;
+    GThread *prober;
+    GThread *lister;
+    GThreadPool *pool;
+    GMutex lock; /* covers everything below */
+    GCond change;
+    bool stopping;
+    gv_health_table_t *table;
+    GArray *changes;     /* of change_t, collected under the lock */
+    GHashTable *targets; /* name -> target_t */
+    gv_str_t *members;
+    int n_members;
+    uint64_t list_version;
+};
+
+static void
+free_target(gpointer p)
+{
+    target_t *t = p;
+    GvStr_Free(&t->host);
+    GvStr_Free(&t->addr);
+    g_free(t);
+}
+
+/* Collects a change; called by the table under the lock. */
+static void
+on_changed(void *user, const gv_health_view_t *v)
+{
+    gv_prober_t *p = user;
+    change_t c = {GvStr_Dup(v->host), GvStr_Dup(v->boot), v->healthy,
+                  v->leaving, v->running};
+    g_array_append_val(p->changes, c);
+}
+
+/* Releases the lock and reports the changes collected meanwhile. */
+static void
+unlock_and_tell(gv_prober_t *p)
+{
+    GArray *changes = p->changes;
+    p->changes = g_array_new(FALSE, FALSE, sizeof(change_t));
+    g_mutex_unlock(&p->lock);
+    for (guint i = 0; i < changes->len; i++) {
+        change_t *c = &g_array_index(changes, change_t, i);
+        p->opts.on_health(p->opts.user, c->host, c->boot, c->healthy,
+                          c->leaving, c->running);
+        GvStr_Free(&c->host);
+        GvStr_Free(&c->boot);
+    }
+    g_array_free(changes, TRUE);
+}
+
+/* Waits ms or until stopped; the lock is held. Returns false when stopped. */
+static bool
+pause_locked(gv_prober_t *p, int64_t ms)
+{
+    gint64 end = g_get_monotonic_time() + ms * 1000;
+    while (!p->stopping && g_cond_wait_until(&p->change, &p->lock, end)) {
+    }
+    return !p->stopping;
+}
+
+/* Probes a target once; see the header. */
+int
+GvProber_Probe(gv_str_t addr, int timeout_ms, gv_health_report_t *r)
+{
+    char *text = NULL;
+    char *a = g_strndup(addr.p, addr.n);
+    int res = GvHttp_Once(a, "GET", "/health", timeout_ms, &text);
+    GvCounter_Add(&probes, 1);
+    if (res > 0) {
+        res =
+            res == 200 ? GvHealth_ParseReport(GvStr_C(text), r) : GV_EREFUSED;
+    }
+    if (res != GV_OK) {
+        GvCounter_Add(&probes_failed, 1);
+    }
+    g_free(text);
+    g_free(a);
+    return res;
+}
+
+/* Runs one probe on a thread of the pool; data is a copy of the target. */
+static void
+probe_task(gpointer data, gpointer user)
+{
+    gv_prober_t *p = user;
+    target_t *copy = data;
+    gv_health_report_t r;
+    int err = GvProber_Probe(copy->addr, GV_PROBE_TIMEOUT_MS, &r);
+    g_mutex_lock(&p->lock);
+    target_t *t = g_hash_table_lookup(p->targets, copy->host.p);
+    if (t != NULL && GvStr_Equal(t->addr, copy->addr)) {
+        t->busy = false;
+        GvHealth_OnProbe(p->table, t->host, err == GV_OK ? &r : NULL);
+    }
+    unlock_and_tell(p);
+    free_target(copy);
+}
+
+/* Starts a probe of each target in this entry host's share; the lock is held.
+   A target whose last probe is still in progress is left out. */
+static void
+start_probes(gv_prober_t *p)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, p->targets);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        target_t *t = value;
+        if (t->busy || !GvHealth_IsProber(t->host, p->opts.self, p->members,
+                                          p->n_members)) {
+            continue;
+        }
+        target_t *copy = g_new0(target_t, 1);
+        copy->host = GvStr_Dup(t->host);
+        copy->addr = GvStr_Dup(t->addr);
+        t->busy = true;
+        g_thread_pool_push(p->pool, copy, NULL);
+    }
+}
+
+static gpointer
+probe_loop(gpointer user)
+{
+    gv_prober_t *p = user;
+    g_mutex_lock(&p->lock);
+    while (!p->stopping) {
+        start_probes(p);
+        pause_locked(p, GV_PROBE_INTERVAL_MS);
+    }
+    g_mutex_unlock(&p->lock);
+    return NULL;
+}
+
+/* Forgets hosts that neither the list nor the targets name; the lock is
+   held. */
+static void
+forget_others(gv_prober_t *p, const gv_hostlist_t *list)
+{
+    guint known = g_hash_table_size(p->targets);
+    gv_str_t *names = g_new0(gv_str_t, (gsize)list->n + known + 1);
+    int n = 0;
+    for (; n < list->n; n++) {
+        names[n] = list->hosts[n].host;
+    }
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, p->targets);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        names[n++] = ((target_t *)value)->host;
+    }
+    GvHealth_Keep(p->table, names, n);
+    g_free(names);
+}
+
+/* Applies a list that was read; an older one is ignored. */
+static void
+apply_list(gv_prober_t *p, const gv_hostlist_t *list)
+{
+    g_mutex_lock(&p->lock);
+    bool newer = GvHealth_OnList(p->table, list);
+    bool old = !newer && list->version < p->list_version;
+    if (newer) {
+        p->list_version = list->version;
+        forget_others(p, list);
+    }
+    unlock_and_tell(p);
+    GvCounter_Add(&old_lists, old ? 1 : 0);
+    if (newer && p->opts.on_list != NULL) {
+        p->opts.on_list(p->opts.user, list);
+    }
+}
+
+static gpointer
+list_loop(gpointer user)
+{
+    gv_prober_t *p = user;
+    gv_platform_t *platform = GvPlatform_New(p->opts.platform_addr);
+    bool more = true;
+    while (more) {
+        gv_hostlist_t list;
+        if (GvPlatform_Hosts(platform, &list) == GV_OK) {
+            apply_list(p, &list);
+            GvHostList_Clear(&list);
+        }
+        g_mutex_lock(&p->lock);
+        /* The jitter spreads the entry hosts' reads. */
+        int64_t jitter = g_random_int_range(0, GV_PROBE_INTERVAL_MS / 4);
+        more = pause_locked(p, GV_PROBE_INTERVAL_MS + jitter);
+        g_mutex_unlock(&p->lock);
+    }
+    GvPlatform_Free(platform);
+    return NULL;
+}
+
+/* Starts the threads. Returns 0. */
+int
+GvProber_Start(const gv_prober_opts_t *o, gv_prober_t **out)
+{
+    gv_prober_t *p = g_new0(gv_prober_t, 1);
+    p->opts = *o;
+    p->opts.platform_addr = GvStr_Dup(o->platform_addr);
+    p->opts.self = GvStr_Dup(o->self);
+    g_mutex_init(&p->lock);
+    g_cond_init(&p->change);
+    p->table = GvHealth_New(on_changed, p);
+    p->changes = g_array_new(FALSE, FALSE, sizeof(change_t));
+    p->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
+    p->pool = g_thread_pool_new(probe_task, p, GV_PROBE_THREADS, FALSE, NULL);
+    *out = p;
+    p->prober = g_thread_new("prober", probe_loop, p);
+    p->lister = g_thread_new("hostlist", list_loop, p);
+    return GV_OK;
+}
+
+static void
+free_members(gv_prober_t *p)
+{
+    for (int i = 0; i < p->n_members; i++) {
+        GvStr_Free(&p->members[i]);
+    }
+    g_free(p->members);
+}
+
+/* Stops the threads and releases p. Waits for probes and a list read in
+   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+void
+GvProber_Stop(gv_prober_t *p)
+{
+    g_mutex_lock(&p->lock);
+    p->stopping = true;
+    g_cond_broadcast(&p->change);
+    g_mutex_unlock(&p->lock);
+    g_thread_join(p->prober);
+    g_thread_join(p->lister);
+    g_thread_pool_free(p->pool, FALSE, TRUE);
+    GvHealth_Free(p->table);
+    g_array_free(p->changes, TRUE);
+    g_hash_table_destroy(p->targets);
+    free_members(p);
+    GvStr_Free(&p->opts.platform_addr);
+    GvStr_Free(&p->opts.self);
+    g_mutex_clear(&p->lock);
+    g_cond_clear(&p->change);
+    g_free(p);
+}
+
+/* Replaces the targets; a known one keeps its state. The state of a new one,
+   as the list or peers reported it before, is passed to on_health. */
+void
+GvProber_SetTargets(gv_prober_t *p, const gv_probe_target_t *targets, int n)
+{
+    GHashTable *fresh =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
+    g_mutex_lock(&p->lock);
+    for (int i = 0; i < n; i++) {
+        target_t *t = g_new0(target_t, 1);
+        t->host = GvStr_Dup(targets[i].host);
+        t->addr = GvStr_Dup(targets[i].addr);
+        const target_t *old = g_hash_table_lookup(p->targets, t->host.p);
+        t->busy = old != NULL && old->busy && GvStr_Equal(old->addr, t->addr);
+        gv_health_view_t v;
+        if (old == NULL && GvHealth_Get(p->table, t->host, &v)) {
+            on_changed(p, &v);
+        }
+        g_hash_table_replace(fresh, (char *)t->host.p, t);
+    }
+    g_hash_table_destroy(p->targets);
+    p->targets = fresh;
+    unlock_and_tell(p);
+}
+
+/* Replaces the live members; see the header. */
+void
+GvProber_SetMembers(gv_prober_t *p, const gv_str_t *members, int n)
+{
+    g_mutex_lock(&p->lock);
+    free_members(p);
+    p->members = g_new0(gv_str_t, (gsize)n + 1);
+    p->n_members = n;
+    for (int i = 0; i < n; i++) {
+        p->members[i] = GvStr_Dup(members[i]);
+    }
+    g_mutex_unlock(&p->lock);
+}
+
+/* Applies a peer's reports; see the header. */
+void
+GvProber_OnPeer(gv_prober_t *p, gv_str_t from, uint64_t incarnation,
+                const gv_health_t *health, int n)
+{
+    g_mutex_lock(&p->lock);
+    for (int i = 0; i < n; i++) {
+        GvHealth_OnPeer(p->table, from, incarnation, &health[i]);
+    }
+    unlock_and_tell(p);
+}
+
+/* Copies what this process knows first hand; see the header. */
+void
+GvProber_FirstHand(gv_prober_t *p, uint64_t since, GArray *out)
+{
+    guint from = out->len;
+    g_mutex_lock(&p->lock);
+    GvHealth_FirstHand(p->table, since, out);
+    for (guint i = from; i < out->len; i++) {
+        gv_health_t *h = &g_array_index(out, gv_health_t, i);
+        h->host = GvStr_Dup(h->host);
+        h->boot = GvStr_Dup(h->boot);
+    }
+    g_mutex_unlock(&p->lock);
+}
+
+/* Releases the strings of an array of gv_health_t and empties it. */
+void
+GvProber_ClearHealth(GArray *health)
+{
+    for (guint i = 0; i < health->len; i++) {
+        gv_health_t *h = &g_array_index(health, gv_health_t, i);
+        GvStr_Free(&h->host);
+        GvStr_Free(&h->boot);
+    }
+    g_array_set_size(health, 0);
+}
+
+/* Copies the state of a target without its strings; see the header. */
+bool
+GvProber_Get(gv_prober_t *p, gv_str_t host, gv_health_view_t *v)
+{
+    g_mutex_lock(&p->lock);
+    bool found = GvHealth_Get(p->table, host, v);
+    g_mutex_unlock(&p->lock);
+    if (found) {
+        v->host = GV_STR("");
+        v->boot = GV_STR("");
+    }
+    return found;
+}
+
+/* Returns the newest list version seen. */
+uint64_t
+GvProber_ListVersion(gv_prober_t *p)
+{
+    g_mutex_lock(&p->lock);
+    uint64_t version = p->list_version;
+    g_mutex_unlock(&p->lock);
+    return version;
+}
