--- a/src/limits.h
+++ b/src/limits.h
@@ -103,4 +103,39 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* HTTP client: a server that closes idle connections does so after some
+   seconds; a younger connection is rarely closed while a request is on its
+   way. */
+#define GV_HTTP_IDLE_MS 2000
+
+/* Platform client and log reader */
+#define GV_LOG_PAGE_BYTES     (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES     (4 * 1024 * 1024)
+#define GV_REPLICA_RING_BYTES (4 * 1024 * 1024)
+/* Raw records for a peer, less than one frame. */
+#define GV_REPLICA_COPY_BYTES (GV_FRAME_MAX_BYTES - GV_RECORD_MAX_BYTES)
+/* Between requests for a peer's records during an outage: a change has to be
+   in force within seconds. */
+#define GV_PEER_ASK_MS 1000
+
+/* Appender */
+#define GV_RECORD_ENVELOPE_BYTES 256
+#define GV_APPEND_QUEUE_MAX      1024
+/* Added to a record's time-out when its expiry is set: the platform's clock
+   may differ from this host's. */
+#define GV_APPEND_SKEW_MS (60 * 1000)
+
+/* Checkpoints: a random delay, longer than an append takes to be read by all
+   entry hosts, makes mostly one of them write it. */
+#define GV_CHECKPOINT_DELAY_MS 5000
+/* A log that retains few records drops a checkpoint before
+   GV_CHECKPOINT_RECORDS have passed; below this many it is merely short. */
+#define GV_CHECKPOINT_MIN_RECORDS 64
+
+/* Probes: one lost probe is common while a target is busy; two in a row are
+   not. */
+#define GV_PROBE_FAILURES   2
+#define GV_PROBE_THREADS    8
+#define GV_TARGET_SLOTS_MAX 1024
+
 #endif
