--- a/src/limits.h
+++ b/src/limits.h
@@ -73,4 +73,27 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* Decisions */
+#define GV_ESTIMATE_KINDS 256
+/* Weight of a new run time in the mean once a kind is known: the mean then
+   follows a change within about 16 runs. */
+#define GV_ESTIMATE_SAMPLES 16
+/* Refusals ask the caller to wait at least this long, so that a short queue
+   does not invite a burst of repeats. */
+#define GV_RETRY_AFTER_MIN_MS 100
+#define GV_RETRY_AFTER_MAX_MS 30000
+/* Retries that are allowed before any request has earned one. */
+#define GV_RETRY_RESERVE 3
+/* The budget remembers this many requests. */
+#define GV_RETRY_REQUESTS 200
+/* A job that failed on this many hosts is taken to be at fault itself. */
+#define GV_RETRY_HOSTS_FAILED 3
+#define GV_RETRY_ATTEMPTS     4
+#define GV_RETRY_REQUEUES     16
+#define GV_EJECT_STREAK       5
+#define GV_EJECT_WAIT_MS      1000
+#define GV_EJECT_WAIT_MAX_MS  60000
+#define GV_RESERVE_UP_MS      5000
+#define GV_RESERVE_DOWN_MS    60000
+
 #endif
--- /dev/null
+++ b/src/wave_baseline.c
@@ -0,0 +1,26 @@
+#include "wave_plan.h"
+
+/* Baseline: always the wave's width. */
+static int
+plan_fixed(const gv_ledger_t *l, const gv_wave_t *w, const gv_demand_t *d,
+           const gv_lhost_t **out, int max)
+{
+    (void)d;
+    return GvWave_Propose(l, w, w->width, out, max);
+}
+
+/* Baseline: one host at a time. */
+static int
+plan_one(const gv_ledger_t *l, const gv_wave_t *w, const gv_demand_t *d,
+         const gv_lhost_t **out, int max)
+{
+    (void)d;
+    return GvWave_Propose(l, w, 1, out, max);
+}
+
+static gv_wave_policy_t fixed = {.plugin = {.name = "fixed"},
+                                 .plan = plan_fixed};
+GV_REGISTER(GV_PLUGIN_WAVE, fixed);
+
+static gv_wave_policy_t one = {.plugin = {.name = "one"}, .plan = plan_one};
+GV_REGISTER(GV_PLUGIN_WAVE, one);
