Add scripted runs of the decision modules

The verbs drive the modules directly with virtual time. Found on the way: trials of an ejected host did not lengthen the wait, because only an ejection counted; each trial counts now, and a relapse starts from the last wait.

Run without the wave policies, which need the ledger to link.

--- a/src/retry.c
+++ b/src/retry.c
@@ -35,7 +35,6 @@
 eject(gv_eject_t *e, int64_t now_ms)
 {
     e->ejected = true;
-    e->ejections++;
     e->probe_at_ms = now_ms;
     (void)GvEject_Trial(e, now_ms);
     return true;
@@ -93,9 +92,10 @@
         return false;
     }
     int64_t wait = GV_EJECT_WAIT_MS;
-    for (int i = 1; i < e->ejections && wait < GV_EJECT_WAIT_MAX_MS; i++) {
+    for (int i = 0; i < e->ejections && wait < GV_EJECT_WAIT_MAX_MS; i++) {
         wait *= 2;
     }
     e->probe_at_ms = now_ms + MIN(wait, GV_EJECT_WAIT_MAX_MS);
+    e->ejections++;
     return true;
 }
--- a/src/retry.h
+++ b/src/retry.h
@@ -54,7 +54,7 @@
     int streak;        /* failures in a row */
     double fail_ratio; /* smoothed */
     bool ejected;
-    int ejections;       /* in a row; doubles the wait */
+    int ejections;       /* and trials, in a row; each doubles the wait */
     int64_t probe_at_ms; /* next trial request while ejected */
 } gv_eject_t;
 
--- /dev/null
+++ b/tests/script_policy.c
@@ -0,0 +1,294 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+#include "estimate.h"
+#include "placement.h"
+#include "reserve.h"
+#include "retry.h"
+#include "script.h"
+#include "slots.h"
+
+/* Verbs for the other decision modules. */
+
+static gv_estimate_t *estimate;
+static gv_retry_budget_t budget;
+static gv_eject_t eject;
+static gv_slots_t slots;
+static gv_burn_t *burn;
+static gv_reserve_pool_t pools[8];
+static gv_pool_t settings[8];
+static int n_pools;
+
+static const char *const attempts[] = {"ok",     "refused", "unreachable",
+                                       "failed", "lost",    "silent"};
+
+static gv_attempt_t
+attempt_of(const char *name)
+{
+    int i = 0;
+    while (strcmp(attempts[i], name) != 0) {
+        i++;
+    }
+    return (gv_attempt_t)i;
+}
+
+/* estimate SHORT_MS MAX_KINDS */
+static void
+run_estimate(int argc, char **argv)
+{
+    g_assert(argc == 3);
+    if (estimate != NULL) {
+        GvEstimate_Free(estimate);
+    }
+    gv_estimate_opts_t o = {atoi(argv[1]), atoi(argv[2])};
+    estimate = GvEstimate_New(&o);
+}
+GV_VERB("estimate", run_estimate);
+
+/* learn WORK RUN_MS [TIMES] */
+static void
+run_learn(int argc, char **argv)
+{
+    for (int i = argc > 3 ? atoi(argv[3]) : 1; i > 0; i--) {
+        GvEstimate_Learn(estimate, GvStr_C(argv[1]), atof(argv[2]));
+    }
+}
+GV_VERB("learn", run_learn);
+
+/* running WORK ELAPSED_MS */
+static void
+run_running(int argc, char **argv)
+{
+    g_assert(argc == 3);
+    bool changed =
+        GvEstimate_StillRunning(estimate, GvStr_C(argv[1]), atof(argv[2]));
+    printf("%s %s\n", argv[1], changed ? "became long" : "unchanged");
+}
+GV_VERB("running", run_running);
+
+/* expect WORK: prints the expected run time and class. */
+static void
+run_expect(int argc, char **argv)
+{
+    g_assert(argc == 2);
+    gv_str_t work = GvStr_C(argv[1]);
+    printf("%s %.0f ms %s\n", argv[1], GvEstimate_RunMs(estimate, work),
+           GvEstimate_IsLong(estimate, work) ? "long" : "short");
+}
+GV_VERB("expect", run_expect);
+
+/* place POLICY RANDOM TURN USABLE/BUSY[/FLAGS] ...; flags: e ejected, a tried
+   before, s slow, r refused. */
+static void
+run_place(int argc, char **argv)
+{
+    gv_place_policy_t *p = (gv_place_policy_t *)GvRegistry_Find(
+        GV_PLUGIN_PLACE, GvStr_C(argv[1]));
+    gv_candidate_t c[8] = {0};
+    int n = MIN(argc - 4, 8);
+    for (int i = 0; i < n; i++) {
+        char flags[8] = "";
+        (void)sscanf(argv[i + 4], "%d/%d/%7s", &c[i].usable, &c[i].busy,
+                     flags);
+        c[i].ejected = strchr(flags, 'e') != NULL;
+        c[i].avoid = strchr(flags, 'a') != NULL;
+        c[i].recent_ms = strchr(flags, 's') != NULL ? 4000 : 1000;
+        c[i].refused = strchr(flags, 'r') != NULL ? 4 : 0;
+    }
+    printf("%s: %d\n", argv[1],
+           p->choose(c, n, (uint32_t)atoi(argv[2]), (uint64_t)atoi(argv[3])));
+}
+GV_VERB("place", run_place);
+
+/* share SLOTS HOST ENTRY ...: shares of all entry hosts, and their sum. */
+static void
+run_share(int argc, char **argv)
+{
+    gv_str_t entries[16];
+    int n = 0;
+    int sum = 0;
+    for (int i = 3; i < argc && n < 16; i++) {
+        entries[n++] = GvStr_C(argv[i]);
+    }
+    for (int i = 0; i < n; i++) {
+        int s = GvSlots_Share(GvStr_C(argv[2]), atoi(argv[1]), entries, n,
+                              entries[i]);
+        printf("%d ", s);
+        sum += s;
+    }
+    printf("sum %d\n", sum);
+}
+GV_VERB("share", run_share);
+
+/* slots SHARE | lend COUNT BUSY QUEUED NOW LEASE | borrow COUNT UNTIL |
+   returned COUNT | usable NOW */
+static void
+run_slots(int argc, char **argv)
+{
+    int v[6] = {0};
+    for (int i = 1; i < argc && i < 6; i++) {
+        v[i] = atoi(argv[i]);
+    }
+    if (strcmp(argv[0], "slots") == 0) {
+        slots = (gv_slots_t){.share = v[1]};
+    }
+    else if (strcmp(argv[0], "lend") == 0) {
+        printf("lent %d\n",
+               GvSlots_Lend(&slots, v[1], v[2], v[3], v[4], v[5]));
+    }
+    else if (strcmp(argv[0], "borrow") == 0) {
+        GvSlots_Borrowed(&slots, v[1], v[2]);
+    }
+    else if (strcmp(argv[0], "returned") == 0) {
+        GvSlots_Returned(&slots, v[1]);
+    }
+    else {
+        printf("usable %d\n", GvSlots_Usable(&slots, v[1]));
+    }
+}
+GV_VERB("slots", run_slots);
+static gv_verb_t more_verbs[] = {{"lend", run_slots, NULL},
+                                 {"borrow", run_slots, NULL},
+                                 {"returned", run_slots, NULL},
+                                 {"usable", run_slots, NULL}};
+__attribute__((constructor)) static void
+add_more_verbs(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(more_verbs); i++) {
+        GvScript_Add(&more_verbs[i]);
+    }
+}
+
+/* budget PERCENT [REQUESTS]: a new budget that has seen so many requests. */
+static void
+run_budget(int argc, char **argv)
+{
+    budget = (gv_retry_budget_t){.percent = atoi(argv[1])};
+    for (int i = argc > 2 ? atoi(argv[2]) : 0; i > 0; i--) {
+        GvRetry_Request(&budget);
+    }
+}
+GV_VERB("budget", run_budget);
+
+/* retry POLICY ATTEMPT idempotent|once ATTEMPTS HOSTS_FAILED LEFT_MS TIMES:
+   how often the decision is to repeat. */
+static void
+run_retry(int argc, char **argv)
+{
+    g_assert(argc == 8);
+    gv_retry_policy_t *p = (gv_retry_policy_t *)GvRegistry_Find(
+        GV_PLUGIN_RETRY, GvStr_C(argv[1]));
+    gv_retry_case_t c = {.attempt = attempt_of(argv[2]),
+                         .idempotent = strcmp(argv[3], "idempotent") == 0,
+                         .attempts = atoi(argv[4]),
+                         .hosts_failed = atoi(argv[5]),
+                         .left_ms = atoi(argv[6]),
+                         .run_ms = 100};
+    int count[3] = {0};
+    for (int i = 0; i < atoi(argv[7]); i++) {
+        count[p->decide(&c, &budget)]++;
+    }
+    printf("%s %s: no %d, again %d, requeue %d\n", argv[1], argv[2], count[0],
+           count[1], count[2]);
+}
+GV_VERB("retry", run_retry);
+
+/* eject may|not NOW ATTEMPT ...: notes attempts; "new" resets the host. */
+static void
+run_eject(int argc, char **argv)
+{
+    if (strcmp(argv[1], "new") == 0) {
+        eject = (gv_eject_t){0};
+        return;
+    }
+    for (int i = 3; i < argc; i++) {
+        if (GvEject_Note(&eject, attempt_of(argv[i]),
+                         strcmp(argv[1], "may") == 0, atoi(argv[2]))) {
+            printf("attempt %d: %s\n", i - 2,
+                   eject.ejected ? "ejected" : "reinstated");
+        }
+    }
+}
+GV_VERB("eject", run_eject);
+
+/* trial NOW ...: whether a trial request may go at each time. */
+static void
+run_trial(int argc, char **argv)
+{
+    for (int i = 1; i < argc; i++) {
+        printf("trial at %s: %s\n", argv[i],
+               GvEject_Trial(&eject, atoi(argv[i])) ? "yes" : "no");
+    }
+}
+GV_VERB("trial", run_trial);
+
+/* burn OBJECTIVE | burn GOOD BAD AT_MS | burn report AT_MS */
+static void
+run_burn(int argc, char **argv)
+{
+    if (argc == 2) {
+        GvBurn_Free(burn);
+        burn = GvBurn_New(atof(argv[1]));
+    }
+    else if (argc == 4) {
+        for (int i = atoi(argv[1]) + atoi(argv[2]); i > 0; i--) {
+            GvBurn_Note(burn, i > atoi(argv[2]), atoll(argv[3]));
+        }
+    }
+    else {
+        gv_burn_row_t r[GV_BURN_WINDOWS];
+        GvBurn_Report(burn, atoll(argv[2]), r);
+        for (int i = 0; i < GV_BURN_WINDOWS; i++) {
+            printf("%d s: good %d, bad %d, burn %.2f\n", r[i].window_s,
+                   (int)r[i].good, (int)r[i].bad, r[i].burn);
+        }
+    }
+}
+GV_VERB("burn", run_burn);
+
+/* pool NAME HOSTS MIN BUSY PEAK LAST_MOVE [spare | WAITING BUFFER]: adds or
+   replaces a pool of 8-slot hosts; all share the one spare pool. */
+static void
+run_pool(int argc, char **argv)
+{
+    g_assert(argc >= 8);
+    int i = 0;
+    while (i < n_pools && !GvStr_Equal(settings[i].name, GvStr_C(argv[1]))) {
+        i++;
+    }
+    n_pools = MAX(n_pools, i + 1);
+    bool spare = strcmp(argv[7], "spare") == 0;
+    settings[i] = (gv_pool_t){.name = GvStr_C(g_intern_string(argv[1])),
+                              .spare = GvStr_C(spare ? "" : "spare"),
+                              .is_spare = spare,
+                              .weight_waiting = spare ? 1 : atoi(argv[7]),
+                              .weight_buffer = argc > 8 ? atoi(argv[8]) : 1};
+    pools[i] = (gv_reserve_pool_t){
+        .pool = &settings[i],
+        .demand = {.busy_slots = atof(argv[4]), .peak_slots = atof(argv[5])},
+        .hosts = atoi(argv[2]),
+        .slots = 8,
+        .min_hosts = atoi(argv[3]),
+        .last_move_ms = atoi(argv[6])};
+}
+GV_VERB("pool", run_pool);
+
+/* move POLICY NOW: the proposed move. */
+static void
+run_move(int argc, char **argv)
+{
+    g_assert(argc == 3);
+    gv_reserve_policy_t *p = (gv_reserve_policy_t *)GvRegistry_Find(
+        GV_PLUGIN_RESERVE, GvStr_C(argv[1]));
+    gv_reserve_move_t m = p->propose(pools, n_pools, atoll(argv[2]));
+    if (m.from < 0) {
+        printf("%s: no move\n", argv[1]);
+        return;
+    }
+    printf("%s: %s to %s\n", argv[1], settings[m.from].name.p,
+           settings[m.to].name.p);
+}
+GV_VERB("move", run_move);
