Add load generator and measurements of queue, placement and retry

The generator draws the load of a current deployment: five queues that burst in turn at five times the mean, a few jobs many times longer than the rest, wrong labels, jobs that never run, waves of cancellations. The simulation drives the decision modules in virtual time; figures are medians over five fixed seeds.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,6 @@
 DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
        python3 python3-hypothesis liburcu-dev libmsgpack-dev \
        libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
-       liblog4c-dev libyaml-dev libxxhash-dev libclang-rt-14-dev gnuplot-nox
 
 B ?= build
 WARN = -Wall -Wextra -Werror
@@ -62,6 +61,9 @@
 $(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
 
+$(B)/bench: $(wildcard bench/*.c) $(wildcard bench/*.h) $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) $(wildcard bench/*.c) $(WHOLE) -o $@ $(LIBS)
+
 $(B):
 	mkdir -p $(B) $(B)/tests
 
@@ -83,6 +85,10 @@
 	@$(MAKE) --no-print-directory all
 	@bash examples/demo.sh $(B)
 
+bench: packages
+	@$(MAKE) --no-print-directory $(B)/bench
+	$(B)/bench $(B) bench/results.tsv
+
 asan: packages
 	@$(MAKE) --no-print-directory check B=build/asan CFLAGS='-O1 -g' \
 	    SAN='-fsanitize=address,undefined -fno-sanitize-recover=undefined'
--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,34 @@
+#ifndef GV_BENCH_H
+#define GV_BENCH_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+/* Measurements of the decision modules. Each figure is the median over the
+   same fixed seeds. */
+
+enum { GV_BENCH_SEEDS = 5 };
+extern const guint32 gv_bench_seeds[GV_BENCH_SEEDS];
+
+typedef struct {
+    FILE *out;       /* results.tsv */
+    const char *dir; /* for the plots' data */
+} gv_bench_t;
+
+/* One row of results.tsv. base is NULL when there is no baseline. */
+void GvBench_Row(const gv_bench_t *b, const char *name, double value,
+                 const char *unit, const char *base, double base_value);
+double GvBench_Median(const double *v, int n);
+/* p in percent of a GArray of double, which gets sorted; 0 when empty. */
+double GvBench_Percentile(GArray *a, double p);
+FILE *GvBench_Data(const gv_bench_t *b, const char *file);
+
+void GvBench_Queue(const gv_bench_t *b);
+void GvBench_Place(const gv_bench_t *b);
+void GvBench_Retry(const gv_bench_t *b);
+void GvBench_Wave(const gv_bench_t *b);
+void GvBench_Reserve(const gv_bench_t *b);
+void GvBench_Fold(const gv_bench_t *b);
+
+#endif
--- /dev/null
+++ b/bench/bench_place.c
@@ -0,0 +1,83 @@
+#include "compare.h"
+
+/* Four entry hosts with unequal arrivals share ten targets, two of which are
+   slow. */
+static const gv_sim_opts_t usual = {.queue = "fair",
+                                    .place = "least-loaded",
+                                    .retry = "safe",
+                                    .entries = 4,
+                                    .targets = 10,
+                                    .seconds = 300,
+                                    .load = 0.2,
+                                    .uneven = true,
+                                    .slow = true,
+                                    .lending = true};
+
+static double
+wait_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 50);
+}
+
+static double
+wait_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 99);
+}
+
+static double
+response_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->response, 50);
+}
+
+static double
+response_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->response, 99);
+}
+
+static double
+refusals(gv_sim_result_t *r)
+{
+    return 100 * r->refusals / MAX(r->starts, 1);
+}
+
+static double
+in_time(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+static const gv_metric_t metrics[] = {
+    {"waiting of short work, p50", "ms", wait_p50},
+    {"waiting of short work, p99", "ms", wait_p99},
+    {"response time of short work, p50", "ms", response_p50},
+    {"response time of short work, p99", "ms", response_p99},
+    {"refusals by full targets", "% of starts", refusals},
+    {"answered in time", "%", in_time}};
+
+/* Placement against the baselines, and slot sharing against none. */
+void
+GvBench_Place(const gv_bench_t *b)
+{
+    static const char *const bases[] = {"round-robin", "random-two"};
+    for (int k = 0; k < 4; k++) {
+        gv_sim_opts_t ours = usual;
+        ours.lending = k < 2;
+        gv_sim_opts_t base = ours;
+        base.place = bases[k % 2];
+        GvCompare_Rows(b,
+                       ours.lending ? "placement with lending"
+                                    : "placement without lending",
+                       &ours, bases[k % 2], &base, metrics,
+                       G_N_ELEMENTS(metrics));
+    }
+    gv_sim_opts_t base = usual;
+    base.lending = false;
+    GvCompare_Rows(b, "lending", &usual, "shares without lending", &base,
+                   metrics, G_N_ELEMENTS(metrics));
+    base.no_shares = true;
+    GvCompare_Rows(b, "shares and lending", &usual, "no shares", &base,
+                   metrics, G_N_ELEMENTS(metrics));
+}
--- /dev/null
+++ b/bench/bench_queue.c
@@ -0,0 +1,132 @@
+#include "compare.h"
+
+/* Entry hosts and targets of one service in one data centre of a current
+   deployment: 12 workers over 4 data centres, 8 entry hosts over 4. */
+static const gv_sim_opts_t usual = {.queue = "fair",
+                                    .place = "least-loaded",
+                                    .retry = "safe",
+                                    .entries = 2,
+                                    .targets = 3,
+                                    .seconds = 300,
+                                    .load = 0.3,
+                                    .lending = true,
+                                    .cancels = true};
+
+static double
+short_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 50);
+}
+
+static double
+short_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 99);
+}
+
+static double
+short_worst(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 100);
+}
+
+static double
+long_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->long_wait, 50);
+}
+
+static double
+long_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->long_wait, 99);
+}
+
+static double
+urgent_worst(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->urgent_wait, 100);
+}
+
+static double
+urgent_lost(gv_sim_result_t *r)
+{
+    return 100 * r->urgent_lost / MAX(r->urgents, 1);
+}
+
+static double
+in_time(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+static double
+short_in_time(gv_sim_result_t *r)
+{
+    return 100 * r->short_in_time / MAX(r->shorts, 1);
+}
+
+static double
+long_in_time(gv_sim_result_t *r)
+{
+    return 100 * r->long_in_time / MAX(r->longs, 1);
+}
+
+static double
+too_late(gv_sim_result_t *r)
+{
+    return 100 * r->late_starts / MAX(r->starts, 1);
+}
+
+static const gv_metric_t metrics[] = {
+    {"waiting of short work, p50", "ms", short_p50},
+    {"waiting of short work, p99", "ms", short_p99},
+    {"waiting of short work, worst", "ms", short_worst},
+    {"waiting of long work, p50", "ms", long_p50},
+    {"waiting of long work, p99", "ms", long_p99},
+    {"urgent start, worst", "ms", urgent_worst},
+    {"urgent work not started", "%", urgent_lost},
+    {"answered in time", "%", in_time},
+    {"short work answered in time", "%", short_in_time},
+    {"long work answered in time", "%", long_in_time},
+    {"runs that ended after the deadline", "%", too_late}};
+
+static void
+write_waiting(const gv_bench_t *b)
+{
+    static const char *const policies[] = {"fair", "fifo"};
+    FILE *f = GvBench_Data(b, "waiting.dat");
+    for (int p = 0; p < 2; p++) {
+        gv_sim_opts_t o = usual;
+        o.queue = policies[p];
+        o.seed = gv_bench_seeds[0];
+        gv_sim_result_t r;
+        GvSim_Run(&o, &r);
+        fprintf(f, "# %s: percentile, short, long, urgent waiting in ms\n",
+                policies[p]);
+        for (int k = 0; k <= 1000; k += k < 900 ? 10 : 1) {
+            fprintf(f, "%.1f\t%.1f\t%.1f\t%.1f\n", k / 10.0,
+                    GvBench_Percentile(r.short_wait, k / 10.0),
+                    GvBench_Percentile(r.long_wait, k / 10.0),
+                    GvBench_Percentile(r.urgent_wait, k / 10.0));
+        }
+        fprintf(f, "\n\n");
+        GvSim_Clear(&r);
+    }
+    (void)fclose(f);
+}
+
+/* Queue policy against fifo, and work classes against none. */
+void
+GvBench_Queue(const gv_bench_t *b)
+{
+    gv_sim_opts_t fifo = usual;
+    fifo.queue = "fifo";
+    GvCompare_Rows(b, "queue", &usual, "fifo", &fifo, metrics,
+                   G_N_ELEMENTS(metrics));
+    gv_sim_opts_t none = usual;
+    none.no_classes = true;
+    GvCompare_Rows(b, "long and short", &usual, "no classes", &none, metrics,
+                   G_N_ELEMENTS(metrics));
+    write_waiting(b);
+}
--- /dev/null
+++ b/bench/bench_retry.c
@@ -0,0 +1,65 @@
+#include "compare.h"
+
+static const gv_sim_opts_t usual = {.queue = "fair",
+                                    .place = "least-loaded",
+                                    .retry = "safe",
+                                    .entries = 2,
+                                    .targets = 6,
+                                    .seconds = 180,
+                                    .load = 0.2,
+                                    .lending = true};
+
+static double
+extra(gv_sim_result_t *r)
+{
+    return 100 * (r->attempts_fault / MAX(r->requests_fault, 1) - 1);
+}
+
+static double
+lost_bad(gv_sim_result_t *r)
+{
+    return r->lost_bad;
+}
+
+static double
+in_time(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+static const gv_metric_t collapse[] = {
+    {"extra starts while four in five runs fail", "% of requests", extra},
+    {"answered in time", "%", in_time}};
+
+static const gv_metric_t bad_worker[] = {
+    {"requests lost to the worker", "requests", lost_bad},
+    {"extra starts", "% of requests", extra},
+    {"answered in time", "%", in_time}};
+
+/* Retry policy against always and never, in a collapse of all targets and
+   with one worker that fails everything at once. */
+void
+GvBench_Retry(const gv_bench_t *b)
+{
+    static const char *const bases[] = {"always", "never"};
+    for (int k = 0; k < 2; k++) {
+        gv_sim_opts_t ours = usual;
+        ours.collapse = true;
+        gv_sim_opts_t base = ours;
+        base.retry = bases[k];
+        GvCompare_Rows(b, "retry in a collapse", &ours, bases[k], &base,
+                       collapse, G_N_ELEMENTS(collapse));
+    }
+    gv_sim_opts_t ours = usual;
+    ours.bad_worker = true;
+    for (int k = 0; k < 2; k++) {
+        gv_sim_opts_t base = ours;
+        base.retry = bases[k];
+        GvCompare_Rows(b, "retry with a bad worker", &ours, bases[k], &base,
+                       bad_worker, G_N_ELEMENTS(bad_worker));
+    }
+    gv_sim_opts_t base = ours;
+    base.no_eject = true;
+    GvCompare_Rows(b, "ejection of a bad worker", &ours, "no ejection", &base,
+                   bad_worker, G_N_ELEMENTS(bad_worker));
+}
--- /dev/null
+++ b/bench/compare.c
@@ -0,0 +1,37 @@
+#include "compare.h"
+
+static void
+medians(const gv_sim_opts_t *o, const gv_metric_t *m, int n, double *out)
+{
+    double v[GV_METRICS_MAX][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        gv_sim_opts_t with = *o;
+        with.seed = gv_bench_seeds[i];
+        gv_sim_result_t r;
+        GvSim_Run(&with, &r);
+        for (int k = 0; k < n; k++) {
+            v[k][i] = m[k].get(&r);
+        }
+        GvSim_Clear(&r);
+    }
+    for (int k = 0; k < n; k++) {
+        out[k] = GvBench_Median(v[k], GV_BENCH_SEEDS);
+    }
+}
+
+void
+GvCompare_Rows(const gv_bench_t *b, const char *group,
+               const gv_sim_opts_t *ours, const char *base_name,
+               const gv_sim_opts_t *base, const gv_metric_t *m, int n)
+{
+    double x[GV_METRICS_MAX];
+    double y[GV_METRICS_MAX];
+    g_assert(n <= GV_METRICS_MAX);
+    medians(ours, m, n, x);
+    medians(base, m, n, y);
+    for (int k = 0; k < n; k++) {
+        char name[160];
+        g_snprintf(name, sizeof name, "%s: %s", group, m[k].name);
+        GvBench_Row(b, name, x[k], m[k].unit, base_name, y[k]);
+    }
+}
--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,87 @@
+#include "load.h"
+
+#include <math.h>
+
+/* Prepares the arrivals of one service. mean_per_ms is the mean rate over
+   bursts and the time between them. */
+void
+GvLoad_Init(gv_gen_t *g, guint32 seed, int service, double mean_per_ms)
+{
+    *g = (gv_gen_t){.jobs = g_rand_new_with_seed(seed * 16 + (guint32)service),
+                    .turns = g_rand_new_with_seed(seed),
+                    .service = service,
+                    .mean_per_ms = mean_per_ms,
+                    .turn = GV_LOAD_SERVICES - 1};
+}
+
+/* Releases the random sequences. */
+void
+GvLoad_Clear(gv_gen_t *g)
+{
+    g_rand_free(g->jobs);
+    g_rand_free(g->turns);
+}
+
+/* Returns the time of the first arrival after now_ms. Call with growing
+   times. */
+double
+GvLoad_Next(gv_gen_t *g, double now_ms)
+{
+    double at = now_ms;
+    for (;;) {
+        while (at >= g->turn_ends_ms) {
+            g->turn = (g->turn + 1) % GV_LOAD_SERVICES;
+            g->turn_ends_ms += g_rand_double_range(g->turns, 3000, 8000);
+        }
+        double rate = g->mean_per_ms * (g->turn == g->service ? 5 : 0.05);
+        double gap = -log(1 - g_rand_double(g->jobs)) / rate;
+        if (at + gap < g->turn_ends_ms) {
+            return at + gap;
+        }
+        /* The exponential distribution has no memory, so the rest of the gap
+           is drawn anew with the next turn's rate. */
+        at = g->turn_ends_ms;
+    }
+}
+
+/* A positive value whose logarithm is normally distributed, with the given
+   mean. */
+static double
+lognormal(GRand *r, double mean, double sigma)
+{
+    double u = 1 - g_rand_double(r);
+    double v = g_rand_double(r);
+    double n = sqrt(-2 * log(u)) * cos(2 * G_PI * v);
+    return mean * exp(sigma * n - sigma * sigma / 2);
+}
+
+/* Draws one request. 3 percent are long kinds, many times longer than the
+   rest; one in 200 of the others runs 20 times longer than its kind; one in
+   20 long requests has a short kind's label; 1 percent fail everywhere. */
+void
+GvLoad_Job(gv_gen_t *g, gv_gen_job_t *j)
+{
+    GRand *r = g->jobs;
+    double u = g_rand_double(r);
+    *j = (gv_gen_job_t){.team =
+                            g_rand_double(r) < 0.5 ? "crews" : "authorities",
+                        .deadline_ms = 5000,
+                        .urgent = g_rand_double(r) < 0.1,
+                        .idempotent = g_rand_double(r) < 0.7,
+                        .never_runs = g_rand_double(r) < 0.01};
+    if (u < 0.03) {
+        j->work = g_rand_double(r) < 0.05 ? "quote" : "plan";
+        j->real_ms = lognormal(r, 3000, 0.6);
+        j->deadline_ms = 60000;
+        j->really_long = true;
+        j->urgent = false;
+    }
+    else {
+        bool quote = u < 0.6;
+        j->work = quote ? "quote" : "route";
+        j->real_ms = lognormal(r, quote ? 60 : 120, 0.5);
+        if (g_rand_double(r) < 0.005) {
+            j->real_ms *= 20;
+        }
+    }
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,102 @@
+#include "bench.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+const guint32 gv_bench_seeds[GV_BENCH_SEEDS] = {11, 12, 13, 14, 15};
+
+void
+GvBench_Row(const gv_bench_t *b, const char *name, double value,
+            const char *unit, const char *base, double base_value)
+{
+    char ratio[32] = "-";
+    if (base != NULL && base_value != 0) {
+        g_snprintf(ratio, sizeof ratio, "%.3f", value / base_value);
+    }
+    fprintf(b->out, "%s\t%.4g\t%s\t%s\t", name, value, unit,
+            base == NULL ? "-" : base);
+    if (base == NULL) {
+        fprintf(b->out, "-\t%s\t", ratio);
+    }
+    else {
+        fprintf(b->out, "%.4g\t%s\t", base_value, ratio);
+    }
+    fprintf(b->out, "median of %u-%u\n", gv_bench_seeds[0],
+            gv_bench_seeds[GV_BENCH_SEEDS - 1]);
+    fflush(b->out);
+}
+
+static int
+by_value(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+double
+GvBench_Median(const double *v, int n)
+{
+    double *copy = g_memdup2(v, sizeof *v * (gsize)n);
+    qsort(copy, (size_t)n, sizeof *copy, by_value);
+    double m = copy[n / 2];
+    g_free(copy);
+    return m;
+}
+
+double
+GvBench_Percentile(GArray *a, double p)
+{
+    if (a->len == 0) {
+        return 0;
+    }
+    qsort(a->data, a->len, sizeof(double), by_value);
+    guint i = (guint)ceil(p / 100 * a->len);
+    return g_array_index(a, double, CLAMP(i, 1, a->len) - 1);
+}
+
+/* Opens a file for a plot's data. */
+FILE *
+GvBench_Data(const gv_bench_t *b, const char *file)
+{
+    char *path = g_build_filename(b->dir, file, NULL);
+    FILE *f = fopen(path, "w");
+    g_assert(f != NULL);
+    g_free(path);
+    return f;
+}
+
+/* bench DATA_DIR RESULTS [GROUP ...]: writes the results of all groups, or
+   of those named. */
+int
+main(int argc, char **argv)
+{
+    static const struct {
+        const char *name;
+        void (*run)(const gv_bench_t *b);
+    } groups[] = {{"queue", GvBench_Queue},
+                  {"place", GvBench_Place},
+                  {"retry", GvBench_Retry}};
+    if (argc < 3) {
+        fprintf(stderr, "usage: bench DATA_DIR RESULTS [GROUP ...]\n");
+        return 2;
+    }
+    gv_bench_t b = {.out = fopen(argv[2], "w"), .dir = argv[1]};
+    if (b.out == NULL) {
+        perror(argv[2]);
+        return 1;
+    }
+    fprintf(b.out, "name\tvalue\tunit\tbaseline name\tbaseline value\tratio\t"
+                   "seed\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(groups); i++) {
+        bool wanted = argc == 3;
+        for (int k = 3; k < argc; k++) {
+            wanted = wanted || strcmp(argv[k], groups[i].name) == 0;
+        }
+        if (wanted) {
+            groups[i].run(&b);
+        }
+    }
+    return fclose(b.out) == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/bench/sim.h
@@ -0,0 +1,54 @@
+#ifndef GV_BENCH_SIM_H
+#define GV_BENCH_SIM_H
+
+#include "load.h"
+
+/* One service of one data centre in virtual time: entry hosts with a queue
+   each, and targets that refuse work beyond their slots. Drives queue,
+   estimate, slots, placement and retry as the daemon does. */
+
+typedef struct {
+    guint32 seed;
+    const char *queue;
+    const char *place;
+    const char *retry;
+    int entries;
+    int targets;
+    double seconds;
+    double load;     /* mean demand over capacity */
+    bool no_classes; /* no work counts as long */
+    bool no_shares;  /* each entry host uses all slots of each target */
+    bool lending;
+    bool uneven;  /* entry hosts get 4:3:2:1 of the arrivals */
+    bool slow;    /* one target in five is three times slower */
+    bool cancels; /* every 7 s a third of the waiting work is cancelled */
+    bool no_eject;
+    bool bad_worker; /* the first target fails everything for 60 s */
+    bool collapse;   /* all targets fail four in five runs for 60 s */
+} gv_sim_opts_t;
+
+typedef struct {
+    GArray *short_wait; /* double, ms; started work */
+    GArray *long_wait;
+    GArray *urgent_wait;
+    GArray *response; /* of short work, from arrival */
+    double requests;
+    double shorts;
+    double longs;
+    double urgents;
+    double in_time; /* answered before the deadline */
+    double short_in_time;
+    double long_in_time;
+    double urgent_lost; /* urgent work never started */
+    double starts;
+    double refusals;       /* by full targets */
+    double lost_bad;       /* failed last on the bad worker */
+    double attempts_fault; /* during the fault */
+    double requests_fault;
+    double late_starts; /* ended after the deadline */
+} gv_sim_result_t;
+
+void GvSim_Run(const gv_sim_opts_t *o, gv_sim_result_t *r);
+void GvSim_Clear(gv_sim_result_t *r);
+
+#endif
--- a/src/placement.h
+++ b/src/placement.h
@@ -8,12 +8,12 @@
 
 /* What is known about one candidate target at the time of choice. */
 typedef struct {
-    int usable; /* slots that this entry host may use: own share + borrowed */
-    int busy;   /* in progress from this entry host */
-    bool ejected;
-    bool avoid;       /* already tried by this request */
     double recent_ms; /* smoothed run time ratio to expected, x1000 */
-    int refused;      /* recent refusals because the target was full */
+    int usable;  /* slots that this entry host may use: own share + borrowed */
+    int busy;    /* in progress from this entry host */
+    int refused; /* recent refusals because the target was full */
+    bool ejected;
+    bool avoid; /* already tried by this request */
 } gv_candidate_t;
 
 /* Plug-in: chooses a target. Returns an index or -1 when none has a free
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -19,7 +19,7 @@
 static gv_slots_t slots;
 static gv_burn_t *burn;
 static gv_reserve_pool_t pools[8];
-static gv_pool_t settings[8];
+static gv_pool_t *settings; /* eight */
 static int n_pools;
 
 static const char *const attempts[] = {"ok",     "refused", "unreachable",
@@ -255,6 +255,9 @@
 run_pool(int argc, char **argv)
 {
     g_assert(argc >= 8);
+    if (settings == NULL) {
+        settings = g_new0(gv_pool_t, 8);
+    }
     int i = 0;
     while (i < n_pools && !GvStr_Equal(settings[i].name, GvStr_C(argv[1]))) {
         i++;
