Classify work by the majority of its runs, not by its mean

Refusals at admission were all for class long: a short kind became long whenever one run that takes 20 times longer lifted its mean over the bound, and then queued for the long share. Queue bounds and expiry were ruled out by counting refusals by class and reason.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -7,6 +7,7 @@
 typedef struct {
     gv_str_t work;
     double mean_ms;
+    double over; /* share of recent runs above short_ms */
     int samples; /* at most GV_ESTIMATE_SAMPLES */
     /* Longest elapsed time of a run not yet finished. Counts as one more
        sample, so that long work is recognised before it ends. */
@@ -76,6 +77,15 @@
     return r->mean_ms + (r->open_ms - r->mean_ms) / (r->samples + 1);
 }
 
+/* The class follows the majority of recent runs and not the mean, because a
+   single run that takes many times longer moves the mean over the bound. */
+static bool
+is_long(const gv_estimate_t *e, const row_t *r)
+{
+    double open = r->open_ms > e->short_ms;
+    return 2 * (r->over * r->samples + open) > r->samples + open;
+}
+
 static const row_t *
 find(const gv_estimate_t *e, gv_str_t work)
 {
@@ -110,22 +120,23 @@
     return expected(r);
 }
 
-/* Tells whether work of this kind is expected to run longer than the bound
-   of short work. */
+/* Tells whether most work of this kind runs longer than the bound of short
+   work. */
 bool
 GvEstimate_IsLong(const gv_estimate_t *e, gv_str_t work)
 {
     const row_t *r = find(e, work);
-    return r != NULL && expected(r) > e->short_ms;
+    return r != NULL && is_long(e, r);
 }
 
 static void
-learn(row_t *r, double run_ms)
+learn(row_t *r, double run_ms, int short_ms)
 {
     if (r->samples < GV_ESTIMATE_SAMPLES) {
         r->samples++;
     }
     r->mean_ms += (run_ms - r->mean_ms) / r->samples;
+    r->over += ((run_ms > short_ms) - r->over) / r->samples;
     /* The run that set open_ms has ended, or a quick run makes it less
        typical. */
     r->open_ms = run_ms >= r->open_ms ? 0 : r->open_ms * 0.75;
@@ -135,8 +146,8 @@
 void
 GvEstimate_Learn(gv_estimate_t *e, gv_str_t work, double run_ms)
 {
-    learn(find_or_add(e, work), run_ms);
-    learn(&e->all, run_ms);
+    learn(find_or_add(e, work), run_ms, e->short_ms);
+    learn(&e->all, run_ms, e->short_ms);
 }
 
 /* Notes a run that is still going after elapsed_ms. May be called again for
@@ -145,11 +156,11 @@
 GvEstimate_StillRunning(gv_estimate_t *e, gv_str_t work, double elapsed_ms)
 {
     row_t *r = find_or_add(e, work);
-    bool was_long = expected(r) > e->short_ms;
+    bool was_long = is_long(e, r);
     if (elapsed_ms > r->open_ms) {
         r->open_ms = elapsed_ms;
     }
-    return !was_long && expected(r) > e->short_ms;
+    return !was_long && is_long(e, r);
 }
 
 /* Returns the mean run time in ms over all kinds; 0 before the first run. */
