Measure waves against the ledger, with a rack loss and a failed host

The wave runs over the real ledger: the planner proposes, the ledger grants. Demand is a flow of work that follows the bursts of the load generator.

--- /dev/null
+++ b/bench/bench_wave.c
@@ -0,0 +1,306 @@
+#include <math.h>
+#include <string.h>
+
+#include "bench.h"
+#include "demand.h"
+#include "feed.h"
+
+/* A wave over one pool, with the ledger deciding on each claim. A rack with
+   one host of the pool fails during the wave, and one host fails its
+   maintenance, which halts the wave until an operator resumes it. */
+
+enum { MAX_HOSTS = 192, RACK_HOSTS = 4, OUT_MAX = 16 };
+
+#define STEP_S       0.5
+#define FAILED_S     120
+#define OPERATOR_S   60
+#define LIMIT_S      (24 * 3600)
+#define REBOOT_MIN_S 40
+#define REBOOT_MAX_S 90
+
+typedef struct {
+    const char *name;
+    int hosts;
+    int dcs;
+    int min_hosts;
+    int max_out;
+    double load; /* mean demand over the pool's slots */
+} wave_case_t;
+
+typedef struct {
+    double rollout_s;
+    double out_most;
+    double below_s;
+    double wait_p99;
+    double late;
+} wave_result_t;
+
+typedef struct {
+    char name[24];
+    char dc[8];
+    char rack[12];
+    int boot;
+    double until_s; /* confirmed, back from reboot or from failure */
+} host_t;
+
+typedef struct {
+    const wave_case_t *c;
+    const gv_wave_policy_t *policy;
+    GRand *rand;
+    gv_feed_t feed;
+    gv_flow_t flow;
+    host_t hosts[MAX_HOSTS];
+    double now_s;
+    double resume_s;
+    double rack_fails_s;
+    int bad_host;
+    FILE *plot;
+} wave_sim_t;
+
+static host_t *
+host_of(wave_sim_t *s, const gv_lhost_t *h)
+{
+    for (int i = 0; i < s->c->hosts; i++) {
+        if (strcmp(s->hosts[i].name, h->name.p) == 0) {
+            return &s->hosts[i];
+        }
+    }
+    g_assert_not_reached();
+}
+
+static void
+report(wave_sim_t *s, host_t *h, gv_host_state_t state)
+{
+    GvFeed_Host(&s->feed, h->name, h->dc, h->rack, "pool", h->boot, state);
+}
+
+static void
+start(wave_sim_t *s, guint32 seed)
+{
+    const wave_case_t *c = s->c;
+    char yaml[512];
+    g_snprintf(yaml, sizeof yaml,
+               "kind: service\nservice: svc\npool: pool\n"
+               "availability: {objective_percent: 99.9, min_hosts: %d}\n"
+               "---\nkind: pool\npool: pool\nmax_out: %d\n",
+               c->min_hosts, c->max_out);
+    s->rand = g_rand_new_with_seed(seed + 500);
+    GvFeed_Init(&s->feed);
+    GvFeed_Settings(&s->feed, yaml);
+    GvFeed_Join(&s->feed, "bench", "d0");
+    GvFlow_Init(&s->flow, seed, 0, c->load * c->hosts * 8);
+    for (int i = 0; i < c->hosts; i++) {
+        host_t *h = &s->hosts[i];
+        int k = i / c->dcs; /* number within the data centre */
+        g_snprintf(h->dc, sizeof h->dc, "d%d", i % c->dcs);
+        g_snprintf(h->rack, sizeof h->rack, "%s-r%d", h->dc, k % 4);
+        g_snprintf(h->name, sizeof h->name, "%s-host%d", h->dc, k);
+        h->boot = 1;
+        report(s, h, GV_HOST_UP);
+    }
+    GvLedger_PackWave(&s->feed.payload, GV_STR("wave"), GV_STR("pool"),
+                      c->max_out, GV_WAVE_START);
+    (void)GvFeed_Append(&s->feed, "wave");
+    s->rack_fails_s = g_rand_double_range(s->rand, 100, 300);
+    s->bad_host = g_rand_int_range(s->rand, 1, c->hosts);
+}
+
+/* Moves a claim on by one step when its time has come. */
+static void
+advance(wave_sim_t *s, const gv_lhost_t *h)
+{
+    host_t *host = host_of(s, h);
+    gv_str_t me = GV_STR("bench");
+    gv_claim_t *c = h->claim;
+    if (s->now_s < host->until_s) {
+        return;
+    }
+    switch (c->phase) {
+    case GV_PHASE_GRANTED:
+        GvLedger_PackConfirm(&s->feed.payload, h->name, c->offset, me, 1);
+        (void)GvFeed_Append(&s->feed, "confirm");
+        break;
+    case GV_PHASE_CLEAR:
+        GvLedger_PackAct(&s->feed.payload, h->name, c->offset, me, 1);
+        (void)GvFeed_Append(&s->feed, "act");
+        host->until_s = s->now_s + g_rand_double_range(s->rand, REBOOT_MIN_S,
+                                                       REBOOT_MAX_S);
+        host->boot++;
+        break;
+    case GV_PHASE_STOPPING: {
+        bool bad = host == &s->hosts[s->bad_host];
+        GvLedger_PackDone(&s->feed.payload, h->name, c->offset,
+                          bad ? GV_DONE_FAILED : GV_DONE_HEALTHY);
+        (void)GvFeed_Append(&s->feed, "done");
+        if (bad) {
+            s->bad_host = -1;
+            host->until_s = s->now_s + FAILED_S;
+            s->resume_s = s->now_s + OPERATOR_S;
+        }
+        break;
+    }
+    }
+}
+
+static void
+fail_rack(wave_sim_t *s)
+{
+    const GPtrArray *hosts = GvLedger_Hosts(s->feed.ledger);
+    int at = g_rand_int_range(s->rand, 0, s->c->hosts);
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        host_t *host = host_of(s, h);
+        if (strcmp(host->rack, s->hosts[at].rack) == 0 && h->claim == NULL &&
+            h->state == GV_HOST_UP) {
+            host->until_s = s->now_s + FAILED_S;
+            report(s, host, GV_HOST_FAILED);
+        }
+    }
+}
+
+static void
+advance_all(wave_sim_t *s)
+{
+    const GPtrArray *hosts = GvLedger_Hosts(s->feed.ledger);
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        if (h->claim != NULL) {
+            advance(s, h);
+        }
+        else if (h->state == GV_HOST_FAILED &&
+                 s->now_s >= host_of(s, h)->until_s) {
+            host_of(s, h)->boot++;
+            report(s, host_of(s, h), GV_HOST_UP);
+        }
+    }
+}
+
+static void
+plan(wave_sim_t *s, const gv_wave_t *w)
+{
+    const gv_lhost_t *out[OUT_MAX];
+    char names[OUT_MAX][24];
+    int n = s->policy->plan(s->feed.ledger, w, &s->flow.demand, out, OUT_MAX);
+    for (int i = 0; i < n; i++) {
+        g_strlcpy(names[i], out[i]->name.p, sizeof names[i]);
+        host_of(s, out[i])->until_s =
+            s->now_s + g_rand_double_range(s->rand, 1, 3);
+    }
+    for (int i = 0; i < n; i++) {
+        GvLedger_PackClaim(&s->feed.payload, GvStr_C(names[i]),
+                           GV_CLAIM_MAINTENANCE, w->name, GV_STR(""),
+                           GV_STR("bench"), 1);
+        (void)GvFeed_Append(&s->feed, "claim");
+    }
+}
+
+static void
+measure(wave_sim_t *s, wave_result_t *r)
+{
+    const GPtrArray *hosts = GvLedger_Hosts(s->feed.ledger);
+    int serving = 0;
+    int claims = 0;
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        serving += h->state == GV_HOST_UP && h->claim == NULL;
+        claims += h->claim != NULL;
+    }
+    r->out_most = MAX(r->out_most, claims);
+    r->below_s += serving < s->c->min_hosts ? STEP_S : 0;
+    GvFlow_Step(&s->flow, s->now_s, STEP_S, serving * 8);
+    if (s->plot != NULL) {
+        fprintf(s->plot, "%.1f\t%d\t%d\t%.0f\n", s->now_s, serving, claims,
+                s->flow.wait_ms);
+    }
+}
+
+static wave_result_t
+run_wave(const wave_case_t *c, const char *policy, guint32 seed, FILE *plot)
+{
+    wave_result_t r = {0};
+    wave_sim_t s = {.c = c, .plot = plot};
+    s.policy = (const gv_wave_policy_t *)GvRegistry_Find(GV_PLUGIN_WAVE,
+                                                         GvStr_C(policy));
+    start(&s, seed);
+    const gv_wave_t *w = GvLedger_Wave(s.feed.ledger, GV_STR("wave"));
+    bool failed = false;
+    while (w->state != GV_WAVE_DONE && s.now_s < LIMIT_S) {
+        s.now_s += STEP_S;
+        s.feed.now_ms += (int64_t)(STEP_S * 1000);
+        if (!failed && s.now_s >= s.rack_fails_s) {
+            failed = true;
+            fail_rack(&s);
+        }
+        advance_all(&s);
+        if (w->state == GV_WAVE_HALTED && s.now_s >= s.resume_s) {
+            GvLedger_PackWave(&s.feed.payload, w->name, w->pool, w->width,
+                              GV_WAVE_RESUME);
+            (void)GvFeed_Append(&s.feed, "wave");
+        }
+        plan(&s, w);
+        measure(&s, &r);
+    }
+    r.rollout_s = s.now_s;
+    r.wait_p99 = GvBench_Percentile(s.flow.waits, 99);
+    r.late = 100 * s.flow.late / MAX(s.flow.arrived, 1);
+    GvFlow_Clear(&s.flow);
+    GvFeed_Clear(&s.feed);
+    g_rand_free(s.rand);
+    return r;
+}
+
+static void
+compare(const gv_bench_t *b, const wave_case_t *c, const char *base)
+{
+    static const char *const names[] = {
+        "roll-out time", "hosts out at most", "time below budget",
+        "waiting of arriving work, p99", "work that waits more than 5 s"};
+    static const char *const units[] = {"s", "hosts", "s", "ms", "%"};
+    double v[2][5][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        for (int k = 0; k < 2; k++) {
+            wave_result_t r = run_wave(c, k == 0 ? "adaptive" : base,
+                                       gv_bench_seeds[i], NULL);
+            v[k][0][i] = r.rollout_s;
+            v[k][1][i] = r.out_most;
+            v[k][2][i] = r.below_s;
+            v[k][3][i] = r.wait_p99;
+            v[k][4][i] = r.late;
+        }
+    }
+    for (int m = 0; m < 5; m++) {
+        char name[128];
+        g_snprintf(name, sizeof name, "wave, %s: %s", c->name, names[m]);
+        GvBench_Row(b, name, GvBench_Median(v[0][m], GV_BENCH_SEEDS), units[m],
+                    base, GvBench_Median(v[1][m], GV_BENCH_SEEDS));
+    }
+}
+
+static void
+write_wave(const gv_bench_t *b, const wave_case_t *c)
+{
+    static const char *const policies[] = {"adaptive", "fixed", "one"};
+    FILE *f = GvBench_Data(b, "wave.dat");
+    for (int p = 0; p < 3; p++) {
+        fprintf(f, "# %s: s, hosts in service, hosts under claim, waiting\n",
+                policies[p]);
+        (void)run_wave(c, policies[p], gv_bench_seeds[0], f);
+        fprintf(f, "\n\n");
+    }
+    (void)fclose(f);
+}
+
+/* Waves of a current pool and of one at the target size. */
+void
+GvBench_Wave(const gv_bench_t *b)
+{
+    static const wave_case_t cases[] = {
+        {"12 hosts", 12, 4, 8, 3, 0.3},
+        {"12 hosts, low load", 12, 4, 8, 3, 0.1},
+        {"181 hosts", 181, 17, 150, 8, 0.3}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        compare(b, &cases[i], "fixed");
+        compare(b, &cases[i], "one");
+    }
+    write_wave(b, &cases[0]);
+}
--- /dev/null
+++ b/bench/demand.c
@@ -0,0 +1,51 @@
+#include "demand.h"
+
+#include <math.h>
+
+/* Smoothing of the demand, as the daemon reports it. */
+#define BUSY_S      10.0
+#define PEAK_HALF_S 60.0
+#define LATE_MS     5000
+
+/* Prepares the flow of one service; bursts follow the load generator. */
+void
+GvFlow_Init(gv_flow_t *f, guint32 seed, int service, double mean_slots)
+{
+    *f = (gv_flow_t){.mean_slots = mean_slots,
+                     .waits = g_array_new(FALSE, FALSE, sizeof(double))};
+    GvLoad_Init(&f->gen, seed, service, 0.001);
+}
+
+/* Releases the samples. */
+void
+GvFlow_Clear(gv_flow_t *f)
+{
+    GvLoad_Clear(&f->gen);
+    g_array_free(f->waits, TRUE);
+}
+
+/* Advances the flow. Every sample of the waiting time stands for the same
+   amount of arriving work. */
+void
+GvFlow_Step(gv_flow_t *f, double now_s, double s, double slots)
+{
+    double rate =
+        f->mean_slots * (GvLoad_Bursts(&f->gen, now_s * 1000) ? 5 : 0.05);
+    double work = f->backlog / s + rate;
+    double busy = MIN(work, slots);
+    f->backlog = (work - busy) * s;
+    f->wait_ms = slots > 0 ? 1000 * f->backlog / slots : 1e6;
+    double before = f->arrived;
+    f->arrived += rate * s;
+    /* One sample for each 10 slot seconds. */
+    for (double k = floor(before / 10); k < floor(f->arrived / 10); k++) {
+        g_array_append_val(f->waits, f->wait_ms);
+    }
+    f->late += f->wait_ms > LATE_MS ? rate * s : 0;
+    double w = 1 - exp(-s / BUSY_S);
+    gv_demand_t *d = &f->demand;
+    d->busy_slots += (busy - d->busy_slots) * w;
+    d->peak_slots = MAX(busy, d->peak_slots * exp2(-s / PEAK_HALF_S));
+    d->queued = f->backlog * 1000 / GV_LOAD_WORK_MS;
+    d->wait_ms += (f->wait_ms - d->wait_ms) * w;
+}
--- a/bench/load.c
+++ b/bench/load.c
@@ -22,6 +22,17 @@
     g_rand_free(g->turns);
 }
 
+/* Tells whether this queue has its turn to burst. */
+bool
+GvLoad_Bursts(gv_gen_t *g, double now_ms)
+{
+    while (now_ms >= g->turn_ends_ms) {
+        g->turn = (g->turn + 1) % GV_LOAD_SERVICES;
+        g->turn_ends_ms += g_rand_double_range(g->turns, 3000, 8000);
+    }
+    return g->turn == g->service;
+}
+
 /* Returns the time of the first arrival after now_ms. Call with growing
    times. */
 double
@@ -29,11 +40,7 @@
 {
     double at = now_ms;
     for (;;) {
-        while (at >= g->turn_ends_ms) {
-            g->turn = (g->turn + 1) % GV_LOAD_SERVICES;
-            g->turn_ends_ms += g_rand_double_range(g->turns, 3000, 8000);
-        }
-        double rate = g->mean_per_ms * (g->turn == g->service ? 5 : 0.05);
+        double rate = g->mean_per_ms * (GvLoad_Bursts(g, at) ? 5 : 0.05);
         double gap = -log(1 - g_rand_double(g->jobs)) / rate;
         if (at + gap < g->turn_ends_ms) {
             return at + gap;
--- a/bench/load.h
+++ b/bench/load.h
@@ -34,6 +34,8 @@
 
 void GvLoad_Init(gv_gen_t *g, guint32 seed, int service, double mean_per_ms);
 void GvLoad_Clear(gv_gen_t *g);
+/* Whether the queue bursts at that time. Call with growing times. */
+bool GvLoad_Bursts(gv_gen_t *g, double now_ms);
 double GvLoad_Next(gv_gen_t *g, double now_ms);
 void GvLoad_Job(gv_gen_t *g, gv_gen_job_t *j);
 
--- a/bench/main.c
+++ b/bench/main.c
@@ -77,7 +77,8 @@
         void (*run)(const gv_bench_t *b);
     } groups[] = {{"queue", GvBench_Queue},
                   {"place", GvBench_Place},
-                  {"retry", GvBench_Retry}};
+                  {"retry", GvBench_Retry},
+                  {"wave", GvBench_Wave}};
     if (argc < 3) {
         fprintf(stderr, "usage: bench DATA_DIR RESULTS [GROUP ...]\n");
         return 2;
