--- a/src/limits.h
+++ b/src/limits.h
@@ -24,6 +24,14 @@
 /* Six missed heartbeats: shorter pauses are common on small hosts. */
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
+/* An idle link is kept from counting as silent by a HELLO this often. */
+#define GV_PEER_KEEPALIVE_MS   1000
+#define GV_PEER_IDLE_MS        (60 * 1000)
+#define GV_PEER_BACKOFF_MS     100
+#define GV_PEER_BACKOFF_MAX_MS 2000
+#define GV_PEER_FLUSH_MS       500
+#define GV_PEER_CALLS_MAX      4096
+#define GV_PEER_CONNECTIONS    1024
 
 /* Log */
 #define GV_RECORD_MAX_BYTES        (1024 * 1024)
@@ -50,12 +58,14 @@
 #define GV_TICKET_TTL_MS (10 * 60 * 1000)
 /* Answers stay available this long after the ticket's expiry, so that a
    caller that repeats late learns the outcome instead of "unknown". */
-#define GV_TICKET_GRACE_MS   (60 * 1000)
-#define GV_ONCE_MAX_ENTRIES  65536
-#define GV_ONCE_ANSWER_BYTES (64 * 1024)
-#define GV_KEY_TTL_MS        (60 * 60 * 1000)
-#define GV_KEYS_MAX          65536
-#define GV_KEY_BATCH         64
+#define GV_TICKET_GRACE_MS    (60 * 1000)
+#define GV_ONCE_MAX_ENTRIES   65536
+#define GV_ONCE_ANSWER_BYTES  (64 * 1024)
+#define GV_ONCE_ANSWERS_BYTES (8 * 1024 * 1024)
+#define GV_ONCE_MAX_WAITERS   256
+#define GV_KEY_TTL_MS         (60 * 60 * 1000)
+#define GV_KEYS_MAX           65536
+#define GV_KEY_BATCH          64
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
--- /dev/null
+++ b/src/once.c
@@ -0,0 +1,293 @@
+#include "once.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "error.h"
+#include "limits.h"
+
+/* The limits of the process are divided between its shards. */
+#define MAX_ENTRIES      (GV_ONCE_MAX_ENTRIES / GV_SHARDS)
+#define MAX_ANSWER_BYTES (GV_ONCE_ANSWERS_BYTES / GV_SHARDS)
+
+typedef enum { STATE_READY, STATE_RUNNING, STATE_DONE } once_state_t;
+
+typedef struct {
+    gv_str_t id;
+    once_state_t state;
+    int64_t expires_ms;
+    gv_answer_t answer; /* STATE_DONE */
+    size_t kept;        /* bytes of the answer */
+    GPtrArray *waiters; /* STATE_RUNNING; NULL: none */
+} entry_t;
+
+struct gv_once_s {
+    gv_str_t entry;
+    uint64_t incarnation;
+    GHashTable *entries;
+    size_t kept;
+    uint64_t top_sequence; /* highest one issued */
+    /* Highest time seen. A wall clock that steps back must not turn a
+       forgotten ticket into one that was never issued. */
+    int64_t now_ms;
+};
+
+static guint
+hash_id(gconstpointer p)
+{
+    return GvStr_Hash(*(const gv_str_t *)p);
+}
+
+static gboolean
+equal_ids(gconstpointer a, gconstpointer b)
+{
+    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
+}
+
+static void
+free_entry(gpointer p)
+{
+    entry_t *e = p;
+    GvStr_Free(&e->id);
+    GvAnswer_Free(&e->answer);
+    if (e->waiters != NULL) {
+        g_ptr_array_unref(e->waiters);
+    }
+    g_free(e);
+}
+
+/* Creates the table of one shard for this incarnation of the entry host. */
+gv_once_t *
+GvOnce_New(gv_str_t entry, uint64_t incarnation)
+{
+    gv_once_t *o = g_new0(gv_once_t, 1);
+    o->entry = GvStr_Dup(entry);
+    o->incarnation = incarnation;
+    o->entries = g_hash_table_new_full(hash_id, equal_ids, NULL, free_entry);
+    return o;
+}
+
+/* Releases the table. Waiters are dropped without an answer. */
+void
+GvOnce_Free(gv_once_t *o)
+{
+    if (o != NULL) {
+        g_hash_table_destroy(o->entries);
+        GvStr_Free(&o->entry);
+        g_free(o);
+    }
+}
+
+static int64_t
+advance(gv_once_t *o, int64_t now_ms)
+{
+    o->now_ms = MAX(o->now_ms, now_ms);
+    return o->now_ms;
+}
+
+/* Adds an entry in STATE_READY, or returns NULL when the table is full even
+   after a sweep. */
+static entry_t *
+add(gv_once_t *o, gv_str_t id, int64_t expires_ms)
+{
+    if (GvOnce_Count(o) >= MAX_ENTRIES && GvOnce_Sweep(o, o->now_ms) == 0) {
+        return NULL;
+    }
+    entry_t *e = g_new0(entry_t, 1);
+    e->id = GvStr_Dup(id);
+    e->expires_ms = expires_ms;
+    g_hash_table_insert(o->entries, &e->id, e);
+    return e;
+}
+
+/* Issues a ticket that expires ttl_ms from now; t->entry is a view of the
+   table's own name. Returns 0, GV_EFULL when the table is full, or GV_EEXIST
+   for a ticket that was issued already. */
+int
+GvOnce_Issue(gv_once_t *o, uint64_t sequence, int64_t now_ms, int64_t ttl_ms,
+             gv_ticket_t *t)
+{
+    advance(o, now_ms);
+    *t = (gv_ticket_t){o->entry, o->incarnation, sequence, now_ms + ttl_ms};
+    char text[GV_TICKET_TEXT_BYTES];
+    int n = GvTicket_Format(t, text, sizeof text);
+    g_assert(n > 0);
+    gv_str_t id = GvStr_N(text, (size_t)n);
+    if (g_hash_table_contains(o->entries, &id)) {
+        return GV_EEXIST;
+    }
+    if (add(o, id, t->expires_ms) == NULL) {
+        return GV_EFULL;
+    }
+    o->top_sequence = MAX(o->top_sequence, sequence);
+    return GV_OK;
+}
+
+static gv_once_result_t
+result(gv_once_kind_t kind)
+{
+    return (gv_once_result_t){kind, NULL};
+}
+
+/* Starts, joins or answers a known entry. */
+static gv_once_result_t
+begin(gv_once_t *o, entry_t *e, void *waiter)
+{
+    switch (e->state) {
+    case STATE_READY:
+        if (o->now_ms > e->expires_ms) {
+            return result(GV_ONCE_EXPIRED);
+        }
+        e->state = STATE_RUNNING;
+        return result(GV_ONCE_START);
+    case STATE_RUNNING:
+        if (waiter != NULL) {
+            if (e->waiters == NULL) {
+                e->waiters = g_ptr_array_new();
+            }
+            if (e->waiters->len >= GV_ONCE_MAX_WAITERS) {
+                return result(GV_ONCE_UNKNOWN);
+            }
+            g_ptr_array_add(e->waiters, waiter);
+        }
+        return result(GV_ONCE_WAIT);
+    case STATE_DONE:
+        return (gv_once_result_t){GV_ONCE_ANSWER, &e->answer};
+    }
+    g_assert_not_reached();
+}
+
+/* Begins a run of ticket t. GV_ONCE_START: the caller runs the request, ends
+   it with GvOnce_Finish, and is not among the waiters. GV_ONCE_WAIT: waiter
+   is kept until GvOnce_Finish returns it; NULL is not kept. A waiter over
+   GV_ONCE_MAX_WAITERS gets GV_ONCE_UNKNOWN, because the run goes on. */
+gv_once_result_t
+GvOnce_BeginTicket(gv_once_t *o, const gv_ticket_t *t, int64_t now_ms,
+                   void *waiter)
+{
+    advance(o, now_ms);
+    if (!GvStr_Equal(t->entry, o->entry)) {
+        return result(GV_ONCE_INVALID);
+    }
+    if (t->incarnation != o->incarnation) {
+        return result(GV_ONCE_UNKNOWN);
+    }
+    char text[GV_TICKET_TEXT_BYTES];
+    int n = GvTicket_Format(t, text, sizeof text);
+    gv_str_t id = GvStr_N(text, n > 0 ? (size_t)n : 0);
+    entry_t *e = g_hash_table_lookup(o->entries, &id);
+    if (e != NULL) {
+        return begin(o, e, waiter);
+    }
+    /* Only entries past their grace time are forgotten. */
+    bool forgotten = t->sequence <= o->top_sequence &&
+                     t->expires_ms < o->now_ms - GV_TICKET_GRACE_MS;
+    return result(forgotten ? GV_ONCE_UNKNOWN : GV_ONCE_INVALID);
+}
+
+/* Begins a run of a key whose claim by this incarnation the ledger holds
+   until expires_ms. A key claimed again while its entry is kept continues
+   that entry. GV_ONCE_UNKNOWN: the claim has expired and its entry may have
+   been forgotten. */
+gv_once_result_t
+GvOnce_BeginKey(gv_once_t *o, gv_str_t id, int64_t expires_ms, int64_t now_ms,
+                void *waiter)
+{
+    advance(o, now_ms);
+    entry_t *e = g_hash_table_lookup(o->entries, &id);
+    if (e == NULL) {
+        if (o->now_ms > expires_ms) {
+            return result(GV_ONCE_UNKNOWN);
+        }
+        e = add(o, id, expires_ms);
+        if (e == NULL) {
+            return result(GV_ONCE_FULL);
+        }
+    }
+    e->expires_ms = MAX(e->expires_ms, expires_ms);
+    return begin(o, e, waiter);
+}
+
+/* Keeps a as the answer of e, or only its outcome when it is too large or
+   the memory for answers is used up. */
+static void
+keep(gv_once_t *o, entry_t *e, const gv_answer_t *a)
+{
+    size_t n = a->body.n + a->content_type.n + a->reason.n;
+    if (n > GV_ONCE_ANSWER_BYTES || o->kept + n > MAX_ANSWER_BYTES) {
+        e->answer =
+            GvAnswer_Refuse(a->outcome, 410, 0, "the response was not kept");
+        return;
+    }
+    e->answer = GvAnswer_Copy(a);
+    e->kept = n;
+    o->kept += n;
+}
+
+/* Ends the run that Begin started. GV_OUTCOME_NOT_RUN makes the entry
+   startable again; every other outcome is final and its answer is kept.
+   Returns the waiters, of which *n_waiters; the caller frees the array with
+   g_free. An id that is not running is ignored. */
+void **
+GvOnce_Finish(gv_once_t *o, gv_str_t id, const gv_answer_t *a, int64_t now_ms,
+              int *n_waiters)
+{
+    *n_waiters = 0;
+    advance(o, now_ms);
+    entry_t *e = g_hash_table_lookup(o->entries, &id);
+    if (e == NULL || e->state != STATE_RUNNING) {
+        return NULL;
+    }
+    if (a->outcome == GV_OUTCOME_NOT_RUN) {
+        e->state = STATE_READY;
+    }
+    else {
+        e->state = STATE_DONE;
+        keep(o, e, a);
+    }
+    if (e->waiters == NULL) {
+        return NULL;
+    }
+    *n_waiters = (int)e->waiters->len;
+    void **w = g_ptr_array_free(e->waiters, FALSE);
+    e->waiters = NULL;
+    return w;
+}
+
+/* Drops a waiter whose caller left. */
+void
+GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter)
+{
+    entry_t *e = g_hash_table_lookup(o->entries, &id);
+    if (e != NULL && e->waiters != NULL) {
+        g_ptr_array_remove(e->waiters, waiter);
+    }
+}
+
+/* Forgets entries that are not running and whose expiry is more than
+   GV_TICKET_GRACE_MS ago. Returns how many. */
+int
+GvOnce_Sweep(gv_once_t *o, int64_t now_ms)
+{
+    int64_t limit = advance(o, now_ms) - GV_TICKET_GRACE_MS;
+    int n = 0;
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, o->entries);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const entry_t *e = value;
+        if (e->state != STATE_RUNNING && e->expires_ms < limit) {
+            o->kept -= e->kept;
+            g_hash_table_iter_remove(&it);
+            n++;
+        }
+    }
+    return n;
+}
+
+/* Returns the number of entries. */
+int
+GvOnce_Count(const gv_once_t *o)
+{
+    return (int)g_hash_table_size(o->entries);
+}
