--- a/src/peer.h
+++ b/src/peer.h
@@ -38,12 +38,14 @@
 int GvPeers_Send(gv_peers_t *ps, gv_str_t to, const gv_message_t *m);
 /* Sends a request with a fresh number and calls done exactly once on the peer
    thread: with the answer, or with NULL and GV_ETIMEDOUT, GV_ECONN (link lost
-   after sending) or GV_EREFUSED (certainly not sent). */
+   after sending) or GV_EREFUSED (certainly not sent). A negative return value
+   means that nothing was sent and done is not called. */
 typedef void (*gv_call_done_t)(void *user, int err, const gv_message_t *m);
 int GvPeers_Call(gv_peers_t *ps, gv_str_t to, gv_message_t *m,
                  int64_t timeout_ms, gv_call_done_t done, void *user);
 /* Tells whether a message arrived from the peer within GV_PEER_DEAD_MS, and
    its incarnation then. */
 bool GvPeers_Alive(gv_peers_t *ps, gv_str_t name, uint64_t *incarnation);
+int GvPeers_Port(const gv_peers_t *ps);
 
 #endif
--- /dev/null
+++ b/src/peerconn.c
@@ -0,0 +1,211 @@
+#include "peerconn.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "error.h"
+
+#define READ_BYTES   (64 * 1024)
+#define LISTEN_QUEUE 128
+
+/* Parses ADDRESS:PORT or [ADDRESS]:PORT, numeric only, so that no name look-up
+   can block the thread. */
+static int
+parse_addr(gv_str_t addr, struct sockaddr_storage *ss, socklen_t *len)
+{
+    char text[128];
+    if (addr.n == 0 || addr.n >= sizeof text) {
+        return GV_EINVAL;
+    }
+    memcpy(text, addr.p, addr.n);
+    text[addr.n] = '\0';
+    char *colon = strrchr(text, ':');
+    if (colon == NULL) {
+        return GV_EINVAL;
+    }
+    *colon = '\0';
+    char *host = text;
+    if (host[0] == '[' && colon > host + 1 && colon[-1] == ']') {
+        colon[-1] = '\0';
+        host++;
+    }
+    struct addrinfo hints = {.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+                             .ai_socktype = SOCK_STREAM};
+    struct addrinfo *ai;
+    if (getaddrinfo(host, colon + 1, &hints, &ai) != 0) {
+        return GV_EINVAL;
+    }
+    memcpy(ss, ai->ai_addr, ai->ai_addrlen);
+    *len = ai->ai_addrlen;
+    freeaddrinfo(ai);
+    return GV_OK;
+}
+
+static int
+new_socket(int family)
+{
+    return socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+/* Opens a listening socket. Returns it, GV_EINVAL for a malformed address or
+   GV_EIO when the address cannot be bound. */
+int
+GvPeerConn_Listen(gv_str_t addr)
+{
+    struct sockaddr_storage ss = {0};
+    socklen_t len;
+    if (parse_addr(addr, &ss, &len) != GV_OK) {
+        return GV_EINVAL;
+    }
+    int fd = new_socket(ss.ss_family);
+    int on = 1;
+    if (fd < 0) {
+        return GV_EIO;
+    }
+    if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        bind(fd, (struct sockaddr *)&ss, len) != 0 ||
+        listen(fd, LISTEN_QUEUE) != 0) {
+        close(fd);
+        return GV_EIO;
+    }
+    return fd;
+}
+
+/* Returns the port that the socket is bound to, or GV_EIO. */
+int
+GvPeerConn_Port(int fd)
+{
+    struct sockaddr_storage ss = {0};
+    socklen_t len = sizeof ss;
+    if (getsockname(fd, (struct sockaddr *)&ss, &len) != 0) {
+        return GV_EIO;
+    }
+    return ss.ss_family == AF_INET6
+               ? ntohs(((struct sockaddr_in6 *)&ss)->sin6_port)
+               : ntohs(((struct sockaddr_in *)&ss)->sin_port);
+}
+
+static void
+set_nodelay(int fd)
+{
+    int on = 1;
+    /* Small frames wait for nothing; a failure only costs time. */
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+/* Starts a connection. Returns its socket, GV_EINVAL or GV_ECONN. */
+int
+GvPeerConn_Open(gv_str_t addr)
+{
+    struct sockaddr_storage ss = {0};
+    socklen_t len;
+    if (parse_addr(addr, &ss, &len) != GV_OK) {
+        return GV_EINVAL;
+    }
+    int fd = new_socket(ss.ss_family);
+    if (fd < 0) {
+        return GV_ECONN;
+    }
+    set_nodelay(fd);
+    if (connect(fd, (struct sockaddr *)&ss, len) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return GV_ECONN;
+    }
+    return fd;
+}
+
+/* Accepts one connection. Returns its socket or GV_EAGAIN. */
+int
+GvPeerConn_Accept(int listener)
+{
+    int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        return GV_EAGAIN;
+    }
+    set_nodelay(fd);
+    return fd;
+}
+
+/* Returns 0 when a started connection has been established, or GV_ECONN. */
+int
+GvPeerConn_OpenResult(int fd)
+{
+    int err = 0;
+    socklen_t len = sizeof err;
+    if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0 || err != 0) {
+        return GV_ECONN;
+    }
+    return GV_OK;
+}
+
+/* Wraps a socket. */
+gv_peerconn_t *
+GvPeerConn_New(int fd, int64_t now_ms)
+{
+    gv_peerconn_t *c = g_new0(gv_peerconn_t, 1);
+    c->fd = fd;
+    c->opened_ms = c->read_ms = c->write_ms = c->used_ms = now_ms;
+    c->in = g_byte_array_new();
+    return c;
+}
+
+/* Closes and releases the connection. */
+void
+GvPeerConn_Free(gv_peerconn_t *c)
+{
+    if (c->fd >= 0) {
+        close(c->fd);
+    }
+    if (c->out != NULL) {
+        GvOutFrame_Free(c->out);
+    }
+    g_byte_array_unref(c->in);
+    g_free(c);
+}
+
+/* Appends what has arrived to c->in. Returns the number of bytes, GV_EAGAIN
+   when there are none, or GV_ECONN at the end of the stream or an error. */
+ssize_t
+GvPeerConn_Read(gv_peerconn_t *c)
+{
+    guint have = c->in->len;
+    g_byte_array_set_size(c->in, have + READ_BYTES);
+    ssize_t n;
+    do {
+        n = recv(c->fd, c->in->data + have, READ_BYTES, 0);
+    } while (n < 0 && errno == EINTR);
+    g_byte_array_set_size(c->in, have + (n > 0 ? (guint)n : 0));
+    if (n > 0) {
+        return n;
+    }
+    return n < 0 && errno == EAGAIN ? GV_EAGAIN : GV_ECONN;
+}
+
+/* Writes the rest of c->out. Returns 0 when all of it is written, GV_EAGAIN
+   when the socket takes no more now, or GV_ECONN. */
+int
+GvPeerConn_Write(gv_peerconn_t *c, int64_t now_ms)
+{
+    gv_outframe_t *f = c->out;
+    while (f->at < f->bytes->len) {
+        ssize_t n = send(c->fd, f->bytes->data + f->at, f->bytes->len - f->at,
+                         MSG_NOSIGNAL);
+        if (n < 0) {
+            if (errno == EINTR) {
+                continue;
+            }
+            return errno == EAGAIN ? GV_EAGAIN : GV_ECONN;
+        }
+        f->at += (size_t)n;
+        c->write_ms = now_ms;
+    }
+    return GV_OK;
+}
--- /dev/null
+++ b/src/peerloop.h
@@ -0,0 +1,29 @@
+#ifndef GV_PEERLOOP_H
+#define GV_PEERLOOP_H
+
+#include "peerconn.h"
+
+/* Shared by the interface of the peer module and its thread. */
+
+struct gv_peers_s {
+    gv_peers_opts_t o;
+    int epoll;
+    int wake;
+    int listener;
+    GThread *thread;
+    atomic_bool stopping;
+    atomic_uint_fast64_t next_number;
+    GMutex mu;         /* links */
+    GHashTable *links; /* name -> gv_peerlink_t; never shrinks */
+    /* Peer thread only. */
+    GPtrArray *conns;
+    GPtrArray *dead; /* closed in this round, freed at its end */
+    int64_t now_ms;
+};
+
+gv_peerlink_t *GvPeers_MakeLink(gv_peers_t *ps, gv_str_t name);
+GByteArray *GvPeers_MakeFrame(const gv_message_t *m);
+void GvPeers_Watch(gv_peers_t *ps, int fd, int op, uint32_t events, void *ptr);
+void *GvPeers_Run(void *arg);
+
+#endif
