--- a/src/target.h
+++ b/src/target.h
@@ -41,9 +41,9 @@
 /* Ends an exchange. may_eject: see GvEject_Note. */
 void GvTarget_End(gv_target_t *t, gv_attempt_t a, bool may_eject,
                   double run_ratio, int64_t now_ms);
-/* The caller's deadline has passed; the exchange stays in progress until End
-   and frees its slot for placement no earlier than until_ms. */
-void GvTarget_Abandon(gv_target_t *t, int64_t until_ms);
+/* The request ended before its exchange: the exchange stays in progress and
+   keeps its slot until End. */
+void GvTarget_Abandon(gv_target_t *t);
 
 /* True once the claim at that offset has closed the target here and no
    exchange is in progress, so that it may be confirmed. A target unknown
@@ -55,10 +55,12 @@
 /* What a probe, a peer's heartbeat or the host list says about a target.
    Leaving is sticky for the boot identifier. Returns true on a change. */
 bool GvTargets_NoteHealth(gv_targets_t *ts, gv_str_t host, gv_str_t boot,
-                          bool leaving, bool healthy);
-/* Appends the known state of all targets (gv_health_t, strings owned by the
-   table and valid until the target is dropped: copy or use at once). */
-void GvTargets_Health(gv_targets_t *ts, GArray *out);
+                          bool leaving, bool healthy, int64_t now_ms);
+/* Appends the known state of all targets (gv_health_t); the strings are
+   copied into the chunk. */
+void GvTargets_Health(gv_targets_t *ts, GArray *out, GStringChunk *strings);
+/* True when a healthy report arrived after since_ms (monotonic). */
+bool GvTarget_ProbedSince(gv_target_t *t, int64_t since_ms);
 
 /* Slot loans, for the lending module. */
 int GvTargets_Lend(gv_targets_t *ts, gv_str_t host, int count, int queued,
--- /dev/null
+++ b/src/view.c
@@ -0,0 +1,192 @@
+#include "view.h"
+
+#include <stdatomic.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+/* A view with what its publication and release need. */
+typedef struct {
+    gv_view_t view;
+    struct rcu_head rcu;
+} box_t;
+
+struct gv_views_s {
+    gv_str_t self;
+    gv_str_t dc;
+    gv_targets_t *targets;
+    atomic_uint_fast64_t incarnation;
+    box_t *current;
+};
+
+static void
+free_view(box_t *b)
+{
+    gv_view_t *v = &b->view;
+    for (int i = 0; i < v->n_services; i++) {
+        for (int j = 0; j < v->services[i].n_targets; j++) {
+            GvTarget_Unref(v->services[i].targets[j]);
+        }
+        g_free(v->services[i].targets);
+    }
+    g_free(v->services);
+    for (int i = 0; i < v->n_members; i++) {
+        GvStr_Free(&v->members[i].name);
+        GvStr_Free(&v->members[i].dc);
+        GvStr_Free(&v->members[i].peer_addr);
+        GvStr_Free(&v->members[i].http_addr);
+    }
+    g_free(v->members);
+    if (v->settings != NULL) {
+        GvSettings_Unref(v->settings);
+    }
+    g_free(b);
+}
+
+static void
+free_rcu(struct rcu_head *head)
+{
+    free_view(caa_container_of(head, box_t, rcu));
+}
+
+/* Makes the holder of views, with an empty view published. */
+gv_views_t *
+GvViews_New(gv_str_t self, gv_str_t dc, gv_targets_t *targets)
+{
+    gv_views_t *vs = g_new0(gv_views_t, 1);
+    vs->self = GvStr_Dup(self);
+    vs->dc = GvStr_Dup(dc);
+    vs->targets = targets;
+    vs->current = g_new0(box_t, 1);
+    return vs;
+}
+
+/* Frees the views after the last reader has ended. */
+void
+GvViews_Free(gv_views_t *vs)
+{
+    if (vs == NULL) {
+        return;
+    }
+    rcu_barrier();
+    free_view(vs->current);
+    GvStr_Free(&vs->self);
+    GvStr_Free(&vs->dc);
+    g_free(vs);
+}
+
+/* Sets the own incarnation; the next view says whether its join has been
+   applied. */
+void
+GvViews_SetIncarnation(gv_views_t *vs, uint64_t incarnation)
+{
+    atomic_store(&vs->incarnation, incarnation);
+}
+
+static void
+fill_members(gv_views_t *vs, gv_view_t *v, const gv_ledger_t *l)
+{
+    const GPtrArray *members = GvLedger_Members(l);
+    uint64_t own = atomic_load(&vs->incarnation);
+    v->members = g_new0(gv_member_t, members->len + 1);
+    for (guint i = 0; i < members->len; i++) {
+        const gv_member_t *m = g_ptr_array_index(members, i);
+        gv_member_t *c = &v->members[v->n_members++];
+        *c = *m;
+        c->name = GvStr_Dup(m->name);
+        c->dc = GvStr_Dup(m->dc);
+        c->peer_addr = GvStr_Dup(m->peer_addr);
+        c->http_addr = GvStr_Dup(m->http_addr);
+        if (own != 0 && m->incarnation == own &&
+            GvStr_Equal(m->name, vs->self)) {
+            v->joined = true;
+        }
+    }
+}
+
+/* Collects the targets of one service in the own data centre. */
+static void
+fill_service(gv_views_t *vs, gv_view_service_t *s, const gv_ledger_t *l)
+{
+    const GPtrArray *hosts = GvLedger_Hosts(l);
+    GPtrArray *found = g_ptr_array_new();
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = g_ptr_array_index(hosts, i);
+        if (!GvStr_Equal(h->dc, vs->dc) ||
+            !GvStr_Equal(h->pool, s->service->pool)) {
+            continue;
+        }
+        gv_target_t *t = GvTargets_Find(vs->targets, h->name);
+        if (t != NULL) {
+            g_ptr_array_add(found, t);
+        }
+    }
+    s->n_targets = (int)found->len;
+    s->targets = (gv_target_t **)g_ptr_array_free(found, FALSE);
+}
+
+/* Applies the ledger to the target table, then publishes a view of it. The
+   target table comes first: a claim closes its target before any reader can
+   see the new view. The caller holds the ledger lock. */
+void
+GvViews_Publish(gv_views_t *vs, const gv_ledger_t *l)
+{
+    GvTargets_Apply(vs->targets, l);
+    box_t *b = g_new0(box_t, 1);
+    gv_view_t *v = &b->view;
+    v->next = GvLedger_Next(l);
+    v->settings_version = GvLedger_SettingsVersion(l);
+    gv_settings_t *set = GvLedger_Settings(l);
+    if (set != NULL) {
+        v->settings = GvSettings_Ref(set);
+        v->n_services = GvSettings_ServiceCount(set);
+        v->services = g_new0(gv_view_service_t, v->n_services + 1);
+        for (int i = 0; i < v->n_services; i++) {
+            v->services[i].service = GvSettings_ServiceAt(set, i);
+            fill_service(vs, &v->services[i], l);
+        }
+    }
+    fill_members(vs, v, l);
+    box_t *old = vs->current;
+    rcu_assign_pointer(vs->current, b);
+    GvTargets_SetJoined(vs->targets, v->joined);
+    call_rcu(&old->rcu, free_rcu);
+}
+
+/* Returns the current view, valid until GvView_Release in the same thread. */
+const gv_view_t *
+GvView_Acquire(gv_views_t *vs)
+{
+    rcu_read_lock();
+    return &rcu_dereference(vs->current)->view;
+}
+
+/* Ends the use of the view that Acquire returned. */
+void
+GvView_Release(void)
+{
+    rcu_read_unlock();
+}
+
+/* Finds a service by name, or NULL. */
+const gv_view_service_t *
+GvView_Service(const gv_view_t *v, gv_str_t name)
+{
+    for (int i = 0; i < v->n_services; i++) {
+        if (GvStr_Equal(v->services[i].service->name, name)) {
+            return &v->services[i];
+        }
+    }
+    return NULL;
+}
+
+/* Finds an entry host by name, or NULL. */
+const gv_member_t *
+GvView_Member(const gv_view_t *v, gv_str_t name)
+{
+    for (int i = 0; i < v->n_members; i++) {
+        if (GvStr_Equal(v->members[i].name, name)) {
+            return &v->members[i];
+        }
+    }
+    return NULL;
+}
