--- a/src/limits.h
+++ b/src/limits.h
@@ -7,10 +7,13 @@
 #define GV_NAME_MAX_BYTES 63
 
 /* Requests */
-#define GV_BODY_MAX_BYTES      (1024 * 1024)
-#define GV_HTTP_HEADER_BYTES   (16 * 1024)
-#define GV_HTTP_CONNECTIONS    2048
-#define GV_HTTP_THREADS        4
+#define GV_BODY_MAX_BYTES    (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES (16 * 1024)
+#define GV_HTTP_CONNECTIONS  2048
+#define GV_HTTP_THREADS      4
+/* A server that closes idle connections does so after some seconds; a younger
+   connection is rarely closed while a request is on its way. */
+#define GV_HTTP_IDLE_MS        2000
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -24,6 +27,14 @@
 /* Six missed heartbeats: shorter pauses are common on small hosts. */
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
+/* An idle link is kept from counting as silent by a HELLO this often. */
+#define GV_PEER_KEEPALIVE_MS   1000
+#define GV_PEER_IDLE_MS        (60 * 1000)
+#define GV_PEER_BACKOFF_MS     100
+#define GV_PEER_BACKOFF_MAX_MS 2000
+#define GV_PEER_FLUSH_MS       500
+#define GV_PEER_CALLS_MAX      4096
+#define GV_PEER_CONNECTIONS    1024
 
 /* Log */
 #define GV_RECORD_MAX_BYTES        (1024 * 1024)
@@ -33,6 +44,8 @@
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
+#define GV_LOG_PAGE_BYTES          (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES          (4 * 1024 * 1024)
 #define GV_REPLICA_RING_RECORDS    1024
 #define GV_CHECKPOINT_RECORDS      2000
 #define GV_PLATFORM_TIMEOUT_MS     5000
@@ -50,15 +63,18 @@
 #define GV_TICKET_TTL_MS (10 * 60 * 1000)
 /* Answers stay available this long after the ticket's expiry, so that a
    caller that repeats late learns the outcome instead of "unknown". */
-#define GV_TICKET_GRACE_MS   (60 * 1000)
-#define GV_ONCE_MAX_ENTRIES  65536
-#define GV_ONCE_ANSWER_BYTES (64 * 1024)
-#define GV_KEY_TTL_MS        (60 * 60 * 1000)
-#define GV_KEYS_MAX          65536
-#define GV_KEY_BATCH         64
+#define GV_TICKET_GRACE_MS    (60 * 1000)
+#define GV_ONCE_MAX_ENTRIES   65536
+#define GV_ONCE_ANSWER_BYTES  (64 * 1024)
+#define GV_ONCE_ANSWERS_BYTES (8 * 1024 * 1024)
+#define GV_ONCE_MAX_WAITERS   256
+#define GV_KEY_TTL_MS         (60 * 60 * 1000)
+#define GV_KEYS_MAX           65536
+#define GV_KEY_BATCH          64
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
+#define GV_TARGET_SLOTS_MAX   1024
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
 #define GV_PROBE_TIMEOUT_MS   1000
@@ -73,4 +89,27 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* Decisions */
+#define GV_ESTIMATE_KINDS 256
+/* Weight of a new run time in the mean once a kind is known: the mean then
+   follows a change within about 16 runs. */
+#define GV_ESTIMATE_SAMPLES 16
+/* Refusals ask the caller to wait at least this long, so that a short queue
+   does not invite a burst of repeats. */
+#define GV_RETRY_AFTER_MIN_MS 100
+#define GV_RETRY_AFTER_MAX_MS 30000
+/* Retries that are allowed before any request has earned one. */
+#define GV_RETRY_RESERVE 3
+/* The budget remembers this many requests. */
+#define GV_RETRY_REQUESTS 200
+/* A job that failed on this many hosts is taken to be at fault itself. */
+#define GV_RETRY_HOSTS_FAILED 3
+#define GV_RETRY_ATTEMPTS     4
+#define GV_RETRY_REQUEUES     16
+#define GV_EJECT_STREAK       5
+#define GV_EJECT_WAIT_MS      1000
+#define GV_EJECT_WAIT_MAX_MS  60000
+#define GV_RESERVE_UP_MS      5000
+#define GV_RESERVE_DOWN_MS    60000
+
 #endif
