--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -19,7 +19,8 @@
     gv_views_t *views;
     gv_targets_t *targets;
     gv_requests_t *requests;
-    int workers; /* exchange threads */
+    gv_str_t entry; /* own name */
+    int workers;    /* exchange threads */
     /* Offers a request that cannot start here soon; returns true when the
        hook has taken it over (it then ends it or submits it again with
        no_forward set). Called without locks; may be NULL. Never called for a
@@ -40,8 +41,8 @@
 void GvDispatch_Tick(gv_dispatch_t *d, int64_t now_ms);
 /* From now on submissions are refused as not-run. */
 void GvDispatch_Refuse(gv_dispatch_t *d);
-/* Requests queued or running here. */
-int GvDispatch_InProgress(gv_dispatch_t *d);
+/* Notes how a caller's request to the service ended, for the burn rate. */
+void GvDispatch_NoteEnd(gv_dispatch_t *d, gv_request_t *rq);
 /* Load per service (gv_load_t) for heartbeats; names are views that live as
    long as the dispatch. */
 void GvDispatch_Loads(gv_dispatch_t *d, GArray *out);
--- /dev/null
+++ b/src/dispatch_report.c
@@ -0,0 +1,115 @@
+#include <string.h>
+
+#include "clock.h"
+#include "dispatch_private.h"
+
+static int
+queued_of(gv_dispatch_t *d, const gv_shard_t *sh)
+{
+    return sh->queue != NULL ? d->queue_policy->length(sh->queue) : 0;
+}
+
+/* Notes how a caller's request ended. A cancelled request, and one that the
+   target refused as wrong, do not count against the service. */
+void
+GvDispatch_NoteEnd(gv_dispatch_t *d, gv_request_t *rq)
+{
+    gv_shard_t *sh = GvShard_Find(d, rq->o.service);
+    if (sh == NULL || rq->status == 409 || rq->status == 404) {
+        return;
+    }
+    bool good = rq->outcome == GV_OUTCOME_RUN && rq->status < 500;
+    pthread_mutex_lock(&sh->lock);
+    GvBurn_Note(sh->burn, good, GvClock_MonoMs());
+    pthread_mutex_unlock(&sh->lock);
+}
+
+/* Appends the load of each service. */
+void
+GvDispatch_Loads(gv_dispatch_t *d, GArray *out)
+{
+    gv_shard_t *sh;
+    for (guint i = 0; (sh = GvShard_At(d, i)) != NULL; i++) {
+        pthread_mutex_lock(&sh->lock);
+        if (sh->sv != NULL) {
+            gv_load_t load = {
+                .service = GvStr_C(sh->name),
+                .queued = queued_of(d, sh),
+                .busy = (int)g_hash_table_size(sh->running),
+                .slots = sh->usable,
+                .rate = sh->rate,
+            };
+            g_array_append_val(out, load);
+        }
+        pthread_mutex_unlock(&sh->lock);
+    }
+}
+
+/* Returns the requests waiting here for the pool of that target. */
+int
+GvDispatch_QueuedFor(gv_dispatch_t *d, gv_str_t host)
+{
+    int queued = 0;
+    const gv_view_t *v = GvView_Acquire(d->o.views);
+    for (int i = 0; i < v->n_services; i++) {
+        const gv_view_service_t *vs = &v->services[i];
+        for (int j = 0; j < vs->n_targets; j++) {
+            if (!GvStr_Equal(GvStr_C(GvTarget_Host(vs->targets[j])), host)) {
+                continue;
+            }
+            gv_shard_t *sh = GvShard_Find(d, vs->service->name);
+            if (sh != NULL) {
+                pthread_mutex_lock(&sh->lock);
+                queued += queued_of(d, sh);
+                pthread_mutex_unlock(&sh->lock);
+            }
+            break;
+        }
+    }
+    GvView_Release();
+    return queued;
+}
+
+/* Appends one gv_dispatch_row_t for each service. */
+void
+GvDispatch_Report(gv_dispatch_t *d, GArray *out, int64_t now_ms)
+{
+    gv_shard_t *sh;
+    for (guint i = 0; (sh = GvShard_At(d, i)) != NULL; i++) {
+        gv_dispatch_row_t r = {0};
+        pthread_mutex_lock(&sh->lock);
+        bool known = sh->sv != NULL;
+        memcpy(r.service, sh->name, sizeof r.service);
+        r.queued = queued_of(d, sh);
+        r.busy = (int)g_hash_table_size(sh->running);
+        r.slots = sh->usable;
+        r.rate = sh->rate;
+        r.mean_run_ms = GvEstimate_MeanMs(sh->estimate);
+        r.wait_ms = sh->wait_ms;
+        GvBurn_Report(sh->burn, now_ms, r.burn);
+        pthread_mutex_unlock(&sh->lock);
+        if (known) {
+            g_array_append_val(out, r);
+        }
+    }
+}
+
+/* Sums the demand of the pool's services at this entry host. The waiting
+   time is that of the service that waits longest. */
+gv_demand_t
+GvDispatch_Demand(gv_dispatch_t *d, gv_str_t pool)
+{
+    gv_demand_t sum = {.pool = pool};
+    gv_shard_t *sh;
+    for (guint i = 0; (sh = GvShard_At(d, i)) != NULL; i++) {
+        pthread_mutex_lock(&sh->lock);
+        if (sh->sv != NULL && GvStr_Equal(sh->sv->pool, pool)) {
+            sum.busy_slots += sh->busy_slots;
+            sum.peak_slots += sh->peak_slots;
+            sum.queued += queued_of(d, sh);
+            sum.wait_ms = MAX(sum.wait_ms, sh->wait_ms);
+        }
+        pthread_mutex_unlock(&sh->lock);
+    }
+    return sum;
+}
--- a/src/request.h
+++ b/src/request.h
@@ -50,10 +50,14 @@
     bool queued;
     bool idempotent;
     int attempts;
-    gv_str_t tried[4]; /* hosts on which it failed, owned */
+    uint64_t attempt;  /* the current one, 0: none */
+    int hosts_failed;  /* hosts that started it and failed */
+    gv_str_t tried[4]; /* hosts to avoid now, owned */
     int n_tried;
     /* Under the request shard's lock. */
     bool ended;
+    gv_outcome_t outcome; /* fixed once ended, as is status */
+    int status;
     bool active; /* an attempt is in progress */
     bool unsure; /* an earlier attempt may have run */
     gv_request_ended_t holder;
--- a/src/target.c
+++ b/src/target.c
@@ -382,6 +382,16 @@
     pthread_mutex_unlock(&sh->lock);
 }
 
+/* Takes back a Begin after which nothing was sent. */
+void
+GvTarget_Undo(gv_target_t *t)
+{
+    shard_t *sh = lock_target(t);
+    g_assert(t->busy > 0);
+    t->busy--;
+    pthread_mutex_unlock(&sh->lock);
+}
+
 /* Counts an exchange whose request has ended. */
 void
 GvTarget_Abandon(gv_target_t *t)
--- a/src/target.h
+++ b/src/target.h
@@ -41,6 +41,8 @@
 /* Ends an exchange. may_eject: see GvEject_Note. */
 void GvTarget_End(gv_target_t *t, gv_attempt_t a, bool may_eject,
                   double run_ratio, int64_t now_ms);
+/* Takes back a Begin after which nothing was sent. */
+void GvTarget_Undo(gv_target_t *t);
 /* The request ended before its exchange: the exchange stays in progress and
    keeps its slot until End. */
 void GvTarget_Abandon(gv_target_t *t);
