--- a/src/peerconn.c
+++ b/src/peerconn.c
@@ -82,14 +82,17 @@
 int
 GvPeerConn_Port(int fd)
 {
-    struct sockaddr_storage ss = {0};
-    socklen_t len = sizeof ss;
-    if (getsockname(fd, (struct sockaddr *)&ss, &len) != 0) {
+    union {
+        struct sockaddr any;
+        struct sockaddr_in in;
+        struct sockaddr_in6 in6;
+    } a = {0};
+    socklen_t len = sizeof a;
+    if (getsockname(fd, &a.any, &len) != 0) {
         return GV_EIO;
     }
-    return ss.ss_family == AF_INET6
-               ? ntohs(((struct sockaddr_in6 *)&ss)->sin6_port)
-               : ntohs(((struct sockaddr_in *)&ss)->sin_port);
+    return ntohs(a.any.sa_family == AF_INET6 ? a.in6.sin6_port
+                                             : a.in.sin_port);
 }
 
 static void
