--- a/src/limits.h
+++ b/src/limits.h
@@ -28,13 +28,14 @@
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
 /* An idle link is kept from counting as silent by a HELLO this often. */
-#define GV_PEER_KEEPALIVE_MS   1000
-#define GV_PEER_IDLE_MS        (60 * 1000)
-#define GV_PEER_BACKOFF_MS     100
-#define GV_PEER_BACKOFF_MAX_MS 2000
-#define GV_PEER_FLUSH_MS       500
-#define GV_PEER_CALLS_MAX      4096
-#define GV_PEER_CONNECTIONS    1024
+#define GV_PEER_KEEPALIVE_MS     1000
+#define GV_PEER_IDLE_MS          (60 * 1000)
+#define GV_PEER_BACKOFF_MS       100
+#define GV_PEER_BACKOFF_MAX_MS   2000
+#define GV_PEER_FLUSH_MS         500
+#define GV_PEER_CALLS_MAX        4096
+#define GV_PEER_CONNECTIONS      1024
+#define GV_LEDGERSYNC_TIMEOUT_MS 2000
 
 /* Log */
 #define GV_RECORD_MAX_BYTES   (1024 * 1024)
@@ -110,6 +111,11 @@
 #define GV_ABANDON_GRACE_MS   1000
 #define GV_RACK_HOSTS_OUT_MAX 1
 
+/* Loans of slots: short, because a lender that gets work of its own waits for
+   their end. */
+#define GV_LOAN_MS     2000
+#define GV_LOAN_ASK_MS 500
+
 /* Daemon threads */
 #define GV_TIMER_TICK_MS      50
 #define GV_MAINTAIN_MS        500
--- a/src/peer.c
+++ b/src/peer.c
@@ -51,6 +51,22 @@
     return l;
 }
 
+/* Copies the list of links, so that no lock is held while it is walked. */
+GPtrArray *
+GvPeers_Links(gv_peers_t *ps)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer value;
+    g_mutex_lock(&ps->mu);
+    g_hash_table_iter_init(&it, ps->links);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        g_ptr_array_add(list, value);
+    }
+    g_mutex_unlock(&ps->mu);
+    return list;
+}
+
 static void
 wake(gv_peers_t *ps)
 {
@@ -161,7 +177,7 @@
 {
     gv_peerlink_t *l = GvPeers_MakeLink(ps, a->name);
     if (l != NULL) {
-        GvPeerLink_SetAddr(l, a->addr);
+        GvPeerLink_SetAddr(l, a);
     }
 }
 
@@ -225,6 +241,20 @@
     return l != NULL && GvPeerLink_Alive(l, GvClock_MonoMs(), incarnation);
 }
 
+/* Appends one gv_peer_info_t for each known peer to out. */
+void
+GvPeers_List(gv_peers_t *ps, GArray *out)
+{
+    int64_t now_ms = GvClock_MonoMs();
+    GPtrArray *links = GvPeers_Links(ps);
+    for (guint i = 0; i < links->len; i++) {
+        gv_peer_info_t info;
+        GvPeerLink_Info(g_ptr_array_index(links, i), now_ms, &info);
+        g_array_append_val(out, info);
+    }
+    g_ptr_array_unref(links);
+}
+
 /* Returns the port that the module listens on, for listen addresses with
    port 0. */
 int
--- a/src/peer.h
+++ b/src/peer.h
@@ -1,9 +1,11 @@
 #ifndef GV_PEER_H
 #define GV_PEER_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "limits.h"
 #include "message.h"
 
 /* Links between entry hosts: one thread, non-blocking sockets, framed
@@ -46,6 +48,17 @@
 /* Tells whether a message arrived from the peer within GV_PEER_DEAD_MS, and
    its incarnation then. */
 bool GvPeers_Alive(gv_peers_t *ps, gv_str_t name, uint64_t *incarnation);
+typedef struct {
+    char name[GV_NAME_MAX_BYTES + 1];
+    char dc[GV_NAME_MAX_BYTES + 1];
+    char region[GV_NAME_MAX_BYTES + 1];
+    uint64_t incarnation; /* highest seen; 0: none */
+    bool alive;           /* as GvPeers_Alive */
+} gv_peer_info_t;
+
+/* Appends one gv_peer_info_t for each known peer. Its place is what its HELLO
+   said, before that what GvPeers_Set said. */
+void GvPeers_List(gv_peers_t *ps, GArray *out);
 int GvPeers_Port(const gv_peers_t *ps);
 
 #endif
--- a/src/peerlink.c
+++ b/src/peerlink.c
@@ -1,5 +1,7 @@
 #include "peerlink.h"
 
+#include <string.h>
+
 #include "error.h"
 #include "limits.h"
 
@@ -29,17 +31,36 @@
     g_free(l);
 }
 
-/* Sets the address; a new one is tried without waiting. */
+static void
+set_name(char *out, gv_str_t name)
+{
+    size_t n = MIN(name.n, GV_NAME_MAX_BYTES);
+    memcpy(out, name.p, n);
+    out[n] = '\0';
+}
+
+static void
+set_place(gv_peerlink_t *l, gv_str_t dc, gv_str_t region)
+{
+    set_name(l->dc, dc);
+    set_name(l->region, region);
+}
+
+/* Sets the address; a new one is tried without waiting. The place is set
+   unless a HELLO has told it. */
 void
-GvPeerLink_SetAddr(gv_peerlink_t *l, gv_str_t addr)
+GvPeerLink_SetAddr(gv_peerlink_t *l, const gv_peer_addr_t *a)
 {
     g_mutex_lock(&l->mu);
-    if (!GvStr_Equal(l->addr, addr)) {
+    if (!GvStr_Equal(l->addr, a->addr)) {
         GvStr_Free(&l->addr);
-        l->addr = GvStr_Dup(addr);
+        l->addr = GvStr_Dup(a->addr);
         l->retry_ms = 0;
         l->backoff_ms = GV_PEER_BACKOFF_MS;
     }
+    if (l->incarnation == 0) {
+        set_place(l, a->dc, a->region);
+    }
     g_mutex_unlock(&l->mu);
 }
 
@@ -382,14 +403,28 @@
 /* Notes a HELLO: the peer is reachable, so that the next attempt after a loss
    comes soon. */
 void
-GvPeerLink_Greeted(gv_peerlink_t *l, uint64_t incarnation)
+GvPeerLink_Greeted(gv_peerlink_t *l, const gv_msg_hello_t *h)
 {
     g_mutex_lock(&l->mu);
-    l->incarnation = incarnation;
+    l->incarnation = h->incarnation;
+    set_place(l, h->dc, h->region);
     l->backoff_ms = GV_PEER_BACKOFF_MS;
     g_mutex_unlock(&l->mu);
 }
 
+/* Describes the peer. */
+void
+GvPeerLink_Info(gv_peerlink_t *l, int64_t now_ms, gv_peer_info_t *info)
+{
+    *info = (gv_peer_info_t){.alive = GvPeerLink_Alive(l, now_ms, NULL)};
+    set_name(info->name, l->name);
+    g_mutex_lock(&l->mu);
+    memcpy(info->dc, l->dc, sizeof info->dc);
+    memcpy(info->region, l->region, sizeof info->region);
+    info->incarnation = l->incarnation;
+    g_mutex_unlock(&l->mu);
+}
+
 /* Notes that a message arrived. */
 void
 GvPeerLink_Heard(gv_peerlink_t *l, int64_t now_ms)
--- a/src/peerlink.h
+++ b/src/peerlink.h
@@ -40,6 +40,8 @@
     /* Under mu. */
     GMutex mu;
     gv_str_t addr;
+    char dc[GV_NAME_MAX_BYTES + 1];
+    char region[GV_NAME_MAX_BYTES + 1];
     GQueue out; /* gv_outframe_t */
     size_t out_bytes;
     GHashTable *calls; /* number -> gv_peercall_t */
@@ -53,7 +55,8 @@
 
 gv_peerlink_t *GvPeerLink_New(gv_str_t name);
 void GvPeerLink_Free(gv_peerlink_t *l);
-void GvPeerLink_SetAddr(gv_peerlink_t *l, gv_str_t addr);
+void GvPeerLink_SetAddr(gv_peerlink_t *l, const gv_peer_addr_t *a);
+void GvPeerLink_Info(gv_peerlink_t *l, int64_t now_ms, gv_peer_info_t *info);
 int GvPeerLink_Push(gv_peerlink_t *l, GByteArray *bytes,
                     const gv_peercall_t *call, int64_t now_ms);
 gv_outframe_t *GvPeerLink_Pop(gv_peerlink_t *l);
@@ -75,7 +78,7 @@
 bool GvPeerLink_MayAttempt(gv_peerlink_t *l, int64_t now_ms);
 gv_str_t GvPeerLink_Attempt(gv_peerlink_t *l, int64_t now_ms);
 uint64_t GvPeerLink_Incarnation(gv_peerlink_t *l);
-void GvPeerLink_Greeted(gv_peerlink_t *l, uint64_t incarnation);
+void GvPeerLink_Greeted(gv_peerlink_t *l, const gv_msg_hello_t *h);
 void GvPeerLink_Heard(gv_peerlink_t *l, int64_t now_ms);
 bool GvPeerLink_Alive(gv_peerlink_t *l, int64_t now_ms, uint64_t *incarnation);
 
--- a/src/peerloop.c
+++ b/src/peerloop.c
@@ -29,22 +29,6 @@
 GV_COUNTER(late, "peer_late_answers_total",
            "Answers from peers that matched no outstanding call");
 
-/* Copies the list of links, so that no lock is held while it is walked. */
-static GPtrArray *
-list_links(gv_peers_t *ps)
-{
-    GPtrArray *list = g_ptr_array_new();
-    GHashTableIter it;
-    gpointer value;
-    g_mutex_lock(&ps->mu);
-    g_hash_table_iter_init(&it, ps->links);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        g_ptr_array_add(list, value);
-    }
-    g_mutex_unlock(&ps->mu);
-    return list;
-}
-
 /* Closes a connection that is in use for l; what was queued or sent on it
    ends. */
 static void
@@ -275,7 +259,7 @@
         drop_incarnation(ps, l, c);
     }
     c->greeted = true;
-    GvPeerLink_Greeted(l, h->incarnation);
+    GvPeerLink_Greeted(l, h);
     adopt(ps, c);
     return true;
 }
@@ -456,7 +440,7 @@
             tick_conn(ps, g_ptr_array_index(ps->conns, i));
         }
     }
-    GPtrArray *links = list_links(ps);
+    GPtrArray *links = GvPeers_Links(ps);
     for (guint i = 0; i < links->len; i++) {
         gv_peerlink_t *l = g_ptr_array_index(links, i);
         GvPeerLink_Expire(l, ps->now_ms);
@@ -470,7 +454,7 @@
 {
     uint64_t count;
     (void)!read(ps->wake, &count, sizeof count);
-    GPtrArray *links = list_links(ps);
+    GPtrArray *links = GvPeers_Links(ps);
     for (guint i = 0; i < links->len; i++) {
         gv_peerlink_t *l = g_ptr_array_index(links, i);
         if (atomic_load(&l->wake)) {
@@ -531,7 +515,7 @@
             stop_ms = ps->now_ms + GV_PEER_FLUSH_MS;
         }
     } while (stop_ms == 0 || (ps->now_ms < stop_ms && unflushed(ps)));
-    GPtrArray *links = list_links(ps);
+    GPtrArray *links = GvPeers_Links(ps);
     for (guint i = 0; i < links->len; i++) {
         GvPeerLink_Stop(g_ptr_array_index(links, i));
     }
