--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,382 @@
+#include "forward.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+#include "forward_private.h"
+
+GV_COUNTER(issued, "tickets_issued_total", "Tickets issued");
+GV_COUNTER(repeats, "repeats_total",
+           "Submissions that joined a run or got a kept answer");
+
+/* Creates the module. The strings in o are copied. */
+gv_forward_t *
+GvForward_New(const gv_forward_opts_t *o)
+{
+    gv_forward_t *f = g_new0(gv_forward_t, 1);
+    f->o = *o;
+    f->o.self = GvStr_Dup(o->self);
+    f->o.dc = GvStr_Dup(o->dc);
+    f->o.region = GvStr_Dup(o->region);
+    atomic_init(&f->peers, o->peers);
+    atomic_init(&f->appender, o->appender);
+    atomic_init(&f->next_sequence, 1);
+    for (int i = 0; i < GV_SHARDS; i++) {
+        g_mutex_init(&f->shards[i].mu);
+        f->shards[i].once = GvOnce_New(o->self, o->incarnation);
+    }
+    g_mutex_init(&f->claim_mu);
+    g_mutex_init(&f->hop_mu);
+    f->unclaimed = g_ptr_array_new();
+    f->hops = g_hash_table_new(NULL, NULL);
+    f->served = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)GvRequest_Unref);
+    f->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                     (GDestroyNotify)g_hash_table_unref);
+    return f;
+}
+
+/* Releases the module; all requests have ended. */
+void
+GvForward_Free(gv_forward_t *f)
+{
+    if (f == NULL) {
+        return;
+    }
+    for (int i = 0; i < GV_SHARDS; i++) {
+        GvOnce_Free(f->shards[i].once);
+        g_mutex_clear(&f->shards[i].mu);
+    }
+    for (guint i = 0; i < f->unclaimed->len; i++) {
+        GvRequest_Unref(g_ptr_array_index(f->unclaimed, i));
+    }
+    g_ptr_array_unref(f->unclaimed);
+    g_hash_table_destroy(f->hops);
+    g_hash_table_destroy(f->served);
+    g_hash_table_destroy(f->loads);
+    g_mutex_clear(&f->claim_mu);
+    g_mutex_clear(&f->hop_mu);
+    GvStr_Free(&f->o.self);
+    GvStr_Free(&f->o.dc);
+    GvStr_Free(&f->o.region);
+    g_free(f);
+}
+
+/* Sets the peer module, which is started later because it calls this one. */
+void
+GvForward_SetPeers(gv_forward_t *f, gv_peers_t *peers)
+{
+    atomic_store(&f->peers, peers);
+}
+
+/* Sets the appender, which is started after the incarnation is known. */
+void
+GvForward_SetAppender(gv_forward_t *f, gv_appender_t *appender)
+{
+    atomic_store(&f->appender, appender);
+}
+
+static gv_onceshard_t *
+shard_of_ticket(gv_forward_t *f, const gv_ticket_t *t)
+{
+    return &f->shards[t->sequence % GV_SHARDS];
+}
+
+static gv_onceshard_t *
+shard_of_key(gv_forward_t *f, gv_str_t id)
+{
+    return &f->shards[GvStr_Hash(id) % GV_SHARDS];
+}
+
+/* The id of a key: the service, a NUL and the key. Owned. */
+static gv_str_t
+key_id(const gv_request_t *rq)
+{
+    size_t n = rq->o.service.n + 1 + rq->o.key.n;
+    char *p = g_malloc(n + 1);
+    memcpy(p, rq->o.service.p, rq->o.service.n);
+    p[rq->o.service.n] = '\0';
+    memcpy(p + rq->o.service.n + 1, rq->o.key.p, rq->o.key.n);
+    p[n] = '\0';
+    return GvStr_N(p, n);
+}
+
+/* Issues a ticket into out, NUL-terminated. Returns its length, GV_EFULL when
+   the shard's table is full, or GV_ETOOBIG when n is too small. */
+int
+GvForward_Issue(gv_forward_t *f, char *out, size_t n)
+{
+    gv_ticket_t t = {.sequence = atomic_fetch_add(&f->next_sequence, 1)};
+    gv_onceshard_t *sh = shard_of_ticket(f, &t);
+    g_mutex_lock(&sh->mu);
+    int err = GvOnce_Issue(sh->once, t.sequence, GvClock_WallMs(),
+                           GV_TICKET_TTL_MS, &t);
+    g_mutex_unlock(&sh->mu);
+    if (err != GV_OK) {
+        return err;
+    }
+    GvCounter_Add(&issued, 1);
+    return GvTicket_Format(&t, out, n);
+}
+
+/* Ends the attempt that the holder began and the request. The strings of a
+   are taken over. */
+void
+GvForward_Reply(gv_request_t *rq, gv_answer_t a)
+{
+    GvRequest_EndAttempt(rq, a.outcome == GV_OUTCOME_NOT_RUN);
+    GvRequest_End(rq, &a);
+}
+
+static void
+refuse(gv_request_t *rq, gv_outcome_t outcome, int status, const char *reason)
+{
+    int retry_after_ms = status == 503 ? GV_TIMER_TICK_MS : 0;
+    GvForward_Reply(rq,
+                    GvAnswer_Refuse(outcome, status, retry_after_ms, reason));
+}
+
+/* One run that the at-most-once table started. It is a request of its own, so
+   that it goes on when the first caller leaves and others wait for it. */
+typedef struct {
+    gv_forward_t *f;
+    gv_onceshard_t *shard;
+    gv_str_t id;
+} run_t;
+
+/* Ends the run in the table, answers all who wait for it and frees it. */
+static void
+finish_run(run_t *run, const gv_answer_t *a)
+{
+    int n;
+    g_mutex_lock(&run->shard->mu);
+    void **waiters =
+        GvOnce_Finish(run->shard->once, run->id, a, GvClock_WallMs(), &n);
+    g_mutex_unlock(&run->shard->mu);
+    for (int i = 0; i < n; i++) {
+        GvForward_Reply(waiters[i], GvAnswer_Copy(a));
+        GvRequest_Unref(waiters[i]);
+    }
+    g_free(waiters);
+    GvStr_Free(&run->id);
+    g_free(run);
+}
+
+static void
+on_run_done(void *user, gv_request_t *rq, const gv_answer_t *a)
+{
+    (void)rq;
+    finish_run(user, a);
+}
+
+/* Starts the run of an entry that Begin has marked as running, with the
+   content and the deadline of rq. */
+static void
+start_run(gv_forward_t *f, gv_onceshard_t *shard, gv_str_t id,
+          gv_request_t *rq)
+{
+    run_t *run = g_new0(run_t, 1);
+    *run = (run_t){f, shard, GvStr_Dup(id)};
+    int64_t now = GvClock_MonoMs();
+    gv_request_opts_t o = rq->o;
+    o.ticket = o.key = GV_STR("");
+    o.body = GvStr_Dup(rq->o.body);
+    o.no_forward = false;
+    o.done = on_run_done;
+    o.user = run;
+    /* The run ends first, so that its waiters learn whether it was started
+       instead of ending as unknown at the same moment. */
+    if (o.deadline_ms - now > 4 * GV_TIMER_TICK_MS) {
+        o.deadline_ms -= 2 * GV_TIMER_TICK_MS;
+    }
+    gv_request_t *inner;
+    if (GvRequest_Ended(rq)) {
+        GvStr_Free(&o.body);
+        gv_answer_t a =
+            GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, 0, "the caller left");
+        finish_run(run, &a);
+        GvAnswer_Free(&a);
+    }
+    else if (GvRequest_New(f->o.requests, &o, now, &inner) != GV_OK) {
+        gv_answer_t a =
+            GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, GV_TIMER_TICK_MS,
+                            "too many requests are in progress");
+        finish_run(run, &a);
+        GvAnswer_Free(&a);
+    }
+    else {
+        f->o.submit(f->o.user, inner);
+        GvRequest_Unref(inner);
+    }
+}
+
+/* Acts on what the at-most-once table said; kept is the copy of a kept
+   answer. */
+static void
+act(gv_forward_t *f, gv_onceshard_t *shard, gv_str_t id, gv_request_t *rq,
+    gv_once_kind_t kind, gv_answer_t kept)
+{
+    switch (kind) {
+    case GV_ONCE_START:
+        start_run(f, shard, id, rq);
+        break;
+    case GV_ONCE_WAIT:
+        GvCounter_Add(&repeats, 1);
+        break;
+    case GV_ONCE_ANSWER:
+        GvCounter_Add(&repeats, 1);
+        GvForward_Reply(rq, kept);
+        break;
+    case GV_ONCE_EXPIRED:
+        refuse(rq, GV_OUTCOME_NOT_RUN, 410, "ticket or key has expired");
+        break;
+    case GV_ONCE_UNKNOWN:
+        refuse(rq, GV_OUTCOME_UNKNOWN, 409,
+               "an earlier submission may have run");
+        break;
+    case GV_ONCE_FULL:
+        refuse(rq, GV_OUTCOME_NOT_RUN, 503, "the table of runs is full");
+        break;
+    case GV_ONCE_INVALID:
+        refuse(rq, GV_OUTCOME_NOT_RUN, 404, "ticket was never issued");
+        break;
+    }
+}
+
+/* Drops a request that has ended from the waiters of its run. */
+static void
+on_waiter_ended(void *user, gv_request_t *rq)
+{
+    gv_forward_t *f = user;
+    gv_ticket_t t;
+    gv_str_t owned = {NULL, 0};
+    gv_str_t id = rq->o.ticket;
+    gv_onceshard_t *sh = NULL;
+    if (id.n > 0) {
+        if (GvTicket_Parse(id, &t) != GV_OK) {
+            return;
+        }
+        sh = shard_of_ticket(f, &t);
+    }
+    else {
+        id = owned = key_id(rq);
+        sh = shard_of_key(f, id);
+    }
+    g_mutex_lock(&sh->mu);
+    bool removed = GvOnce_RemoveWaiter(sh->once, id, rq);
+    g_mutex_unlock(&sh->mu);
+    GvStr_Free(&owned);
+    if (removed) {
+        GvRequest_Unref(rq);
+    }
+}
+
+/* Makes this module the holder and begins an attempt, so that the request
+   does not end as not-run while a run of its ticket or key is possible.
+   Returns false when it has ended. */
+static bool
+take(gv_forward_t *f, gv_request_t *rq)
+{
+    return GvRequest_Hold(rq, on_waiter_ended, f) &&
+           GvRequest_BeginAttempt(rq);
+}
+
+/* Begins a run by ticket t, or by key id when t is NULL, and acts on the
+   result. The request is among the waiters also of the run that it starts.
+   The caller holds a reference. */
+static void
+begin(gv_forward_t *f, gv_onceshard_t *sh, const gv_ticket_t *t, gv_str_t id,
+      int64_t expires_ms, gv_request_t *rq)
+{
+    int64_t now = GvClock_WallMs();
+    gv_once_result_t r;
+    gv_once_kind_t kind = GV_ONCE_INVALID;
+    gv_answer_t kept = {0};
+    GvRequest_Ref(rq); /* for the table, while the request waits there */
+    g_mutex_lock(&sh->mu);
+    for (int i = 0; i < 2; i++) {
+        r = t != NULL ? GvOnce_BeginTicket(sh->once, t, now, rq)
+                      : GvOnce_BeginKey(sh->once, id, expires_ms, now, rq);
+        if (i == 0) {
+            kind = r.kind;
+        }
+        if (kind != GV_ONCE_START) {
+            break;
+        }
+    }
+    if (kind == GV_ONCE_ANSWER) {
+        kept = GvAnswer_Copy(r.answer);
+    }
+    g_mutex_unlock(&sh->mu);
+    act(f, sh, id, rq, kind, kept);
+    if (kind != GV_ONCE_START && kind != GV_ONCE_WAIT) {
+        GvRequest_Unref(rq);
+    }
+}
+
+/* Runs a request by a key that this incarnation owns until expires_ms. */
+void
+GvForward_RunOwnKey(gv_forward_t *f, gv_request_t *rq, int64_t expires_ms)
+{
+    gv_str_t id = key_id(rq);
+    begin(f, shard_of_key(f, id), NULL, id, expires_ms, rq);
+    GvStr_Free(&id);
+}
+
+static void
+run_ticket(gv_forward_t *f, gv_request_t *rq)
+{
+    gv_ticket_t t;
+    if (GvTicket_Parse(rq->o.ticket, &t) != GV_OK) {
+        gv_answer_t a = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 400, 0,
+                                        "Gv-Ticket is malformed");
+        GvRequest_End(rq, &a);
+        return;
+    }
+    if (!take(f, rq)) {
+        return;
+    }
+    if (GvStr_Equal(t.entry, f->o.self)) {
+        begin(f, shard_of_ticket(f, &t), &t, rq->o.ticket, 0, rq);
+    }
+    else if (rq->o.no_forward) {
+        refuse(rq, GV_OUTCOME_UNKNOWN, 409,
+               "ticket was issued by another entry host");
+    }
+    else {
+        GvForward_ToOwner(f, rq, t.entry);
+    }
+}
+
+/* Runs a request by its ticket, else by its key, else directly. Ends it in
+   every case. */
+void
+GvForward_Run(gv_forward_t *f, gv_request_t *rq)
+{
+    if (rq->o.ticket.n > 0) {
+        run_ticket(f, rq);
+    }
+    else if (rq->o.key.n == 0) {
+        f->o.submit(f->o.user, rq);
+    }
+    else if (rq->o.key.n > GV_KEY_MAX_BYTES) {
+        gv_answer_t a = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 400, 0,
+                                        "Idempotency-Key is too long");
+        GvRequest_End(rq, &a);
+    }
+    else if (take(f, rq)) {
+        GvForward_RunKey(f, rq, false);
+    }
+}
+
+/* Forgets entries of one shard whose time is over; the shards take turns. */
+void
+GvForward_Tick(gv_forward_t *f)
+{
+    unsigned i = atomic_fetch_add(&f->next_sweep, 1) % GV_SHARDS;
+    g_mutex_lock(&f->shards[i].mu);
+    GvOnce_Sweep(f->shards[i].once, GvClock_WallMs());
+    g_mutex_unlock(&f->shards[i].mu);
+}
--- a/src/limits.h
+++ b/src/limits.h
@@ -99,6 +99,8 @@
 /* All shards together; a larger response is kept as its outcome only. */
 #define GV_ONCE_ANSWERS_BYTES (8 * 1024 * 1024)
 #define GV_ONCE_MAX_WAITERS   256
+#define GV_KEY_MAX_BYTES      255
+#define GV_KEY_CLAIM_MS       5000
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
