--- a/src/forward.c
+++ b/src/forward.c
@@ -100,7 +100,7 @@
     p[rq->o.service.n] = '\0';
     memcpy(p + rq->o.service.n + 1, rq->o.key.p, rq->o.key.n);
     p[n] = '\0';
-    return GvStr_N(p, n);
+    return (gv_str_t){p, n};
 }
 
 /* Issues a ticket into out, NUL-terminated. Returns its length, GV_EFULL when
