--- /dev/null
+++ b/src/admin.c
@@ -0,0 +1,285 @@
+#include "admin.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+
+GV_GAUGE(in_progress, "requests_in_progress", "Requests that have not ended");
+GV_GAUGE(exchanges, "exchanges_in_progress",
+         "Exchanges with targets in progress, abandoned ones included");
+
+static gv_answer_t
+answer(int status, const char *type, gv_str_t body)
+{
+    return (gv_answer_t){.outcome = GV_OUTCOME_RUN,
+                         .status = status,
+                         .content_type = GvStr_Dup(GvStr_C(type)),
+                         .body = GvStr_Dup(body)};
+}
+
+static gv_answer_t
+json_answer(JsonBuilder *b)
+{
+    JsonNode *root = json_builder_get_root(b);
+    JsonGenerator *g = json_generator_new();
+    json_generator_set_root(g, root);
+    gsize n;
+    char *text = json_generator_to_data(g, &n);
+    gv_answer_t a = answer(200, "application/json", GvStr_N(text, n));
+    g_free(text);
+    g_object_unref(g);
+    json_node_unref(root);
+    g_object_unref(b);
+    return a;
+}
+
+static void
+put_str(JsonBuilder *b, const char *name, gv_str_t s)
+{
+    char *text = g_strndup(s.p, s.n);
+    json_builder_set_member_name(b, name);
+    json_builder_add_string_value(b, text);
+    g_free(text);
+}
+
+static void
+put_int(JsonBuilder *b, const char *name, int64_t v)
+{
+    json_builder_set_member_name(b, name);
+    json_builder_add_int_value(b, v);
+}
+
+static void
+put_num(JsonBuilder *b, const char *name, double v)
+{
+    json_builder_set_member_name(b, name);
+    json_builder_add_double_value(b, v);
+}
+
+static void
+put_bool(JsonBuilder *b, const char *name, bool v)
+{
+    json_builder_set_member_name(b, name);
+    json_builder_add_boolean_value(b, v);
+}
+
+static void
+put_services(JsonBuilder *b, gv_kernel_t *k, int64_t now)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_dispatch_row_t));
+    GvDispatch_Report(k->dispatch, rows, now);
+    json_builder_set_member_name(b, "services");
+    json_builder_begin_array(b);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_dispatch_row_t *r =
+            &g_array_index(rows, gv_dispatch_row_t, i);
+        json_builder_begin_object(b);
+        put_str(b, "service", GvStr_C(r->service));
+        put_int(b, "queued", r->queued);
+        put_int(b, "busy", r->busy);
+        put_int(b, "slots", r->slots);
+        put_int(b, "rate", r->rate);
+        put_num(b, "mean_run_ms", r->mean_run_ms);
+        put_num(b, "wait_ms", r->wait_ms);
+        json_builder_end_object(b);
+    }
+    json_builder_end_array(b);
+    g_array_free(rows, TRUE);
+}
+
+static void
+put_targets(JsonBuilder *b, gv_kernel_t *k, int64_t now)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_target_row_t));
+    GvTargets_Report(k->targets, rows, now);
+    json_builder_set_member_name(b, "targets");
+    json_builder_begin_array(b);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_target_row_t *r = &g_array_index(rows, gv_target_row_t, i);
+        json_builder_begin_object(b);
+        put_str(b, "host", GvStr_C(r->host));
+        put_str(b, "pool", GvStr_C(r->pool));
+        put_str(b, "addr", GvStr_C(r->addr));
+        put_str(b, "boot", GvStr_C(r->boot));
+        put_int(b, "slots", r->slots);
+        put_int(b, "usable", r->usable);
+        put_int(b, "busy", r->busy);
+        put_int(b, "abandoned", r->abandoned);
+        put_bool(b, "closed", r->closed);
+        put_bool(b, "leaving", r->leaving);
+        put_bool(b, "healthy", r->healthy);
+        put_bool(b, "ejected", r->ejected);
+        json_builder_end_object(b);
+    }
+    json_builder_end_array(b);
+    g_array_free(rows, TRUE);
+}
+
+static void
+put_members(JsonBuilder *b, gv_kernel_t *k)
+{
+    json_builder_set_member_name(b, "members");
+    json_builder_begin_array(b);
+    const gv_view_t *v = GvView_Acquire(k->views);
+    for (int i = 0; i < v->n_members; i++) {
+        const gv_member_t *m = &v->members[i];
+        json_builder_begin_object(b);
+        put_str(b, "name", m->name);
+        put_str(b, "data_centre", m->dc);
+        put_int(b, "incarnation", (int64_t)m->incarnation);
+        put_bool(b, "alive", GvPeers_Alive(k->peers, m->name, NULL));
+        json_builder_end_object(b);
+    }
+    GvView_Release();
+    json_builder_end_array(b);
+}
+
+/* The ledger's own state; one lock for a consistent look. */
+static void
+put_ledger(JsonBuilder *b, gv_kernel_t *k)
+{
+    const gv_ledger_t *l = GvReplica_Lock(k->replica);
+    put_int(b, "offset", (int64_t)GvLedger_Next(l));
+    put_int(b, "settings_version", (int64_t)GvLedger_SettingsVersion(l));
+    put_int(b, "covered", (int64_t)GvLedger_Covered(l));
+    char digest[24];
+    g_snprintf(digest, sizeof digest, "%016" G_GINT64_MODIFIER "x",
+               (guint64)GvLedger_Digest(l));
+    put_str(b, "digest", GvStr_C(digest));
+    GvReplica_Unlock(k->replica);
+}
+
+static gv_answer_t
+status_page(gv_kernel_t *k)
+{
+    int64_t now = GvClock_MonoMs();
+    JsonBuilder *b = json_builder_new();
+    json_builder_begin_object(b);
+    put_str(b, "name", k->conf.name);
+    put_str(b, "data_centre", k->conf.dc);
+    put_str(b, "region", k->conf.region);
+    put_int(b, "incarnation", (int64_t)k->incarnation);
+    put_bool(b, "joined", GvKernel_Joined(k));
+    put_bool(b, "stopping", GvKernel_Stopping(k));
+    put_bool(b, "platform_ok", GvLogReader_PlatformOk(k->reader));
+    put_ledger(b, k);
+    put_int(b, "in_progress", GvRequests_Count(k->requests));
+    put_services(b, k, now);
+    put_targets(b, k, now);
+    put_members(b, k);
+    json_builder_end_object(b);
+    return json_answer(b);
+}
+
+static void
+put_windows(JsonBuilder *b, const gv_dispatch_row_t *r)
+{
+    json_builder_set_member_name(b, "windows");
+    json_builder_begin_array(b);
+    for (int i = 0; i < GV_BURN_WINDOWS; i++) {
+        json_builder_begin_object(b);
+        put_int(b, "window_s", r->burn[i].window_s);
+        put_int(b, "good", (int64_t)r->burn[i].good);
+        put_int(b, "bad", (int64_t)r->burn[i].bad);
+        put_num(b, "burn", r->burn[i].burn);
+        json_builder_end_object(b);
+    }
+    json_builder_end_array(b);
+}
+
+static gv_answer_t
+burn_page(gv_kernel_t *k)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_dispatch_row_t));
+    GvDispatch_Report(k->dispatch, rows, GvClock_MonoMs());
+    JsonBuilder *b = json_builder_new();
+    json_builder_begin_object(b);
+    put_str(b, "name", k->conf.name);
+    json_builder_set_member_name(b, "services");
+    json_builder_begin_array(b);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_dispatch_row_t *r =
+            &g_array_index(rows, gv_dispatch_row_t, i);
+        json_builder_begin_object(b);
+        put_str(b, "service", GvStr_C(r->service));
+        put_windows(b, r);
+        json_builder_end_object(b);
+    }
+    json_builder_end_array(b);
+    json_builder_end_object(b);
+    g_array_free(rows, TRUE);
+    return json_answer(b);
+}
+
+static gv_answer_t
+metrics_page(gv_kernel_t *k)
+{
+    GvCounter_Set(&in_progress, GvRequests_Count(k->requests));
+    GvCounter_Set(&exchanges, GvTargets_Busy(k->targets));
+    GString *text = g_string_new(NULL);
+    GvCounter_Render(text);
+    gv_answer_t a = answer(200, "text/plain; version=0.0.4",
+                           GvStr_N(text->str, text->len));
+    g_string_free(text, TRUE);
+    return a;
+}
+
+/* Cancels the request with that id in hexadecimal. */
+static gv_answer_t
+cancel(gv_kernel_t *k, gv_str_t id)
+{
+    char text[17];
+    uint64_t n = 0;
+    if (id.n > 0 && id.n < sizeof text) {
+        memcpy(text, id.p, id.n);
+        text[id.n] = '\0';
+        char *end;
+        n = g_ascii_strtoull(text, &end, 16);
+        n = *end == '\0' ? n : 0;
+    }
+    gv_request_t *rq = n != 0 ? GvRequest_Find(k->requests, n) : NULL;
+    if (rq == NULL) {
+        return answer(404, "text/plain", GV_STR("no such request\n"));
+    }
+    bool done = GvRequest_Cancel(rq, "cancelled");
+    GvRequest_Unref(rq);
+    return done ? answer(200, "text/plain", GV_STR("cancelled\n"))
+                : answer(404, "text/plain", GV_STR("no such request\n"));
+}
+
+/* Answers one of the paths named in the header. Returns 0 or GV_ENOENT. */
+int
+GvAdmin_Handle(gv_kernel_t *k, gv_str_t method, gv_str_t path, gv_answer_t *a)
+{
+    gv_str_t prefix = GV_STR("/v1/requests/");
+    if (path.n > prefix.n && memcmp(path.p, prefix.p, prefix.n) == 0) {
+        *a = GvStr_Equal(method, GV_STR("DELETE"))
+                 ? cancel(k, GvStr_N(path.p + prefix.n, path.n - prefix.n))
+                 : answer(405, "text/plain", GV_STR("only DELETE\n"));
+        return GV_OK;
+    }
+    if (!GvStr_Equal(method, GV_STR("GET"))) {
+        return GV_ENOENT;
+    }
+    if (GvStr_Equal(path, GV_STR("/metrics"))) {
+        *a = metrics_page(k);
+    }
+    else if (GvStr_Equal(path, GV_STR("/healthz"))) {
+        *a = GvKernel_Stopping(k)
+                 ? answer(503, "text/plain", GV_STR("stopping\n"))
+                 : answer(200, "text/plain", GV_STR("ok\n"));
+    }
+    else if (GvStr_Equal(path, GV_STR("/v1/status"))) {
+        *a = status_page(k);
+    }
+    else if (GvStr_Equal(path, GV_STR("/v1/burn"))) {
+        *a = burn_page(k);
+    }
+    else {
+        return GV_ENOENT;
+    }
+    return GV_OK;
+}
--- a/src/limits.h
+++ b/src/limits.h
@@ -11,6 +11,11 @@
 #define GV_HTTP_HEADER_BYTES (16 * 1024)
 #define GV_HTTP_CONNECTIONS  2048
 #define GV_HTTP_THREADS      4
+/* A caller that sends nothing for this long is disconnected. */
+#define GV_HTTP_TIMEOUT_S 30
+#define GV_KEY_MAX_BYTES  255
+/* Requests in progress: of callers, of peers and runs for tickets. */
+#define GV_REQUESTS_MAX (3 * GV_HTTP_CONNECTIONS)
 /* A server that closes idle connections does so after some seconds; a younger
    connection is rarely closed while a request is on its way. */
 #define GV_HTTP_IDLE_MS        2000
