Treat every refusal before the start as not-run

The stand-in target did not echo the attempt id on refusals, so that they counted as mismatched and their fate as unknown; it now does. A refusal other than 503 would recur at every target and is passed on at once.

--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -272,7 +272,8 @@
         rq->attempt = 0;
         if (r->attempt != GV_ATTEMPT_OK) {
             remember_host(rq, job->target, r->attempt);
-            *decision = decide(d, sh, rq, r->attempt, now);
+            *decision =
+                r->final ? GV_RETRY_NO : decide(d, sh, rq, r->attempt, now);
         }
     }
     pthread_mutex_unlock(&sh->lock);
@@ -302,14 +303,17 @@
 static gv_answer_t
 final_answer(gv_job_result_t *r)
 {
+    gv_answer_t a = r->answer;
     switch (r->attempt) {
     case GV_ATTEMPT_OK:
-    case GV_ATTEMPT_FAILED: {
-        gv_answer_t a = r->answer;
+    case GV_ATTEMPT_FAILED:
         r->answer = (gv_answer_t){0};
         return a;
-    }
     case GV_ATTEMPT_REFUSED:
+        if (r->final) {
+            r->answer = (gv_answer_t){0};
+            return a;
+        }
         return GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, GV_RETRY_AFTER_MIN_MS,
                                "targets refused the request before starting");
     case GV_ATTEMPT_UNREACHABLE:
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -73,16 +73,18 @@
         r->attempt = GV_ATTEMPT_LOST;
         return;
     }
-    if (a->status == 503 &&
-        g_strcmp0(a->values[WANT_NOT_STARTED], "true") == 0) {
-        r->attempt = GV_ATTEMPT_REFUSED;
-        r->not_run = true;
+    r->not_run = g_strcmp0(a->values[WANT_NOT_STARTED], "true") == 0;
+    r->attempt = r->not_run         ? GV_ATTEMPT_REFUSED
+                 : a->status >= 500 ? GV_ATTEMPT_FAILED
+                                    : GV_ATTEMPT_OK;
+    /* 503 concerns this target; another status would recur elsewhere. */
+    r->final = r->not_run && a->status != 503;
+    if (r->not_run && !r->final) {
         return;
     }
-    r->attempt = a->status >= 500 ? GV_ATTEMPT_FAILED : GV_ATTEMPT_OK;
     const char *type = a->values[WANT_TYPE];
     r->answer = (gv_answer_t){
-        .outcome = GV_OUTCOME_RUN,
+        .outcome = r->not_run ? GV_OUTCOME_NOT_RUN : GV_OUTCOME_RUN,
         .status = a->status,
         .content_type = GvStr_Dup(GvStr_C(type != NULL ? type : "")),
         .body = GvStr_Dup(GvStr_N(a->body->data, a->body->len)),
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -26,7 +26,8 @@
 typedef struct {
     gv_attempt_t attempt;
     bool not_run;       /* certainly not run */
-    gv_answer_t answer; /* for GV_ATTEMPT_OK and GV_ATTEMPT_FAILED */
+    bool final;         /* the target's refusal holds for every target */
+    gv_answer_t answer; /* for OK, FAILED and a final refusal */
     double run_ms;
 } gv_job_result_t;
 
--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -190,9 +190,6 @@
     if (end == RUN_CUT || !delay_answer(t, rq)) {
         return;
     }
-    if (strcmp(attempt, "-") != 0) {
-        GvServed_AddHeader(rq, "Gv-Attempt-Id", attempt);
-    }
     switch (end) {
     case RUN_DONE: {
         gv_str_t body = GvServed_Body(rq);
@@ -220,6 +217,10 @@
     uint64_t ms;
     uint64_t deadline_ms;
     int64_t arrived_us = GvClock_MonoUs();
+    const char *attempt = word_of(GvServed_Header(rq, "Gv-Attempt-Id"));
+    if (strcmp(attempt, "-") != 0) {
+        GvServed_AddHeader(rq, "Gv-Attempt-Id", attempt);
+    }
     if (!parse_run(rq, &ms, &deadline_ms)) {
         return;
     }
