--- a/src/limits.h
+++ b/src/limits.h
@@ -15,10 +15,7 @@
 #define GV_HTTP_TIMEOUT_S 30
 #define GV_KEY_MAX_BYTES  255
 /* Requests in progress: of callers, of peers and runs for tickets. */
-#define GV_REQUESTS_MAX (3 * GV_HTTP_CONNECTIONS)
-/* A server that closes idle connections does so after some seconds; a younger
-   connection is rarely closed while a request is on its way. */
-#define GV_HTTP_IDLE_MS        2000
+#define GV_REQUESTS_MAX        (3 * GV_HTTP_CONNECTIONS)
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
