--- a/src/limits.h
+++ b/src/limits.h
@@ -11,9 +11,11 @@
 #define GV_HTTP_HEADER_BYTES (16 * 1024)
 #define GV_HTTP_CONNECTIONS  2048
 #define GV_HTTP_THREADS      4
-/* A server that closes idle connections does so after some seconds; a younger
-   connection is rarely closed while a request is on its way. */
-#define GV_HTTP_IDLE_MS        2000
+/* A caller that sends nothing for this long is disconnected. */
+#define GV_HTTP_TIMEOUT_S 30
+#define GV_KEY_MAX_BYTES  255
+/* Requests in progress: of callers, of peers and runs for tickets. */
+#define GV_REQUESTS_MAX        (3 * GV_HTTP_CONNECTIONS)
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -48,8 +50,6 @@
 #define GV_ORIGIN_KEEP_MS          (60 * 60 * 1000)
 #define GV_LOG_POLL_MS             2000
 #define GV_LOG_READ_MAX_RECORDS    512
-#define GV_LOG_PAGE_BYTES          (2 * 1024 * 1024)
-#define GV_HOSTLIST_BYTES          (4 * 1024 * 1024)
 #define GV_REPLICA_RING_RECORDS    1024
 #define GV_CHECKPOINT_RECORDS      2000
 #define GV_PLATFORM_TIMEOUT_MS     5000
@@ -76,11 +76,16 @@
 /* Ledger. A checkpoint of the whole state has to fit in one record of
    GV_RECORD_MAX_BYTES: keys take 24 bytes each (384 KiB in all), the other
    tables share GV_STATE_MAX_BYTES. */
-#define GV_STATE_MAX_BYTES (600 * 1024)
-#define GV_WAVES_MAX       128
-#define GV_ORIGINS_MAX     4096
-#define GV_FORMER_MAX      512  /* entry hosts that left */
-#define GV_TOMBSTONES_MAX  1024 /* hosts that are gone */
+#define GV_STATE_MAX_BYTES   (600 * 1024)
+#define GV_HOST_STATE_BYTES  512 /* largest packed host, member or wave */
+#define GV_ADDR_MAX_BYTES    31
+#define GV_BOOT_MAX_BYTES    63
+#define GV_SLOTS_MAX         1024
+#define GV_HALT_REASON_BYTES 127
+#define GV_WAVES_MAX         128
+#define GV_ORIGINS_MAX       4096
+#define GV_FORMER_MAX        512  /* entry hosts that left */
+#define GV_TOMBSTONES_MAX    1024 /* hosts that are gone */
 /* A host list lags by seconds; six hours cover an entry host that resumes
    with an old list after a long pause. */
 #define GV_TOMBSTONE_KEEP_MS (6 * 60 * 60 * 1000)
@@ -104,7 +109,6 @@
 
 /* Targets */
 #define GV_TARGET_SLOTS       8
-#define GV_TARGET_SLOTS_MAX   1024
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
 #define GV_PROBE_TIMEOUT_MS   1000
@@ -124,6 +128,40 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* HTTP client: a server that closes idle connections does so after some
+   seconds; a younger connection is rarely closed while a request is on its
+   way. */
+#define GV_HTTP_IDLE_MS 2000
+
+/* Platform client and log reader */
+#define GV_LOG_PAGE_BYTES     (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES     (4 * 1024 * 1024)
+#define GV_REPLICA_RING_BYTES (4 * 1024 * 1024)
+/* Raw records for a peer, less than one frame. */
+#define GV_REPLICA_COPY_BYTES (GV_FRAME_MAX_BYTES - GV_RECORD_MAX_BYTES)
+/* Between requests for a peer's records during an outage: a change has to be
+   in force within seconds. */
+#define GV_PEER_ASK_MS 1000
+
+/* Appender */
+#define GV_RECORD_ENVELOPE_BYTES 256
+#define GV_APPEND_QUEUE_MAX      1024
+/* Added to a record's time-out when its expiry is set: the platform's clock
+   may differ from this host's. */
+#define GV_APPEND_SKEW_MS (60 * 1000)
+
+/* Checkpoints: a random delay, longer than an append takes to be read by all
+   entry hosts, makes mostly one of them write it. */
+#define GV_CHECKPOINT_DELAY_MS 5000
+/* A log that retains few records drops a checkpoint before
+   GV_CHECKPOINT_RECORDS have passed; below this many it is merely short. */
+#define GV_CHECKPOINT_MIN_RECORDS 64
+
+/* Probes: one lost probe is common while a target is busy; two in a row are
+   not. */
+#define GV_PROBE_FAILURES   2
+#define GV_PROBE_THREADS    8
+#define GV_TARGET_SLOTS_MAX 1024
 /* Decisions */
 #define GV_ESTIMATE_KINDS 256
 /* Weight of a new run time in the mean once a kind is known: the mean then
