--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,177 @@
+#!/usr/bin/env python3
+"""Measures real processes and appends rows to bench/results.tsv: the cost of
+the request path against a direct call in the same run, and the control cost
+of an idle entry host at growing sizes.
+
+Bytes are taken from the loopback interface's counters, so nothing else may
+use loopback meanwhile; they include TCP/IP headers and are an upper bound.
+"""
+import argparse
+import http.client
+import os
+import pathlib
+import statistics
+import sys
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
+from cluster import Cluster, http_call, wait_until  # noqa: E402
+
+TICKS = os.sysconf("SC_CLK_TCK")
+ROWS = []
+
+
+def row(name, value, unit, base="", base_value="", ratio=""):
+    text = [name, f"{value:.4g}", unit, base,
+            f"{base_value:.4g}" if base else "",
+            f"{ratio:.3f}" if base else "", "-"]
+    ROWS.append("\t".join(text))
+    print("  ".join(text), flush=True)
+
+
+def cpu_s(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")")[1]
+    parts = fields.split()
+    return (int(parts[11]) + int(parts[12])) / TICKS
+
+
+def rss_mb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().split("\n"):
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def loopback_bytes():
+    for line in pathlib.Path("/proc/net/dev").read_text().split("\n"):
+        if line.strip().startswith("lo:"):
+            return int(line.split(":")[1].split()[0])
+    return 0
+
+
+def load(addr, path, threads, each):
+    """Returns response times in ms and the whole time in s."""
+    times, lock = [], threading.Lock()
+
+    def caller():
+        conn = http.client.HTTPConnection(addr, timeout=10)
+        own = []
+        for _ in range(each):
+            start = time.perf_counter()
+            conn.request("GET", path)
+            answer = conn.getresponse()
+            answer.read()
+            assert answer.status == 200, answer.status
+            own.append((time.perf_counter() - start) * 1000)
+        conn.close()
+        with lock:
+            times.extend(own)
+
+    begin = time.perf_counter()
+    pool = [threading.Thread(target=caller) for _ in range(threads)]
+    for t in pool:
+        t.start()
+    for t in pool:
+        t.join()
+    return times, time.perf_counter() - begin
+
+
+def path_cost(build):
+    with Cluster(build, entries=1, hosts=4) as c:
+        direct = c.hosts["plan-dc1-1"][2]
+        entry = c.entries["e1"][1]
+        pid = c.procs["e1"].pid
+        load(entry, "/svc/plan/quote?run_ms=0&tag=ping", 1, 50)
+        for threads, each in ((1, 500), (4, 500)):
+            base, base_s = load(direct, "/quote?run_ms=0&tag=ping",
+                                threads, each)
+            before = cpu_s(pid)
+            through, through_s = load(
+                entry, "/svc/plan/quote?run_ms=0&tag=ping", threads, each)
+            used = cpu_s(pid) - before
+            n = threads * each
+            a, b = statistics.median(through), statistics.median(base)
+            row(f"path, {threads} callers: response time p50", a, "ms",
+                "direct call", b, a / b)
+            row(f"path, {threads} callers: throughput", n / through_s,
+                "requests/s", "direct call", n / base_s, base_s / through_s)
+            row(f"path, {threads} callers: processor time of the entry host",
+                used / n * 1e6, "us/request")
+
+
+def control_cost(build, dc_hosts, all_hosts, entries, seconds=20):
+    """One data centre with `entries` entry hosts and dc_hosts targets; the
+    platform lists all_hosts hosts in all, the others in other data centres.
+    """
+    with Cluster(build, entries=entries, hosts=dc_hosts // 2) as c:
+        for i in range(all_hosts - dc_hosts):
+            dc = f"other{i % 16}"
+            assert http_call(c.platform, "POST", (
+                f"/hosts/set?host=x{i}&dc={dc}&rack={dc}-{i // 64}"
+                f"&addr=127.0.0.1:9&slots=8&pool=plan&state=live"))
+        time.sleep(8)
+        pids = [c.procs[e].pid for e in c.entries]
+        start, bytes_0 = time.monotonic(), loopback_bytes()
+        cpu_0 = [cpu_s(p) for p in pids]
+        time.sleep(seconds)
+        took = time.monotonic() - start
+        used = max(cpu_s(p) - b for p, b in zip(pids, cpu_0))
+        sent = loopback_bytes() - bytes_0
+        name = f"control, {entries} entry hosts, {dc_hosts} own targets, " \
+               f"{all_hosts} listed hosts"
+        row(f"{name}: processor time", used / took * 100, "% of a core")
+        row(f"{name}: memory", max(rss_mb(p) for p in pids), "MB")
+        row(f"{name}: bytes sent and received, upper bound",
+            2 * sent / took / entries / 1024, "KB/s")
+
+
+def publish_time(build):
+    """Time until a published change is in force at every entry host."""
+    with Cluster(build, dcs=2, entries=4) as c:
+        took = []
+        for turn in range(5):
+            text = c.settings().replace("max_requests: 200",
+                                        f"max_requests: {300 + turn}")
+            before = offset(c, "e1")
+            start = time.monotonic()
+            c.publish(text)
+            want = before + 1
+            wait_until(lambda w=want: all(offset(c, e) >= w
+                                          for e in c.entries), 13,
+                       "change in force at every entry host")
+            took.append((time.monotonic() - start) * 1000)
+        row("publish: in force at 8 entry hosts, worst of 5", max(took), "ms",
+            "target", 13000.0, max(took) / 13000)
+
+
+def offset(c, entry):
+    text = c.entry(entry, "GET", "/metrics")[2]
+    for line in text.split("\n"):
+        if line.startswith("gypsumvalve_ledger_offset "):
+            return int(line.split()[1])
+    return 0
+
+
+def main():
+    args = argparse.ArgumentParser()
+    args.add_argument("--build", default="build")
+    args.add_argument("--only", default="path,publish,control")
+    opts = args.parse_args()
+    build = pathlib.Path(opts.build).resolve()
+    if "path" in opts.only:
+        path_cost(build)
+    if "publish" in opts.only:
+        publish_time(build)
+    if "control" in opts.only:
+        for own, listed, entries in ((16, 16, 2), (64, 64, 2), (64, 1000, 2),
+                                     (64, 1000, 8), (340, 1000, 8),
+                                     (340, 5800, 8)):
+            control_cost(build, own, listed, entries)
+    with open(ROOT / "bench" / "results.tsv", "a", encoding="utf-8") as out:
+        out.write("\n".join(ROWS) + "\n")
+
+
+if __name__ == "__main__":
+    main()
