--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,6 @@
 DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
        python3 python3-hypothesis liburcu-dev libmsgpack-dev \
        libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
-       liblog4c-dev libyaml-dev libxxhash-dev libclang-rt-14-dev gnuplot-nox
 
 B ?= build
 WARN = -Wall -Wextra -Werror
@@ -31,7 +30,7 @@
         $(B)/tests/script
 SCRIPTSRC = $(wildcard tests/script*.c)
 
-.PHONY: all packages check lint format demo bench fuzz asan tsan clean install
+.PHONY: all tests mutants packages check lint format demo bench fuzz asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
 
 packages:
@@ -62,9 +61,18 @@
 $(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
 
+$(B)/bench: $(wildcard bench/*.c) $(wildcard bench/*.h) $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) $(wildcard bench/*.c) $(WHOLE) -o $@ $(LIBS)
+
 $(B):
 	mkdir -p $(B) $(B)/tests
 
+tests: $(TESTS)
+
+# Shows that each proof fails with its mechanism switched off.
+mutants: packages
+	python3 tests/mutants.py
+
 check: packages
 	@$(MAKE) --no-print-directory all $(TESTS)
 	@python3 tests/run.py --build $(B)
@@ -83,6 +91,10 @@
 	@$(MAKE) --no-print-directory all
 	@bash examples/demo.sh $(B)
 
+bench: packages
+	@$(MAKE) --no-print-directory $(B)/bench
+	$(B)/bench $(B) bench/results.tsv
+
 asan: packages
 	@$(MAKE) --no-print-directory check B=build/asan CFLAGS='-O1 -g' \
 	    SAN='-fsanitize=address,undefined -fno-sanitize-recover=undefined'
