Add fuzz targets of records, settings and checkpoints

The targets found two faults. A host record whose boot identifier holds a NUL byte was accepted, but the saved state refused to load, so that one such record would have kept every later start from using a checkpoint; boot identifiers now have printable characters only. An empty string without an address made libyaml's assertion end the process.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
         $(B)/tests/script
 SCRIPTSRC = $(wildcard tests/script*.c)
 
-.PHONY: all tests mutants packages check lint format demo bench fuzz asan tsan clean install
+.PHONY: all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
 
 packages:
@@ -58,6 +58,9 @@
 $(B)/tests/%: tests/%.c $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
 
+$(B)/tests/fuzz_%: tests/fuzz_%.c $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
+
 $(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
 
@@ -103,6 +106,21 @@
 	@$(MAKE) --no-print-directory check B=build/tsan CC=clang \
 	    CFLAGS='-O1 -g' SAN=-fsanitize=thread
 
+# Fixed seeds and run counts, so that a run can be repeated. The exit code is
+# that of the first target that fails.
+FUZZERS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/fuzz_*.c))
+FUZZ_RUNS ?= 20000
+fuzz: packages
+	@$(MAKE) --no-print-directory fuzz-run B=build/fuzz CC=clang \
+	    CFLAGS='-O1 -g' SAN='-fsanitize=fuzzer-no-link,address,undefined \
+	    -fno-sanitize-recover=undefined'
+
+fuzz-run: $(FUZZERS)
+	@for f in $(FUZZERS); do echo "$$f: $(FUZZ_RUNS) runs"; \
+	    $$f -seed=1 -runs=$(FUZZ_RUNS) -max_len=4096 -timeout=10 \
+	    -artifact_prefix=$(B)/ >$$f.log 2>&1 || \
+	    { tail -40 $$f.log; exit 1; }; done
+
 install: all
 	install -D -m 755 -t $(DESTDIR)/usr/sbin $(B)/gventryd
 	install -D -m 755 -t $(DESTDIR)/usr/bin $(B)/gypsumvalve
--- a/src/ledger_host.c
+++ b/src/ledger_host.c
@@ -22,6 +22,19 @@
     GvPack_Int(&pk, h->state);
 }
 
+/* Tells whether a boot identifier has only printable characters. A saved
+   state with any other would not load again. */
+static bool
+is_boot(gv_str_t s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        if (!g_ascii_isgraph(s.p[i])) {
+            return false;
+        }
+    }
+    return s.n <= GV_BOOT_MAX_BYTES;
+}
+
 /* Reads a host report as views. A `gone` report needs only its name and
    boot to be valid. */
 static int
@@ -37,7 +50,7 @@
     h->boot = GvUnpack_Str(&u);
     uint64_t state = GvUnpack_Uint(&u);
     if (u.err != GV_OK || !GvStr_IsName(h->name) || state > GV_HOST_GONE ||
-        h->boot.n > GV_BOOT_MAX_BYTES) {
+        !is_boot(h->boot)) {
         return GV_EINVAL;
     }
     h->slots = (int)MIN(slots, GV_SLOTS_MAX + 1);
--- a/src/yaml_read.c
+++ b/src/yaml_read.c
@@ -266,8 +266,9 @@
     if (!yaml_parser_initialize(&parser)) {
         return GV_ENOMEM;
     }
-    yaml_parser_set_input_string(&parser, (const unsigned char *)text.p,
-                                 text.n);
+    /* libyaml asserts that the input is not NULL, even when it is empty. */
+    yaml_parser_set_input_string(
+        &parser, (const unsigned char *)(text.n == 0 ? "" : text.p), text.n);
     for (;;) {
         if (!yaml_parser_load(&parser, &y.doc)) {
             parser_problem(&y, &parser);
--- /dev/null
+++ b/tests/fuzz_ledger.h
@@ -0,0 +1,177 @@
+#ifndef GV_FUZZ_LEDGER_H
+#define GV_FUZZ_LEDGER_H
+
+#include <glib.h>
+#include <string.h>
+
+#include "error.h"
+#include "ledger.h"
+
+/* Helpers of the fuzz targets of the ledger. */
+
+/* Wraps a packed payload in an envelope; frees the payload. */
+static inline void
+wrap(msgpack_sbuffer *out, const char *kind, uint64_t seq,
+     msgpack_sbuffer *payload)
+{
+    gv_record_t r = {.kind = GvStr_C(kind),
+                     .origin = GV_STR("e1"),
+                     .incarnation = 10,
+                     .sequence = seq,
+                     .created_ms = 1000,
+                     .expires_ms = 9000};
+    msgpack_sbuffer_init(out);
+    GvRecord_Pack(out, &r, GvStr_N(payload->data, payload->size));
+    msgpack_sbuffer_destroy(payload);
+}
+
+/* Applies a payload as the next record of the ledger. */
+static inline gv_verdict_t
+put(gv_ledger_t *l, const char *kind, msgpack_sbuffer *payload)
+{
+    gv_verdict_t v;
+    msgpack_sbuffer sb;
+    wrap(&sb, kind, GvLedger_Next(l) + 1, payload);
+    g_assert_cmpint(GvLedger_Apply(l, GvLedger_Next(l), 1000,
+                                   GvStr_N(sb.data, sb.size), &v),
+                    ==, GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+    return v;
+}
+
+static const char *const kinds[] = {"settings", "host", "member", "claim",
+                                    "confirm",  "act",  "done",   "takeover",
+                                    "wave",     "key",  "nothing"};
+
+/* Packs a payload of that kind which the ledger of base_ledger accepts. */
+static inline void
+template_payload(msgpack_sbuffer *out, unsigned kind)
+{
+    static const gv_document_t doc = {
+        GV_STR("a.yaml"), GV_STR("{kind: pool, pool: p, max_out: 3}\n---\n"
+                                 "{kind: pool, pool: q}\n---\n"
+                                 "{kind: service, service: s, pool: p}\n")};
+    gv_str_t e1 = GV_STR("e1");
+    gv_lhost_t h = {.name = GV_STR("c"),
+                    .dc = GV_STR("k1"),
+                    .rack = GV_STR("r3"),
+                    .addr = GV_STR("127.0.0.1:9001"),
+                    .pool = GV_STR("p"),
+                    .boot = GV_STR("b1"),
+                    .slots = 8};
+    gv_member_t m = {e1,
+                     GV_STR("k1"),
+                     GV_STR("127.0.0.1:7001"),
+                     GV_STR("127.0.0.1:8001"),
+                     11,
+                     0};
+    gv_key_item_t key = {GV_STR("s"), GV_STR("k"), 60000};
+    msgpack_sbuffer_init(out);
+    switch (kind) {
+    case 0:
+        GvLedger_PackSettings(out, 1, &doc, 1);
+        break;
+    case 1:
+        GvLedger_PackHost(out, &h);
+        break;
+    case 2:
+        GvLedger_PackMember(out, &m, GV_MEMBER_JOIN);
+        break;
+    case 3:
+        GvLedger_PackClaim(out, GV_STR("b"), GV_CLAIM_MOVE, GV_STR("w"),
+                           GV_STR("q"), e1, 10);
+        break;
+    case 4:
+        GvLedger_PackConfirm(out, GV_STR("a"), 5, e1, 10);
+        break;
+    case 5:
+        GvLedger_PackAct(out, GV_STR("a"), 5, e1, 10);
+        break;
+    case 6:
+        GvLedger_PackDone(out, GV_STR("a"), 5, GV_DONE_CANCELLED);
+        break;
+    case 7:
+        GvLedger_PackTakeover(out, GV_STR("a"), 5, e1, 10);
+        break;
+    case 8:
+        GvLedger_PackWave(out, GV_STR("w"), GV_STR("p"), 1, GV_WAVE_STOP);
+        break;
+    default:
+        GvLedger_PackKeys(out, &key, 1, e1, 10);
+        break;
+    }
+}
+
+/* Builds a ledger with settings, a member, hosts a and b, a wave and a claim
+   on a at offset 5. */
+static inline gv_ledger_t *
+base_ledger(void)
+{
+    gv_ledger_t *l = GvLedger_New();
+    msgpack_sbuffer sb;
+    gv_lhost_t h = {.name = GV_STR("a"),
+                    .dc = GV_STR("k1"),
+                    .rack = GV_STR("r1"),
+                    .addr = GV_STR("127.0.0.1:9001"),
+                    .pool = GV_STR("p"),
+                    .boot = GV_STR("b1"),
+                    .slots = 8};
+    gv_document_t doc = {GV_STR("a.yaml"),
+                         GV_STR("{kind: pool, pool: p, max_out: 2}\n---\n"
+                                "{kind: pool, pool: q}\n")};
+    gv_member_t m = {GV_STR("e1"),
+                     GV_STR("k1"),
+                     GV_STR("127.0.0.1:7001"),
+                     GV_STR("127.0.0.1:8001"),
+                     10,
+                     0};
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackSettings(&sb, 0, &doc, 1);
+    g_assert_cmpint(put(l, "settings", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
+    g_assert_cmpint(put(l, "member", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackHost(&sb, &h);
+    g_assert_cmpint(put(l, "host", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    h.name = GV_STR("b");
+    h.rack = GV_STR("r2");
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackHost(&sb, &h);
+    g_assert_cmpint(put(l, "host", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackWave(&sb, GV_STR("w"), GV_STR("p"), 1, GV_WAVE_START);
+    g_assert_cmpint(put(l, "wave", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackClaim(&sb, GV_STR("a"), GV_CLAIM_MAINTENANCE, GV_STR("w"),
+                       GV_STR(""), GV_STR("e1"), 10);
+    g_assert_cmpint(put(l, "claim", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    return l;
+}
+
+/* Overwrites bytes of a valid input: each three bytes of data are a position
+   and a value. */
+static inline void
+edit(char *bytes, size_t n, const uint8_t *data, size_t size)
+{
+    for (size_t i = 0; n > 0 && i + 2 < size; i += 3) {
+        bytes[(data[i] * 256u + data[i + 1]) % n] = (char)data[i + 2];
+    }
+}
+
+/* Returns a copy through saved bytes, with the same digest. */
+static inline gv_ledger_t *
+reloaded(const gv_ledger_t *l)
+{
+    gv_ledger_t *copy;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_Save(l, &sb);
+    g_assert_cmpint(GvLedger_Load(GvStr_N(sb.data, sb.size), &copy), ==,
+                    GV_OK);
+    g_assert_cmpuint(GvLedger_Digest(copy), ==, GvLedger_Digest(l));
+    msgpack_sbuffer_destroy(&sb);
+    return copy;
+}
+
+#endif
