Wire peers, forwarding, lending and prober into the daemon

Threads that call others stop before those that are called. Silent connections are settled by a fresh probe from a thread of its own, because the prober reports changes only and the timer thread must not wait.

--- a/src/admin.c
+++ b/src/admin.c
@@ -6,6 +6,8 @@
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
+#include "forward.h"
+#include "ticket.h"
 
 GV_GAUGE(in_progress, "requests_in_progress", "Requests that have not ended");
 GV_GAUGE(exchanges, "exchanges_in_progress",
@@ -250,6 +252,27 @@
                 : answer(404, "text/plain", GV_STR("no such request\n"));
 }
 
+/* Issues a ticket. */
+static gv_answer_t
+ticket(gv_kernel_t *k, gv_str_t method)
+{
+    char text[GV_TICKET_TEXT_BYTES + 1];
+    if (!GvStr_Equal(method, GV_STR("POST"))) {
+        return answer(405, "text/plain", GV_STR("only POST\n"));
+    }
+    if (GvKernel_Stopping(k)) {
+        return GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, GV_HEARTBEAT_MS,
+                               "entry host is stopping");
+    }
+    int n = GvForward_Issue(k->forward, text, GV_TICKET_TEXT_BYTES);
+    if (n < 0) {
+        return GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, GV_HEARTBEAT_MS,
+                               "too many tickets");
+    }
+    text[n] = '\n';
+    return answer(200, "text/plain", GvStr_N(text, (size_t)n + 1));
+}
+
 /* Answers one of the paths named in the header. Returns 0 or GV_ENOENT. */
 int
 GvAdmin_Handle(gv_kernel_t *k, gv_str_t method, gv_str_t path, gv_answer_t *a)
@@ -261,6 +284,10 @@
                  : answer(405, "text/plain", GV_STR("only DELETE\n"));
         return GV_OK;
     }
+    if (GvStr_Equal(path, GV_STR("/v1/tickets"))) {
+        *a = ticket(k, method);
+        return GV_OK;
+    }
     if (!GvStr_Equal(method, GV_STR("GET"))) {
         return GV_ENOENT;
     }
--- a/src/dispatch_private.h
+++ b/src/dispatch_private.h
@@ -17,7 +17,8 @@
     gv_request_t *rq;    /* the job's reference */
     gv_target_t *target; /* the job's reference */
     int64_t begin_ms;
-    double run_ms; /* expected */
+    double run_ms;    /* expected */
+    int64_t doubt_ms; /* next time to ask for a fresh probe */
     bool is_long;
     bool abandoned;
 } gv_run_t;
--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -381,7 +381,14 @@
     int64_t after = MAX(GV_SILENT_MS, (int64_t)(run->run_ms * SILENT_FACTOR));
     int64_t since = run->begin_ms + after;
     if (!rq->idempotent || run->abandoned || rq->attempt != run->attempt ||
-        now_ms < since || !GvTarget_ProbedSince(run->target, since)) {
+        now_ms < since) {
+        return false;
+    }
+    if (!GvTarget_ProbedSince(run->target, since)) {
+        if (now_ms >= run->doubt_ms) {
+            run->doubt_ms = now_ms + GV_PROBE_TIMEOUT_MS;
+            GvTarget_Doubt(run->target);
+        }
         return false;
     }
     if (decide(d, sh, rq, GV_ATTEMPT_SILENT, now_ms) != GV_RETRY_AGAIN) {
--- a/src/dispatch_report.c
+++ b/src/dispatch_report.c
@@ -49,24 +49,19 @@
 int
 GvDispatch_QueuedFor(gv_dispatch_t *d, gv_str_t host)
 {
+    char pool[GV_NAME_MAX_BYTES + 1];
     int queued = 0;
-    const gv_view_t *v = GvView_Acquire(d->o.views);
-    for (int i = 0; i < v->n_services; i++) {
-        const gv_view_service_t *vs = &v->services[i];
-        for (int j = 0; j < vs->n_targets; j++) {
-            if (!GvStr_Equal(GvStr_C(GvTarget_Host(vs->targets[j])), host)) {
-                continue;
-            }
-            gv_shard_t *sh = GvShard_Find(d, vs->service->name);
-            if (sh != NULL) {
-                pthread_mutex_lock(&sh->lock);
-                queued += queued_of(d, sh);
-                pthread_mutex_unlock(&sh->lock);
-            }
-            break;
+    gv_shard_t *sh;
+    if (!GvTargets_Pool(d->o.targets, host, pool, sizeof pool)) {
+        return 0;
+    }
+    for (guint i = 0; (sh = GvShard_At(d, i)) != NULL; i++) {
+        pthread_mutex_lock(&sh->lock);
+        if (sh->sv != NULL && GvStr_Equal(sh->sv->pool, GvStr_C(pool))) {
+            queued += queued_of(d, sh);
         }
+        pthread_mutex_unlock(&sh->lock);
     }
-    GvView_Release();
     return queued;
 }
 
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -1,15 +1,19 @@
 #include "kernel.h"
 
 #include <time.h>
-#include <unistd.h>
 
 #include "admin.h"
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
+#include "forward.h"
 #include "front.h"
 #include "kernel_private.h"
+#include "ledgersync.h"
+#include "lending.h"
 #include "log.h"
+#include "maintain.h"
+#include "prober.h"
 
 GV_GAUGE(offset_gauge, "ledger_offset", "Next log offset to apply");
 GV_GAUGE(joined_gauge, "joined", "1 once the own join has been applied");
@@ -19,8 +23,9 @@
 /* The start waits this long for the log, then for a peer's ledger. */
 #define START_LOG_MS  3000
 #define START_PEER_MS 3000
-/* Disconnected callers are looked for at every fourth tick. */
-#define CALLER_TICKS  4
+/* Disconnected callers are looked for at every fourth tick, and so are slots
+   to borrow or to return. */
+#define SLOW_TICKS    4
 #define STOP_POLL_MS  20
 #define STOP_REPLY_MS 2000
 
@@ -72,35 +77,57 @@
     GvCounter_Set(&offset_gauge, (int64_t)GvLedger_Next(l));
     GvReplica_Unlock(k->replica);
     GvDispatch_OnView(k->dispatch);
+    GvKernel_SetPeers(k);
+    if (atomic_load(&k->private->ready)) {
+        GvKernel_SetTargets(k);
+    }
+}
+
+static void
+pause_ms(int ms)
+{
+    struct timespec t = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000L};
+    clock_nanosleep(CLOCK_MONOTONIC, 0, &t, NULL);
 }
 
 static void *
 timer_thread(void *arg)
 {
     gv_kernel_t *k = arg;
-    struct timespec tick = {.tv_nsec = GV_TIMER_TICK_MS * 1000000L};
-    for (unsigned n = 0; !atomic_load(&k->private->timer_stop); n++) {
+    for (unsigned n = 0; !atomic_load(&k->private->threads_stop); n++) {
         int64_t now = GvClock_MonoMs();
         GvRequests_Expire(k->requests, now);
         GvDispatch_Tick(k->dispatch, now);
-        if (n % CALLER_TICKS == 0) {
+        if (n % SLOW_TICKS == 0) {
             GvFront_CheckCallers(k->front);
+            GvLending_Tick(k->lending, now);
+            GvForward_Tick(k->forward);
             GvCounter_Set(&joined_gauge, GvKernel_Joined(k));
         }
         GvKernel_Join(k, now);
-        clock_nanosleep(CLOCK_MONOTONIC, 0, &tick, NULL);
+        GvKernel_Heartbeat(k, now);
+        pause_ms(GV_TIMER_TICK_MS);
     }
     return NULL;
 }
 
-static void
-on_message(void *user, gv_str_t from, uint64_t from_incarnation,
-           const gv_message_t *m)
+/* Probes and checkpoints wait for the network or pack much data, so that the
+   timer thread cannot do them. */
+static void *
+doubter_thread(void *arg)
 {
-    (void)user;
-    (void)from;
-    (void)from_incarnation;
-    (void)m;
+    gv_kernel_t *k = arg;
+    int64_t checkpoint_ms = 0;
+    while (!atomic_load(&k->private->threads_stop)) {
+        GvKernel_ProbeDoubts(k);
+        int64_t now = GvClock_MonoMs();
+        if (now >= checkpoint_ms) {
+            checkpoint_ms = now + GV_MAINTAIN_MS;
+            GvCheckpointer_Tick(k->private->checkpointer, now);
+        }
+        pause_ms(GV_TIMER_TICK_MS);
+    }
+    return NULL;
 }
 
 static int
@@ -112,10 +139,15 @@
                  .dc = k->conf.dc,
                  .region = k->conf.region,
                  .incarnation = incarnation},
-        .on_message = on_message,
+        .on_message = GvKernel_OnMessage,
         .user = k,
     };
-    int rc = GvPeers_Start(&po, &k->peers);
+    gv_peers_t *peers = NULL;
+    int rc = GvPeers_Start(&po, &peers);
+    if (rc == GV_OK) {
+        __atomic_store_n(&k->peers, peers, __ATOMIC_RELEASE);
+        GvLedgerSync_SetPeers(k->ledgersync, peers);
+    }
     for (int i = 0; rc == GV_OK && i < k->conf.n_peers; i++) {
         const gv_peer_conf_t *c = &k->conf.peers[i];
         gv_peer_addr_t a = {c->name, c->dc, c->region, c->addr};
@@ -126,11 +158,57 @@
 
 static void
 submit(void *user, gv_request_t *rq)
+{
+    gv_kernel_t *k = user;
+    GvForward_Run(k->forward, rq);
+}
+
+static void
+submit_here(void *user, gv_request_t *rq)
 {
     gv_kernel_t *k = user;
     GvDispatch_Submit(k->dispatch, rq);
 }
 
+static bool
+spill(void *user, gv_request_t *rq)
+{
+    gv_kernel_t *k = user;
+    return GvForward_Spill(k->forward, rq);
+}
+
+static int
+queued_for(void *user, gv_str_t host)
+{
+    gv_kernel_t *k = user;
+    return GvDispatch_QueuedFor(k->dispatch, host);
+}
+
+static void
+pump(void *user)
+{
+    gv_kernel_t *k = user;
+    GvDispatch_Pump(k->dispatch);
+}
+
+static void
+on_health(void *user, gv_str_t host, gv_str_t boot, bool healthy, bool leaving,
+          int running)
+{
+    gv_kernel_t *k = user;
+    (void)running;
+    GvTargets_NoteHealth(k->targets, host, boot, leaving, healthy);
+}
+
+static void
+on_list(void *user, const gv_hostlist_t *list)
+{
+    gv_kernel_t *k = user;
+    if (atomic_load(&k->private->ready)) {
+        GvMaintain_OnList(k->maintain, list);
+    }
+}
+
 static int
 local(void *user, gv_str_t method, gv_str_t path, gv_answer_t *a)
 {
@@ -158,40 +236,54 @@
         .requests = k->requests,
         .entry = k->conf.name,
         .workers = k->conf.workers,
+        .spill = spill,
         .user = k,
     };
+    gv_ledgersync_opts_t so = {
+        .dc = k->conf.dc,
+        .region = k->conf.region,
+        .replica = k->replica,
+        .on_verdict = GvKernel_OnVerdict,
+        .user = k,
+    };
+    k->ledgersync = GvLedgerSync_New(&so);
     return GvDispatch_Start(&o, &k->dispatch);
 }
 
-/* Starts reading the log and waits until its head is applied, or until a
-   peer has given its ledger. Without either the daemon starts empty and hands
-   its work to peers. */
 static int
-start_log(gv_kernel_t *k)
+start_reader(gv_kernel_t *k)
 {
     gv_logreader_opts_t o = {
         .platform_addr = k->conf.platform_addr,
         .replica = k->replica,
         .on_verdict = GvKernel_OnVerdict,
         .on_batch = GvKernel_OnBatch,
+        .from_peer = GvLedgerSync_Fetch,
         .user = k,
     };
-    int rc = GvLogReader_Start(&o, &k->reader);
-    if (rc != GV_OK) {
-        return rc;
-    }
-    if (GvLogReader_SyncToHead(k->reader, START_LOG_MS) != GV_OK) {
-        int64_t end = GvClock_MonoMs() + START_PEER_MS;
-        uint64_t next = 0;
-        while (next == 0 && GvClock_MonoMs() < end) {
-            usleep(STOP_POLL_MS * 1000);
-            next = GvLedger_Next(GvReplica_Lock(k->replica));
-            GvReplica_Unlock(k->replica);
-        }
-        GvLog_Write(GV_LOG_WARN, "log not read at start; ledger offset %lu",
-                    (unsigned long)next);
+    return GvLogReader_Start(&o, &k->reader);
+}
+
+/* Waits for a peer to give its ledger. Without one the daemon starts empty
+   and hands its work to peers. Returns false when the ledger knows the own
+   incarnation or a higher one. */
+static bool
+wait_peer_ledger(gv_kernel_t *k)
+{
+    int64_t end = GvClock_MonoMs() + START_PEER_MS;
+    uint64_t next = 0;
+    uint64_t known = 0;
+    while (next == 0 && GvClock_MonoMs() < end) {
+        pause_ms(STOP_POLL_MS);
+        const gv_ledger_t *l = GvReplica_Lock(k->replica);
+        const gv_member_t *m = GvLedger_Member(l, k->conf.name);
+        next = GvLedger_Next(l);
+        known = m != NULL ? m->incarnation : 0;
+        GvReplica_Unlock(k->replica);
     }
-    return GV_OK;
+    GvLog_Write(GV_LOG_WARN, "log not read at start; ledger offset %lu",
+                (unsigned long)next);
+    return known < k->incarnation;
 }
 
 static int
@@ -226,60 +318,141 @@
 }
 
 static int
-start_timer(gv_kernel_t *k)
+start_threads(gv_kernel_t *k)
 {
     struct gv_kernel_private_s *p = k->private;
-    if (pthread_create(&p->timer, NULL, timer_thread, k) != 0) {
-        return GV_EIO;
-    }
-    p->timer_runs = true;
-    return GV_OK;
+    p->timer_runs = pthread_create(&p->timer, NULL, timer_thread, k) == 0;
+    p->doubter_runs =
+        pthread_create(&p->doubter, NULL, doubter_thread, k) == 0;
+    return p->timer_runs && p->doubter_runs ? GV_OK : GV_EIO;
+}
+
+static void
+start_work(gv_kernel_t *k)
+{
+    gv_forward_opts_t fo = {
+        .self = k->conf.name,
+        .dc = k->conf.dc,
+        .region = k->conf.region,
+        .incarnation = k->incarnation,
+        .requests = k->requests,
+        .replica = k->replica,
+        .views = k->views,
+        .peers = k->peers,
+        .appender = k->appender,
+        .submit = submit_here,
+        .user = k,
+    };
+    k->forward = GvForward_New(&fo);
+    gv_lending_opts_t lo = {
+        .dc = k->conf.dc,
+        .targets = k->targets,
+        .views = k->views,
+        .peers = k->peers,
+        .queued_for = queued_for,
+        .pump = pump,
+        .user = k,
+    };
+    k->lending = GvLending_New(&lo);
+    k->private->checkpointer =
+        GvCheckpointer_New(k->replica, k->reader, k->appender);
 }
 
-/* Starts the parts in the order of their needs. */
 static int
-start_all(gv_kernel_t *k)
+start_prober(gv_kernel_t *k)
 {
-    uint64_t first = (uint64_t)GvClock_WallMs();
-    int rc = start_path(k);
-    if (rc == GV_OK) {
-        rc = start_peers(k, first);
-    }
+    gv_prober_opts_t o = {
+        .platform_addr = k->conf.platform_addr,
+        .self = k->conf.name,
+        .on_health = on_health,
+        .on_list = on_list,
+        .user = k,
+    };
+    return GvProber_Start(&o, &k->prober);
+}
+
+/* Starts what depends on the ledger and the incarnation. */
+static int
+start_rest(gv_kernel_t *k)
+{
+    int rc = start_appender(k);
     if (rc == GV_OK) {
-        rc = start_log(k);
+        start_work(k);
+        rc = GvMaintain_Start(k, &k->maintain);
     }
     if (rc == GV_OK) {
-        GvKernel_ChooseIncarnation(k);
-        rc = start_appender(k);
+        rc = start_prober(k);
     }
     if (rc == GV_OK) {
+        atomic_store(&k->private->ready, true);
+        GvKernel_OnBatch(k);
         rc = start_front(k);
     }
+    return rc == GV_OK ? start_threads(k) : rc;
+}
+
+/* Starts the parts in the order of their needs. The own incarnation is part
+   of the HELLO to peers; without the log it is the time, and a ledger from a
+   peer that knows a higher one shows that the clock was set back. */
+static int
+start_all(gv_kernel_t *k)
+{
+    int rc = start_path(k);
     if (rc == GV_OK) {
-        rc = start_timer(k);
+        rc = start_reader(k);
     }
-    return rc;
+    if (rc != GV_OK) {
+        return rc;
+    }
+    bool read = GvLogReader_SyncToHead(k->reader, START_LOG_MS) == GV_OK;
+    GvKernel_ChooseIncarnation(k);
+    rc = start_peers(k, k->incarnation);
+    if (rc == GV_OK && !read && !wait_peer_ledger(k)) {
+        GvLog_Write(GV_LOG_ERROR, "the ledger knows a higher incarnation than "
+                                  "the clock gives");
+        rc = GV_ESTALE;
+    }
+    return rc == GV_OK ? start_rest(k) : rc;
 }
 
 static void
-free_kernel(gv_kernel_t *k)
+stop_threads(struct gv_kernel_private_s *p)
 {
-    struct gv_kernel_private_s *p = k->private;
+    atomic_store(&p->threads_stop, true);
     if (p->timer_runs) {
-        atomic_store(&p->timer_stop, true);
         pthread_join(p->timer, NULL);
     }
+    if (p->doubter_runs) {
+        pthread_join(p->doubter, NULL);
+    }
+}
+
+/* Stops the threads that call others before those that are called. */
+static void
+free_kernel(gv_kernel_t *k)
+{
+    struct gv_kernel_private_s *p = k->private;
+    stop_threads(p);
     GvFront_Stop(k->front);
+    GvMaintain_Stop(k->maintain);
     if (k->reader != NULL) {
         GvLogReader_Stop(k->reader);
     }
     if (k->appender != NULL) {
         GvAppender_Stop(k->appender);
     }
+    GvCheckpointer_Free(p->checkpointer);
     if (k->peers != NULL) {
         GvPeers_Stop(k->peers);
     }
+    if (k->prober != NULL) {
+        GvProber_Stop(k->prober);
+    }
+    GvMaintain_Free(k->maintain);
     GvDispatch_Stop(k->dispatch);
+    GvLending_Free(k->lending);
+    GvForward_Free(k->forward);
+    GvLedgerSync_Free(k->ledgersync);
     GvRequests_Free(k->requests);
     GvViews_Free(k->views);
     GvTargets_Free(k->targets);
@@ -323,13 +496,13 @@
 {
     while (GvRequests_Count(k->requests) > 0 ||
            GvTargets_Busy(k->targets) > 0) {
-        usleep(STOP_POLL_MS * 1000);
+        pause_ms(STOP_POLL_MS);
     }
     /* Responses on their way out; a caller that stalls does not hold up the
        stop for long. */
     int64_t end = GvClock_MonoMs() + STOP_REPLY_MS;
     while (GvFront_Open(k->front) > 0 && GvClock_MonoMs() < end) {
-        usleep(STOP_POLL_MS * 1000);
+        pause_ms(STOP_POLL_MS);
     }
 }
 
--- /dev/null
+++ b/src/kernel_peer.c
@@ -0,0 +1,179 @@
+#include <string.h>
+
+#include "clock.h"
+#include "error.h"
+#include "forward.h"
+#include "kernel_private.h"
+#include "ledgersync.h"
+#include "lending.h"
+#include "maintain.h"
+#include "prober.h"
+
+/* Every tenth heartbeat carries all first-hand health, which repairs what a
+   lost one left out and informs an entry host that has just started. */
+#define FULL_HEALTH_BEATS 10
+
+/* Hands a peer's message to the modules that know its kind. Runs on the peer
+   thread; the parts are started one after another. */
+void
+GvKernel_OnMessage(void *user, gv_str_t from, uint64_t from_incarnation,
+                   const gv_message_t *m)
+{
+    gv_kernel_t *k = user;
+    GvLedgerSync_OnMessage(k->ledgersync, from, m);
+    if (!atomic_load(&k->private->ready)) {
+        return;
+    }
+    GvForward_OnMessage(k->forward, from, m);
+    GvLending_OnMessage(k->lending, from, m);
+    if (m->kind == GV_MSG_HEARTBEAT) {
+        const gv_msg_heartbeat_t *h = &m->u.heartbeat;
+        GvProber_OnPeer(k->prober, from, from_incarnation, h->health,
+                        h->n_health);
+        GvMaintain_OnHeartbeat(k->maintain, from, h);
+    }
+}
+
+/* Tells the peer module the addresses of the members. The node settings know
+   the region of those listed there; the members of the own data centre are in
+   the own region; the others tell theirs by HELLO. */
+void
+GvKernel_SetPeers(gv_kernel_t *k)
+{
+    gv_peers_t *peers = __atomic_load_n(&k->peers, __ATOMIC_ACQUIRE);
+    if (peers == NULL) {
+        return;
+    }
+    const gv_view_t *v = GvView_Acquire(k->views);
+    for (int i = 0; i < v->n_members; i++) {
+        const gv_member_t *m = &v->members[i];
+        if (GvStr_Equal(m->name, k->conf.name)) {
+            continue;
+        }
+        gv_peer_addr_t a = {
+            .name = m->name, .dc = m->dc, .addr = m->peer_addr};
+        if (GvStr_Equal(m->dc, k->conf.dc)) {
+            a.region = k->conf.region;
+        }
+        for (int j = 0; j < k->conf.n_peers; j++) {
+            if (GvStr_Equal(k->conf.peers[j].name, m->name)) {
+                a.region = k->conf.peers[j].region;
+            }
+        }
+        GvPeers_Set(peers, &a);
+    }
+    GvView_Release();
+}
+
+/* Tells the prober the targets of the own data centre. */
+void
+GvKernel_SetTargets(gv_kernel_t *k)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_target_row_t));
+    GvTargets_Report(k->targets, rows, GvClock_MonoMs());
+    gv_probe_target_t *t = g_new0(gv_probe_target_t, rows->len + 1);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_target_row_t *r = &g_array_index(rows, gv_target_row_t, i);
+        t[i] = (gv_probe_target_t){GvStr_C(r->host), GvStr_C(r->addr)};
+    }
+    GvProber_SetTargets(k->prober, t, (int)rows->len);
+    g_free(t);
+    g_array_free(rows, TRUE);
+}
+
+/* Appends the names of the live peers of the own data centre. */
+static void
+live_members(gv_kernel_t *k, const GArray *peers, GArray *names)
+{
+    for (guint i = 0; i < peers->len; i++) {
+        const gv_peer_info_t *p = &g_array_index(peers, gv_peer_info_t, i);
+        if (p->alive && GvStr_Equal(GvStr_C(p->dc), k->conf.dc)) {
+            gv_str_t name = GvStr_C(p->name);
+            g_array_append_val(names, name);
+        }
+    }
+}
+
+/* Sends one heartbeat to each peer of the region. Health concerns only the
+   own data centre. */
+static void
+send_beats(gv_kernel_t *k, const GArray *peers, gv_message_t *m,
+           const GArray *health)
+{
+    for (guint i = 0; i < peers->len; i++) {
+        const gv_peer_info_t *p = &g_array_index(peers, gv_peer_info_t, i);
+        if (!GvStr_Equal(GvStr_C(p->region), k->conf.region)) {
+            continue;
+        }
+        bool near = GvStr_Equal(GvStr_C(p->dc), k->conf.dc);
+        m->u.heartbeat.health = near ? (gv_health_t *)health->data : NULL;
+        m->u.heartbeat.n_health = near ? (int)health->len : 0;
+        GvPeers_Send(k->peers, GvStr_C(p->name), m);
+    }
+}
+
+static void
+note_seen(struct gv_kernel_private_s *p, const GArray *health)
+{
+    p->sent_seen[1] = p->sent_seen[0];
+    for (guint i = 0; i < health->len; i++) {
+        const gv_health_t *h = &g_array_index(health, gv_health_t, i);
+        p->sent_seen[0] = MAX(p->sent_seen[0], h->seen);
+    }
+}
+
+/* Sends heartbeats when they are due; a change of health goes into two in a
+   row. Timer thread. */
+void
+GvKernel_Heartbeat(gv_kernel_t *k, int64_t now_ms)
+{
+    struct gv_kernel_private_s *p = k->private;
+    if (now_ms < p->beat_ms) {
+        return;
+    }
+    p->beat_ms = now_ms + GV_HEARTBEAT_MS;
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(gv_peer_info_t));
+    GArray *loads = g_array_new(FALSE, FALSE, sizeof(gv_load_t));
+    GArray *health = g_array_new(FALSE, FALSE, sizeof(gv_health_t));
+    GArray *names = g_array_new(FALSE, FALSE, sizeof(gv_str_t));
+    GvPeers_List(k->peers, peers);
+    live_members(k, peers, names);
+    GvProber_SetMembers(k->prober, (gv_str_t *)names->data, (int)names->len);
+    GvDispatch_Loads(k->dispatch, loads);
+    bool full = p->beats++ % FULL_HEALTH_BEATS == 0;
+    GvProber_FirstHand(k->prober, full ? 0 : p->sent_seen[1], health);
+    note_seen(p, health);
+    gv_message_t m = {.kind = GV_MSG_HEARTBEAT};
+    m.u.heartbeat = (gv_msg_heartbeat_t){
+        .list_version = GvProber_ListVersion(k->prober),
+        .platform_ok = GvLogReader_PlatformOk(k->reader),
+        .loads = (gv_load_t *)loads->data,
+        .n_loads = (int)loads->len,
+    };
+    m.u.heartbeat.offset = GvLedger_Next(GvReplica_Lock(k->replica));
+    GvReplica_Unlock(k->replica);
+    send_beats(k, peers, &m, health);
+    GvProber_ClearHealth(health);
+    g_array_free(health, TRUE);
+    g_array_free(names, TRUE);
+    g_array_free(loads, TRUE);
+    g_array_free(peers, TRUE);
+}
+
+/* Probes the targets whose connections are in doubt. Maintenance thread. */
+void
+GvKernel_ProbeDoubts(gv_kernel_t *k)
+{
+    GArray *doubts = g_array_new(FALSE, FALSE, sizeof(gv_doubt_t));
+    GvTargets_TakeDoubts(k->targets, doubts);
+    for (guint i = 0; i < doubts->len; i++) {
+        const gv_doubt_t *d = &g_array_index(doubts, gv_doubt_t, i);
+        gv_health_report_t r;
+        if (GvProber_Probe(GvStr_C(d->addr), GV_PROBE_TIMEOUT_MS, &r) ==
+            GV_OK) {
+            GvTargets_NoteProbe(k->targets, GvStr_C(d->host),
+                                GvClock_MonoMs());
+        }
+    }
+    g_array_free(doubts, TRUE);
+}
--- a/src/kernel_private.h
+++ b/src/kernel_private.h
@@ -4,17 +4,26 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "checkpointer.h"
 #include "kernel.h"
 
 struct gv_kernel_private_s {
     pthread_t timer;
     bool timer_runs;
-    atomic_bool timer_stop;
+    pthread_t doubter; /* probes targets in doubt */
+    bool doubter_runs;
+    atomic_bool threads_stop;
+    atomic_bool ready; /* all parts exist, messages may be handled */
     atomic_bool stopping;
     atomic_bool failed;       /* cannot go on, see GvKernel_Failed */
     atomic_bool join_pending; /* an own join is being appended */
-    int64_t join_ms;          /* of the last attempt; timer thread only */
-    /* The start waits for the first view and the stop for its `leave`. */
+    gv_checkpointer_t *checkpointer;
+    /* Timer thread only */
+    int64_t join_ms; /* next attempt */
+    int64_t beat_ms; /* next heartbeat */
+    unsigned beats;
+    uint64_t sent_seen[2]; /* highest health number in the last two beats */
+    /* Signals the end of the own `leave`. */
     pthread_mutex_t lock;
     pthread_cond_t wake;
     bool leave_done;
@@ -29,5 +38,14 @@
 /* Log reader callbacks; user is the kernel. */
 void GvKernel_OnVerdict(void *user, const gv_verdict_t *v);
 void GvKernel_OnBatch(void *user);
+/* Peer callback; user is the kernel. */
+void GvKernel_OnMessage(void *user, gv_str_t from, uint64_t from_incarnation,
+                        const gv_message_t *m);
+/* After a new view: addresses of peers and targets. */
+void GvKernel_SetPeers(gv_kernel_t *k);
+void GvKernel_SetTargets(gv_kernel_t *k);
+/* Timer thread. */
+void GvKernel_Heartbeat(gv_kernel_t *k, int64_t now_ms);
+void GvKernel_ProbeDoubts(gv_kernel_t *k);
 
 #endif
--- a/src/limits.h
+++ b/src/limits.h
@@ -13,7 +13,6 @@
 #define GV_HTTP_THREADS      4
 /* A caller that sends nothing for this long is disconnected. */
 #define GV_HTTP_TIMEOUT_S 30
-#define GV_KEY_MAX_BYTES  255
 /* Requests in progress: of callers, of peers and runs for tickets. */
 #define GV_REQUESTS_MAX        (3 * GV_HTTP_CONNECTIONS)
 #define GV_DEADLINE_DEFAULT_MS 5000
--- a/src/target.c
+++ b/src/target.c
@@ -1,7 +1,5 @@
-#include "target.h"
+#include "target_private.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <string.h>
 
 #include "counter.h"
@@ -12,48 +10,6 @@
 
 /* Refusals older than this say nothing about the load of a target now. */
 #define REFUSED_KEEP_MS 1000
-/* Boot identifiers that a target is known to have left. */
-#define OLD_BOOTS 4
-
-struct gv_target_s {
-    gv_targets_t *table;
-    int shard;
-    atomic_int refs;
-    char host[GV_NAME_MAX_BYTES + 1];
-    /* Under the shard's lock. */
-    char pool[GV_NAME_MAX_BYTES + 1];
-    char addr[64];
-    char boot[GV_NAME_MAX_BYTES + 1];
-    char old_boots[OLD_BOOTS][GV_NAME_MAX_BYTES + 1];
-    int next_old;
-    uint64_t claim; /* offset of the claim that closes it, 0: none */
-    bool listed;    /* in the ledger */
-    bool closed;
-    bool leaving; /* for `boot` */
-    bool healthy;
-    int64_t healthy_ms; /* of the last healthy report */
-    uint64_t seen;
-    int slots;
-    int busy; /* exchanges in progress, abandoned ones included */
-    int abandoned;
-    gv_slots_t loan;
-    gv_eject_t eject;
-    double ratio; /* smoothed run time over the expected one */
-    int refused;
-    int64_t refused_ms;
-};
-
-typedef struct {
-    pthread_mutex_t lock;
-    GHashTable *by_host; /* host -> gv_target_t with a reference */
-} shard_t;
-
-struct gv_targets_s {
-    gv_str_t self;
-    gv_str_t dc;
-    atomic_bool joined;
-    shard_t shards[GV_SHARDS];
-};
 
 static void
 copy(char *to, size_t n, gv_str_t s)
@@ -120,39 +76,56 @@
     return t->host;
 }
 
-static shard_t *
+static gv_target_shard_t *
 shard_of(gv_targets_t *ts, gv_str_t host)
 {
     return &ts->shards[GvStr_Hash(host) % GV_SHARDS];
 }
 
-static shard_t *
-lock_target(gv_target_t *t)
+/* Locks the shard of a target that the caller refers to. */
+gv_target_shard_t *
+GvTarget_Lock(gv_target_t *t)
 {
-    shard_t *sh = &t->table->shards[t->shard];
+    gv_target_shard_t *sh = &t->table->shards[t->shard];
     pthread_mutex_lock(&sh->lock);
     return sh;
 }
 
 static gv_target_t *
-find_locked(shard_t *sh, gv_str_t host)
+find_locked(gv_target_shard_t *sh, gv_str_t host)
 {
     char name[GV_NAME_MAX_BYTES + 1];
     copy(name, sizeof name, host);
     return g_hash_table_lookup(sh->by_host, name);
 }
 
+/* Locks the shard of a host and finds its target, NULL when unknown. */
+gv_target_shard_t *
+GvTargets_Lock(gv_targets_t *ts, gv_str_t host, gv_target_t **t)
+{
+    gv_target_shard_t *sh = shard_of(ts, host);
+    pthread_mutex_lock(&sh->lock);
+    *t = find_locked(sh, host);
+    return sh;
+}
+
+/* Ends what GvTargets_Lock or GvTarget_Lock began. */
+void
+GvTargetShard_Unlock(gv_target_shard_t *sh)
+{
+    pthread_mutex_unlock(&sh->lock);
+}
+
 /* Finds a target by host name and takes a reference; NULL when unknown. */
 gv_target_t *
 GvTargets_Find(gv_targets_t *ts, gv_str_t host)
 {
-    shard_t *sh = shard_of(ts, host);
-    pthread_mutex_lock(&sh->lock);
-    gv_target_t *t = find_locked(sh, host);
+    gv_target_t *t;
+    gv_target_shard_t *sh = GvTargets_Lock(ts, host, &t);
     if (t != NULL) {
         GvTarget_Ref(t);
     }
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     return t;
 }
 
@@ -160,7 +133,7 @@
 static bool
 is_old_boot(const gv_target_t *t, const char *boot)
 {
-    for (int i = 0; i < OLD_BOOTS; i++) {
+    for (int i = 0; i < GV_TARGET_OLD_BOOTS; i++) {
         if (t->old_boots[i][0] != '\0' && strcmp(t->old_boots[i], boot) == 0) {
             return true;
         }
@@ -183,7 +156,7 @@
         return false;
     }
     memcpy(t->old_boots[t->next_old], t->boot, sizeof t->boot);
-    t->next_old = (t->next_old + 1) % OLD_BOOTS;
+    t->next_old = (t->next_old + 1) % GV_TARGET_OLD_BOOTS;
     memcpy(t->boot, name, sizeof name);
     t->leaving = false;
     t->eject = (gv_eject_t){0};
@@ -191,7 +164,7 @@
 }
 
 static gv_target_t *
-add_target(gv_targets_t *ts, shard_t *sh, const gv_lhost_t *h)
+add_target(gv_targets_t *ts, gv_target_shard_t *sh, const gv_lhost_t *h)
 {
     gv_target_t *t = g_new0(gv_target_t, 1);
     t->table = ts;
@@ -210,7 +183,7 @@
 apply_host(gv_targets_t *ts, const gv_lhost_t *h, const gv_str_t *entries,
            int n)
 {
-    shard_t *sh = shard_of(ts, h->name);
+    gv_target_shard_t *sh = shard_of(ts, h->name);
     pthread_mutex_lock(&sh->lock);
     gv_target_t *t = find_locked(sh, h->name);
     if (t == NULL) {
@@ -224,13 +197,13 @@
     t->loan.share = GvSlots_Share(h->name, h->slots, entries, n, ts->self);
     t->claim = h->claim != NULL ? h->claim->offset : 0;
     t->closed = h->claim != NULL || h->state != GV_HOST_UP;
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
 }
 
 /* Closes targets that the ledger no longer lists; an idle one is dropped. A
    busy one stays known, so that its exchanges still count. */
 static void
-drop_unlisted(shard_t *sh)
+drop_unlisted(gv_target_shard_t *sh)
 {
     GHashTableIter it;
     gpointer value;
@@ -301,8 +274,9 @@
     atomic_store(&ts->joined, joined);
 }
 
-static bool
-open_for(const gv_target_t *t, gv_str_t pool)
+/* Tells whether new work of that pool may begin. The shard is locked. */
+bool
+GvTarget_IsOpen(const gv_target_t *t, gv_str_t pool)
 {
     return !t->closed && !t->leaving && t->healthy &&
            GvStr_Equal(pool, GvStr_C(t->pool));
@@ -316,8 +290,8 @@
                    gv_candidate_t *c)
 {
     *c = (gv_candidate_t){0};
-    shard_t *sh = lock_target(t);
-    bool open = open_for(t, pool);
+    gv_target_shard_t *sh = GvTarget_Lock(t);
+    bool open = GvTarget_IsOpen(t, pool);
     if (open) {
         c->usable = GvSlots_Usable(&t->loan, now_ms);
         c->busy = t->busy;
@@ -327,7 +301,7 @@
             c->refused = t->refused;
         }
     }
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     return open;
 }
 
@@ -339,9 +313,9 @@
                size_t n)
 {
     int rc = GV_OK;
-    shard_t *sh = lock_target(t);
+    gv_target_shard_t *sh = GvTarget_Lock(t);
     bool room = t->busy < GvSlots_Usable(&t->loan, now_ms);
-    if (!atomic_load(&t->table->joined) || !open_for(t, pool) ||
+    if (!atomic_load(&t->table->joined) || !GvTarget_IsOpen(t, pool) ||
         (room && t->eject.ejected && !GvEject_Trial(&t->eject, now_ms))) {
         rc = GV_EREFUSED;
     }
@@ -352,7 +326,7 @@
         t->busy++;
         copy(addr, n, GvStr_C(t->addr));
     }
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     return rc;
 }
 
@@ -362,7 +336,7 @@
 GvTarget_End(gv_target_t *t, gv_attempt_t a, bool may_eject, double run_ratio,
              int64_t now_ms)
 {
-    shard_t *sh = lock_target(t);
+    gv_target_shard_t *sh = GvTarget_Lock(t);
     g_assert(t->busy > 0);
     t->busy--;
     if (t->abandoned > t->busy) {
@@ -378,26 +352,26 @@
             now_ms - t->refused_ms < REFUSED_KEEP_MS ? t->refused + 1 : 1;
         t->refused_ms = now_ms;
     }
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
 }
 
 /* Takes back a Begin after which nothing was sent. */
 void
 GvTarget_Undo(gv_target_t *t)
 {
-    shard_t *sh = lock_target(t);
+    gv_target_shard_t *sh = GvTarget_Lock(t);
     g_assert(t->busy > 0);
     t->busy--;
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
 }
 
 /* Counts an exchange whose request has ended. */
 void
 GvTarget_Abandon(gv_target_t *t)
 {
-    shard_t *sh = lock_target(t);
+    gv_target_shard_t *sh = GvTarget_Lock(t);
     t->abandoned++;
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     GvCounter_Add(&late_ends, 1);
 }
 
@@ -406,11 +380,10 @@
 bool
 GvTargets_Quiet(gv_targets_t *ts, gv_str_t host, uint64_t claim)
 {
-    shard_t *sh = shard_of(ts, host);
-    pthread_mutex_lock(&sh->lock);
-    const gv_target_t *t = find_locked(sh, host);
+    gv_target_t *t;
+    gv_target_shard_t *sh = GvTargets_Lock(ts, host, &t);
     bool quiet = t == NULL || (t->claim == claim && t->closed && t->busy == 0);
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     return quiet;
 }
 
@@ -437,142 +410,18 @@
    when what is known changed. */
 bool
 GvTargets_NoteHealth(gv_targets_t *ts, gv_str_t host, gv_str_t boot,
-                     bool leaving, bool healthy, int64_t now_ms)
+                     bool leaving, bool healthy)
 {
-    shard_t *sh = shard_of(ts, host);
     bool changed = false;
-    pthread_mutex_lock(&sh->lock);
-    gv_target_t *t = find_locked(sh, host);
+    gv_target_t *t;
+    gv_target_shard_t *sh = GvTargets_Lock(ts, host, &t);
     /* A failed probe learns no boot identifier; it concerns the known one. */
     if (t != NULL && (boot.n == 0 || note_boot(t, boot))) {
         bool now_leaving = t->leaving || leaving;
         changed = now_leaving != t->leaving || healthy != t->healthy;
         t->leaving = now_leaving;
         t->healthy = healthy;
-        t->seen += changed;
-        if (healthy) {
-            t->healthy_ms = now_ms;
-        }
     }
-    pthread_mutex_unlock(&sh->lock);
+    GvTargetShard_Unlock(sh);
     return changed;
 }
-
-/* Tells whether a healthy report arrived after since_ms. */
-bool
-GvTarget_ProbedSince(gv_target_t *t, int64_t since_ms)
-{
-    shard_t *sh = lock_target(t);
-    bool yes = t->healthy && t->healthy_ms > since_ms;
-    pthread_mutex_unlock(&sh->lock);
-    return yes;
-}
-
-static void
-add_health(const gv_target_t *t, GArray *out, GStringChunk *strings)
-{
-    gv_health_t h = {
-        .host = GvStr_C(g_string_chunk_insert(strings, t->host)),
-        .boot = GvStr_C(g_string_chunk_insert(strings, t->boot)),
-        .leaving = t->leaving,
-        .healthy = t->healthy,
-        .seen = t->seen,
-    };
-    g_array_append_val(out, h);
-}
-
-static void
-add_row(gv_target_t *t, GArray *out, int64_t now_ms)
-{
-    gv_target_row_t r = {
-        .slots = t->slots,
-        .usable = GvSlots_Usable(&t->loan, now_ms),
-        .busy = t->busy,
-        .abandoned = t->abandoned,
-        .closed = t->closed,
-        .leaving = t->leaving,
-        .healthy = t->healthy,
-        .ejected = t->eject.ejected,
-    };
-    memcpy(r.host, t->host, sizeof r.host);
-    memcpy(r.pool, t->pool, sizeof r.pool);
-    memcpy(r.addr, t->addr, sizeof r.addr);
-    memcpy(r.boot, t->boot, sizeof r.boot);
-    g_array_append_val(out, r);
-}
-
-/* Appends the state of all targets for a heartbeat. */
-void
-GvTargets_Health(gv_targets_t *ts, GArray *out, GStringChunk *strings)
-{
-    for (int i = 0; i < GV_SHARDS; i++) {
-        GHashTableIter it;
-        gpointer value;
-        pthread_mutex_lock(&ts->shards[i].lock);
-        g_hash_table_iter_init(&it, ts->shards[i].by_host);
-        while (g_hash_table_iter_next(&it, NULL, &value)) {
-            add_health(value, out, strings);
-        }
-        pthread_mutex_unlock(&ts->shards[i].lock);
-    }
-}
-
-/* Appends one row for each target, for the status page and the planner. */
-void
-GvTargets_Report(gv_targets_t *ts, GArray *out, int64_t now_ms)
-{
-    for (int i = 0; i < GV_SHARDS; i++) {
-        GHashTableIter it;
-        gpointer value;
-        pthread_mutex_lock(&ts->shards[i].lock);
-        g_hash_table_iter_init(&it, ts->shards[i].by_host);
-        while (g_hash_table_iter_next(&it, NULL, &value)) {
-            add_row(value, out, now_ms);
-        }
-        pthread_mutex_unlock(&ts->shards[i].lock);
-    }
-}
-
-/* Lends up to count slots of a target to a peer. Returns how many. */
-int
-GvTargets_Lend(gv_targets_t *ts, gv_str_t host, int count, int queued,
-               int64_t now_ms, int lease_ms)
-{
-    int lent = 0;
-    shard_t *sh = shard_of(ts, host);
-    pthread_mutex_lock(&sh->lock);
-    gv_target_t *t = find_locked(sh, host);
-    if (t != NULL && open_for(t, GvStr_C(t->pool))) {
-        lent =
-            GvSlots_Lend(&t->loan, count, t->busy, queued, now_ms, lease_ms);
-    }
-    pthread_mutex_unlock(&sh->lock);
-    return lent;
-}
-
-/* Notes slots that a peer lent to this entry host. */
-void
-GvTargets_Borrowed(gv_targets_t *ts, gv_str_t host, int count,
-                   int64_t until_ms)
-{
-    shard_t *sh = shard_of(ts, host);
-    pthread_mutex_lock(&sh->lock);
-    gv_target_t *t = find_locked(sh, host);
-    if (t != NULL) {
-        GvSlots_Borrowed(&t->loan, count, until_ms);
-    }
-    pthread_mutex_unlock(&sh->lock);
-}
-
-/* Notes slots that a peer gave back before the lease ended. */
-void
-GvTargets_Returned(gv_targets_t *ts, gv_str_t host, int count)
-{
-    shard_t *sh = shard_of(ts, host);
-    pthread_mutex_lock(&sh->lock);
-    gv_target_t *t = find_locked(sh, host);
-    if (t != NULL) {
-        GvSlots_Returned(&t->loan, count);
-    }
-    pthread_mutex_unlock(&sh->lock);
-}
--- a/src/target.h
+++ b/src/target.h
@@ -57,12 +57,21 @@
 /* What a probe, a peer's heartbeat or the host list says about a target.
    Leaving is sticky for the boot identifier. Returns true on a change. */
 bool GvTargets_NoteHealth(gv_targets_t *ts, gv_str_t host, gv_str_t boot,
-                          bool leaving, bool healthy, int64_t now_ms);
-/* Appends the known state of all targets (gv_health_t); the strings are
-   copied into the chunk. */
-void GvTargets_Health(gv_targets_t *ts, GArray *out, GStringChunk *strings);
-/* True when a healthy report arrived after since_ms (monotonic). */
+                          bool leaving, bool healthy);
+/* Asks for a fresh probe of the target. */
+void GvTarget_Doubt(gv_target_t *t);
+typedef struct {
+    char host[GV_NAME_MAX_BYTES + 1];
+    char addr[64];
+} gv_doubt_t;
+/* Appends a gv_doubt_t for each target in doubt and ends the doubt. */
+void GvTargets_TakeDoubts(gv_targets_t *ts, GArray *out);
+/* Notes a successful fresh probe. */
+void GvTargets_NoteProbe(gv_targets_t *ts, gv_str_t host, int64_t now_ms);
+/* Tells whether a fresh probe succeeded after since_ms (monotonic). */
 bool GvTarget_ProbedSince(gv_target_t *t, int64_t since_ms);
+/* Copies the pool of a target; false for an unknown one. */
+bool GvTargets_Pool(gv_targets_t *ts, gv_str_t host, char *pool, size_t n);
 
 /* Slot loans, for the lending module. */
 int GvTargets_Lend(gv_targets_t *ts, gv_str_t host, int count, int queued,
