--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,180 @@
+"""Helpers for tests over real processes: free ports, starting and ending own
+children, HTTP calls, and the part of msgpack that the platform speaks."""
+import http.client
+import pathlib
+import socket
+import struct
+import subprocess
+import time
+import unittest
+
+
+def free_ports(count):
+    """Returns ports that were free a moment ago, all different."""
+    socks = [socket.socket() for _ in range(count)]
+    try:
+        for s in socks:
+            s.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in socks]
+    finally:
+        for s in socks:
+            s.close()
+
+
+def free_addr():
+    return f"127.0.0.1:{free_ports(1)[0]}"
+
+
+def wait_until(check, seconds, what):
+    """Polls check until it is true and returns its value; fails at the
+    bound."""
+    end = time.monotonic() + seconds
+    while True:
+        value = check()
+        if value:
+            return value
+        if time.monotonic() >= end:
+            raise AssertionError(f"not within {seconds} s: {what}")
+        time.sleep(0.02)
+
+
+def wait_port(addr, seconds=10):
+    host, port = addr.rsplit(":", 1)
+
+    def connects():
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+            return True
+        except OSError:
+            return False
+    wait_until(connects, seconds, f"{addr} accepts connections")
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+    @property
+    def text(self):
+        return self.body.decode(errors="replace")
+
+
+def call(addr, method, path, body=None, headers=None, timeout=10.0):
+    """Returns an Answer, or None when the connection broke or timed out
+    before a whole answer."""
+    conn = http.client.HTTPConnection(addr, timeout=timeout)
+    try:
+        conn.request(method, path, body, headers or {})
+        res = conn.getresponse()
+        return Answer(res.status, res.headers, res.read())
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        conn.close()
+
+
+class Processes:
+    """Children of one test. Ends exactly these, by SIGTERM, then SIGKILL."""
+
+    def __init__(self, build):
+        self.build = pathlib.Path(build)
+        self.children = {}
+
+    def start(self, name, program, *args, addr=None):
+        proc = subprocess.Popen([str(self.build / program), *map(str, args)],
+                                stderr=subprocess.PIPE)
+        self.children[name] = proc
+        if addr:
+            wait_port(addr)
+        return proc
+
+    def stop(self, name, seconds=10):
+        """Ends a child by SIGTERM and returns its exit status."""
+        proc = self.children.pop(name)
+        if proc.poll() is None:
+            proc.terminate()
+        try:
+            _, err = proc.communicate(timeout=seconds)
+        except subprocess.TimeoutExpired:
+            proc.kill()
+            _, err = proc.communicate()
+            raise AssertionError(f"{name}: no end after SIGTERM") from None
+        if err:
+            print(f"{name}: {err.decode(errors='replace')}", end="")
+        return proc.returncode
+
+    def stop_all(self):
+        """Ends all children; each must exit cleanly."""
+        codes = {name: self.stop(name) for name in list(self.children)}
+        bad = {name: code for name, code in codes.items() if code != 0}
+        assert not bad, f"unclean exits: {bad}"
+
+
+class ProcessTest(unittest.TestCase):
+    """A test with its own children; `build` is set by main()."""
+    build = "build"
+
+    def setUp(self):
+        self.procs = Processes(self.build)
+        self.addCleanup(self.procs.stop_all)
+
+
+def main(module, argv):
+    """Runs the tests of a module: [BUILD [NAMES...]]."""
+    if len(argv) > 1:
+        ProcessTest.build = argv[1]
+    unittest.main(module, argv=argv[:1] + argv[2:])
+
+
+def pack(value):
+    """Packs ints, str, bytes and lists."""
+    if isinstance(value, bytes):
+        return b"\xc6" + struct.pack(">I", len(value)) + value
+    if isinstance(value, str):
+        raw = value.encode()
+        return b"\xdb" + struct.pack(">I", len(raw)) + raw
+    if isinstance(value, list):
+        return (b"\xdd" + struct.pack(">I", len(value)) +
+                b"".join(map(pack, value)))
+    kind, code = ("q", b"\xd3") if value < 0 else ("Q", b"\xcf")
+    return code + struct.pack(">" + kind, value)
+
+
+_NUMBERS = {0xcc: "B", 0xcd: "H", 0xce: "I", 0xcf: "Q",
+            0xd0: "b", 0xd1: "h", 0xd2: "i", 0xd3: "q"}
+_SIZES = {0xc4: "B", 0xc5: "H", 0xc6: "I", 0xd9: "B", 0xda: "H", 0xdb: "I",
+          0xdc: "H", 0xdd: "I"}
+
+
+def _number(data, at, kind):
+    size = struct.calcsize(kind)
+    return struct.unpack(">" + kind, data[at:at + size])[0], at + size
+
+
+def _unpack(data, at):
+    code, at = data[at], at + 1
+    if code < 0x80 or code >= 0xe0:
+        return (code if code < 0x80 else code - 256), at
+    if code in _NUMBERS:
+        return _number(data, at, _NUMBERS[code])
+    if code in _SIZES:
+        size, at = _number(data, at, _SIZES[code])
+    else:
+        size = code & (0x1f if code >= 0xa0 else 0x0f)
+    if 0x90 <= code < 0xa0 or code in (0xdc, 0xdd):
+        items = []
+        for _ in range(size):
+            item, at = _unpack(data, at)
+            items.append(item)
+        return items, at
+    raw = data[at:at + size]
+    assert len(raw) == size, "cut msgpack"
+    text = 0xa0 <= code < 0xc0 or 0xd9 <= code <= 0xdb
+    return (raw.decode() if text else raw), at + size
+
+
+def unpack(data):
+    """Unpacks one value of the kinds that pack() writes."""
+    value, at = _unpack(data, 0)
+    assert at == len(data), "bytes left over"
+    return value
