Test platform client, appender, log reader and checkpoints

One server in the test process holds the log. Covered: malformed pages, lost and duplicated appends, the fate reported at the time-out, a late starter that needs a checkpoint, an outage bridged by a peer, and a log that lost its records. The age of a checkpoint that predates the process is now taken from the ledger instead of starting at zero with every restart.

--- a/src/checkpointer.c
+++ b/src/checkpointer.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <stdatomic.h>
 
+#include "clock.h"
 #include "counter.h"
 #include "error.h"
 #include "limits.h"
@@ -66,6 +67,24 @@
     g_free(c);
 }
 
+/* Notes a change of the covered offset. The age of a checkpoint that was
+   written before this process read the log is the age of its state, which is
+   a little more than its own. */
+static void
+note_covered(gv_checkpointer_t *c, uint64_t covered, int64_t covered_ms,
+             int64_t now_ms)
+{
+    if (c->seen && covered == c->covered) {
+        return;
+    }
+    c->since_ms = now_ms;
+    if (!c->seen && covered > 0) {
+        c->since_ms -= MAX(GvClock_WallMs() - covered_ms, 0);
+    }
+    c->seen = true;
+    c->covered = covered;
+}
+
 /* Looks at the ledger and the log and decides. A reader behind the head of
    the log waits, because its checkpoint would be merely older. */
 static bool
@@ -74,15 +93,14 @@
     const gv_ledger_t *l = GvReplica_Lock(c->replica);
     uint64_t next = GvLedger_Next(l);
     uint64_t covered = GvLedger_Covered(l);
+    int64_t covered_ms = GvLedger_CoveredMs(l);
     GvReplica_Unlock(c->replica);
-    if (!c->seen || covered != c->covered) {
-        c->seen = true;
-        c->covered = covered;
-        c->since_ms = now_ms;
-    }
     gv_retained_t kept = GvLogReader_Retained(c->reader);
-    return GvLogReader_PlatformOk(c->reader) && next >= kept.next &&
-           GvCheckpoint_IsDue(next, covered, now_ms - c->since_ms, &kept);
+    if (!GvLogReader_PlatformOk(c->reader) || next < kept.next) {
+        return false;
+    }
+    note_covered(c, covered, covered_ms, now_ms);
+    return GvCheckpoint_IsDue(next, covered, now_ms - c->since_ms, &kept);
 }
 
 static void
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,491 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "appender.h"
+#include "checkpointer.h"
+#include "clock.h"
+#include "error.h"
+#include "httpserver.h"
+#include "limits.h"
+#include "logreader.h"
+#include "logstore.h"
+#include "platform.h"
+
+/* The platform's log in this process, with switchable faults. */
+typedef struct {
+    GMutex lock;
+    gv_logstore_t *log;
+    int appends;
+    int lose;        /* appends whose answer gets lost */
+    int duplicate;   /* appends delivered twice */
+    int status;      /* answered to everything unless 0 */
+    gv_str_t canned; /* answered to everything unless empty */
+    char addr[32];
+    gv_server_t *server;
+} fake_t;
+
+static void
+fake_append(fake_t *f, gv_served_t *rq)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    g_assert_cmpint(GvUnpack_Root(&un, GvServed_Body(rq)), ==, GV_OK);
+    f->appends++;
+    uint64_t first =
+        GvLogStore_AppendBatch(f->log, &un.data, GvClock_WallMs());
+    if (f->duplicate > 0) {
+        f->duplicate--;
+        GvLogStore_AppendBatch(f->log, &un.data, GvClock_WallMs());
+    }
+    GvLogStore_PackAppended(first, un.data.via.array.size, &sb);
+    msgpack_unpacked_destroy(&un);
+    if (f->lose > 0) {
+        f->lose--;
+    }
+    else {
+        GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
+    }
+    msgpack_sbuffer_destroy(&sb);
+}
+
+static void
+fake_handle(void *user, gv_served_t *rq)
+{
+    fake_t *f = user;
+    uint64_t from = 0;
+    g_mutex_lock(&f->lock);
+    if (f->status != 0) {
+        GvServed_ReplyText(rq, f->status, "x");
+    }
+    else if (f->canned.n > 0) {
+        GvServed_Reply(rq, 200, "", f->canned);
+    }
+    else if (strcmp(GvServed_Path(rq), "/log/append") == 0) {
+        fake_append(f, rq);
+    }
+    else {
+        msgpack_sbuffer sb;
+        msgpack_sbuffer_init(&sb);
+        GvServed_QueryNumber(rq, "from", INT64_MAX, &from);
+        GvLogStore_Expire(f->log, GvClock_WallMs());
+        GvLogStore_PackPage(f->log, from, 3, GV_LOG_PAGE_BYTES, &sb);
+        GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
+        msgpack_sbuffer_destroy(&sb);
+    }
+    bool empty = from >= GvLogStore_Next(f->log);
+    g_mutex_unlock(&f->lock);
+    g_usleep(empty ? 10000 : 0);
+}
+
+static void
+fake_start(fake_t *f, uint64_t retention)
+{
+    struct sockaddr_in sin = {.sin_family = AF_INET,
+                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof sin;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    memset(f, 0, sizeof *f);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof sin), ==, 0);
+    getsockname(fd, (struct sockaddr *)&sin, &len);
+    close(fd);
+    g_snprintf(f->addr, sizeof f->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
+    g_mutex_init(&f->lock);
+    f->log = GvLogStore_New(retention, 0);
+    gv_server_opts_t o = {f->addr, 16, 4 * GV_RECORD_MAX_BYTES, fake_handle,
+                          f};
+    g_assert_cmpint(GvServer_Start(&o, &f->server), ==, GV_OK);
+}
+
+static void
+fake_stop(fake_t *f)
+{
+    GvServer_Stop(f->server);
+    GvLogStore_Free(f->log);
+    g_mutex_clear(&f->lock);
+}
+
+/* Sets what everything is answered with. */
+static void
+fake_answer(fake_t *f, int status, gv_str_t canned)
+{
+    g_mutex_lock(&f->lock);
+    f->status = status;
+    f->canned = canned;
+    g_mutex_unlock(&f->lock);
+}
+
+/* Replica, log reader and appender of one entry host. */
+typedef struct {
+    gv_replica_t *replica;
+    gv_logreader_t *reader;
+    gv_appender_t *appender;
+    gv_replica_t *peer; /* source of from_peer, or NULL */
+    atomic_int peer_calls;
+} node_t;
+
+static void
+on_verdict(void *user, const gv_verdict_t *v)
+{
+    node_t *n = user;
+    GvAppender_OnVerdict(n->appender, v);
+}
+
+static bool
+from_peer(void *user)
+{
+    node_t *n = user;
+    atomic_fetch_add(&n->peer_calls, 1);
+    if (n->peer == NULL) {
+        return false;
+    }
+    msgpack_sbuffer sb;
+    gv_ledger_t *l;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_Save(GvReplica_Lock(n->peer), &sb);
+    GvReplica_Unlock(n->peer);
+    g_assert_cmpint(GvLedger_Load(GvStr_N(sb.data, sb.size), &l), ==, GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+    return GvReplica_Replace(n->replica, l) == GV_OK;
+}
+
+static void
+node_start(node_t *n, fake_t *f, const char *name)
+{
+    memset(n, 0, sizeof *n);
+    n->replica = GvReplica_New();
+    gv_appender_opts_t ao = {GvStr_C(f->addr), GvStr_C(name), 7};
+    GvAppender_Start(&ao, &n->appender);
+    gv_logreader_opts_t ro = {.platform_addr = GvStr_C(f->addr),
+                              .replica = n->replica,
+                              .on_verdict = on_verdict,
+                              .from_peer = from_peer,
+                              .user = n};
+    GvLogReader_Start(&ro, &n->reader);
+}
+
+static void
+node_stop(node_t *n)
+{
+    GvLogReader_Stop(n->reader);
+    GvAppender_Stop(n->appender);
+    GvReplica_Free(n->replica);
+}
+
+static uint64_t
+digest(gv_replica_t *r)
+{
+    uint64_t d = GvLedger_Digest(GvReplica_Lock(r));
+    GvReplica_Unlock(r);
+    return d;
+}
+
+static uint64_t
+next_of(gv_replica_t *r)
+{
+    uint64_t next = GvLedger_Next(GvReplica_Lock(r));
+    GvReplica_Unlock(r);
+    return next;
+}
+
+typedef struct {
+    atomic_int calls;
+    atomic_int err;
+    atomic_int verdict;
+} result_t;
+
+static void
+on_done(void *user, int err, const gv_verdict_t *v)
+{
+    result_t *r = user;
+    atomic_store(&r->err, err);
+    atomic_store(&r->verdict, v == NULL ? -1 : (int)v->kind);
+    atomic_fetch_add(&r->calls, 1);
+}
+
+/* Submits the join of a member. */
+static void
+submit(node_t *n, const char *name, int timeout_ms, result_t *r)
+{
+    gv_member_t m = {GvStr_C(name),
+                     GV_STR("k1"),
+                     GV_STR("127.0.0.1:1"),
+                     GV_STR("127.0.0.1:2"),
+                     5,
+                     0};
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
+    g_assert_cmpint(GvAppender_Submit(n->appender, "member",
+                                      GvStr_N(sb.data, sb.size), timeout_ms,
+                                      on_done, r),
+                    ==, GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+}
+
+static void
+wait_calls(result_t *r, int calls)
+{
+    for (int i = 0; i < 1500 && atomic_load(&r->calls) < calls; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint(atomic_load(&r->calls), ==, calls);
+}
+
+/* Guards against a malformed answer that is taken for a valid one, and
+   against a status that hides whether the call took effect. */
+static void
+test_client(void)
+{
+    fake_t f;
+    fake_start(&f, 0);
+    gv_platform_t *p = GvPlatform_New(GvStr_C(f.addr));
+    gv_log_page_t page;
+    gv_hostlist_t list;
+    uint64_t first;
+    bool sent;
+    gv_str_t rec = GV_STR("r");
+    static const gv_str_t bad[] = {
+        GV_STR("\xc1"), GV_STR("\x93\x00\x01\x00"),
+        GV_STR("\x94\x00\x03\x00\x91\x93\x01\x00\xc4\x01x"), /* gap */
+        GV_STR("\x94\x00\x00\x00\x91\x93\x00\x00\xc4\x01x"), /* over next */
+        GV_STR("\x94\x05\x03\x00\x90")};                     /* first > next */
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        fake_answer(&f, 0, bad[i]);
+        g_assert_cmpint(GvPlatform_Read(p, 0, 9, 0, &page), ==, GV_EIO);
+        GvPlatform_ClearPage(&page);
+        g_assert_cmpint(GvPlatform_Hosts(p, &list), ==, GV_EIO);
+        g_assert_cmpint(list.n, ==, 0);
+    }
+    fake_answer(&f, 0, GV_STR("\x94\x05\x09\x07\x90"));
+    g_assert_cmpint(GvPlatform_Read(p, 4, 9, 0, &page), ==, GV_EGONE);
+    g_assert_cmpint((int)page.first, ==, 5);
+    g_assert_cmpint((int)page.next, ==, 9);
+    GvPlatform_ClearPage(&page);
+    fake_answer(&f, 0, GV_STR("\x92\x00\x02")); /* another count than sent */
+    g_assert_cmpint(GvPlatform_Append(p, &rec, 1, &first, &sent), ==, GV_EIO);
+    g_assert_true(sent);
+    fake_answer(&f, 0, GV_STR(""));
+    static const int map[][2] = {
+        {404, GV_ENOENT}, {409, GV_ESTALE}, {400, GV_EINVAL}, {503, GV_ECONN}};
+    for (size_t i = 0; i < G_N_ELEMENTS(map); i++) {
+        fake_answer(&f, map[i][0], GV_STR(""));
+        g_assert_cmpint(GvPlatform_HostOp(p, GV_HOSTOP_DRAIN, GV_STR("h"), 1),
+                        ==, map[i][1]);
+    }
+    fake_stop(&f);
+    g_assert_cmpint(GvPlatform_Append(p, &rec, 1, &first, &sent), ==,
+                    GV_ECONN);
+    g_assert_false(sent);
+    GvPlatform_Free(p);
+}
+
+/* Guards against a record that counts twice, or against two calls of done(),
+   when an answer is lost or an append is delivered twice. */
+static void
+test_append_once(void)
+{
+    fake_t f;
+    node_t n;
+    result_t r = {0};
+    fake_start(&f, 0);
+    f.lose = 2;
+    f.duplicate = 1;
+    node_start(&n, &f, "e1");
+    submit(&n, "m1", 10000, &r);
+    wait_calls(&r, 1);
+    g_assert_cmpint(atomic_load(&r.verdict), ==, GV_VERDICT_ACCEPTED);
+    submit(&n, "m1", 10000, &r);
+    wait_calls(&r, 2);
+    g_assert_cmpint(atomic_load(&r.verdict), ==, GV_VERDICT_REJECTED);
+    const gv_ledger_t *l = GvReplica_Lock(n.replica);
+    g_assert_cmpint((int)GvLedger_Members(l)->len, ==, 1);
+    GvReplica_Unlock(n.replica);
+    node_stop(&n);
+    fake_stop(&f);
+}
+
+/* Guards against a wrong fate: "never sent" only for records that cannot be
+   in the log, "unknown" for those that may be. */
+static void
+test_append_fate(void)
+{
+    fake_t f;
+    node_t n;
+    result_t unknown = {0};
+    result_t never = {0};
+    fake_start(&f, 0);
+    node_start(&n, &f, "e1");
+    fake_answer(&f, 503, GV_STR(""));
+    submit(&n, "m1", 600, &unknown);
+    g_usleep(100000);
+    submit(&n, "m2", 600, &never); /* waits behind the outstanding batch */
+    wait_calls(&unknown, 1);
+    wait_calls(&never, 1);
+    g_assert_cmpint(atomic_load(&unknown.err), ==, GV_ETIMEDOUT);
+    g_assert_cmpint(atomic_load(&never.err), ==, GV_EREFUSED);
+    /* The outstanding batch is still repeated and takes effect. */
+    fake_answer(&f, 0, GV_STR(""));
+    for (int i = 0; i < 1000 && next_of(n.replica) == 0; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint((int)next_of(n.replica), ==, 1);
+    GvServer_Refuse(f.server, true);
+    result_t refused = {0};
+    submit(&n, "m3", 300, &refused);
+    wait_calls(&refused, 1);
+    g_assert_cmpint(atomic_load(&refused.err), ==, GV_EREFUSED);
+    node_stop(&n);
+    fake_stop(&f);
+}
+
+/* Guards against a host that starts late and misses what is no longer
+   retained, and against one that guesses when no checkpoint is left. */
+static void
+test_checkpoint(void)
+{
+    fake_t f;
+    node_t a;
+    node_t b;
+    result_t r = {0};
+    fake_start(&f, 8);
+    node_start(&a, &f, "e1");
+    for (int i = 0; i < 10; i++) {
+        char name[8];
+        g_snprintf(name, sizeof name, "m%d", i);
+        submit(&a, name, 10000, &r);
+        wait_calls(&r, i + 1);
+    }
+    /* Offsets 2 to 9 are retained: nothing to start from but the peer. */
+    node_start(&b, &f, "e2");
+    g_usleep(300000);
+    g_assert_cmpint((int)next_of(b.replica), ==, 0);
+    g_assert_false(GvLogReader_PlatformOk(b.reader));
+    g_assert_cmpint(atomic_load(&b.peer_calls), >, 0);
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackCheckpoint(&sb, GvReplica_Lock(a.replica));
+    GvReplica_Unlock(a.replica);
+    GvAppender_Submit(a.appender, "checkpoint", GvStr_N(sb.data, sb.size),
+                      10000, on_done, &r);
+    msgpack_sbuffer_destroy(&sb);
+    wait_calls(&r, 11);
+    submit(&a, "m10", 10000, &r);
+    wait_calls(&r, 12);
+    for (int i = 0; i < 1000 && next_of(b.replica) < 12; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
+    g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 5000), ==, GV_OK);
+    node_stop(&b);
+    node_stop(&a);
+    fake_stop(&f);
+}
+
+/* Guards against settings and claims that revert: an outage, a peer and a log
+   that lost its records must not lower the applied offset. */
+static void
+test_never_back(void)
+{
+    fake_t f;
+    node_t a;
+    node_t b;
+    result_t r = {0};
+    fake_start(&f, 0);
+    node_start(&a, &f, "e1");
+    submit(&a, "m1", 10000, &r);
+    wait_calls(&r, 1);
+    fake_answer(&f, 503, GV_STR(""));
+    node_start(&b, &f, "e2");
+    b.peer = a.replica;
+    for (int i = 0; i < 1000 && next_of(b.replica) < 1; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
+    g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
+    g_mutex_lock(&f.lock);
+    GvLogStore_Free(f.log);
+    f.log = GvLogStore_New(0, 0);
+    f.status = 0;
+    g_mutex_unlock(&f.lock);
+    g_usleep(1500000);
+    g_assert_cmpint((int)next_of(b.replica), ==, 1);
+    g_assert_false(GvLogReader_PlatformOk(b.reader));
+    node_stop(&b);
+    node_stop(&a);
+    fake_stop(&f);
+}
+
+/* Guards against raw records that a peer would apply at wrong offsets. */
+static void
+test_ring(void)
+{
+    gv_replica_t *r = GvReplica_New();
+    gv_verdict_t v;
+    msgpack_sbuffer sb;
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(gv_raw_record_t));
+    msgpack_sbuffer_init(&sb);
+    for (uint64_t i = 0; i < GV_REPLICA_RING_RECORDS + 10; i++) {
+        char text[24];
+        g_snprintf(text, sizeof text, "record %d", (int)i);
+        gv_raw_record_t rec = {i, (int64_t)i, GvStr_C(text)};
+        g_assert_cmpint(GvReplica_Apply(r, &rec, &v), ==, GV_OK);
+        g_assert_cmpint(GvReplica_Apply(r, &rec, &v), ==, 1);
+    }
+    gv_raw_record_t gap = {GV_REPLICA_RING_RECORDS + 11, 0, GV_STR("x")};
+    g_assert_cmpint(GvReplica_Apply(r, &gap, &v), ==, GV_ESTALE);
+    g_assert_cmpint(GvReplica_Records(r, 9, 5, &sb, out), ==, GV_EGONE);
+    g_assert_cmpint(GvReplica_Records(r, 10, 500, &sb, out), ==, GV_OK);
+    g_assert_cmpint((int)out->len, ==, 500);
+    for (guint i = 0; i < out->len; i++) {
+        gv_raw_record_t *rec = &g_array_index(out, gv_raw_record_t, i);
+        char want[24];
+        g_snprintf(want, sizeof want, "record %d", (int)i + 10);
+        g_assert_cmpint((int)rec->offset, ==, (int)i + 10);
+        g_assert_true(GvStr_Equal(rec->bytes, GvStr_C(want)));
+    }
+    g_array_set_size(out, 0);
+    g_assert_cmpint(GvReplica_Records(r, next_of(r), 5, &sb, out), ==, GV_OK);
+    g_assert_cmpint((int)out->len, ==, 0);
+    g_array_free(out, TRUE);
+    msgpack_sbuffer_destroy(&sb);
+    GvReplica_Free(r);
+}
+
+/* Guards against a log whose last checkpoint expires, and against checkpoints
+   that are written all the time. */
+static void
+test_due(void)
+{
+    gv_retained_t all = {0, 2000, 0};
+    gv_retained_t timed = {0, 10, 40000};
+    gv_retained_t few = {100, 200, 0};
+    gv_retained_t tiny = {100, 110, 0};
+    g_assert_false(GvCheckpoint_IsDue(0, 0, 1 << 30, &timed));
+    g_assert_false(GvCheckpoint_IsDue(1999, 0, 1 << 30, &all));
+    g_assert_true(GvCheckpoint_IsDue(2000, 0, 0, &all));
+    g_assert_false(GvCheckpoint_IsDue(2000, 1, 0, &all));
+    g_assert_false(GvCheckpoint_IsDue(10, 9, 9999, &timed));
+    g_assert_true(GvCheckpoint_IsDue(10, 9, 10000, &timed));
+    g_assert_true(GvCheckpoint_IsDue(200, 149, 0, &few));
+    g_assert_false(GvCheckpoint_IsDue(200, 150, 0, &few));
+    g_assert_false(GvCheckpoint_IsDue(110, 90, 0, &tiny));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/client", test_client);
+    g_test_add_func("/platform/append-once", test_append_once);
+    g_test_add_func("/platform/append-fate", test_append_fate);
+    g_test_add_func("/platform/checkpoint", test_checkpoint);
+    g_test_add_func("/platform/never-back", test_never_back);
+    g_test_add_func("/platform/ring", test_ring);
+    g_test_add_func("/platform/checkpoint-due", test_due);
+    return g_test_run();
+}
