--- a/src/limits.h
+++ b/src/limits.h
@@ -7,10 +7,15 @@
 #define GV_NAME_MAX_BYTES 63
 
 /* Requests */
-#define GV_BODY_MAX_BYTES      (1024 * 1024)
-#define GV_HTTP_HEADER_BYTES   (16 * 1024)
-#define GV_HTTP_CONNECTIONS    2048
-#define GV_HTTP_THREADS        4
+#define GV_BODY_MAX_BYTES    (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES (16 * 1024)
+#define GV_HTTP_CONNECTIONS  2048
+#define GV_HTTP_THREADS      4
+/* A caller that sends nothing for this long is disconnected. */
+#define GV_HTTP_TIMEOUT_S 30
+#define GV_KEY_MAX_BYTES  255
+/* Requests in progress: of callers, of peers and runs for tickets. */
+#define GV_REQUESTS_MAX        (3 * GV_HTTP_CONNECTIONS)
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -24,6 +29,15 @@
 /* Six missed heartbeats: shorter pauses are common on small hosts. */
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
+/* An idle link is kept from counting as silent by a HELLO this often. */
+#define GV_PEER_KEEPALIVE_MS     1000
+#define GV_PEER_IDLE_MS          (60 * 1000)
+#define GV_PEER_BACKOFF_MS       100
+#define GV_PEER_BACKOFF_MAX_MS   2000
+#define GV_PEER_FLUSH_MS         500
+#define GV_PEER_CALLS_MAX        4096
+#define GV_PEER_CONNECTIONS      1024
+#define GV_LEDGERSYNC_TIMEOUT_MS 2000
 
 /* Log */
 #define GV_RECORD_MAX_BYTES   (1024 * 1024)
@@ -87,6 +101,12 @@
 #define GV_KEYS_MAX          16384
 #define GV_KEY_BATCH         64
 
+/* All shards together; a larger response is kept as its outcome only. */
+#define GV_ONCE_ANSWERS_BYTES (8 * 1024 * 1024)
+#define GV_ONCE_MAX_WAITERS   256
+#define GV_KEY_MAX_BYTES      255
+#define GV_KEY_CLAIM_MS       5000
+
 /* Targets */
 #define GV_TARGET_SLOTS       8
 #define GV_TARGET_CONNECTIONS 64
@@ -97,6 +117,11 @@
 #define GV_ABANDON_GRACE_MS   1000
 #define GV_RACK_HOSTS_OUT_MAX 1
 
+/* Loans of slots: short, because a lender that gets work of its own waits for
+   their end. */
+#define GV_LOAN_MS     2000
+#define GV_LOAN_ASK_MS 500
+
 /* Daemon threads */
 #define GV_TIMER_TICK_MS      50
 #define GV_MAINTAIN_MS        500
@@ -137,5 +162,27 @@
 #define GV_PROBE_FAILURES   2
 #define GV_PROBE_THREADS    8
 #define GV_TARGET_SLOTS_MAX 1024
+/* Decisions */
+#define GV_ESTIMATE_KINDS 256
+/* Weight of a new run time in the mean once a kind is known: the mean then
+   follows a change within about 16 runs. */
+#define GV_ESTIMATE_SAMPLES 16
+/* Refusals ask the caller to wait at least this long, so that a short queue
+   does not invite a burst of repeats. */
+#define GV_RETRY_AFTER_MIN_MS 100
+#define GV_RETRY_AFTER_MAX_MS 30000
+/* Retries that are allowed before any request has earned one. */
+#define GV_RETRY_RESERVE 3
+/* The budget remembers this many requests. */
+#define GV_RETRY_REQUESTS 200
+/* A job that failed on this many hosts is taken to be at fault itself. */
+#define GV_RETRY_HOSTS_FAILED 3
+#define GV_RETRY_ATTEMPTS     4
+#define GV_RETRY_REQUEUES     16
+#define GV_EJECT_STREAK       5
+#define GV_EJECT_WAIT_MS      1000
+#define GV_EJECT_WAIT_MAX_MS  60000
+#define GV_RESERVE_UP_MS      5000
+#define GV_RESERVE_DOWN_MS    60000
 
 #endif
