Echo the attempt in refusals of the target stand-in

An entry host drops an answer whose attempt does not match, so a refusal without the header counted as a lost answer with an unknown outcome.

--- a/tests/proc_platform.py
+++ b/tests/proc_platform.py
@@ -282,7 +282,8 @@
         full = self.run_once()
         busy.join()
         call(self.addr, "POST", "/control/leave")
-        leaving = self.run_once()
+        leaving = self.run_once("", {"Gv-Attempt-Id": "n.2"})
+        self.assertEqual(leaving.headers["Gv-Attempt-Id"], "n.2")
         for res in (full, leaving):
             self.assertEqual(res.status, 503)
             self.assertEqual(res.headers["Gv-Not-Started"], "true")
