--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -218,6 +218,10 @@
     uint64_t deadline_ms;
     int64_t arrived_us = GvClock_MonoUs();
     const char *attempt = word_of(GvServed_Header(rq, "Gv-Attempt-Id"));
+    if (strcmp(attempt, "-") != 0) {
+        /* A refusal is matched to its attempt, too. */
+        GvServed_AddHeader(rq, "Gv-Attempt-Id", attempt);
+    }
     if (!parse_run(rq, &ms, &deadline_ms)) {
         return;
     }
