Count failed hosts against the room that a wave keeps for a rack

A rack that is down has used up the room kept for it, so the wave goes on while min_hosts allows it.

--- a/src/wave_adaptive.c
+++ b/src/wave_adaptive.c
@@ -19,12 +19,13 @@
 }
 
 /* Hosts that may be out so that the loss of any one rack would still leave
-   min_hosts in service. Settings without that much room get one host at a
-   time, while no host has failed. */
+   min_hosts in service; hosts that have failed already use up that room.
+   Settings without it get one host at a time, while no host has failed. */
 static int
 safe_hosts(const gv_wave_count_t *c)
 {
-    int safe = c->up + c->of_wave - c->min_hosts - c->rack_most;
+    int keep = MAX(c->rack_most - c->failed, 0);
+    int safe = c->up + c->of_wave - c->min_hosts - keep;
     return c->failed == 0 ? MAX(safe, 1) : safe;
 }
 
