Revert "Start a wave's next round in the data centre with most hosts to claim"

In name order a data centre is finished before the next one starts anyway, and the trial plans for each data centre cost time on a large pool.

--- a/src/limits.h
+++ b/src/limits.h
@@ -123,9 +123,7 @@
 #define GV_EJECT_STREAK       5
 #define GV_EJECT_WAIT_MS      1000
 #define GV_EJECT_WAIT_MAX_MS  60000
-/* Hosts that one plan of a wave names at most. */
-#define GV_WAVE_PLAN_HOSTS 64
-#define GV_RESERVE_UP_MS   5000
-#define GV_RESERVE_DOWN_MS 60000
+#define GV_RESERVE_UP_MS      5000
+#define GV_RESERVE_DOWN_MS    60000
 
 #endif
--- a/src/wave_plan.c
+++ b/src/wave_plan.c
@@ -1,7 +1,6 @@
 #include "wave_plan.h"
 
 #include <glib.h>
-#include <string.h>
 #include <xxhash.h>
 
 static bool
@@ -77,25 +76,6 @@
     return true;
 }
 
-static int
-propose_dc(const gv_ledger_t *l, const gv_wave_t *w, gv_str_t dc, int limit,
-           const gv_lhost_t **out)
-{
-    int n = 0;
-    char reason[200];
-    const GPtrArray *hosts = GvLedger_Hosts(l);
-    for (guint i = 0; i < hosts->len && n < limit; i++) {
-        const gv_lhost_t *h = hosts->pdata[i];
-        if (GvStr_Equal(h->pool, w->pool) && GvStr_Equal(h->dc, dc) &&
-            fits(h, out, n) &&
-            GvLedger_CanClaim(l, h->name, GV_CLAIM_MAINTENANCE, w->name,
-                              GV_STR(""), reason, sizeof reason) == 0) {
-            out[n++] = h;
-        }
-    }
-    return n;
-}
-
 /* Names hosts to claim next, so that at most `width` hosts are under a claim
    of the wave. Returns how many; all claims can be granted together unless
    the ledger changes. */
@@ -112,27 +92,16 @@
     limit = MIN(limit - c->of_wave, c->max_out - c->claims);
     limit = MIN(limit, c->up - c->min_hosts);
     limit = MIN(limit, max);
-    if (limit <= 0) {
-        return 0;
-    }
-    /* The data centre with the most hosts to claim at once, so that the width
-       is used; the ledger allows one data centre at a time. */
+    int n = 0;
+    char reason[200];
     const GPtrArray *hosts = GvLedger_Hosts(l);
-    const gv_lhost_t *trial[GV_WAVE_PLAN_HOSTS];
-    int best = 0;
-    gv_str_t dc = {NULL, 0};
-    limit = MIN(limit, GV_WAVE_PLAN_HOSTS);
-    for (guint i = 0; i < hosts->len && best < limit; i++) {
+    for (guint i = 0; i < hosts->len && n < limit; i++) {
         const gv_lhost_t *h = hosts->pdata[i];
-        if (!GvStr_Equal(h->pool, w->pool) || GvStr_Equal(h->dc, dc)) {
-            continue;
-        }
-        int n = propose_dc(l, w, h->dc, limit, trial);
-        if (n > best) {
-            best = n;
-            memcpy(out, trial, sizeof trial[0] * (size_t)n);
+        if (GvStr_Equal(h->pool, w->pool) && fits(h, out, n) &&
+            GvLedger_CanClaim(l, h->name, GV_CLAIM_MAINTENANCE, w->name,
+                              GV_STR(""), reason, sizeof reason) == 0) {
+            out[n++] = h;
         }
-        dc = h->dc;
     }
-    return best;
+    return n;
 }
