--- a/bench/bench_queue.c
+++ b/bench/bench_queue.c
@@ -124,6 +124,11 @@
     fifo.queue = "fifo";
     GvCompare_Rows(b, "queue", &usual, "fifo", &fifo, metrics,
                    G_N_ELEMENTS(metrics));
+    gv_sim_opts_t heavy = usual;
+    heavy.load = 0.45;
+    fifo.load = heavy.load;
+    GvCompare_Rows(b, "queue, bursts of 2.25 times the capacity", &heavy,
+                   "fifo", &fifo, metrics, G_N_ELEMENTS(metrics));
     gv_sim_opts_t none = usual;
     none.no_classes = true;
     GvCompare_Rows(b, "long and short", &usual, "no classes", &none, metrics,
