Revert "Count the urgent part of recent starts in the expected wait"

Under a flood of urgent work the refusals of normal work left more slots to urgent work, whose part grew by that: urgent took 887 of 1000 starts instead of its half, and normal work still waited 4990 ms at worst.

--- a/src/queue_fair.c
+++ b/src/queue_fair.c
@@ -38,7 +38,6 @@
     /* Slot time by which urgent work is ahead of its share while other work
        waits. */
     double urgent_ahead_ms;
-    double urgent_part; /* of recently started slot time */
     int64_t first_deadline_ms; /* no deadline is earlier than this */
     uint64_t order;
 };
@@ -199,9 +198,6 @@
     return MAX(1, slots * q->long_percent / 100);
 }
 
-/* Starts over which the urgent part of the slot time is smoothed. */
-#define URGENT_STARTS 64
-
 /* Expected wait in ms of an item that joins lane l now. Fair sharing bounds
    it by the whole backlog of the class and by the team's own backlog at the
    team's share of the slots. */
@@ -228,10 +224,6 @@
     else if (l->class == SHORT) {
         rate = MAX(1, slots - MIN(load->busy_long, long_slots(q, slots)));
     }
-    if (l->class != URGENT) {
-        /* Urgent work that arrives later goes first as well. */
-        rate *= 1 - MIN(q->urgent_part, q->urgent_percent / 100.0) * 0.9;
-    }
     double first = load->busy >= slots ? load->mean_run_ms : 0;
     return (ahead + first) / rate;
 }
@@ -362,8 +354,6 @@
     q->taken[l->class] = MAX(q->taken[l->class], l->taken);
     l->taken += cost / l->team->quota;
     int others = q->length - q->urgent_length;
-    double part = l->class == URGENT;
-    q->urgent_part += (part - q->urgent_part) / URGENT_STARTS;
     if (l->class == URGENT) {
         if (others > 0) {
             q->urgent_ahead_ms += cost * (100 - q->urgent_percent) / 100;
