Use POSIX mutexes in the peer and forwarding modules

The thread sanitizer does not see GLib's futex-based mutexes and reported races between threads that were ordered by them. With POSIX mutexes and G_SLICE=always-malloc, which keeps GLib from reusing blocks unseen, the peer test runs without a report. The address and undefined-behaviour sanitizers had nothing to report before and after.

--- a/src/forward.c
+++ b/src/forward.c
@@ -24,11 +24,11 @@
     atomic_init(&f->appender, o->appender);
     atomic_init(&f->next_sequence, 1);
     for (int i = 0; i < GV_SHARDS; i++) {
-        g_mutex_init(&f->shards[i].mu);
+        pthread_mutex_init(&f->shards[i].mu, NULL);
         f->shards[i].once = GvOnce_New(o->self, o->incarnation);
     }
-    g_mutex_init(&f->claim_mu);
-    g_mutex_init(&f->hop_mu);
+    pthread_mutex_init(&f->claim_mu, NULL);
+    pthread_mutex_init(&f->hop_mu, NULL);
     f->unclaimed = g_ptr_array_new();
     f->hops = g_hash_table_new(NULL, NULL);
     f->served = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -47,7 +47,7 @@
     }
     for (int i = 0; i < GV_SHARDS; i++) {
         GvOnce_Free(f->shards[i].once);
-        g_mutex_clear(&f->shards[i].mu);
+        pthread_mutex_destroy(&f->shards[i].mu);
     }
     for (guint i = 0; i < f->unclaimed->len; i++) {
         GvRequest_Unref(g_ptr_array_index(f->unclaimed, i));
@@ -56,8 +56,8 @@
     g_hash_table_destroy(f->hops);
     g_hash_table_destroy(f->served);
     g_hash_table_destroy(f->loads);
-    g_mutex_clear(&f->claim_mu);
-    g_mutex_clear(&f->hop_mu);
+    pthread_mutex_destroy(&f->claim_mu);
+    pthread_mutex_destroy(&f->hop_mu);
     GvStr_Free(&f->o.self);
     GvStr_Free(&f->o.dc);
     GvStr_Free(&f->o.region);
@@ -110,10 +110,10 @@
 {
     gv_ticket_t t = {.sequence = atomic_fetch_add(&f->next_sequence, 1)};
     gv_onceshard_t *sh = shard_of_ticket(f, &t);
-    g_mutex_lock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
     int err = GvOnce_Issue(sh->once, t.sequence, GvClock_WallMs(),
                            GV_TICKET_TTL_MS, &t);
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_unlock(&sh->mu);
     if (err != GV_OK) {
         return err;
     }
@@ -151,10 +151,10 @@
 finish_run(run_t *run, const gv_answer_t *a)
 {
     int n;
-    g_mutex_lock(&run->shard->mu);
+    pthread_mutex_lock(&run->shard->mu);
     void **waiters =
         GvOnce_Finish(run->shard->once, run->id, a, GvClock_WallMs(), &n);
-    g_mutex_unlock(&run->shard->mu);
+    pthread_mutex_unlock(&run->shard->mu);
     for (int i = 0; i < n; i++) {
         GvForward_Reply(waiters[i], GvAnswer_Copy(a));
         GvRequest_Unref(waiters[i]);
@@ -264,9 +264,9 @@
         id = owned = key_id(rq);
         sh = shard_of_key(f, id);
     }
-    g_mutex_lock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
     bool removed = GvOnce_RemoveWaiter(sh->once, id, rq);
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_unlock(&sh->mu);
     GvStr_Free(&owned);
     if (removed) {
         GvRequest_Unref(rq);
@@ -295,7 +295,7 @@
     gv_once_kind_t kind = GV_ONCE_INVALID;
     gv_answer_t kept = {0};
     GvRequest_Ref(rq); /* for the table, while the request waits there */
-    g_mutex_lock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
     for (int i = 0; i < 2; i++) {
         r = t != NULL ? GvOnce_BeginTicket(sh->once, t, now, rq)
                       : GvOnce_BeginKey(sh->once, id, expires_ms, now, rq);
@@ -309,7 +309,7 @@
     if (kind == GV_ONCE_ANSWER) {
         kept = GvAnswer_Copy(r.answer);
     }
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_unlock(&sh->mu);
     act(f, sh, id, rq, kind, kept);
     if (kind != GV_ONCE_START && kind != GV_ONCE_WAIT) {
         GvRequest_Unref(rq);
@@ -376,7 +376,7 @@
 GvForward_Tick(gv_forward_t *f)
 {
     unsigned i = atomic_fetch_add(&f->next_sweep, 1) % GV_SHARDS;
-    g_mutex_lock(&f->shards[i].mu);
+    pthread_mutex_lock(&f->shards[i].mu);
     GvOnce_Sweep(f->shards[i].once, GvClock_WallMs());
-    g_mutex_unlock(&f->shards[i].mu);
+    pthread_mutex_unlock(&f->shards[i].mu);
 }
--- a/src/forward_hop.c
+++ b/src/forward_hop.c
@@ -79,11 +79,11 @@
     hop_t *hop = user;
     gv_forward_t *f = hop->f;
     gv_request_t *rq = hop->rq;
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     if (g_hash_table_lookup(f->hops, rq) == hop) {
         g_hash_table_remove(f->hops, rq);
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     if (err != GV_OK) {
         hop_failed(f, rq, hop->to_owner, err == GV_EREFUSED);
     }
@@ -113,14 +113,14 @@
     gv_forward_t *f = user;
     char to[GV_NAME_MAX_BYTES + 1];
     uint64_t number = 0;
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     const hop_t *hop = g_hash_table_lookup(f->hops, rq);
     if (hop != NULL) {
         memcpy(to, hop->to, sizeof to);
         number = hop->number;
         g_hash_table_remove(f->hops, rq);
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     if (number != 0) {
         send_cancel(f, to, number);
     }
@@ -167,13 +167,13 @@
     hop->to_owner = to_owner;
     set_name(hop->to, to);
     /* The callback waits for the lock, so that hop is whole by then. */
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     int err = GvPeers_Call(peers, to, &m, left_ms, on_result, hop);
     if (err == GV_OK) {
         hop->number = m.number;
         g_hash_table_insert(f->hops, rq, hop);
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     if (err != GV_OK) {
         g_free(hop);
         hop_failed(f, rq, to_owner, true);
@@ -210,9 +210,9 @@
                 GINT_TO_POINTER((int)CLAMP(n, -INT_MAX, INT_MAX)));
         }
     }
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     g_hash_table_replace(f->loads, g_strndup(from.p, from.n), free_slots);
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
 }
 
 /* Reads the free slots of a peer for a service; false when unknown. */
@@ -245,7 +245,7 @@
     char *name = g_strndup(service.p, service.n);
     int best = own_dc ? INT_MIN : 0;
     bool found = false;
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     for (guint i = 0; i < list->len; i++) {
         const gv_peer_info_t *p = &g_array_index(list, gv_peer_info_t, i);
         int n;
@@ -261,7 +261,7 @@
         g_hash_table_insert(g_hash_table_lookup(f->loads, to), g_strdup(name),
                             GINT_TO_POINTER(best - 1));
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     g_free(name);
     g_array_unref(list);
     return found;
@@ -327,11 +327,11 @@
     (void)rq;
     served_t *s = user;
     char *key = served_key(GvStr_C(s->from), s->number);
-    g_mutex_lock(&s->f->hop_mu);
+    pthread_mutex_lock(&s->f->hop_mu);
     gpointer old_key;
     gpointer old_rq = NULL;
     g_hash_table_steal_extended(s->f->served, key, &old_key, &old_rq);
-    g_mutex_unlock(&s->f->hop_mu);
+    pthread_mutex_unlock(&s->f->hop_mu);
     if (old_rq != NULL) {
         g_free(old_key);
         GvRequest_Unref(old_rq);
@@ -347,13 +347,13 @@
                 gv_request_t *rq)
 {
     char *key = served_key(from, number);
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     /* on_served_done removes the entry after the request has ended. */
     if (!GvRequest_Ended(rq)) {
         g_hash_table_replace(f->served, key, GvRequest_Ref(rq));
         key = NULL;
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     g_free(key);
 }
 
@@ -405,12 +405,12 @@
 on_cancel(gv_forward_t *f, gv_str_t from, uint64_t number)
 {
     char *key = served_key(from, number);
-    g_mutex_lock(&f->hop_mu);
+    pthread_mutex_lock(&f->hop_mu);
     gv_request_t *rq = g_hash_table_lookup(f->served, key);
     if (rq != NULL) {
         GvRequest_Ref(rq);
     }
-    g_mutex_unlock(&f->hop_mu);
+    pthread_mutex_unlock(&f->hop_mu);
     g_free(key);
     if (rq != NULL) {
         GvRequest_Cancel(rq, "cancelled by the caller");
--- a/src/forward_key.c
+++ b/src/forward_key.c
@@ -28,7 +28,7 @@
 next_batch(gv_forward_t *f)
 {
     batch_t *b = NULL;
-    g_mutex_lock(&f->claim_mu);
+    pthread_mutex_lock(&f->claim_mu);
     guint n = f->unclaimed->len;
     if (n >= GV_KEY_BATCH || (n > 0 && f->claims == 0)) {
         b = g_new0(batch_t, 1);
@@ -41,7 +41,7 @@
         g_ptr_array_remove_range(f->unclaimed, 0, n);
         f->claims++;
     }
-    g_mutex_unlock(&f->claim_mu);
+    pthread_mutex_unlock(&f->claim_mu);
     return b;
 }
 
@@ -53,9 +53,9 @@
 end_batch(batch_t *b, int err)
 {
     gv_forward_t *f = b->f;
-    g_mutex_lock(&f->claim_mu);
+    pthread_mutex_lock(&f->claim_mu);
     f->claims--;
-    g_mutex_unlock(&f->claim_mu);
+    pthread_mutex_unlock(&f->claim_mu);
     for (guint i = 0; i < b->requests->len; i++) {
         gv_request_t *rq = g_ptr_array_index(b->requests, i);
         if (err == GV_OK && !GvRequest_Ended(rq)) {
@@ -125,9 +125,9 @@
 static void
 claim(gv_forward_t *f, gv_request_t *rq)
 {
-    g_mutex_lock(&f->claim_mu);
+    pthread_mutex_lock(&f->claim_mu);
     g_ptr_array_add(f->unclaimed, GvRequest_Ref(rq));
-    g_mutex_unlock(&f->claim_mu);
+    pthread_mutex_unlock(&f->claim_mu);
     append_claims(f);
 }
 
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -2,6 +2,7 @@
 #define GV_FORWARD_PRIVATE_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 #include "forward.h"
@@ -9,7 +10,7 @@
 #include "once.h"
 
 typedef struct {
-    GMutex mu;
+    pthread_mutex_t mu;
     gv_once_t *once;
 } gv_onceshard_t;
 
@@ -20,10 +21,10 @@
     atomic_uint_fast64_t next_sequence;
     atomic_uint next_sweep;
     gv_onceshard_t shards[GV_SHARDS];
-    GMutex claim_mu;
+    pthread_mutex_t claim_mu;
     GPtrArray *unclaimed; /* requests whose key is to be claimed */
     int claims;           /* records appended and not yet decided */
-    GMutex hop_mu;
+    pthread_mutex_t hop_mu;
     GHashTable *hops;   /* request -> hop_t at a peer */
     GHashTable *served; /* "PEER NUMBER" -> request of that peer */
     GHashTable *loads;  /* peer -> GHashTable of service -> free slots */
--- a/src/ledgersync.c
+++ b/src/ledgersync.c
@@ -1,5 +1,6 @@
 #include "ledgersync.h"
 
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -25,7 +26,7 @@
     gv_ledgersync_opts_t o;
     _Atomic(gv_peers_t *) peers;
     unsigned turn; /* of the peers asked at start-up; Fetch only */
-    GMutex mu;
+    pthread_mutex_t mu;
     GHashTable *offsets; /* peer -> uint64_t of its last heartbeat */
 };
 
@@ -38,7 +39,7 @@
     s->o.dc = GvStr_Dup(o->dc);
     s->o.region = GvStr_Dup(o->region);
     atomic_init(&s->peers, o->peers);
-    g_mutex_init(&s->mu);
+    pthread_mutex_init(&s->mu, NULL);
     s->offsets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return s;
@@ -50,7 +51,7 @@
 {
     if (s != NULL) {
         g_hash_table_destroy(s->offsets);
-        g_mutex_clear(&s->mu);
+        pthread_mutex_destroy(&s->mu);
         GvStr_Free(&s->o.dc);
         GvStr_Free(&s->o.region);
         g_free(s);
@@ -141,9 +142,9 @@
     else if (m->kind == GV_MSG_HEARTBEAT) {
         uint64_t *offset = g_new(uint64_t, 1);
         *offset = m->u.heartbeat.offset;
-        g_mutex_lock(&s->mu);
+        pthread_mutex_lock(&s->mu);
         g_hash_table_replace(s->offsets, g_strndup(from.p, from.n), offset);
-        g_mutex_unlock(&s->mu);
+        pthread_mutex_unlock(&s->mu);
     }
 }
 
@@ -153,7 +154,7 @@
              bool own_dc_only, char *to)
 {
     bool found = false;
-    g_mutex_lock(&s->mu);
+    pthread_mutex_lock(&s->mu);
     for (guint i = 0; i < list->len; i++) {
         const gv_peer_info_t *p = &g_array_index(list, gv_peer_info_t, i);
         const uint64_t *offset = g_hash_table_lookup(s->offsets, p->name);
@@ -165,7 +166,7 @@
             memcpy(to, p->name, sizeof p->name);
         }
     }
-    g_mutex_unlock(&s->mu);
+    pthread_mutex_unlock(&s->mu);
     return found;
 }
 
@@ -199,8 +200,8 @@
 
 /* An outstanding LEDGER_GET and a copy of its answer. */
 typedef struct {
-    GMutex mu;
-    GCond cond;
+    pthread_mutex_t mu;
+    pthread_cond_t cond;
     bool done;
     int err;
     gv_msg_kind_t kind;
@@ -212,7 +213,7 @@
 on_answer(void *user, int err, const gv_message_t *m)
 {
     fetch_t *f = user;
-    g_mutex_lock(&f->mu);
+    pthread_mutex_lock(&f->mu);
     f->err = err;
     f->done = true;
     if (m != NULL) {
@@ -228,8 +229,8 @@
             g_array_append_val(f->records, r);
         }
     }
-    g_cond_signal(&f->cond);
-    g_mutex_unlock(&f->mu);
+    pthread_cond_signal(&f->cond);
+    pthread_mutex_unlock(&f->mu);
 }
 
 /* Applies records in order up to the first gap. */
@@ -292,17 +293,17 @@
     }
     fetch_t f = {.records =
                      g_array_new(FALSE, FALSE, sizeof(gv_raw_record_t))};
-    g_mutex_init(&f.mu);
-    g_cond_init(&f.cond);
+    pthread_mutex_init(&f.mu, NULL);
+    pthread_cond_init(&f.cond, NULL);
     gv_message_t m = {.kind = GV_MSG_LEDGER_GET, .u.ledger_get.from = next};
     bool progress = false;
     if (GvPeers_Call(peers, GvStr_C(to), &m, GV_LEDGERSYNC_TIMEOUT_MS,
                      on_answer, &f) == GV_OK) {
-        g_mutex_lock(&f.mu);
+        pthread_mutex_lock(&f.mu);
         while (!f.done) {
-            g_cond_wait(&f.cond, &f.mu);
+            pthread_cond_wait(&f.cond, &f.mu);
         }
-        g_mutex_unlock(&f.mu);
+        pthread_mutex_unlock(&f.mu);
         if (f.err == GV_OK) {
             progress = f.kind == GV_MSG_LEDGER_SNAPSHOT
                            ? apply_snapshot(s, f.snapshot, to)
@@ -314,7 +315,7 @@
     }
     g_array_unref(f.records);
     GvStr_Free(&f.snapshot);
-    g_cond_clear(&f.cond);
-    g_mutex_clear(&f.mu);
+    pthread_cond_destroy(&f.cond);
+    pthread_mutex_destroy(&f.mu);
     return progress;
 }
--- a/src/lending.c
+++ b/src/lending.c
@@ -1,6 +1,7 @@
 #include "lending.h"
 
 #include <limits.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -26,7 +27,7 @@
 struct gv_lending_s {
     gv_lending_opts_t o;
     _Atomic(gv_peers_t *) peers;
-    GMutex mu;
+    pthread_mutex_t mu;
     GHashTable *loans; /* host -> loan_t */
     GHashTable *idle;  /* peer -> GHashTable of service -> idle slots */
 };
@@ -39,7 +40,7 @@
     l->o = *o;
     l->o.dc = GvStr_Dup(o->dc);
     atomic_init(&l->peers, o->peers);
-    g_mutex_init(&l->mu);
+    pthread_mutex_init(&l->mu, NULL);
     l->loans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     l->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                     (GDestroyNotify)g_hash_table_unref);
@@ -53,7 +54,7 @@
     if (l != NULL) {
         g_hash_table_destroy(l->loans);
         g_hash_table_destroy(l->idle);
-        g_mutex_clear(&l->mu);
+        pthread_mutex_destroy(&l->mu);
         GvStr_Free(&l->o.dc);
         g_free(l);
     }
@@ -100,9 +101,9 @@
         g_hash_table_insert(idle, g_strndup(s->service.p, s->service.n),
                             GINT_TO_POINTER((int)CLAMP(n, 0, INT_MAX)));
     }
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     g_hash_table_replace(l->idle, g_strndup(from.p, from.n), idle);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Handles a message of a peer; on the peer thread. */
@@ -148,13 +149,13 @@
     if (until_ms <= GvClock_MonoMs()) {
         count = 0;
     }
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     loan_t *loan = g_hash_table_lookup(l->loans, a->host);
     loan->asking = false;
     loan->count = count;
     loan->until_ms = until_ms;
     memcpy(loan->lender, a->lender, sizeof loan->lender);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     if (count > 0) {
         GvCounter_Add(&borrowed, count);
         GvTargets_Borrowed(l->o.targets, GvStr_C(a->host), count, until_ms);
@@ -203,7 +204,7 @@
     GvPeers_List(peers, list);
     int found = 0;
     const gv_view_t *v = GvView_Acquire(l->o.views);
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     for (guint i = 0; i < list->len; i++) {
         const gv_peer_info_t *p = &g_array_index(list, gv_peer_info_t, i);
         if (p->alive && GvStr_Equal(GvStr_C(p->dc), l->o.dc) &&
@@ -212,7 +213,7 @@
             memcpy(to, p->name, sizeof p->name);
         }
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     GvView_Release();
     g_array_unref(list);
     return found > 0;
@@ -223,7 +224,7 @@
 static bool
 begin_ask(gv_lending_t *l, const char *host, int64_t now_ms)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     loan_t *loan = g_hash_table_lookup(l->loans, host);
     if (loan == NULL) {
         loan = g_new0(loan_t, 1);
@@ -237,17 +238,17 @@
         loan->asked_ms = now_ms;
         loan->count = 0;
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return may;
 }
 
 static void
 end_ask(gv_lending_t *l, const char *host)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     loan_t *loan = g_hash_table_lookup(l->loans, host);
     loan->asking = false;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Asks a peer for as many slots as there are waiting requests. */
@@ -282,7 +283,7 @@
 {
     char lender[GV_NAME_MAX_BYTES + 1];
     int count = 0;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     loan_t *loan = g_hash_table_lookup(l->loans, row->host);
     if (loan != NULL && loan->count > 0 && now_ms < loan->until_ms &&
         row->busy <= row->usable - loan->count) {
@@ -290,7 +291,7 @@
         loan->count = 0;
         memcpy(lender, loan->lender, sizeof lender);
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     if (count > 0) {
         gv_message_t m = {.kind = GV_MSG_SLOT_RETURN,
                           .u.slots = {GvStr_C(row->host), count, 0}};
--- a/src/peer.c
+++ b/src/peer.c
@@ -27,9 +27,9 @@
 static gv_peerlink_t *
 find_link(gv_peers_t *ps, gv_str_t name)
 {
-    g_mutex_lock(&ps->mu);
+    pthread_mutex_lock(&ps->mu);
     gv_peerlink_t *l = g_hash_table_lookup(ps->links, &name);
-    g_mutex_unlock(&ps->mu);
+    pthread_mutex_unlock(&ps->mu);
     return l;
 }
 
@@ -41,13 +41,13 @@
     if (GvStr_Equal(name, ps->o.self.entry)) {
         return NULL;
     }
-    g_mutex_lock(&ps->mu);
+    pthread_mutex_lock(&ps->mu);
     gv_peerlink_t *l = g_hash_table_lookup(ps->links, &name);
     if (l == NULL && g_hash_table_size(ps->links) < GV_ENTRY_HOSTS_MAX) {
         l = GvPeerLink_New(name);
         g_hash_table_insert(ps->links, &l->name, l);
     }
-    g_mutex_unlock(&ps->mu);
+    pthread_mutex_unlock(&ps->mu);
     return l;
 }
 
@@ -58,12 +58,12 @@
     GPtrArray *list = g_ptr_array_new();
     GHashTableIter it;
     gpointer value;
-    g_mutex_lock(&ps->mu);
+    pthread_mutex_lock(&ps->mu);
     g_hash_table_iter_init(&it, ps->links);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         g_ptr_array_add(list, value);
     }
-    g_mutex_unlock(&ps->mu);
+    pthread_mutex_unlock(&ps->mu);
     return list;
 }
 
@@ -110,7 +110,7 @@
     g_ptr_array_unref(ps->conns);
     g_ptr_array_unref(ps->dead);
     g_hash_table_destroy(ps->links);
-    g_mutex_clear(&ps->mu);
+    pthread_mutex_destroy(&ps->mu);
     close(ps->listener);
     close(ps->epoll);
     close(ps->wake);
@@ -142,7 +142,7 @@
     /* Numbers of different incarnations differ, so that an answer to a call
        of an earlier incarnation matches no call of this one. */
     atomic_init(&ps->next_number, (o->self.incarnation << 20) + 1);
-    g_mutex_init(&ps->mu);
+    pthread_mutex_init(&ps->mu, NULL);
     ps->links = g_hash_table_new_full(hash_name, equal_names, NULL,
                                       (GDestroyNotify)GvPeerLink_Free);
     ps->conns = g_ptr_array_new();
@@ -153,7 +153,10 @@
     }
     GvPeers_Watch(ps, ps->listener, EPOLL_CTL_ADD, EPOLLIN, &ps->listener);
     GvPeers_Watch(ps, ps->wake, EPOLL_CTL_ADD, EPOLLIN, &ps->wake);
-    ps->thread = g_thread_new("peer", GvPeers_Run, ps);
+    if (pthread_create(&ps->thread, NULL, GvPeers_Run, ps) != 0) {
+        free_peers(ps);
+        return GV_EIO;
+    }
     *out = ps;
     return GV_OK;
 }
@@ -166,7 +169,7 @@
 {
     atomic_store(&ps->stopping, true);
     wake(ps);
-    g_thread_join(ps->thread);
+    pthread_join(ps->thread, NULL);
     free_peers(ps);
 }
 
--- a/src/peerlink.c
+++ b/src/peerlink.c
@@ -11,7 +11,7 @@
 {
     gv_peerlink_t *l = g_new0(gv_peerlink_t, 1);
     l->name = GvStr_Dup(name);
-    g_mutex_init(&l->mu);
+    pthread_mutex_init(&l->mu, NULL);
     g_queue_init(&l->out);
     l->calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -25,7 +25,7 @@
 {
     g_queue_clear_full(&l->out, (GDestroyNotify)GvOutFrame_Free);
     g_hash_table_destroy(l->calls);
-    g_mutex_clear(&l->mu);
+    pthread_mutex_destroy(&l->mu);
     GvStr_Free(&l->name);
     GvStr_Free(&l->addr);
     g_free(l);
@@ -51,7 +51,7 @@
 void
 GvPeerLink_SetAddr(gv_peerlink_t *l, const gv_peer_addr_t *a)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     if (!GvStr_Equal(l->addr, a->addr)) {
         GvStr_Free(&l->addr);
         l->addr = GvStr_Dup(a->addr);
@@ -61,7 +61,7 @@
     if (l->incarnation == 0) {
         set_place(l, a->dc, a->region);
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Releases a frame. */
@@ -107,9 +107,9 @@
 GvPeerLink_Push(gv_peerlink_t *l, GByteArray *bytes, const gv_peercall_t *call,
                 int64_t now_ms)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     int err = push_locked(l, bytes, call, now_ms);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     if (err != GV_OK) {
         g_byte_array_unref(bytes);
         return err;
@@ -122,12 +122,12 @@
 gv_outframe_t *
 GvPeerLink_Pop(gv_peerlink_t *l)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     gv_outframe_t *f = g_queue_pop_head(&l->out);
     if (f != NULL) {
         l->out_bytes -= f->bytes->len;
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return f;
 }
 
@@ -135,10 +135,10 @@
 void
 GvPeerLink_PutBack(gv_peerlink_t *l, gv_outframe_t *f)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->out_bytes += f->bytes->len;
     g_queue_push_head(&l->out, f);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Notes that the first byte of a call was written on conn. */
@@ -146,12 +146,12 @@
 GvPeerLink_MarkSent(gv_peerlink_t *l, uint64_t number,
                     struct gv_peerconn_s *conn)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     gv_peercall_t *c = g_hash_table_lookup(l->calls, &number);
     if (c != NULL) {
         c->conn = conn;
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 static bool
@@ -176,14 +176,14 @@
 GvPeerLink_Answer(gv_peerlink_t *l, const gv_message_t *m)
 {
     gv_peercall_t call;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     const gv_peercall_t *c = g_hash_table_lookup(l->calls, &m->number);
     bool found = c != NULL && c->conn != NULL && answers(c->kind, m->kind);
     if (found) {
         call = *c;
         g_hash_table_remove(l->calls, &m->number);
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     if (found) {
         call.done(call.user, GV_OK, m);
     }
@@ -231,7 +231,7 @@
     GArray *ended = g_array_new(FALSE, FALSE, sizeof(gv_peercall_t));
     GHashTableIter it;
     gpointer value;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     g_hash_table_iter_init(&it, l->calls);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const gv_peercall_t *c = value;
@@ -243,7 +243,7 @@
         }
         take(&it, c, ended);
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     end_calls(ended, GV_ETIMEDOUT);
 }
 
@@ -254,7 +254,7 @@
     GArray *ended = g_array_new(FALSE, FALSE, sizeof(gv_peercall_t));
     GHashTableIter it;
     gpointer value;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     g_queue_clear_full(&l->out, (GDestroyNotify)GvOutFrame_Free);
     l->out_bytes = 0;
     g_hash_table_iter_init(&it, l->calls);
@@ -264,7 +264,7 @@
             take(&it, c, ended);
         }
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     end_calls(ended, GV_ECONN);
 }
 
@@ -276,7 +276,7 @@
     GArray *ended = g_array_new(FALSE, FALSE, sizeof(gv_peercall_t));
     GHashTableIter it;
     gpointer value;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     g_hash_table_iter_init(&it, l->calls);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const gv_peercall_t *c = value;
@@ -284,7 +284,7 @@
             take(&it, c, ended);
         }
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     end_calls(ended, GV_ECONN);
 }
 
@@ -295,7 +295,7 @@
 {
     GHashTableIter it;
     gpointer value;
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     g_hash_table_iter_init(&it, l->calls);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_peercall_t *c = value;
@@ -303,16 +303,16 @@
             c->conn = to;
         }
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Refuses further frames and ends all calls. */
 void
 GvPeerLink_Stop(gv_peerlink_t *l)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->stopped = true;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     GvPeerLink_FailUnsent(l);
     GvPeerLink_FailSent(l, NULL);
 }
@@ -321,9 +321,9 @@
 bool
 GvPeerLink_Pending(gv_peerlink_t *l)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     bool pending = l->out.length > 0;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return pending;
 }
 
@@ -331,9 +331,9 @@
 bool
 GvPeerLink_Busy(gv_peerlink_t *l)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     bool busy = l->out.length > 0 || g_hash_table_size(l->calls) > 0;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return busy;
 }
 
@@ -341,9 +341,9 @@
 void
 GvPeerLink_SetLinked(gv_peerlink_t *l, bool linked)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->linked = linked;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Delays the next connection attempt; the delay doubles from one failure to
@@ -352,11 +352,11 @@
 void
 GvPeerLink_BackOff(gv_peerlink_t *l, int64_t now_ms)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->retry_ms =
         now_ms + l->backoff_ms + g_random_int_range(0, l->backoff_ms / 2 + 1);
     l->backoff_ms = MIN(2 * l->backoff_ms, GV_PEER_BACKOFF_MAX_MS);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 static bool
@@ -369,9 +369,9 @@
 bool
 GvPeerLink_MayAttempt(gv_peerlink_t *l, int64_t now_ms)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     bool may = may_attempt(l, now_ms);
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return may;
 }
 
@@ -381,12 +381,12 @@
 GvPeerLink_Attempt(gv_peerlink_t *l, int64_t now_ms)
 {
     gv_str_t addr = {NULL, 0};
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     if (may_attempt(l, now_ms)) {
         addr = GvStr_Dup(l->addr);
         l->linked = true;
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return addr;
 }
 
@@ -394,9 +394,9 @@
 uint64_t
 GvPeerLink_Incarnation(gv_peerlink_t *l)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     uint64_t incarnation = l->incarnation;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return incarnation;
 }
 
@@ -405,11 +405,11 @@
 void
 GvPeerLink_Greeted(gv_peerlink_t *l, const gv_msg_hello_t *h)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->incarnation = h->incarnation;
     set_place(l, h->dc, h->region);
     l->backoff_ms = GV_PEER_BACKOFF_MS;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Describes the peer. */
@@ -418,20 +418,20 @@
 {
     *info = (gv_peer_info_t){.alive = GvPeerLink_Alive(l, now_ms, NULL)};
     set_name(info->name, l->name);
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     memcpy(info->dc, l->dc, sizeof info->dc);
     memcpy(info->region, l->region, sizeof info->region);
     info->incarnation = l->incarnation;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Notes that a message arrived. */
 void
 GvPeerLink_Heard(gv_peerlink_t *l, int64_t now_ms)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     l->heard_ms = now_ms;
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
 }
 
 /* Tells whether a message arrived within GV_PEER_DEAD_MS; then sets
@@ -439,11 +439,11 @@
 bool
 GvPeerLink_Alive(gv_peerlink_t *l, int64_t now_ms, uint64_t *incarnation)
 {
-    g_mutex_lock(&l->mu);
+    pthread_mutex_lock(&l->mu);
     bool alive = l->heard_ms != 0 && now_ms - l->heard_ms <= GV_PEER_DEAD_MS;
     if (alive && incarnation != NULL) {
         *incarnation = l->incarnation;
     }
-    g_mutex_unlock(&l->mu);
+    pthread_mutex_unlock(&l->mu);
     return alive;
 }
--- a/src/peerlink.h
+++ b/src/peerlink.h
@@ -2,6 +2,7 @@
 #define GV_PEERLINK_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -38,7 +39,7 @@
     struct gv_peerconn_s *opening; /* own connection without HELLO yet */
     bool reopen;
     /* Under mu. */
-    GMutex mu;
+    pthread_mutex_t mu;
     gv_str_t addr;
     char dc[GV_NAME_MAX_BYTES + 1];
     char region[GV_NAME_MAX_BYTES + 1];
--- a/src/peerloop.h
+++ b/src/peerloop.h
@@ -10,11 +10,11 @@
     int epoll;
     int wake;
     int listener;
-    GThread *thread;
+    pthread_t thread;
     atomic_bool stopping;
     atomic_uint_fast64_t next_number;
-    GMutex mu;         /* links */
-    GHashTable *links; /* name -> gv_peerlink_t; never shrinks */
+    pthread_mutex_t mu; /* links */
+    GHashTable *links;  /* name -> gv_peerlink_t; never shrinks */
     /* Peer thread only. */
     GPtrArray *conns;
     GPtrArray *dead; /* closed in this round, freed at its end */
