Separate stopping the peer module from freeing it

Requests that the dispatcher ends while it stops send their results to peers, and calls that the peer module ends while it stops submit requests to the dispatcher, so that neither could be freed first. After GvPeers_Stop the module now refuses calls until GvPeers_Free.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -453,6 +453,9 @@
     GvLending_Free(k->lending);
     GvForward_Free(k->forward);
     GvLedgerSync_Free(k->ledgersync);
+    if (k->peers != NULL) {
+        GvPeers_Free(k->peers);
+    }
     GvRequests_Free(k->requests);
     GvViews_Free(k->views);
     GvTargets_Free(k->targets);
--- a/src/peer.c
+++ b/src/peer.c
@@ -101,8 +101,9 @@
     }
 }
 
-static void
-free_peers(gv_peers_t *ps)
+/* Releases a stopped module. */
+void
+GvPeers_Free(gv_peers_t *ps)
 {
     for (guint i = 0; i < ps->conns->len; i++) {
         GvPeerConn_Free(g_ptr_array_index(ps->conns, i));
@@ -148,13 +149,13 @@
     ps->conns = g_ptr_array_new();
     ps->dead = g_ptr_array_new_with_free_func((GDestroyNotify)GvPeerConn_Free);
     if (ps->epoll < 0 || ps->wake < 0) {
-        free_peers(ps);
+        GvPeers_Free(ps);
         return GV_EIO;
     }
     GvPeers_Watch(ps, ps->listener, EPOLL_CTL_ADD, EPOLLIN, &ps->listener);
     GvPeers_Watch(ps, ps->wake, EPOLL_CTL_ADD, EPOLLIN, &ps->wake);
     if (pthread_create(&ps->thread, NULL, GvPeers_Run, ps) != 0) {
-        free_peers(ps);
+        GvPeers_Free(ps);
         return GV_EIO;
     }
     *out = ps;
@@ -162,15 +163,13 @@
 }
 
 /* Writes what is queued for connected peers, for at most GV_PEER_FLUSH_MS,
-   ends all calls and stops the thread. No other call may follow or be in
-   progress. */
+   ends all calls and the thread. Later calls return GV_ESTOPPED. */
 void
 GvPeers_Stop(gv_peers_t *ps)
 {
     atomic_store(&ps->stopping, true);
     wake(ps);
     pthread_join(ps->thread, NULL);
-    free_peers(ps);
 }
 
 /* Adds or updates the address of a peer. The own name and names over the
--- a/src/peer.h
+++ b/src/peer.h
@@ -31,7 +31,10 @@
 } gv_peers_opts_t;
 
 int GvPeers_Start(const gv_peers_opts_t *o, gv_peers_t **out);
+/* Ends all calls and the thread; later calls return GV_ESTOPPED. */
 void GvPeers_Stop(gv_peers_t *ps);
+/* After every module that may call ps has been stopped. */
+void GvPeers_Free(gv_peers_t *ps);
 /* Adds or updates the address of a peer; thread-safe. */
 void GvPeers_Set(gv_peers_t *ps, const gv_peer_addr_t *a);
 /* Queues one message; opens the link when needed. Returns 0, GV_ENOENT for an
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -79,6 +79,7 @@
 stop(node_t *n)
 {
     GvPeers_Stop(n->ps);
+    GvPeers_Free(n->ps);
     g_array_unref(n->kept);
 }
 
