--- a/src/peer.c
+++ b/src/peer.c
@@ -43,7 +43,8 @@
     }
     pthread_mutex_lock(&ps->mu);
     gv_peerlink_t *l = g_hash_table_lookup(ps->links, &name);
-    if (l == NULL && g_hash_table_size(ps->links) < GV_ENTRY_HOSTS_MAX) {
+    if (l == NULL && !ps->closed &&
+        g_hash_table_size(ps->links) < GV_ENTRY_HOSTS_MAX) {
         l = GvPeerLink_New(name);
         g_hash_table_insert(ps->links, &l->name, l);
     }
@@ -163,11 +164,14 @@
 }
 
 /* Writes what is queued for connected peers, for at most GV_PEER_FLUSH_MS,
-   ends all calls and the thread. Later calls return GV_ESTOPPED. */
+   ends all calls and the thread. Later calls return GV_ESTOPPED; stopping
+   again does nothing. */
 void
 GvPeers_Stop(gv_peers_t *ps)
 {
-    atomic_store(&ps->stopping, true);
+    if (atomic_exchange(&ps->stopping, true)) {
+        return;
+    }
     wake(ps);
     pthread_join(ps->thread, NULL);
 }
--- a/src/peerloop.c
+++ b/src/peerloop.c
@@ -515,6 +515,9 @@
             stop_ms = ps->now_ms + GV_PEER_FLUSH_MS;
         }
     } while (stop_ms == 0 || (ps->now_ms < stop_ms && unflushed(ps)));
+    pthread_mutex_lock(&ps->mu);
+    ps->closed = true;
+    pthread_mutex_unlock(&ps->mu);
     GPtrArray *links = GvPeers_Links(ps);
     for (guint i = 0; i < links->len; i++) {
         GvPeerLink_Stop(g_ptr_array_index(links, i));
--- a/src/peerloop.h
+++ b/src/peerloop.h
@@ -15,6 +15,7 @@
     atomic_uint_fast64_t next_number;
     pthread_mutex_t mu; /* links */
     GHashTable *links;  /* name -> gv_peerlink_t; never shrinks */
+    bool closed; /* no link may be added: the thread has ended them all */
     /* Peer thread only. */
     GPtrArray *conns;
     GPtrArray *dead; /* closed in this round, freed at its end */
--- /dev/null
+++ b/tests/test_forward.c
@@ -0,0 +1,454 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "error.h"
+#include "forward.h"
+#include "httpserver.h"
+#include "logreader.h"
+#include "logstore.h"
+#include "ticket.h"
+
+/* The platform's log in this process. */
+static pthread_mutex_t log_mu = PTHREAD_MUTEX_INITIALIZER;
+static gv_logstore_t *log_store;
+static char platform[32]; /* its address */
+static gv_server_t *server;
+
+static void
+handle(void *user, gv_served_t *rq)
+{
+    (void)user;
+    msgpack_sbuffer sb;
+    uint64_t from = 0;
+    pthread_mutex_lock(&log_mu);
+    if (strcmp(GvServed_Path(rq), "/log/append") == 0) {
+        msgpack_unpacked un;
+        g_assert_cmpint(GvUnpack_Root(&un, GvServed_Body(rq)), ==, GV_OK);
+        uint64_t first =
+            GvLogStore_AppendBatch(log_store, &un.data, GvClock_WallMs());
+        GvLogStore_PackAppended(first, un.data.via.array.size, &sb);
+        msgpack_unpacked_destroy(&un);
+    }
+    else {
+        msgpack_sbuffer_init(&sb);
+        GvServed_QueryNumber(rq, "from", INT64_MAX, &from);
+        GvLogStore_PackPage(log_store, from, 99, GV_LOG_PAGE_BYTES, &sb);
+    }
+    bool empty = from >= GvLogStore_Next(log_store);
+    pthread_mutex_unlock(&log_mu);
+    GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+    g_usleep(empty ? 5000 : 0);
+}
+
+typedef enum { RUN, NOT_RUN, HOLD, SPILL } run_mode_t;
+
+/* One entry host; submit stands for the dispatcher. */
+typedef struct {
+    const char *name;
+    gv_replica_t *replica;
+    gv_logreader_t *reader;
+    gv_appender_t *appender;
+    gv_targets_t *targets;
+    gv_views_t *views;
+    gv_requests_t *requests;
+    gv_peers_t *peers;
+    gv_forward_t *forward;
+    gint mode;
+    gint started;
+    gv_request_t *held;
+} node_t;
+
+static node_t a;
+static node_t b;
+static node_t c; /* in another data centre */
+
+static void
+on_verdict(void *user, const gv_verdict_t *v)
+{
+    GvAppender_OnVerdict(((node_t *)user)->appender, v);
+}
+
+static void
+on_batch(void *user)
+{
+    node_t *n = user;
+    GvViews_Publish(n->views, GvReplica_Lock(n->replica));
+    GvReplica_Unlock(n->replica);
+}
+
+static void
+on_message(void *user, gv_str_t from, uint64_t inc, const gv_message_t *m)
+{
+    (void)inc;
+    GvForward_OnMessage(((node_t *)user)->forward, from, m);
+}
+
+static void
+end_run(node_t *n, gv_request_t *rq)
+{
+    char text[64];
+    g_snprintf(text, sizeof text, "run %d at %s", n->started, n->name);
+    gv_answer_t ans = {.outcome = GV_OUTCOME_RUN, .status = 200};
+    ans.body = GvStr_Dup(GvStr_C(text));
+    GvRequest_EndAttempt(rq, false);
+    GvRequest_End(rq, &ans);
+}
+
+static void
+submit(void *user, gv_request_t *rq)
+{
+    node_t *n = user;
+    gint mode = g_atomic_int_get(&n->mode);
+    if (mode == SPILL && !rq->o.no_forward &&
+        GvForward_Spill(n->forward, rq)) {
+        return;
+    }
+    if (mode == NOT_RUN) {
+        gv_answer_t ans = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 503, 0, "full");
+        GvRequest_End(rq, &ans);
+        return;
+    }
+    g_atomic_int_inc(&n->started);
+    GvRequest_BeginAttempt(rq);
+    if (mode == HOLD) {
+        g_atomic_pointer_set(&n->held, GvRequest_Ref(rq));
+        return;
+    }
+    end_run(n, rq);
+}
+
+static void
+start(node_t *n, const char *name, const char *dc, uint64_t incarnation)
+{
+    memset(n, 0, sizeof *n);
+    n->name = name;
+    n->replica = GvReplica_New();
+    n->targets = GvTargets_New(GvStr_C(name), GvStr_C(dc));
+    n->views = GvViews_New(GvStr_C(name), GvStr_C(dc), n->targets);
+    GvViews_SetIncarnation(n->views, incarnation);
+    n->requests = GvRequests_New(1000);
+    gv_appender_opts_t ao = {GvStr_C(platform), GvStr_C(name), incarnation};
+    g_assert_cmpint(GvAppender_Start(&ao, &n->appender), ==, GV_OK);
+    gv_logreader_opts_t ro = {.platform_addr = GvStr_C(platform),
+                              .replica = n->replica,
+                              .on_verdict = on_verdict,
+                              .on_batch = on_batch,
+                              .user = n};
+    g_assert_cmpint(GvLogReader_Start(&ro, &n->reader), ==, GV_OK);
+    gv_forward_opts_t fo = {.self = GvStr_C(name),
+                            .dc = GvStr_C(dc),
+                            .region = GV_STR("r"),
+                            .incarnation = incarnation,
+                            .requests = n->requests,
+                            .replica = n->replica,
+                            .views = n->views,
+                            .appender = n->appender,
+                            .submit = submit,
+                            .user = n};
+    n->forward = GvForward_New(&fo);
+    gv_peers_opts_t po = {
+        .listen_addr = GV_STR("127.0.0.1:0"),
+        .self = {GvStr_C(name), GvStr_C(dc), GV_STR("r"), incarnation},
+        .on_message = on_message,
+        .user = n};
+    g_assert_cmpint(GvPeers_Start(&po, &n->peers), ==, GV_OK);
+    GvForward_SetPeers(n->forward, n->peers);
+    gv_member_t m = {GvStr_C(name),         GvStr_C(dc), GV_STR("127.0.0.1:1"),
+                     GV_STR("127.0.0.1:2"), incarnation, 0};
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
+    GvAppender_Submit(n->appender, "member", GvStr_N(sb.data, sb.size), 5000,
+                      NULL, NULL);
+    msgpack_sbuffer_destroy(&sb);
+    bool joined = false;
+    for (int i = 0; !joined && i < 5000; i++) {
+        joined = GvView_Acquire(n->views)->joined;
+        GvView_Release();
+        g_usleep(1000);
+    }
+    g_assert_true(joined);
+}
+
+static void
+stop(node_t *n)
+{
+    GvLogReader_Stop(n->reader);
+    GvAppender_Stop(n->appender);
+    GvPeers_Stop(n->peers);
+    g_assert_cmpint(GvRequests_Count(n->requests), ==, 0);
+    GvForward_Free(n->forward);
+    GvPeers_Free(n->peers);
+    GvRequests_Free(n->requests);
+    GvViews_Free(n->views);
+    GvTargets_Free(n->targets);
+    GvReplica_Free(n->replica);
+}
+
+static void
+meet(node_t *n, node_t *other)
+{
+    char addr[32];
+    g_snprintf(addr, sizeof addr, "127.0.0.1:%d", GvPeers_Port(other->peers));
+    gv_peer_addr_t p = {.name = GvStr_C(other->name), .addr = GvStr_C(addr)};
+    GvPeers_Set(n->peers, &p);
+}
+
+/* A submission and its answer. */
+typedef struct {
+    gint done;
+    gv_outcome_t outcome;
+    int status;
+    char body[64];
+    gv_request_t *rq;
+} sub_t;
+
+static void
+on_done(void *user, gv_request_t *rq, const gv_answer_t *ans)
+{
+    (void)rq;
+    sub_t *s = user;
+    s->outcome = ans->outcome;
+    s->status = ans->status;
+    g_strlcpy(s->body, ans->body.p != NULL ? ans->body.p : "", sizeof s->body);
+    g_atomic_int_inc(&s->done);
+}
+
+static void
+begin(node_t *n, const char *ticket, const char *key, sub_t *s)
+{
+    memset(s, 0, sizeof *s);
+    gv_request_opts_t o = {.service = GV_STR("svc"),
+                           .method = GV_STR("POST"),
+                           .path = GV_STR("/"),
+                           .ticket = GvStr_C(ticket),
+                           .key = GvStr_C(key),
+                           .body = GvStr_Dup(GV_STR("in")),
+                           .deadline_ms = GvClock_MonoMs() + 8000,
+                           .done = on_done,
+                           .user = s};
+    g_assert_cmpint(GvRequest_New(n->requests, &o, 0, &s->rq), ==, GV_OK);
+    GvForward_Run(n->forward, s->rq);
+}
+
+static void
+finish(sub_t *s, gv_outcome_t outcome, const char *body)
+{
+    for (int i = 0; g_atomic_int_get(&s->done) == 0; i++) {
+        g_assert_cmpint(i, <, 10000);
+        g_usleep(1000);
+    }
+    g_assert_cmpint(s->done, ==, 1);
+    g_assert_cmpint(s->outcome, ==, outcome);
+    if (body != NULL) {
+        g_assert_cmpstr(s->body, ==, body);
+    }
+    GvRequest_Unref(s->rq);
+}
+
+static gv_request_t *
+wait_held(node_t *n)
+{
+    gv_request_t *rq;
+    while ((rq = g_atomic_pointer_get(&n->held)) == NULL) {
+        g_usleep(1000);
+    }
+    g_atomic_pointer_set(&n->held, NULL);
+    return rq;
+}
+
+static void
+reset(run_mode_t ma, run_mode_t mb, run_mode_t mc)
+{
+    node_t *all[] = {&a, &b, &c};
+    run_mode_t modes[] = {ma, mb, mc};
+    for (int i = 0; i < 3; i++) {
+        g_atomic_int_set(&all[i]->started, 0);
+        g_atomic_int_set(&all[i]->mode, (gint)modes[i]);
+    }
+}
+
+/* A ticket that runs twice, or a repeat that does not get the same response,
+   here or through another entry host; also when the first caller leaves. */
+static void
+test_ticket(void)
+{
+    char t[GV_TICKET_TEXT_BYTES];
+    sub_t s[4];
+    reset(HOLD, RUN, RUN);
+    g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
+    begin(&a, t, "", &s[0]);
+    begin(&a, t, "", &s[1]);
+    begin(&b, t, "", &s[2]);
+    gv_request_t *run = wait_held(&a);
+    g_usleep(100000);
+    GvRequest_Cancel(s[0].rq, "left");
+    finish(&s[0], GV_OUTCOME_UNKNOWN, "");
+    end_run(&a, run);
+    GvRequest_Unref(run);
+    finish(&s[1], GV_OUTCOME_RUN, "run 1 at a");
+    finish(&s[2], GV_OUTCOME_RUN, "run 1 at a");
+    begin(&b, t, "", &s[3]);
+    finish(&s[3], GV_OUTCOME_RUN, "run 1 at a");
+    g_assert_cmpint(a.started, ==, 1);
+    g_assert_cmpint(b.started, ==, 0);
+}
+
+/* Outcomes that claim too much: not-run for a ticket that may have run, or a
+   ticket that stays blocked after a run that was refused. */
+static void
+test_ticket_outcomes(void)
+{
+    char t[GV_TICKET_TEXT_BYTES];
+    sub_t s;
+    reset(NOT_RUN, RUN, RUN);
+    g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
+    begin(&b, t, "", &s);
+    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
+    g_assert_cmpint(s.status, ==, 503);
+    reset(RUN, RUN, RUN);
+    begin(&b, t, "", &s);
+    finish(&s, GV_OUTCOME_RUN, "run 1 at a");
+    begin(&a, "x", "", &s);
+    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
+    begin(&b, "a.1.999999.1", "", &s);
+    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
+    begin(&b, "a.2.1.1", "", &s);
+    finish(&s, GV_OUTCOME_UNKNOWN, NULL);
+    begin(&b, "gone.1.1.1", "", &s);
+    finish(&s, GV_OUTCOME_UNKNOWN, NULL);
+    g_assert_cmpint(a.started, ==, 1);
+}
+
+/* A key that is run by two entry hosts, and claims that are not batched. */
+static void
+test_keys(void)
+{
+    sub_t s[80];
+    reset(RUN, RUN, RUN);
+    uint64_t before = GvLogStore_Next(log_store);
+    for (int i = 0; i < 80; i++) {
+        char key[16];
+        g_snprintf(key, sizeof key, "k%d", i / 2);
+        begin(i % 2 == 0 ? &a : &b, "", key, &s[i]);
+    }
+    for (int i = 0; i < 80; i++) {
+        finish(&s[i], GV_OUTCOME_RUN, NULL);
+        g_assert_cmpstr(s[i].body, ==, s[i - i % 2].body);
+    }
+    g_assert_cmpint(a.started + b.started, ==, 40);
+    g_assert_cmpint(GvLogStore_Next(log_store) - before, <, 40);
+    /* The log is down: nothing is known about a new key. */
+    GvServer_Refuse(server, true);
+    begin(&a, "", "k0", &s[0]);
+    finish(&s[0], GV_OUTCOME_RUN, NULL);
+    begin(&a, "", "new", &s[0]);
+    finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
+    GvServer_Refuse(server, false);
+    g_assert_cmpint(a.started + b.started, ==, 40);
+}
+
+/* Tells n that the peer has free slots, as its heartbeat would. */
+static void
+beat(node_t *from, node_t *to, int slots)
+{
+    gv_load_t load = {GV_STR("svc"), 0, 0, slots, 0};
+    gv_message_t m = {.kind = GV_MSG_HEARTBEAT};
+    m.u.heartbeat.loads = &load;
+    m.u.heartbeat.n_loads = 1;
+    g_assert_cmpint(GvPeers_Send(from->peers, GvStr_C(to->name), &m), ==, 0);
+    g_usleep(100000);
+}
+
+/* A spilled request that runs at both ends, or that is retried although it may
+   have run, or whose cancellation does not reach the peer. */
+static void
+test_spill(void)
+{
+    sub_t s;
+    beat(&c, &a, 4);
+    reset(SPILL, RUN, RUN);
+    begin(&a, "", "", &s);
+    finish(&s, GV_OUTCOME_RUN, "run 1 at c");
+    g_assert_cmpint(a.started, ==, 0);
+    reset(SPILL, RUN, NOT_RUN);
+    begin(&a, "", "", &s);
+    finish(&s, GV_OUTCOME_RUN, "run 1 at a");
+    g_assert_cmpint(c.started, ==, 0);
+    reset(SPILL, RUN, HOLD);
+    begin(&a, "", "", &s);
+    gv_request_t *run = wait_held(&c);
+    GvRequest_Cancel(s.rq, "left");
+    finish(&s, GV_OUTCOME_UNKNOWN, "");
+    for (int i = 0; !GvRequest_Ended(run) && i < 5000; i++) {
+        g_usleep(1000);
+    }
+    g_assert_true(GvRequest_Ended(run));
+    GvRequest_Unref(run);
+    /* The last free slot of the heartbeat; then none is left to spill to. */
+    begin(&a, "", "", &s);
+    run = wait_held(&c);
+    sub_t here;
+    begin(&a, "", "", &here);
+    finish(&here, GV_OUTCOME_RUN, "run 1 at a");
+    /* The peer goes away after it has started the run. */
+    end_run(&c, run);
+    GvRequest_Unref(run);
+    finish(&s, GV_OUTCOME_RUN, "run 2 at c");
+    beat(&c, &a, 1);
+    begin(&a, "", "", &s);
+    run = wait_held(&c);
+    GvPeers_Stop(c.peers);
+    finish(&s, GV_OUTCOME_UNKNOWN, "");
+    g_assert_cmpint(a.started, ==, 1);
+    end_run(&c, run);
+    GvRequest_Unref(run);
+}
+
+static void
+choose_port(void)
+{
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof in;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, len), ==, 0);
+    getsockname(fd, (struct sockaddr *)&in, &len);
+    close(fd);
+    g_snprintf(platform, sizeof platform, "127.0.0.1:%d", ntohs(in.sin_port));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    log_store = GvLogStore_New(0, 0);
+    choose_port();
+    gv_server_opts_t o = {platform, 16, 4 * GV_RECORD_MAX_BYTES, handle, NULL};
+    g_assert_cmpint(GvServer_Start(&o, &server), ==, GV_OK);
+    start(&a, "a", "k1", 1);
+    start(&b, "b", "k1", 1);
+    start(&c, "c", "k2", 1);
+    node_t *all[] = {&a, &b, &c};
+    for (int i = 0; i < 9; i++) {
+        meet(all[i / 3], all[i % 3]);
+    }
+    g_test_add_func("/forward/ticket", test_ticket);
+    g_test_add_func("/forward/ticket-outcomes", test_ticket_outcomes);
+    g_test_add_func("/forward/keys", test_keys);
+    g_test_add_func("/forward/spill", test_spill);
+    int failed = g_test_run();
+    stop(&a);
+    stop(&b);
+    stop(&c);
+    GvServer_Stop(server);
+    GvLogStore_Free(log_store);
+    return failed;
+}
