Cancel a ticket's run that nobody waits for before it starts

A run went on when all its callers had left, also while it was only queued, so that a burst of cancellations kept its work.

--- a/src/forward.c
+++ b/src/forward.c
@@ -11,6 +11,18 @@
 GV_COUNTER(repeats, "repeats_total",
            "Submissions that joined a run or got a kept answer");
 
+static guint
+hash_id(gconstpointer p)
+{
+    return GvStr_Hash(*(const gv_str_t *)p);
+}
+
+static gboolean
+equal_ids(gconstpointer a, gconstpointer b)
+{
+    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
+}
+
 /* Creates the module. The strings in o are copied. */
 gv_forward_t *
 GvForward_New(const gv_forward_opts_t *o)
@@ -26,6 +38,7 @@
     for (int i = 0; i < GV_SHARDS; i++) {
         pthread_mutex_init(&f->shards[i].mu, NULL);
         f->shards[i].once = GvOnce_New(o->self, o->incarnation);
+        f->shards[i].runs = g_hash_table_new(hash_id, equal_ids);
     }
     pthread_mutex_init(&f->claim_mu, NULL);
     pthread_mutex_init(&f->hop_mu, NULL);
@@ -47,6 +60,7 @@
     }
     for (int i = 0; i < GV_SHARDS; i++) {
         GvOnce_Free(f->shards[i].once);
+        g_hash_table_destroy(f->shards[i].runs);
         pthread_mutex_destroy(&f->shards[i].mu);
     }
     for (guint i = 0; i < f->unclaimed->len; i++) {
@@ -154,6 +168,8 @@
     pthread_mutex_lock(&run->shard->mu);
     void **waiters =
         GvOnce_Finish(run->shard->once, run->id, a, GvClock_WallMs(), &n);
+    /* The table of runs borrows the request: it ends only after this. */
+    g_hash_table_remove(run->shard->runs, &run->id);
     pthread_mutex_unlock(&run->shard->mu);
     for (int i = 0; i < n; i++) {
         GvForward_Reply(waiters[i], GvAnswer_Copy(a));
@@ -207,6 +223,12 @@
         GvAnswer_Free(&a);
     }
     else {
+        pthread_mutex_lock(&shard->mu);
+        /* finish_run removes it after it has ended. */
+        if (!GvRequest_Ended(inner)) {
+            g_hash_table_insert(shard->runs, &run->id, inner);
+        }
+        pthread_mutex_unlock(&shard->mu);
         f->o.submit(f->o.user, inner);
         GvRequest_Unref(inner);
     }
@@ -245,7 +267,9 @@
     }
 }
 
-/* Drops a request that has ended from the waiters of its run. */
+/* Drops a request that has ended from the waiters of its run. A run that
+   nobody waits for is cancelled if it has not been started; otherwise it goes
+   on and its answer is kept. */
 static void
 on_waiter_ended(void *user, gv_request_t *rq)
 {
@@ -265,10 +289,18 @@
         sh = shard_of_key(f, id);
     }
     pthread_mutex_lock(&sh->mu);
-    bool removed = GvOnce_RemoveWaiter(sh->once, id, rq);
+    int left = GvOnce_RemoveWaiter(sh->once, id, rq);
+    gv_request_t *run = left == 0 ? g_hash_table_lookup(sh->runs, &id) : NULL;
+    if (run != NULL) {
+        GvRequest_Ref(run);
+    }
     pthread_mutex_unlock(&sh->mu);
     GvStr_Free(&owned);
-    if (removed) {
+    if (run != NULL) {
+        GvRequest_CancelIdle(run, "nobody waits for it");
+        GvRequest_Unref(run);
+    }
+    if (left >= 0) {
         GvRequest_Unref(rq);
     }
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -12,6 +12,7 @@
 typedef struct {
     pthread_mutex_t mu;
     gv_once_t *once;
+    GHashTable *runs; /* id (gv_str_t) -> request that runs it */
 } gv_onceshard_t;
 
 struct gv_forward_s {
--- a/src/once.c
+++ b/src/once.c
@@ -254,13 +254,17 @@
     return w;
 }
 
-/* Drops a waiter whose caller left. Returns false when it was not waiting. */
-bool
+/* Drops a waiter whose caller left. Returns the number of waiters left, or
+   GV_ENOENT when it was not waiting. */
+int
 GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter)
 {
     entry_t *e = g_hash_table_lookup(o->entries, &id);
-    return e != NULL && e->waiters != NULL &&
-           g_ptr_array_remove(e->waiters, waiter);
+    if (e == NULL || e->waiters == NULL ||
+        !g_ptr_array_remove(e->waiters, waiter)) {
+        return GV_ENOENT;
+    }
+    return (int)e->waiters->len;
 }
 
 /* Forgets entries that are not running and whose expiry is more than
--- a/src/once.h
+++ b/src/once.h
@@ -1,7 +1,6 @@
 #ifndef GV_ONCE_H
 #define GV_ONCE_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 #include "outcome.h"
@@ -44,8 +43,9 @@
    startable again. Returns the waiters (g_free the array, not its items). */
 void **GvOnce_Finish(gv_once_t *o, gv_str_t id, const gv_answer_t *a,
                      int64_t now_ms, int *n_waiters);
-/* Drops a waiter whose caller left; false when it was not waiting. */
-bool GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter);
+/* Drops a waiter whose caller left. Returns the number of waiters left, or
+   GV_ENOENT when it was not waiting. */
+int GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter);
 /* Forgets entries past expiry and grace; returns how many. */
 int GvOnce_Sweep(gv_once_t *o, int64_t now_ms);
 int GvOnce_Count(const gv_once_t *o);
--- a/src/request.c
+++ b/src/request.c
@@ -210,14 +210,17 @@
     }
 }
 
-/* Ends the request with an answer, whose strings are taken over, and tells
-   the submitter and the holder. not-run becomes unknown when an attempt is
-   active or an earlier one may have run. Returns false, and drops the answer,
-   when the request had already ended. No lock may be held. */
-bool
-GvRequest_End(gv_request_t *rq, gv_answer_t *a)
+/* Ends the request as GvRequest_End does; with idle_only only while it has
+   certainly not run. */
+static bool
+end_request(gv_request_t *rq, gv_answer_t *a, bool idle_only)
 {
     shard_t *sh = lock_request(rq);
+    if (idle_only && (rq->active || rq->unsure)) {
+        pthread_mutex_unlock(&sh->lock);
+        GvAnswer_Free(a);
+        return false;
+    }
     if (rq->ended) {
         pthread_mutex_unlock(&sh->lock);
         GvCounter_Add(&late_answers, 1);
@@ -247,6 +250,25 @@
     return true;
 }
 
+/* Ends the request with an answer, whose strings are taken over, and tells
+   the submitter and the holder. not-run becomes unknown when an attempt is
+   active or an earlier one may have run. Returns false, and drops the answer,
+   when the request had already ended. No lock may be held. */
+bool
+GvRequest_End(gv_request_t *rq, gv_answer_t *a)
+{
+    return end_request(rq, a, false);
+}
+
+/* Ends the request as not-run if no attempt is active and none may have run.
+   Returns whether it has ended it. No lock may be held. */
+bool
+GvRequest_CancelIdle(gv_request_t *rq, const char *reason)
+{
+    gv_answer_t a = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 409, 0, reason);
+    return end_request(rq, &a, true);
+}
+
 /* Ends the request because nobody waits for it any more: unknown if it may
    have run, else not-run. Returns false when it had already ended. */
 bool
--- a/src/request.h
+++ b/src/request.h
@@ -86,6 +86,9 @@
 bool GvRequest_End(gv_request_t *rq, gv_answer_t *a);
 /* Ends the request without a response: not-run or unknown by its state. */
 bool GvRequest_Cancel(gv_request_t *rq, const char *reason);
+/* Ends the request as not-run only if it has certainly not run: no attempt is
+   active and none may have run. Returns whether it has ended it. */
+bool GvRequest_CancelIdle(gv_request_t *rq, const char *reason);
 bool GvRequest_Ended(gv_request_t *rq);
 /* Makes another module the holder; false when the request has ended, in which
    case the new holder is not called. */
--- a/tests/script_once.c
+++ b/tests/script_once.c
@@ -128,7 +128,7 @@
 {
     (void)argc;
     printf("%s", GvOnce_RemoveWaiter(once, GvStr_C(argv[1]),
-                                     GINT_TO_POINTER(atoi(argv[2])))
+                                     GINT_TO_POINTER(atoi(argv[2]))) >= 0
                      ? "left"
                      : "was not waiting");
     end_line();
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -47,7 +47,7 @@
     g_usleep(empty ? 5000 : 0);
 }
 
-typedef enum { RUN, NOT_RUN, HOLD, SPILL } run_mode_t;
+typedef enum { RUN, NOT_RUN, HOLD, QUEUE, SPILL } run_mode_t;
 
 /* One entry host; submit stands for the dispatcher. */
 typedef struct {
@@ -115,9 +115,11 @@
         GvRequest_End(rq, &ans);
         return;
     }
-    g_atomic_int_inc(&n->started);
-    GvRequest_BeginAttempt(rq);
-    if (mode == HOLD) {
+    if (mode != QUEUE) {
+        g_atomic_int_inc(&n->started);
+        GvRequest_BeginAttempt(rq);
+    }
+    if (mode == HOLD || mode == QUEUE) {
         g_atomic_pointer_set(&n->held, GvRequest_Ref(rq));
         return;
     }
@@ -327,6 +329,30 @@
     g_assert_cmpint(a.started, ==, 1);
 }
 
+/* A run that goes on, or blocks its ticket, although its last caller left
+   before it was started. */
+static void
+test_ticket_cancel(void)
+{
+    char t[GV_TICKET_TEXT_BYTES];
+    sub_t s[2];
+    reset(QUEUE, RUN, RUN);
+    g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
+    begin(&a, t, "", &s[0]);
+    begin(&a, t, "", &s[1]);
+    gv_request_t *run = wait_held(&a);
+    GvRequest_Cancel(s[0].rq, "left");
+    g_assert_false(GvRequest_Ended(run));
+    GvRequest_Cancel(s[1].rq, "left");
+    g_assert_true(GvRequest_Ended(run));
+    GvRequest_Unref(run);
+    finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
+    finish(&s[1], GV_OUTCOME_UNKNOWN, NULL);
+    reset(RUN, RUN, RUN);
+    begin(&a, t, "", &s[0]);
+    finish(&s[0], GV_OUTCOME_RUN, "run 1 at a");
+}
+
 /* A key that is run by two entry hosts, and claims that are not batched. */
 static void
 test_keys(void)
@@ -442,6 +468,7 @@
     }
     g_test_add_func("/forward/ticket", test_ticket);
     g_test_add_func("/forward/ticket-outcomes", test_ticket_outcomes);
+    g_test_add_func("/forward/ticket-cancel", test_ticket_cancel);
     g_test_add_func("/forward/keys", test_keys);
     g_test_add_func("/forward/spill", test_spill);
     int failed = g_test_run();
