--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,14 @@
 
 TESTSRC = $(wildcard tests/*.c)
 TESTS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/test_*.c)) \
-        $(B)/tests/script
+        $(B)/tests/script $(B)/tests/test_embed
 SCRIPTSRC = $(wildcard tests/script*.c)
 
+# gypsumvalve.h and the headers that it includes.
+PUBLIC = gypsumvalve.h burn.h error.h estimate.h ledger.h limits.h once.h \
+         outcome.h pack.h placement.h queue.h record.h registry.h reserve.h \
+         retry.h settings.h slots.h str.h ticket.h wave.h
+
 .PHONY: all tests mutants packages check lint format demo bench fuzz asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
 
@@ -58,6 +63,10 @@
 $(B)/tests/%: tests/%.c $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
 
+# The embedding example is built and run with the tests.
+$(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)
+	$(CC) $(ALL_CFLAGS) $< $(WHOLE) -o $@ $(LIBS)
+
 $(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
 
@@ -79,6 +88,7 @@
 
 lint: packages
 	clang-format --dry-run -Werror $(wildcard src/*.[ch]) $(wildcard tests/*.[ch]) \
+	    $(wildcard examples/*.c) \
 	    $(wildcard bench/*.[ch])
 	printf '%s\n' $(wildcard src/*.c) $(TESTSRC) $(wildcard bench/*.c) | \
 	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) \
@@ -107,7 +117,7 @@
 	install -D -m 755 -t $(DESTDIR)/usr/sbin $(B)/gventryd
 	install -D -m 755 -t $(DESTDIR)/usr/bin $(B)/gypsumvalve
 	install -D -m 644 -t $(DESTDIR)/usr/lib $(B)/libgypsumvalve.so
-	install -D -m 644 -t $(DESTDIR)/usr/include src/gypsumvalve.h
+	install -D -m 644 -t $(DESTDIR)/usr/include/gypsumvalve $(PUBLIC:%=src/%)
 
 clean:
 	rm -rf build
