--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -2,6 +2,7 @@
 #define GV_FORWARD_PRIVATE_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 #include "forward.h"
@@ -9,8 +10,9 @@
 #include "once.h"
 
 typedef struct {
-    GMutex mu;
+    pthread_mutex_t mu;
     gv_once_t *once;
+    GHashTable *runs; /* id (gv_str_t) -> request that runs it */
 } gv_onceshard_t;
 
 struct gv_forward_s {
@@ -20,10 +22,10 @@
     atomic_uint_fast64_t next_sequence;
     atomic_uint next_sweep;
     gv_onceshard_t shards[GV_SHARDS];
-    GMutex claim_mu;
+    pthread_mutex_t claim_mu;
     GPtrArray *unclaimed; /* requests whose key is to be claimed */
     int claims;           /* records appended and not yet decided */
-    GMutex hop_mu;
+    pthread_mutex_t hop_mu;
     GHashTable *hops;   /* request -> hop_t at a peer */
     GHashTable *served; /* "PEER NUMBER" -> request of that peer */
     GHashTable *loads;  /* peer -> GHashTable of service -> free slots */
