Use POSIX threads in the platform modules

The house style names POSIX threads. GLib's mutexes are invisible to the thread sanitizer, which then reports every guarded field. Timed waits use the monotonic clock through sync.h. A thread that cannot be started is now an error of the Start functions instead of an abort.

--- a/src/appender.c
+++ b/src/appender.c
@@ -1,6 +1,7 @@
 #include "appender.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "clock.h"
@@ -8,6 +9,7 @@
 #include "error.h"
 #include "limits.h"
 #include "platform.h"
+#include "sync.h"
 
 GV_COUNTER(append_calls, "log_append_calls_total",
            "Appends sent to the platform's log");
@@ -45,9 +47,9 @@
 struct gv_appender_s {
     gv_appender_opts_t opts;
     gv_platform_t *platform; /* used by the thread only */
-    GThread *thread;
-    GMutex lock; /* covers everything below */
-    GCond change;
+    pthread_t thread;
+    pthread_mutex_t lock; /* covers everything below */
+    pthread_cond_t change;
     bool stopping;
     GQueue pending;      /* of item_t: never sent */
     GHashTable *waiting; /* sequence (uint64_t *) -> item_t: maybe sent */
@@ -270,10 +272,10 @@
     GvCounter_Add(&append_repeats, repeated ? 1 : 0);
     uint64_t first;
     bool sent = false;
-    g_mutex_unlock(&a->lock);
+    pthread_mutex_unlock(&a->lock);
     int err = GvPlatform_Append(a->platform, a->batch.bytes, a->batch.n,
                                 &first, &sent);
-    g_mutex_lock(&a->lock);
+    pthread_mutex_lock(&a->lock);
     handle_sent(a, err, sent, repeated, results);
 }
 
@@ -335,29 +337,42 @@
     return true;
 }
 
-static gpointer
-append_loop(gpointer user)
+static void *
+append_loop(void *user)
 {
     gv_appender_t *a = user;
-    g_mutex_lock(&a->lock);
+    pthread_mutex_lock(&a->lock);
     while (!a->stopping) {
         GArray *results = new_results();
         bool busy = step(a, results);
         if (busy || results->len > 0) {
-            g_mutex_unlock(&a->lock);
+            pthread_mutex_unlock(&a->lock);
             deliver(results);
-            g_mutex_lock(&a->lock);
+            pthread_mutex_lock(&a->lock);
             continue;
         }
         g_array_free(results, TRUE);
         int64_t wake_ms = next_wake(a, GvClock_MonoMs());
-        g_cond_wait_until(&a->change, &a->lock, wake_ms * 1000 + 1000);
+        GvSync_WaitUntil(&a->change, &a->lock, wake_ms * 1000 + 1000);
     }
-    g_mutex_unlock(&a->lock);
+    pthread_mutex_unlock(&a->lock);
     return NULL;
 }
 
-/* Starts the appender's thread. Returns 0. */
+static void
+free_appender(gv_appender_t *a)
+{
+    clear_batch(a);
+    g_hash_table_destroy(a->waiting);
+    GvPlatform_Free(a->platform);
+    GvStr_Free(&a->opts.platform_addr);
+    GvStr_Free(&a->opts.origin);
+    pthread_mutex_destroy(&a->lock);
+    pthread_cond_destroy(&a->change);
+    g_free(a);
+}
+
+/* Starts the appender's thread. Returns 0, or GV_EIO when there is none. */
 int
 GvAppender_Start(const gv_appender_opts_t *o, gv_appender_t **out)
 {
@@ -370,10 +385,13 @@
     a->waiting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     g_queue_init(&a->pending);
-    g_mutex_init(&a->lock);
-    g_cond_init(&a->change);
+    pthread_mutex_init(&a->lock, NULL);
+    GvSync_InitCond(&a->change);
+    if (pthread_create(&a->thread, NULL, append_loop, a) != 0) {
+        free_appender(a);
+        return GV_EIO;
+    }
     *out = a;
-    a->thread = g_thread_new("appender", append_loop, a);
     return GV_OK;
 }
 
@@ -382,22 +400,15 @@
 void
 GvAppender_Stop(gv_appender_t *a)
 {
-    g_mutex_lock(&a->lock);
+    pthread_mutex_lock(&a->lock);
     a->stopping = true;
-    g_cond_broadcast(&a->change);
-    g_mutex_unlock(&a->lock);
-    g_thread_join(a->thread);
+    pthread_cond_broadcast(&a->change);
+    pthread_mutex_unlock(&a->lock);
+    pthread_join(a->thread, NULL);
     GArray *results = new_results();
     expire(a, G_MAXINT64, results);
     deliver(results);
-    clear_batch(a);
-    g_hash_table_destroy(a->waiting);
-    GvPlatform_Free(a->platform);
-    GvStr_Free(&a->opts.platform_addr);
-    GvStr_Free(&a->opts.origin);
-    g_mutex_clear(&a->lock);
-    g_cond_clear(&a->change);
-    g_free(a);
+    free_appender(a);
 }
 
 /* Queues one record; see the header. done is called on the appender's thread
@@ -415,7 +426,7 @@
         return GV_ETOOBIG;
     }
     int err = GV_EFULL;
-    g_mutex_lock(&a->lock);
+    pthread_mutex_lock(&a->lock);
     if (a->stopping) {
         err = GV_ESTOPPED;
     }
@@ -428,10 +439,10 @@
         it->done = done;
         it->user = user;
         g_queue_push_tail(&a->pending, it);
-        g_cond_broadcast(&a->change);
+        pthread_cond_broadcast(&a->change);
         err = GV_OK;
     }
-    g_mutex_unlock(&a->lock);
+    pthread_mutex_unlock(&a->lock);
     return err;
 }
 
@@ -448,7 +459,7 @@
     uint64_t seq = v->sequence;
     gpointer key;
     gpointer value;
-    g_mutex_lock(&a->lock);
+    pthread_mutex_lock(&a->lock);
     if (g_hash_table_steal_extended(a->waiting, &seq, &key, &value)) {
         g_free(key);
         bool dup = v->kind == GV_VERDICT_DUPLICATE;
@@ -457,8 +468,8 @@
     if (a->batch.n > 0 && seq >= a->batch.first_seq &&
         seq < a->batch.first_seq + (uint64_t)a->batch.n) {
         a->batch.decided[seq - a->batch.first_seq] = true;
-        g_cond_broadcast(&a->change);
+        pthread_cond_broadcast(&a->change);
     }
-    g_mutex_unlock(&a->lock);
+    pthread_mutex_unlock(&a->lock);
     deliver(results);
 }
--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -3,6 +3,7 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,16 +21,19 @@
     int64_t used_ms; /* end of the last exchange */
 };
 
+/* Also sets SIGPIPE to be ignored. */
+static void
+init_neon(void)
+{
+    ne_sock_init();
+}
+
 /* Creates a client without a connection. */
 gv_http_client_t *
 GvHttp_New(void)
 {
-    static gsize once;
-    if (g_once_init_enter(&once)) {
-        /* Also sets SIGPIPE to be ignored. */
-        ne_sock_init();
-        g_once_init_leave(&once, 1);
-    }
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
+    pthread_once(&once, init_neon);
     return g_new0(gv_http_client_t, 1);
 }
 
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -4,6 +4,7 @@
 #include <glib-unix.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
@@ -16,7 +17,7 @@
 struct gv_server_s {
     gv_server_opts_t opts;
     struct sockaddr_in sin;
-    GMutex lock;
+    pthread_mutex_t lock;
     struct MHD_Daemon *daemon; /* the one that listens, or NULL */
     GPtrArray *quiesced;       /* daemons that only finish their connections */
 };
@@ -188,7 +189,7 @@
         g_free(s);
         return err;
     }
-    g_mutex_init(&s->lock);
+    pthread_mutex_init(&s->lock, NULL);
     s->quiesced = g_ptr_array_new();
     *out = s;
     return GV_OK;
@@ -205,7 +206,7 @@
         MHD_stop_daemon(s->quiesced->pdata[i]);
     }
     g_ptr_array_free(s->quiesced, TRUE);
-    g_mutex_clear(&s->lock);
+    pthread_mutex_destroy(&s->lock);
     g_free(s);
 }
 
@@ -215,7 +216,7 @@
 GvServer_Refuse(gv_server_t *s, bool refuse)
 {
     int err = GV_OK;
-    g_mutex_lock(&s->lock);
+    pthread_mutex_lock(&s->lock);
     if (refuse && s->daemon != NULL) {
         MHD_socket fd = MHD_quiesce_daemon(s->daemon);
         if (fd != MHD_INVALID_SOCKET) {
@@ -228,7 +229,7 @@
         s->daemon = start_daemon(s);
         err = s->daemon == NULL ? GV_EIO : GV_OK;
     }
-    g_mutex_unlock(&s->lock);
+    pthread_mutex_unlock(&s->lock);
     return err;
 }
 
--- a/src/logreader.c
+++ b/src/logreader.c
@@ -1,6 +1,7 @@
 #include "logreader.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "clock.h"
@@ -9,6 +10,7 @@
 #include "limits.h"
 #include "log.h"
 #include "platform.h"
+#include "sync.h"
 
 GV_COUNTER(records_read, "log_records_read_total",
            "Log records applied by the log reader");
@@ -20,9 +22,9 @@
 struct gv_logreader_s {
     gv_logreader_opts_t opts;
     gv_platform_t *platform; /* used by the thread only */
-    GThread *thread;
-    GMutex lock; /* covers everything below */
-    GCond change;
+    pthread_t thread;
+    pthread_mutex_t lock; /* covers everything below */
+    pthread_cond_t change;
     bool stopping;
     bool poked; /* somebody waits: end the present delay */
     bool ok;
@@ -42,9 +44,9 @@
 static bool
 is_stopping(gv_logreader_t *r)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     bool stopping = r->stopping;
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return stopping;
 }
 
@@ -52,13 +54,13 @@
 static void
 set_ok(gv_logreader_t *r, bool ok, const char *why)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     bool changed = r->ok != ok || (!ok && !r->warned);
     r->ok = ok;
     r->warned = !ok;
     r->failures = ok ? 0 : r->failures + 1;
-    g_cond_broadcast(&r->change);
-    g_mutex_unlock(&r->lock);
+    pthread_cond_broadcast(&r->change);
+    pthread_mutex_unlock(&r->lock);
     if (!ok) {
         GvCounter_Add(&read_errors, 1);
     }
@@ -70,12 +72,12 @@
 static void
 set_retained(gv_logreader_t *r, const gv_log_page_t *page)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     r->retained.first = page->first;
     r->retained.next = page->next;
     r->retained.retention_ms = page->retention_ms;
-    g_cond_broadcast(&r->change);
-    g_mutex_unlock(&r->lock);
+    pthread_cond_broadcast(&r->change);
+    pthread_mutex_unlock(&r->lock);
 }
 
 /* Applies the records of a page. */
@@ -207,13 +209,13 @@
 pause_for(gv_logreader_t *r, int64_t ms)
 {
     gint64 end = g_get_monotonic_time() + ms * 1000;
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     while (!r->stopping && !r->poked &&
-           g_cond_wait_until(&r->change, &r->lock, end)) {
+           GvSync_WaitUntil(&r->change, &r->lock, end)) {
     }
     bool early = r->stopping || r->poked;
     r->poked = false;
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return !early;
 }
 
@@ -237,8 +239,8 @@
     } while (ms > 0 && pause_for(r, ms) && !is_stopping(r));
 }
 
-static gpointer
-read_loop(gpointer user)
+static void *
+read_loop(void *user)
 {
     gv_logreader_t *r = user;
     while (!is_stopping(r)) {
@@ -250,18 +252,31 @@
     return NULL;
 }
 
-/* Starts the reader's thread. Returns 0. */
+static void
+free_reader(gv_logreader_t *r)
+{
+    GvPlatform_Free(r->platform);
+    GvStr_Free(&r->opts.platform_addr);
+    pthread_mutex_destroy(&r->lock);
+    pthread_cond_destroy(&r->change);
+    g_free(r);
+}
+
+/* Starts the reader's thread. Returns 0, or GV_EIO when there is none. */
 int
 GvLogReader_Start(const gv_logreader_opts_t *o, gv_logreader_t **out)
 {
     gv_logreader_t *r = g_new0(gv_logreader_t, 1);
     r->opts = *o;
     r->platform = GvPlatform_New(o->platform_addr);
-    g_mutex_init(&r->lock);
-    g_cond_init(&r->change);
+    pthread_mutex_init(&r->lock, NULL);
+    GvSync_InitCond(&r->change);
     r->opts.platform_addr = GvStr_Dup(o->platform_addr);
+    if (pthread_create(&r->thread, NULL, read_loop, r) != 0) {
+        free_reader(r);
+        return GV_EIO;
+    }
     *out = r;
-    r->thread = g_thread_new("logreader", read_loop, r);
     return GV_OK;
 }
 
@@ -270,25 +285,21 @@
 void
 GvLogReader_Stop(gv_logreader_t *r)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     r->stopping = true;
-    g_cond_broadcast(&r->change);
-    g_mutex_unlock(&r->lock);
-    g_thread_join(r->thread);
-    GvPlatform_Free(r->platform);
-    GvStr_Free(&r->opts.platform_addr);
-    g_mutex_clear(&r->lock);
-    g_cond_clear(&r->change);
-    g_free(r);
+    pthread_cond_broadcast(&r->change);
+    pthread_mutex_unlock(&r->lock);
+    pthread_join(r->thread, NULL);
+    free_reader(r);
 }
 
 /* Tells whether the last read succeeded. */
 bool
 GvLogReader_PlatformOk(gv_logreader_t *r)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     bool ok = r->ok;
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return ok;
 }
 
@@ -303,9 +314,9 @@
 gv_retained_t
 GvLogReader_Retained(gv_logreader_t *r)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     gv_retained_t kept = r->retained;
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return kept;
 }
 
@@ -337,13 +348,13 @@
         return err == GV_ETIMEDOUT ? err : GV_ECONN;
     }
     while (next_offset(r) < head) {
-        g_mutex_lock(&r->lock);
+        pthread_mutex_lock(&r->lock);
         r->poked = true;
-        g_cond_broadcast(&r->change);
+        pthread_cond_broadcast(&r->change);
         gint64 soon = g_get_monotonic_time() + GV_TIMER_TICK_MS * 1000;
-        g_cond_wait_until(&r->change, &r->lock, MIN(soon, end));
+        GvSync_WaitUntil(&r->change, &r->lock, MIN(soon, end));
         bool stopping = r->stopping;
-        g_mutex_unlock(&r->lock);
+        pthread_mutex_unlock(&r->lock);
         if (stopping || g_get_monotonic_time() >= end) {
             return next_offset(r) >= head ? GV_OK : GV_ETIMEDOUT;
         }
--- a/src/prober.c
+++ b/src/prober.c
@@ -1,5 +1,6 @@
 #include "prober.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #include "clock.h"
@@ -8,6 +9,7 @@
 #include "httpclient.h"
 #include "limits.h"
 #include "platform.h"
+#include "sync.h"
 
 GV_COUNTER(probes, "probes_total", "Health probes sent");
 GV_COUNTER(probes_failed, "probes_failed_total",
@@ -15,6 +17,9 @@
 GV_COUNTER(old_lists, "host_lists_old_total",
            "Host lists ignored because a newer one was seen");
 
+/* Workers, the prober and the lister. */
+#define THREADS (GV_PROBE_THREADS + 2)
+
 typedef struct {
     gv_str_t host;
     gv_str_t addr;
@@ -32,13 +37,16 @@
 
 struct gv_prober_s {
     gv_prober_opts_t opts;
-    GThread *prober;
-    GThread *lister;
-    GThreadPool *pool;
-    GMutex lock; /* covers everything below */
-    GCond change;
+    pthread_t prober;
+    pthread_t lister;
+    pthread_t workers[GV_PROBE_THREADS];
+    int n_threads;        /* started: workers, prober, lister */
+    pthread_mutex_t lock; /* covers everything below */
+    pthread_cond_t change;
     bool stopping;
     gv_health_table_t *table;
+    pthread_cond_t work; /* jobs or stopping */
+    GQueue jobs;         /* of target_t: copies to be probed */
     GArray *changes;     /* of change_t, collected under the lock */
     GHashTable *targets; /* name -> target_t */
     gv_str_t *members;
@@ -71,7 +79,7 @@
 {
     GArray *changes = p->changes;
     p->changes = g_array_new(FALSE, FALSE, sizeof(change_t));
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     for (guint i = 0; i < changes->len; i++) {
         change_t *c = &g_array_index(changes, change_t, i);
         p->opts.on_health(p->opts.user, c->host, c->boot, c->healthy,
@@ -87,7 +95,7 @@
 pause_locked(gv_prober_t *p, int64_t ms)
 {
     gint64 end = g_get_monotonic_time() + ms * 1000;
-    while (!p->stopping && g_cond_wait_until(&p->change, &p->lock, end)) {
+    while (!p->stopping && GvSync_WaitUntil(&p->change, &p->lock, end)) {
     }
     return !p->stopping;
 }
@@ -112,22 +120,40 @@
     return res;
 }
 
-/* Runs one probe on a thread of the pool; data is a copy of the target. */
+/* Probes a copy of a target and applies the result. */
 static void
-probe_task(gpointer data, gpointer user)
+probe_target(gv_prober_t *p, const target_t *copy)
 {
-    gv_prober_t *p = user;
-    target_t *copy = data;
     gv_health_report_t r;
     int err = GvProber_Probe(copy->addr, GV_PROBE_TIMEOUT_MS, &r);
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     target_t *t = g_hash_table_lookup(p->targets, copy->host.p);
     if (t != NULL && GvStr_Equal(t->addr, copy->addr)) {
         t->busy = false;
         GvHealth_OnProbe(p->table, t->host, err == GV_OK ? &r : NULL);
     }
     unlock_and_tell(p);
-    free_target(copy);
+}
+
+/* Takes jobs until the prober stops. */
+static void *
+work_loop(void *user)
+{
+    gv_prober_t *p = user;
+    pthread_mutex_lock(&p->lock);
+    while (!p->stopping) {
+        target_t *copy = g_queue_pop_head(&p->jobs);
+        if (copy == NULL) {
+            pthread_cond_wait(&p->work, &p->lock);
+            continue;
+        }
+        pthread_mutex_unlock(&p->lock);
+        probe_target(p, copy);
+        free_target(copy);
+        pthread_mutex_lock(&p->lock);
+    }
+    pthread_mutex_unlock(&p->lock);
+    return NULL;
 }
 
 /* Starts a probe of each target in this entry host's share; the lock is held.
@@ -148,20 +174,21 @@
         copy->host = GvStr_Dup(t->host);
         copy->addr = GvStr_Dup(t->addr);
         t->busy = true;
-        g_thread_pool_push(p->pool, copy, NULL);
+        g_queue_push_tail(&p->jobs, copy);
     }
+    pthread_cond_broadcast(&p->work);
 }
 
-static gpointer
-probe_loop(gpointer user)
+static void *
+probe_loop(void *user)
 {
     gv_prober_t *p = user;
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     while (!p->stopping) {
         start_probes(p);
         pause_locked(p, GV_PROBE_INTERVAL_MS);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     return NULL;
 }
 
@@ -190,7 +217,7 @@
 static void
 apply_list(gv_prober_t *p, const gv_hostlist_t *list)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     bool newer = GvHealth_OnList(p->table, list);
     bool old = !newer && list->version < p->list_version;
     if (newer) {
@@ -204,8 +231,8 @@
     }
 }
 
-static gpointer
-list_loop(gpointer user)
+static void *
+list_loop(void *user)
 {
     gv_prober_t *p = user;
     gv_platform_t *platform = GvPlatform_New(p->opts.platform_addr);
@@ -216,17 +243,38 @@
             apply_list(p, &list);
             GvHostList_Clear(&list);
         }
-        g_mutex_lock(&p->lock);
+        pthread_mutex_lock(&p->lock);
         /* The jitter spreads the entry hosts' reads. */
         int64_t jitter = g_random_int_range(0, GV_PROBE_INTERVAL_MS / 4);
         more = pause_locked(p, GV_PROBE_INTERVAL_MS + jitter);
-        g_mutex_unlock(&p->lock);
+        pthread_mutex_unlock(&p->lock);
     }
     GvPlatform_Free(platform);
     return NULL;
 }
 
-/* Starts the threads. Returns 0. */
+static void
+free_members(gv_prober_t *p)
+{
+    for (int i = 0; i < p->n_members; i++) {
+        GvStr_Free(&p->members[i]);
+    }
+    g_free(p->members);
+}
+
+/* Starts thread number i: workers, then the prober, then the lister. */
+static int
+start_thread(gv_prober_t *p, int i)
+{
+    if (i < GV_PROBE_THREADS) {
+        return pthread_create(&p->workers[i], NULL, work_loop, p);
+    }
+    return i == GV_PROBE_THREADS
+               ? pthread_create(&p->prober, NULL, probe_loop, p)
+               : pthread_create(&p->lister, NULL, list_loop, p);
+}
+
+/* Starts the threads. Returns 0, or GV_EIO when one cannot be started. */
 int
 GvProber_Start(const gv_prober_opts_t *o, gv_prober_t **out)
 {
@@ -234,48 +282,51 @@
     p->opts = *o;
     p->opts.platform_addr = GvStr_Dup(o->platform_addr);
     p->opts.self = GvStr_Dup(o->self);
-    g_mutex_init(&p->lock);
-    g_cond_init(&p->change);
+    pthread_mutex_init(&p->lock, NULL);
+    GvSync_InitCond(&p->change);
+    GvSync_InitCond(&p->work);
+    g_queue_init(&p->jobs);
     p->table = GvHealth_New(on_changed, p);
     p->changes = g_array_new(FALSE, FALSE, sizeof(change_t));
     p->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
-    p->pool = g_thread_pool_new(probe_task, p, GV_PROBE_THREADS, FALSE, NULL);
+    while (p->n_threads < THREADS && start_thread(p, p->n_threads) == 0) {
+        p->n_threads++;
+    }
+    if (p->n_threads < THREADS) {
+        GvProber_Stop(p);
+        return GV_EIO;
+    }
     *out = p;
-    p->prober = g_thread_new("prober", probe_loop, p);
-    p->lister = g_thread_new("hostlist", list_loop, p);
     return GV_OK;
 }
 
-static void
-free_members(gv_prober_t *p)
-{
-    for (int i = 0; i < p->n_members; i++) {
-        GvStr_Free(&p->members[i]);
-    }
-    g_free(p->members);
-}
-
 /* Stops the threads and releases p. Waits for probes and a list read in
    progress, at most GV_PLATFORM_TIMEOUT_MS. */
 void
 GvProber_Stop(gv_prober_t *p)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     p->stopping = true;
-    g_cond_broadcast(&p->change);
-    g_mutex_unlock(&p->lock);
-    g_thread_join(p->prober);
-    g_thread_join(p->lister);
-    g_thread_pool_free(p->pool, FALSE, TRUE);
+    pthread_cond_broadcast(&p->change);
+    pthread_cond_broadcast(&p->work);
+    pthread_mutex_unlock(&p->lock);
+    for (int i = 0; i < p->n_threads; i++) {
+        pthread_join(i < GV_PROBE_THREADS    ? p->workers[i]
+                     : i == GV_PROBE_THREADS ? p->prober
+                                             : p->lister,
+                     NULL);
+    }
+    g_queue_clear_full(&p->jobs, free_target);
     GvHealth_Free(p->table);
     g_array_free(p->changes, TRUE);
     g_hash_table_destroy(p->targets);
     free_members(p);
     GvStr_Free(&p->opts.platform_addr);
     GvStr_Free(&p->opts.self);
-    g_mutex_clear(&p->lock);
-    g_cond_clear(&p->change);
+    pthread_mutex_destroy(&p->lock);
+    pthread_cond_destroy(&p->change);
+    pthread_cond_destroy(&p->work);
     g_free(p);
 }
 
@@ -286,7 +337,7 @@
 {
     GHashTable *fresh =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     for (int i = 0; i < n; i++) {
         target_t *t = g_new0(target_t, 1);
         t->host = GvStr_Dup(targets[i].host);
@@ -308,14 +359,14 @@
 void
 GvProber_SetMembers(gv_prober_t *p, const gv_str_t *members, int n)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     free_members(p);
     p->members = g_new0(gv_str_t, (gsize)n + 1);
     p->n_members = n;
     for (int i = 0; i < n; i++) {
         p->members[i] = GvStr_Dup(members[i]);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
 }
 
 /* Applies a peer's reports; see the header. */
@@ -323,7 +374,7 @@
 GvProber_OnPeer(gv_prober_t *p, gv_str_t from, uint64_t incarnation,
                 const gv_health_t *health, int n)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     for (int i = 0; i < n; i++) {
         GvHealth_OnPeer(p->table, from, incarnation, &health[i]);
     }
@@ -335,14 +386,14 @@
 GvProber_FirstHand(gv_prober_t *p, uint64_t since, GArray *out)
 {
     guint from = out->len;
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     GvHealth_FirstHand(p->table, since, out);
     for (guint i = from; i < out->len; i++) {
         gv_health_t *h = &g_array_index(out, gv_health_t, i);
         h->host = GvStr_Dup(h->host);
         h->boot = GvStr_Dup(h->boot);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
 }
 
 /* Releases the strings of an array of gv_health_t and empties it. */
@@ -361,9 +412,9 @@
 bool
 GvProber_Get(gv_prober_t *p, gv_str_t host, gv_health_view_t *v)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     bool found = GvHealth_Get(p->table, host, v);
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     if (found) {
         v->host = GV_STR("");
         v->boot = GV_STR("");
@@ -375,8 +426,8 @@
 uint64_t
 GvProber_ListVersion(gv_prober_t *p)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     uint64_t version = p->list_version;
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     return version;
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -1,13 +1,14 @@
 #include "replica.h"
 
 #include <glib.h>
+#include <pthread.h>
 #include <string.h>
 
 #include "error.h"
 #include "limits.h"
 
 struct gv_replica_s {
-    GMutex lock;
+    pthread_mutex_t lock;
     gv_ledger_t *ledger;
     /* Raw records up to the ledger's next offset, oldest first. */
     GQueue ring;
@@ -27,7 +28,7 @@
 GvReplica_New(void)
 {
     gv_replica_t *r = g_new0(gv_replica_t, 1);
-    g_mutex_init(&r->lock);
+    pthread_mutex_init(&r->lock, NULL);
     g_queue_init(&r->ring);
     r->ledger = GvLedger_New();
     return r;
@@ -40,7 +41,7 @@
     if (r != NULL) {
         g_queue_clear_full(&r->ring, free_raw);
         GvLedger_Free(r->ledger);
-        g_mutex_clear(&r->lock);
+        pthread_mutex_destroy(&r->lock);
         g_free(r);
     }
 }
@@ -49,7 +50,7 @@
 const gv_ledger_t *
 GvReplica_Lock(gv_replica_t *r)
 {
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     return r->ledger;
 }
 
@@ -57,7 +58,7 @@
 void
 GvReplica_Unlock(gv_replica_t *r)
 {
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
 }
 
 /* Keeps a copy of an applied record and drops the oldest over the bounds. */
@@ -83,7 +84,7 @@
 GvReplica_Apply(gv_replica_t *r, const gv_raw_record_t *rec, gv_verdict_t *v)
 {
     int res = GV_OK;
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     uint64_t next = GvLedger_Next(r->ledger);
     if (rec->offset < next) {
         res = 1;
@@ -95,7 +96,7 @@
         GvLedger_Apply(r->ledger, rec->offset, rec->append_ms, rec->bytes, v);
         keep_raw(r, rec);
     }
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return res;
 }
 
@@ -105,7 +106,7 @@
 GvReplica_Replace(gv_replica_t *r, gv_ledger_t *l)
 {
     gv_ledger_t *old = l;
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     bool ahead = GvLedger_Next(l) > GvLedger_Next(r->ledger);
     if (ahead) {
         old = r->ledger;
@@ -113,7 +114,7 @@
         g_queue_clear_full(&r->ring, free_raw);
         r->ring_bytes = 0;
     }
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     GvLedger_Free(old);
     return ahead ? GV_OK : GV_ESTALE;
 }
@@ -152,7 +153,7 @@
                   msgpack_sbuffer *bytes, GArray *out)
 {
     int res = GV_OK;
-    g_mutex_lock(&r->lock);
+    pthread_mutex_lock(&r->lock);
     uint64_t next = GvLedger_Next(r->ledger);
     uint64_t oldest = next - g_queue_get_length(&r->ring);
     if (from < oldest) {
@@ -162,6 +163,6 @@
         GList *at = g_queue_peek_nth_link(&r->ring, (guint)(from - oldest));
         copy_records(at, max, bytes, out);
     }
-    g_mutex_unlock(&r->lock);
+    pthread_mutex_unlock(&r->lock);
     return res;
 }
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,6 +12,7 @@
 #include "limits.h"
 #include "logstore.h"
 #include "pack.h"
+#include "sync.h"
 
 /* Stand-in for the platform: log, host list, host operations, faults. */
 
@@ -34,8 +36,8 @@
 } faults_t;
 
 typedef struct {
-    GMutex lock; /* covers everything below */
-    GCond wake;  /* new records or stopping */
+    pthread_mutex_t lock; /* covers everything below */
+    pthread_cond_t wake;  /* new records or stopping */
     bool stopping;
     gv_logstore_t *log;
     faults_t faults;
@@ -49,7 +51,7 @@
 pause_locked(platform_t *p, uint64_t ms)
 {
     gint64 end = g_get_monotonic_time() + (gint64)ms * 1000;
-    while (!p->stopping && g_cond_wait_until(&p->wake, &p->lock, end)) {
+    while (!p->stopping && GvSync_WaitUntil(&p->wake, &p->lock, end)) {
     }
 }
 
@@ -68,30 +70,21 @@
     GvServed_ReplyText(rq, 400, "missing or invalid parameter: %s\n", name);
 }
 
-/* Takes one use of a counted fault. */
-static bool
-take(uint64_t *count)
-{
-    if (*count == 0) {
-        return false;
-    }
-    (*count)--;
-    return true;
-}
-
 /* Appends valid records. Returns false when the answer gets lost. */
 static bool
 append_records(platform_t *p, const msgpack_object *batch, uint64_t *first)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     int64_t now_ms = GvClock_WallMs();
     *first = GvLogStore_AppendBatch(p->log, batch, now_ms);
-    if (take(&p->faults.duplicate_append)) {
+    if (p->faults.duplicate_append > 0) {
+        p->faults.duplicate_append--;
         GvLogStore_AppendBatch(p->log, batch, now_ms);
     }
-    bool lost = take(&p->faults.lose_append);
-    g_cond_broadcast(&p->wake);
-    g_mutex_unlock(&p->lock);
+    bool lost = p->faults.lose_append > 0;
+    p->faults.lose_append -= lost ? 1 : 0;
+    pthread_cond_broadcast(&p->wake);
+    pthread_mutex_unlock(&p->lock);
     return !lost;
 }
 
@@ -153,15 +146,15 @@
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     gint64 end = g_get_monotonic_time() + (gint64)wait_ms * 1000;
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     while (!p->stopping && p->faults.outage == OUTAGE_NONE &&
            from >= GvLogStore_Next(p->log) &&
-           g_cond_wait_until(&p->wake, &p->lock, end)) {
+           GvSync_WaitUntil(&p->wake, &p->lock, end)) {
     }
     outage_t outage = p->faults.outage;
     GvLogStore_Expire(p->log, GvClock_WallMs());
     GvLogStore_PackPage(p->log, from, max, GV_LOG_PAGE_BYTES, &sb);
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     reply_msgpack(rq, &sb);
     reply_outage(rq, outage);
 }
@@ -170,13 +163,13 @@
 static void
 hosts_list(platform_t *p, gv_served_t *rq)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     int64_t now_ms = GvClock_MonoMs();
     GvHostTable_MakeList(p->hosts, now_ms);
     GBytes *body =
         GvHostTable_List(p->hosts, now_ms - (int64_t)p->faults.list_lag_ms,
                          p->faults.list_repeat);
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     gsize n;
     const void *data = g_bytes_get_data(body, &n);
     GvServed_Reply(rq, 200, "application/msgpack", GvStr_N(data, n));
@@ -261,9 +254,9 @@
         boot = ask_boot(h.addr.p);
         h.boot = GvStr_C(boot);
     }
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     int err = GvHostTable_Set(p->hosts, &h);
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     g_free(boot);
     GvServed_ReplyText(rq, err == GV_OK ? 200 : 507, "%s\n", Gv_StrError(err));
 }
@@ -300,7 +293,7 @@
 {
     bool drain = strcmp(GvServed_Path(rq), "/hosts/drain") == 0;
     const char *path = drain ? "/control/leave" : "/control/live";
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     gv_thost_t *h = fenced_host(p, rq);
     char *addr = NULL;
     if (h != NULL) {
@@ -309,7 +302,7 @@
                          GV_STR(""));
         addr = h->listed.slots > 0 ? g_strdup(h->listed.addr.p) : NULL;
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     if (addr != NULL) {
         GvHttp_Once(addr, "POST", path, TARGET_WAIT_MS, NULL);
     }
@@ -324,7 +317,7 @@
 static void
 hosts_reboot(platform_t *p, gv_served_t *rq)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     gv_thost_t *h = fenced_host(p, rq);
     char *addr = NULL;
     if (h != NULL && !h->rebooting) {
@@ -332,7 +325,7 @@
         GvHostTable_Mark(p->hosts, h, GV_LISTED_LEAVING, GV_STR(""));
         addr = g_strdup(h->listed.addr.p);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     if (h == NULL) {
         return;
     }
@@ -344,9 +337,9 @@
         GvServed_ReplyText(rq, 200, "ok\n");
         return;
     }
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     h->rebooting = false;
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     GvServed_ReplyText(rq, 503, "target not reached\n");
 }
 
@@ -396,14 +389,14 @@
 static void
 set_faults(platform_t *p, gv_served_t *rq)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     faults_t f = p->faults;
     const char *bad = parse_faults(rq, &f);
     if (bad == NULL) {
         p->faults = f;
-        g_cond_broadcast(&p->wake);
+        pthread_cond_broadcast(&p->wake);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     if (bad != NULL) {
         reply_bad(rq, bad);
         return;
@@ -440,12 +433,12 @@
 {
     outage_t outage = OUTAGE_NONE;
     if (r->faulty) {
-        g_mutex_lock(&p->lock);
+        pthread_mutex_lock(&p->lock);
         if (p->faults.slow_ms > 0) {
             pause_locked(p, p->faults.slow_ms);
         }
         outage = p->faults.outage;
-        g_mutex_unlock(&p->lock);
+        pthread_mutex_unlock(&p->lock);
     }
     if (outage == OUTAGE_NONE) {
         r->call(p, rq);
@@ -477,43 +470,43 @@
 static void
 check_reboot(platform_t *p, gv_thost_t *h)
 {
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     char *addr = h->rebooting ? g_strdup(h->listed.addr.p) : NULL;
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     if (addr == NULL) {
         return;
     }
     char *boot = ask_boot(addr);
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     if (boot != NULL && h->rebooting &&
         !GvStr_Equal(GvStr_C(boot), h->listed.boot)) {
         h->rebooting = false;
         GvHostTable_Mark(p->hosts, h, GV_LISTED_LIVE, GvStr_C(boot));
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     g_free(boot);
     g_free(addr);
 }
 
 /* Makes list versions and follows reboots until the stand-in stops. */
-static gpointer
-monitor(gpointer user)
+static void *
+monitor(void *user)
 {
     platform_t *p = user;
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     while (!p->stopping) {
         GvHostTable_MakeList(p->hosts, GvClock_MonoMs());
         for (int i = 0; i < GvHostTable_Count(p->hosts); i++) {
             gv_thost_t *h = GvHostTable_At(p->hosts, i);
             if (h->rebooting) {
-                g_mutex_unlock(&p->lock);
+                pthread_mutex_unlock(&p->lock);
                 check_reboot(p, h);
-                g_mutex_lock(&p->lock);
+                pthread_mutex_lock(&p->lock);
             }
         }
         pause_locked(p, MONITOR_MS);
     }
-    g_mutex_unlock(&p->lock);
+    pthread_mutex_unlock(&p->lock);
     return NULL;
 }
 
@@ -542,13 +535,16 @@
         GvServer_Stop(p->main);
         return 1;
     }
-    GThread *thread = g_thread_new("monitor", monitor, p);
+    pthread_t thread;
+    if (pthread_create(&thread, NULL, monitor, p) != 0) {
+        return 1;
+    }
     GvServer_WaitForSignal();
-    g_mutex_lock(&p->lock);
+    pthread_mutex_lock(&p->lock);
     p->stopping = true;
-    g_cond_broadcast(&p->wake);
-    g_mutex_unlock(&p->lock);
-    g_thread_join(thread);
+    pthread_cond_broadcast(&p->wake);
+    pthread_mutex_unlock(&p->lock);
+    pthread_join(thread, NULL);
     GvServer_Stop(p->main);
     if (extra != NULL) {
         GvServer_Stop(extra);
@@ -584,15 +580,15 @@
         return 2;
     }
     platform_t *p = g_new0(platform_t, 1);
-    g_mutex_init(&p->lock);
-    g_cond_init(&p->wake);
+    pthread_mutex_init(&p->lock, NULL);
+    GvSync_InitCond(&p->wake);
     p->log = GvLogStore_New((uint64_t)records, ms);
     p->hosts = GvHostTable_New();
     int code = serve(p, addr, control);
     GvHostTable_Free(p->hosts);
     GvLogStore_Free(p->log);
-    g_mutex_clear(&p->lock);
-    g_cond_clear(&p->wake);
+    pthread_mutex_destroy(&p->lock);
+    pthread_cond_destroy(&p->wake);
     g_free(p);
     g_free(addr);
     g_free(control);
--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -6,6 +7,7 @@
 #include "error.h"
 #include "httpserver.h"
 #include "limits.h"
+#include "sync.h"
 
 /* Stand-in for targets: each listening address is one target. */
 
@@ -25,8 +27,8 @@
     char *name;
     char *addr;
     gv_server_t *server;
-    GMutex lock; /* covers everything below */
-    GCond wake;  /* any change of state */
+    pthread_mutex_t lock; /* covers everything below */
+    pthread_cond_t wake;  /* any change of state */
     bool stopping;
     bool leaving;
     int64_t reboot_until_ms; /* 0: not rebooting */
@@ -74,10 +76,10 @@
 wait_change(target_t *t, int64_t end_us)
 {
     if (end_us == INT64_MAX) {
-        g_cond_wait(&t->wake, &t->lock);
+        pthread_cond_wait(&t->wake, &t->lock);
         return true;
     }
-    return g_cond_wait_until(&t->wake, &t->lock, end_us);
+    return GvSync_WaitUntil(&t->wake, &t->lock, end_us);
 }
 
 /* Blocks while a fault keeps the connection without an answer. A silent
@@ -226,7 +228,7 @@
         return;
     }
     int64_t deadline_us = arrived_us + (int64_t)deadline_ms * 1000;
-    g_mutex_lock(&t->lock);
+    pthread_mutex_lock(&t->lock);
     if (!pass_faults(t, rq)) {
     }
     else if (is_rebooting(t)) {
@@ -244,13 +246,13 @@
     else {
         run_request(t, rq, ms, deadline_us);
     }
-    g_mutex_unlock(&t->lock);
+    pthread_mutex_unlock(&t->lock);
 }
 
 static void
 handle_health(target_t *t, gv_served_t *rq)
 {
-    g_mutex_lock(&t->lock);
+    pthread_mutex_lock(&t->lock);
     if (!pass_faults(t, rq)) {
     }
     else if (is_rebooting(t)) {
@@ -264,14 +266,14 @@
                            t->leaving ? "leaving" : "live", t->name, start_ms,
                            t->boots, t->running, slots);
     }
-    g_mutex_unlock(&t->lock);
+    pthread_mutex_unlock(&t->lock);
 }
 
 static void
 handle_history(target_t *t, gv_served_t *rq)
 {
     GString *text = g_string_new(NULL);
-    g_mutex_lock(&t->lock);
+    pthread_mutex_lock(&t->lock);
     if (t->dropped > 0) {
         g_string_append_printf(text, "dropped %" G_GUINT64_FORMAT "\n",
                                (guint64)t->dropped);
@@ -279,7 +281,7 @@
     for (GList *l = t->history.head; l != NULL; l = l->next) {
         g_string_append(text, l->data);
     }
-    g_mutex_unlock(&t->lock);
+    pthread_mutex_unlock(&t->lock);
     GvServed_Reply(rq, 200, "text/plain", GvStr_N(text->str, text->len));
     g_string_free(text, TRUE);
 }
@@ -319,7 +321,7 @@
 static void
 set_faults(target_t *t, gv_served_t *rq)
 {
-    g_mutex_lock(&t->lock);
+    pthread_mutex_lock(&t->lock);
     faults_t f = t->faults;
     const char *bad = parse_faults(rq, &f);
     if (bad == NULL) {
@@ -327,9 +329,9 @@
             t->silent_us = GvClock_MonoUs();
         }
         t->faults = f;
-        g_cond_broadcast(&t->wake);
+        pthread_cond_broadcast(&t->wake);
     }
-    g_mutex_unlock(&t->lock);
+    pthread_mutex_unlock(&t->lock);
     if (bad != NULL) {
         GvServed_ReplyText(rq, 400, "invalid fault: %s\n", bad);
         return;
@@ -347,7 +349,7 @@
         return;
     }
     bool known = true;
-    g_mutex_lock(&t->lock);
+    pthread_mutex_lock(&t->lock);
     if (strcmp(verb, "leave") == 0 || strcmp(verb, "live") == 0) {
         t->leaving = strcmp(verb, "leave") == 0;
     }
@@ -355,12 +357,12 @@
         if (!is_rebooting(t)) {
             t->reboot_until_ms = GvClock_MonoMs() + reboot_ms;
         }
-        g_cond_broadcast(&t->wake);
+        pthread_cond_broadcast(&t->wake);
     }
     else {
         known = false;
     }
-    g_mutex_unlock(&t->lock);
+    pthread_mutex_unlock(&t->lock);
     GvServed_ReplyText(rq, known ? 200 : 404, known ? "ok\n" : "unknown\n");
 }
 
@@ -420,8 +422,8 @@
     t->name = g_strndup(spec, eq == NULL ? 0 : (gsize)(eq - spec));
     t->addr = g_strdup(eq == NULL ? "" : eq + 1);
     g_queue_init(&t->history);
-    g_mutex_init(&t->lock);
-    g_cond_init(&t->wake);
+    pthread_mutex_init(&t->lock, NULL);
+    GvSync_InitCond(&t->wake);
     g_ptr_array_add(targets, t);
     if (!GvStr_IsName(GvStr_C(t->name))) {
         g_printerr("standin-target: %s: NAME=ADDR wanted\n", spec);
@@ -448,10 +450,10 @@
 {
     for (guint i = 0; i < targets->len; i++) {
         target_t *t = targets->pdata[i];
-        g_mutex_lock(&t->lock);
+        pthread_mutex_lock(&t->lock);
         t->stopping = true;
-        g_cond_broadcast(&t->wake);
-        g_mutex_unlock(&t->lock);
+        pthread_cond_broadcast(&t->wake);
+        pthread_mutex_unlock(&t->lock);
     }
     for (guint i = 0; i < targets->len; i++) {
         target_t *t = targets->pdata[i];
@@ -462,8 +464,8 @@
     for (guint i = 0; i < targets->len; i++) {
         target_t *t = targets->pdata[i];
         g_queue_clear_full(&t->history, g_free);
-        g_mutex_clear(&t->lock);
-        g_cond_clear(&t->wake);
+        pthread_mutex_destroy(&t->lock);
+        pthread_cond_destroy(&t->wake);
         g_free(t->name);
         g_free(t->addr);
         g_free(t);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -22,7 +23,7 @@
     int n_steps;
     int fd;
     char addr[32];
-    GThread *thread;
+    pthread_t thread;
     atomic_int requests;
     atomic_int connections;
     atomic_bool stopping;
@@ -76,8 +77,8 @@
     }
 }
 
-static gpointer
-serve(gpointer user)
+static void *
+serve(void *user)
 {
     server_t *s = user;
     for (;;) {
@@ -107,7 +108,7 @@
     g_assert_cmpint(listen(s->fd, 8), ==, 0);
     getsockname(s->fd, (struct sockaddr *)&sin, &len);
     g_snprintf(s->addr, sizeof s->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
-    s->thread = g_thread_new("server", serve, s);
+    g_assert_cmpint(pthread_create(&s->thread, NULL, serve, s), ==, 0);
 }
 
 static void
@@ -115,7 +116,7 @@
 {
     atomic_store(&s->stopping, true);
     shutdown(s->fd, SHUT_RDWR);
-    g_thread_join(s->thread);
+    pthread_join(s->thread, NULL);
     close(s->fd);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,7 +19,7 @@
 
 /* The platform's log in this process, with switchable faults. */
 typedef struct {
-    GMutex lock;
+    pthread_mutex_t lock;
     gv_logstore_t *log;
     int appends;
     int lose;        /* appends whose answer gets lost */
@@ -58,7 +59,7 @@
 {
     fake_t *f = user;
     uint64_t from = 0;
-    g_mutex_lock(&f->lock);
+    pthread_mutex_lock(&f->lock);
     if (f->status != 0) {
         GvServed_ReplyText(rq, f->status, "x");
     }
@@ -78,7 +79,7 @@
         msgpack_sbuffer_destroy(&sb);
     }
     bool empty = from >= GvLogStore_Next(f->log);
-    g_mutex_unlock(&f->lock);
+    pthread_mutex_unlock(&f->lock);
     g_usleep(empty ? 10000 : 0);
 }
 
@@ -94,7 +95,7 @@
     getsockname(fd, (struct sockaddr *)&sin, &len);
     close(fd);
     g_snprintf(f->addr, sizeof f->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
-    g_mutex_init(&f->lock);
+    pthread_mutex_init(&f->lock, NULL);
     f->log = GvLogStore_New(retention, 0);
     gv_server_opts_t o = {f->addr, 16, 4 * GV_RECORD_MAX_BYTES, fake_handle,
                           f};
@@ -106,17 +107,17 @@
 {
     GvServer_Stop(f->server);
     GvLogStore_Free(f->log);
-    g_mutex_clear(&f->lock);
+    pthread_mutex_destroy(&f->lock);
 }
 
 /* Sets what everything is answered with. */
 static void
 fake_answer(fake_t *f, int status, gv_str_t canned)
 {
-    g_mutex_lock(&f->lock);
+    pthread_mutex_lock(&f->lock);
     f->status = status;
     f->canned = canned;
-    g_mutex_unlock(&f->lock);
+    pthread_mutex_unlock(&f->lock);
 }
 
 /* Replica, log reader and appender of one entry host. */
@@ -407,11 +408,11 @@
     }
     g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
     g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
-    g_mutex_lock(&f.lock);
+    pthread_mutex_lock(&f.lock);
     GvLogStore_Free(f.log);
     f.log = GvLogStore_New(0, 0);
     f.status = 0;
-    g_mutex_unlock(&f.lock);
+    pthread_mutex_unlock(&f.lock);
     g_usleep(1500000);
     g_assert_cmpint((int)next_of(b.replica), ==, 1);
     g_assert_false(GvLogReader_PlatformOk(b.reader));
