--- a/src/health.c
+++ b/src/health.c
@@ -22,8 +22,10 @@
 
 typedef struct {
     char *host;
-    char *boot;     /* "" until known */
-    bool confirmed; /* the boot comes from a probe, own or a peer's */
+    char *boot;      /* "" until known */
+    bool confirmed;  /* the boot comes from a probe, own or a peer's */
+    bool listed_out; /* the newest list does not show it as live */
+    bool foreign;    /* a peer reported after the last own probe */
     bool healthy;
     int failures; /* own probes failed in a row */
     int running;
@@ -190,13 +192,23 @@
     return e;
 }
 
+/* Tells whether a source reported the present boot as leaving. */
+static bool
+is_sticky(const entry_t *e)
+{
+    return has_boot(&e->leaving, e->boot);
+}
+
+/* A list may show a former boot while its state is the present one, or the
+   other way round. What it says then counts against the target only as long
+   as it is the newest list; leaving sticks to the boot that is named. */
 static gv_health_view_t
 view(const entry_t *e)
 {
     return (gv_health_view_t){.host = GvStr_C(e->host),
                               .boot = GvStr_C(e->boot),
-                              .healthy = e->healthy,
-                              .leaving = has_boot(&e->leaving, e->boot),
+                              .healthy = e->healthy && !e->listed_out,
+                              .leaving = is_sticky(e),
                               .running = e->running,
                               .seen = e->seen};
 }
@@ -250,10 +262,16 @@
     if (!e->confirmed && boot[0] != '\0' && !has_boot(&e->past, boot)) {
         changed = set_boot(e, boot, false);
     }
-    if (h->state != GV_LISTED_LIVE) {
+    bool sticky = is_sticky(e);
+    e->listed_out = h->state != GV_LISTED_LIVE;
+    if (e->listed_out) {
         add_boot(&e->leaving, boot[0] != '\0' ? boot : e->boot);
     }
     g_free(boot);
+    if (e->seen > 0 && sticky != is_sticky(e)) {
+        /* Peers that cannot read the list learn it from this process. */
+        e->seen = ++t->seen;
+    }
     tell(t, e, changed);
 }
 
@@ -285,7 +303,8 @@
     if (e == NULL) {
         return;
     }
-    gv_health_view_t before = view(e);
+    bool healthy = e->healthy;
+    bool sticky = is_sticky(e);
     bool changed = false;
     if (r == NULL) {
         e->failures++;
@@ -301,11 +320,11 @@
             add_boot(&e->leaving, e->boot);
         }
     }
-    gv_health_view_t after = view(e);
-    if (e->seen == 0 || changed || before.healthy != after.healthy ||
-        before.leaving != after.leaving) {
+    if (e->seen == 0 || e->foreign || changed || healthy != e->healthy ||
+        sticky != is_sticky(e)) {
         e->seen = ++t->seen;
     }
+    e->foreign = false;
     tell(t, e, changed);
 }
 
@@ -352,6 +371,7 @@
     }
     char *boot = g_strndup(h->boot.p, h->boot.n);
     bool changed = false;
+    e->foreign = true;
     if (!has_boot(&e->past, boot)) {
         changed = boot[0] != '\0' && set_boot(e, boot, true);
         e->healthy = h->healthy;
@@ -410,11 +430,13 @@
     g_hash_table_iter_init(&it, t->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const entry_t *e = value;
-        if (e->seen <= since) {
+        /* Another process's report is not passed on: it could arrive after a
+           newer one of the same process. */
+        if (e->seen <= since || e->foreign) {
             continue;
         }
-        gv_health_view_t v = view(e);
-        gv_health_t h = {v.host, v.boot, v.leaving, v.healthy, v.seen};
+        gv_health_t h = {GvStr_C(e->host), GvStr_C(e->boot), is_sticky(e),
+                         e->healthy, e->seen};
         g_array_append_val(out, h);
     }
 }
--- a/src/health.h
+++ b/src/health.h
@@ -26,8 +26,8 @@
 typedef struct {
     gv_str_t host;
     gv_str_t boot; /* "" until known */
-    bool healthy;
-    bool leaving;
+    bool healthy;  /* by the last probes, and live in the newest list */
+    bool leaving;  /* reported for this boot by any source; sticky */
     int running;   /* from the last own probe; -1: unknown */
     uint64_t seen; /* number of this process's last change; 0: never probed */
 } gv_health_view_t;
@@ -54,7 +54,8 @@
 /* Forgets the hosts that keep() does not name. */
 void GvHealth_Keep(gv_health_table_t *t, const gv_str_t *hosts, int n);
 /* Appends a gv_health_t (views, valid until the next call on t) for each host
-   that this process has probed and whose state changed after `since`. */
+   that this process was the last to probe and whose state changed after
+   `since`. */
 void GvHealth_FirstHand(const gv_health_table_t *t, uint64_t since,
                         GArray *out);
 
--- a/src/hostlist.h
+++ b/src/hostlist.h
@@ -20,10 +20,10 @@
     gv_str_t dc;
     gv_str_t rack;
     gv_str_t addr;
-    int slots;
     gv_str_t pool; /* pool for a host that the ledger does not know */
-    gv_listed_state_t state;
     gv_str_t boot;
+    int slots;
+    gv_listed_state_t state;
 } gv_listed_host_t;
 
 typedef struct {
--- a/src/prober.c
+++ b/src/prober.c
@@ -40,7 +40,10 @@
     pthread_t prober;
     pthread_t lister;
     pthread_t workers[GV_PROBE_THREADS];
-    int n_threads;        /* started: workers, prober, lister */
+    int n_threads; /* started: workers, prober, lister */
+    /* Keeps the calls of on_health in the order of the changes. It is taken
+       before `lock` is released, and held during the calls. */
+    pthread_mutex_t tell;
     pthread_mutex_t lock; /* covers everything below */
     pthread_cond_t change;
     bool stopping;
@@ -79,6 +82,7 @@
 {
     GArray *changes = p->changes;
     p->changes = g_array_new(FALSE, FALSE, sizeof(change_t));
+    pthread_mutex_lock(&p->tell);
     pthread_mutex_unlock(&p->lock);
     for (guint i = 0; i < changes->len; i++) {
         change_t *c = &g_array_index(changes, change_t, i);
@@ -87,6 +91,7 @@
         GvStr_Free(&c->host);
         GvStr_Free(&c->boot);
     }
+    pthread_mutex_unlock(&p->tell);
     g_array_free(changes, TRUE);
 }
 
@@ -282,6 +287,7 @@
     p->opts = *o;
     p->opts.platform_addr = GvStr_Dup(o->platform_addr);
     p->opts.self = GvStr_Dup(o->self);
+    pthread_mutex_init(&p->tell, NULL);
     pthread_mutex_init(&p->lock, NULL);
     GvSync_InitCond(&p->change);
     GvSync_InitCond(&p->work);
@@ -324,6 +330,7 @@
     free_members(p);
     GvStr_Free(&p->opts.platform_addr);
     GvStr_Free(&p->opts.self);
+    pthread_mutex_destroy(&p->tell);
     pthread_mutex_destroy(&p->lock);
     pthread_cond_destroy(&p->change);
     pthread_cond_destroy(&p->work);
--- a/src/prober.h
+++ b/src/prober.h
@@ -10,15 +10,15 @@
 #include "message.h"
 
 /* Threads that poll the platform's host list and probe this entry host's
-   share of the targets. All functions are thread-safe; the callbacks come
-   from the prober's threads or from the caller of GvProber_OnPeer, without a
-   lock held, and in no order between hosts. */
+   share of the targets. All functions are thread-safe. on_health is called in
+   the order of the changes, on one of the prober's threads or on the caller's
+   of GvProber_OnPeer or GvProber_SetTargets; it must not call the prober. */
 typedef struct gv_prober_s gv_prober_t;
 
 typedef struct {
     gv_str_t platform_addr;
     gv_str_t self; /* entry host */
-    /* A target's believed state changed; running is -1 when unknown. */
+    /* A target's believed state changed (see gv_health_view_t). */
     void (*on_health)(void *user, gv_str_t host, gv_str_t boot, bool healthy,
                       bool leaving, int running);
     /* A list newer than all before; valid during the call. May be NULL. */
@@ -42,7 +42,8 @@
 void GvProber_OnPeer(gv_prober_t *p, gv_str_t from, uint64_t incarnation,
                      const gv_health_t *health, int n);
 /* Appends a gv_health_t with owned strings (GvProber_ClearHealth) for each
-   target that this process probed and whose state changed after `since`. */
+   target that this process was the last to probe and whose state changed
+   after `since`. */
 void GvProber_FirstHand(gv_prober_t *p, uint64_t since, GArray *out);
 void GvProber_ClearHealth(GArray *health);
 /* Returns false for an unknown target; the strings of *v are empty. */
