--- a/bench/sim.c
+++ b/bench/sim.c
@@ -160,7 +160,7 @@
         g_array_append_val(a, q->job.deadline_ms);
     }
     r->urgent_lost += q->job.urgent && q->wait_ms < 0;
-    r->lost_bad += !ok && q->bad_last;
+    r->lost_bad += !ok && q->bad_last && !q->job.never_runs;
     g_free(q);
 }
 
