--- a/src/limits.h
+++ b/src/limits.h
@@ -7,10 +7,14 @@
 #define GV_NAME_MAX_BYTES 63
 
 /* Requests */
-#define GV_BODY_MAX_BYTES      (1024 * 1024)
-#define GV_HTTP_HEADER_BYTES   (16 * 1024)
-#define GV_HTTP_CONNECTIONS    2048
-#define GV_HTTP_THREADS        4
+#define GV_BODY_MAX_BYTES    (1024 * 1024)
+#define GV_HTTP_HEADER_BYTES (16 * 1024)
+#define GV_HTTP_CONNECTIONS  2048
+#define GV_HTTP_THREADS      4
+/* A caller that sends nothing for this long is disconnected. */
+#define GV_HTTP_TIMEOUT_S 30
+/* Requests in progress: of callers, of peers and runs for tickets. */
+#define GV_REQUESTS_MAX        (3 * GV_HTTP_CONNECTIONS)
 #define GV_DEADLINE_DEFAULT_MS 5000
 #define GV_DEADLINE_MAX_MS     (60 * 60 * 1000)
 #define GV_QUEUE_MAX_REQUESTS  1000
@@ -24,6 +28,15 @@
 /* Six missed heartbeats: shorter pauses are common on small hosts. */
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
+/* An idle link is kept from counting as silent by a HELLO this often. */
+#define GV_PEER_KEEPALIVE_MS     1000
+#define GV_PEER_IDLE_MS          (60 * 1000)
+#define GV_PEER_BACKOFF_MS       100
+#define GV_PEER_BACKOFF_MAX_MS   2000
+#define GV_PEER_FLUSH_MS         500
+#define GV_PEER_CALLS_MAX        4096
+#define GV_PEER_CONNECTIONS      1024
+#define GV_LEDGERSYNC_TIMEOUT_MS 2000
 
 /* Log */
 #define GV_RECORD_MAX_BYTES   (1024 * 1024)
@@ -87,6 +100,12 @@
 #define GV_KEYS_MAX          16384
 #define GV_KEY_BATCH         64
 
+/* All shards together; a larger response is kept as its outcome only. */
+#define GV_ONCE_ANSWERS_BYTES (8 * 1024 * 1024)
+#define GV_ONCE_MAX_WAITERS   256
+#define GV_KEY_MAX_BYTES      255
+#define GV_KEY_CLAIM_MS       5000
+
 /* Targets */
 #define GV_TARGET_SLOTS       8
 #define GV_TARGET_CONNECTIONS 64
@@ -97,12 +116,51 @@
 #define GV_ABANDON_GRACE_MS   1000
 #define GV_RACK_HOSTS_OUT_MAX 1
 
+/* Loans of slots: short, because a lender that gets work of its own waits for
+   their end. */
+#define GV_LOAN_MS     2000
+#define GV_LOAN_ASK_MS 500
+
 /* Daemon threads */
 #define GV_TIMER_TICK_MS      50
 #define GV_MAINTAIN_MS        500
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* HTTP client: a server that closes idle connections does so after some
+   seconds; a younger connection is rarely closed while a request is on its
+   way. */
+#define GV_HTTP_IDLE_MS 2000
+
+/* Platform client and log reader */
+#define GV_LOG_PAGE_BYTES     (2 * 1024 * 1024)
+#define GV_HOSTLIST_BYTES     (4 * 1024 * 1024)
+#define GV_REPLICA_RING_BYTES (4 * 1024 * 1024)
+/* Raw records for a peer, less than one frame. */
+#define GV_REPLICA_COPY_BYTES (GV_FRAME_MAX_BYTES - GV_RECORD_MAX_BYTES)
+/* Between requests for a peer's records during an outage: a change has to be
+   in force within seconds. */
+#define GV_PEER_ASK_MS 1000
+
+/* Appender */
+#define GV_RECORD_ENVELOPE_BYTES 256
+#define GV_APPEND_QUEUE_MAX      1024
+/* Added to a record's time-out when its expiry is set: the platform's clock
+   may differ from this host's. */
+#define GV_APPEND_SKEW_MS (60 * 1000)
+
+/* Checkpoints: a random delay, longer than an append takes to be read by all
+   entry hosts, makes mostly one of them write it. */
+#define GV_CHECKPOINT_DELAY_MS 5000
+/* A log that retains few records drops a checkpoint before
+   GV_CHECKPOINT_RECORDS have passed; below this many it is merely short. */
+#define GV_CHECKPOINT_MIN_RECORDS 64
+
+/* Probes: one lost probe is common while a target is busy; two in a row are
+   not. */
+#define GV_PROBE_FAILURES   2
+#define GV_PROBE_THREADS    8
+#define GV_TARGET_SLOTS_MAX 1024
 /* Decisions */
 #define GV_ESTIMATE_KINDS 256
 /* Weight of a new run time in the mean once a kind is known: the mean then
