Add scripted run of the wave policies and the bound of ejection

The wave run uses the ledger's verbs, with an accessor for their ledger. GvEject_May fixes the bound of a third in one place.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -385,7 +385,7 @@
     for (int t = 0; t < s->o->targets; t++) {
         out += e->eject[t].ejected;
     }
-    bool may = !s->o->no_eject && (out + 1) * 3 <= s->o->targets;
+    bool may = !s->o->no_eject && GvEject_May(out, s->o->targets);
     GvEject_Note(&e->eject[q->target],
                  q->fails ? GV_ATTEMPT_FAILED : GV_ATTEMPT_OK, may,
                  (int64_t)s->now);
--- a/src/retry.c
+++ b/src/retry.c
@@ -31,6 +31,14 @@
     return true;
 }
 
+/* Tells whether one more host may be ejected. When most hosts fail, the
+   cause is not the hosts, and ejection would only take away capacity. */
+bool
+GvEject_May(int ejected, int hosts)
+{
+    return (ejected + 1) * 3 <= hosts;
+}
+
 static bool
 eject(gv_eject_t *e, int64_t now_ms)
 {
--- a/src/retry.h
+++ b/src/retry.h
@@ -58,8 +58,11 @@
     int64_t probe_at_ms; /* next trial request while ejected */
 } gv_eject_t;
 
-/* Notes an attempt. may_eject is false when ejection would leave fewer than
-   min_hosts. Returns true when the ejected flag changed. */
+/* Tells whether one more of the hosts that the entry host may use for the
+   service may be ejected: a third at most. */
+bool GvEject_May(int ejected, int hosts);
+/* Notes an attempt; may_eject as told by GvEject_May. Returns true when the
+   ejected flag changed. */
 bool GvEject_Note(gv_eject_t *e, gv_attempt_t a, bool may_eject,
                   int64_t now_ms);
 /* Tells whether an ejected host may get one trial request now; the next
--- a/tests/script.h
+++ b/tests/script.h
@@ -10,6 +10,8 @@
 } gv_verb_t;
 
 void GvScript_Add(gv_verb_t *v);
+/* The ledger that the ledger verbs build; NULL before the first record. */
+const struct gv_ledger_s *GvScript_Ledger(void);
 
 #define GV_VERB(name_, fn)                                                    \
     static gv_verb_t fn##_verb = {.name = name_, .run = fn};                  \
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -85,6 +85,12 @@
     msgpack_sbuffer_destroy(payload);
 }
 
+const gv_ledger_t *
+GvScript_Ledger(void)
+{
+    return ledger;
+}
+
 /* as ORIGIN INCARNATION: sender of the records that follow. */
 static void
 verb_as(int argc, char **argv)
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -10,6 +10,7 @@
 #include "retry.h"
 #include "script.h"
 #include "slots.h"
+#include "wave.h"
 
 /* Verbs for the other decision modules. */
 
@@ -196,12 +197,18 @@
 }
 GV_VERB("retry", run_retry);
 
-/* eject may|not NOW ATTEMPT ...: notes attempts; "new" resets the host. */
+/* eject may|not NOW ATTEMPT ... | eject bound */
 static void
 run_eject(int argc, char **argv)
 {
-    if (strcmp(argv[1], "new") == 0) {
-        eject = (gv_eject_t){0};
+    if (strcmp(argv[1], "bound") == 0) {
+        for (int n = 1; n <= 6; n++) {
+            int out = 0;
+            while (GvEject_May(out, n)) {
+                out++;
+            }
+            printf("%d of %d hosts at most\n", out, n);
+        }
         return;
     }
     for (int i = 3; i < argc; i++) {
@@ -295,3 +302,22 @@
            settings[m.to].name.p);
 }
 GV_VERB("move", run_move);
+
+/* plan POLICY WAVE PEAK_SLOTS: the hosts to claim next. */
+static void
+run_plan(int argc, char **argv)
+{
+    g_assert(argc == 4);
+    const gv_ledger_t *l = GvScript_Ledger();
+    gv_wave_policy_t *p =
+        (gv_wave_policy_t *)GvRegistry_Find(GV_PLUGIN_WAVE, GvStr_C(argv[1]));
+    gv_demand_t d = {.peak_slots = atof(argv[3])};
+    const gv_lhost_t *out[8];
+    int n = p->plan(l, GvLedger_Wave(l, GvStr_C(argv[2])), &d, out, 8);
+    printf("%s:", argv[1]);
+    for (int i = 0; i < n; i++) {
+        printf(" %s", out[i]->name.p);
+    }
+    printf("%s\n", n == 0 ? " none" : "");
+}
+GV_VERB("plan", run_plan);
