--- /dev/null
+++ b/bench/bench_reserve.c
@@ -0,0 +1,207 @@
+#include <math.h>
+#include <string.h>
+
+#include "bench.h"
+#include "demand.h"
+#include "reserve.h"
+
+/* Four pools and their spare pool, ten hosts each, for four hours. The queues
+   burst in turn, and each pool's mean demand drifts by half within an hour.
+   The spare pool's own work can use any host, so that buffer cost counts the
+   hosts that the other pools hold above what their running work needs. */
+
+enum { POOLS = GV_LOAD_SERVICES, SPARE = 4, HOSTS = 10, SLOTS = 8, MIN = 6 };
+
+#define HOURS     4
+#define STEP_S    0.5
+#define MEAN_LOAD 0.25
+#define MOVE_S    4.0 /* from the claim to the last confirmation */
+#define FAILURE_S 120.0
+/* One failure in each pool every hour, many more than expected. */
+#define FAIL_EVERY_S 3600.0
+
+typedef struct {
+    int waiting;
+    int buffer;
+    const char *name;
+} weights_t;
+
+typedef struct {
+    double buffer_hours;
+    double moves;
+    double below_s;
+    double wait_p99;
+    double late;
+} reserve_result_t;
+
+typedef struct {
+    GRand *rand;
+    gv_pool_t *settings;
+    gv_reserve_pool_t pools[POOLS];
+    gv_flow_t flows[POOLS];
+    int hosts[POOLS];  /* owned, up or failed, not moving */
+    int failed[POOLS]; /* of them */
+    double back_s[POOLS];
+    double fail_s[POOLS];
+    gv_reserve_move_t move; /* in progress; from is -1 for none */
+    double move_s;
+} reserve_sim_t;
+
+static void
+start(reserve_sim_t *s, const weights_t *w, guint32 seed)
+{
+    static const char *const names[POOLS] = {
+        "routing", "tendering", "dispatch", "compliance", "hq-admin"};
+    *s = (reserve_sim_t){.rand = g_rand_new_with_seed(seed + 900),
+                         .settings = g_new0(gv_pool_t, POOLS),
+                         .move = {-1, -1}};
+    for (int i = 0; i < POOLS; i++) {
+        s->settings[i] = (gv_pool_t){.name = GvStr_C(names[i]),
+                                     .spare = GvStr_C(names[SPARE]),
+                                     .is_spare = i == SPARE,
+                                     .max_out = 2,
+                                     .weight_waiting = w->waiting,
+                                     .weight_buffer = w->buffer};
+        GvFlow_Init(&s->flows[i], seed, i, MEAN_LOAD * HOSTS * SLOTS);
+        s->hosts[i] = HOSTS;
+        s->fail_s[i] = g_rand_double_range(s->rand, 0, FAIL_EVERY_S);
+    }
+}
+
+static void
+fail_hosts(reserve_sim_t *s, double now)
+{
+    for (int i = 0; i < POOLS; i++) {
+        if (s->failed[i] > 0 && now >= s->back_s[i]) {
+            s->failed[i] = 0;
+        }
+        if (now >= s->fail_s[i]) {
+            s->failed[i] = 1;
+            s->back_s[i] = now + FAILURE_S;
+            s->fail_s[i] =
+                now + FAIL_EVERY_S * g_rand_double_range(s->rand, 0.5, 1.5);
+        }
+    }
+}
+
+static void
+move_hosts(reserve_sim_t *s, const gv_reserve_policy_t *policy, double now,
+           reserve_result_t *r)
+{
+    if (s->move.from >= 0) {
+        if (now < s->move_s) {
+            return;
+        }
+        s->hosts[s->move.to]++;
+        s->move.from = -1;
+    }
+    for (int i = 0; i < POOLS; i++) {
+        gv_reserve_pool_t *p = &s->pools[i];
+        p->pool = &s->settings[i];
+        p->demand = s->flows[i].demand;
+        p->hosts = s->hosts[i] - s->failed[i];
+        p->slots = SLOTS;
+        p->min_hosts = MIN;
+    }
+    int64_t now_ms = (int64_t)(now * 1000);
+    gv_reserve_move_t m = policy->propose(s->pools, POOLS, now_ms);
+    /* The ledger refuses a claim that takes a pool below its budget. */
+    if (m.from < 0 || s->pools[m.from].hosts - 1 < MIN) {
+        return;
+    }
+    s->hosts[m.from]--;
+    s->pools[m.from].last_move_ms = now_ms;
+    s->pools[m.to].last_move_ms = now_ms;
+    s->move = m;
+    s->move_s = now + MOVE_S;
+    r->moves++;
+}
+
+static reserve_result_t
+run_reserve(const char *policy, const weights_t *w, guint32 seed)
+{
+    reserve_result_t r = {0};
+    reserve_sim_t s;
+    GArray *waits = g_array_new(FALSE, FALSE, sizeof(double));
+    double arrived = 0;
+    start(&s, w, seed);
+    const gv_reserve_policy_t *p =
+        (const gv_reserve_policy_t *)GvRegistry_Find(GV_PLUGIN_RESERVE,
+                                                     GvStr_C(policy));
+    int steps = (int)(HOURS * 3600 / STEP_S);
+    for (int k = 1; k <= steps; k++) {
+        double now = k * STEP_S;
+        fail_hosts(&s, now);
+        move_hosts(&s, p, now, &r);
+        for (int i = 0; i < POOLS; i++) {
+            gv_flow_t *f = &s.flows[i];
+            int serving = s.hosts[i] - s.failed[i];
+            double phase = 2 * G_PI * (now / 3600 + i / (double)POOLS);
+            f->mean_slots = MEAN_LOAD * HOSTS * SLOTS * (1 + 0.5 * sin(phase));
+            GvFlow_Step(f, now, STEP_S, serving * SLOTS);
+            r.below_s += serving < MIN ? STEP_S : 0;
+            double needed = f->demand.busy_slots / SLOTS;
+            r.buffer_hours +=
+                i == SPARE ? 0 : MAX(s.hosts[i] - needed, 0) * STEP_S / 3600;
+        }
+    }
+    for (int i = 0; i < POOLS; i++) {
+        if (i != SPARE) {
+            g_array_append_vals(waits, s.flows[i].waits->data,
+                                s.flows[i].waits->len);
+            arrived += s.flows[i].arrived;
+            r.late += s.flows[i].late;
+        }
+        GvFlow_Clear(&s.flows[i]);
+    }
+    r.wait_p99 = GvBench_Percentile(waits, 99);
+    r.late = 100 * r.late / MAX(arrived, 1);
+    g_array_free(waits, TRUE);
+    g_free(s.settings);
+    g_rand_free(s.rand);
+    return r;
+}
+
+static void
+compare(const gv_bench_t *b, const weights_t *w, const char *base)
+{
+    static const char *const names[] = {
+        "buffer cost", "moves", "time below budget, worst seed",
+        "waiting of arriving work, p99", "work that waits more than 5 s"};
+    static const char *const units[] = {"host-hours", "moves", "s", "ms", "%"};
+    double v[2][5][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        for (int k = 0; k < 2; k++) {
+            reserve_result_t r = run_reserve(k == 0 ? "hysteresis" : base, w,
+                                             gv_bench_seeds[i]);
+            v[k][0][i] = r.buffer_hours;
+            v[k][1][i] = r.moves;
+            v[k][2][i] = r.below_s;
+            v[k][3][i] = r.wait_p99;
+            v[k][4][i] = r.late;
+        }
+    }
+    for (int m = 0; m < 5; m++) {
+        char name[128];
+        double x[2];
+        g_snprintf(name, sizeof name, "reserve, weights of %s: %s", w->name,
+                   names[m]);
+        for (int k = 0; k < 2; k++) {
+            x[k] = m == 2 ? GvBench_Worst(v[k][m], GV_BENCH_SEEDS)
+                          : GvBench_Median(v[k][m], GV_BENCH_SEEDS);
+        }
+        GvBench_Row(b, name, x[0], units[m], base, x[1]);
+    }
+}
+
+/* Reserve policy with each deployment's weights. */
+void
+GvBench_Reserve(const gv_bench_t *b)
+{
+    static const weights_t weights[] = {{3, 1, "Kladeftis"},
+                                        {1, 3, "Derwent"}};
+    for (size_t i = 0; i < G_N_ELEMENTS(weights); i++) {
+        compare(b, &weights[i], "static");
+        compare(b, &weights[i], "eager");
+    }
+}
