--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,7 +63,7 @@
     gv_forward_t *forward;
     gint mode;
     gint started;
-    gv_request_t *held;
+    _Atomic(gv_request_t *) held;
 } node_t;
 
 static node_t a;
@@ -120,7 +121,7 @@
         GvRequest_BeginAttempt(rq);
     }
     if (mode == HOLD || mode == QUEUE) {
-        g_atomic_pointer_set(&n->held, GvRequest_Ref(rq));
+        atomic_store(&n->held, GvRequest_Ref(rq));
         return;
     }
     end_run(n, rq);
@@ -259,10 +260,10 @@
 wait_held(node_t *n)
 {
     gv_request_t *rq;
-    while ((rq = g_atomic_pointer_get(&n->held)) == NULL) {
+    while ((rq = atomic_load(&n->held)) == NULL) {
         g_usleep(1000);
     }
-    g_atomic_pointer_set(&n->held, NULL);
+    atomic_store(&n->held, NULL);
     return rq;
 }
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -128,7 +128,7 @@
 }
 
 static void
-wait_int(gint *v, gint want)
+wait_int(const gint *v, gint want)
 {
     for (int i = 0; g_atomic_int_get(v) < want; i++) {
         g_assert_cmpint(i, <, 10000);
