Keep ticket expiry independent of steps of the wall clock

A wall clock that jumped ahead and back expired every new ticket at once, because the table keeps the highest time it has seen. Expiry now counts from that time, and forwarding derives it from the monotonic clock. The kernel stops the peer module before the appender, through which requests of peers claim keys.

--- a/src/forward.c
+++ b/src/forward.c
@@ -35,6 +35,7 @@
     atomic_init(&f->peers, o->peers);
     atomic_init(&f->appender, o->appender);
     atomic_init(&f->next_sequence, 1);
+    f->wall_offset_ms = GvClock_WallMs() - GvClock_MonoMs();
     for (int i = 0; i < GV_SHARDS; i++) {
         pthread_mutex_init(&f->shards[i].mu, NULL);
         f->shards[i].once = GvOnce_New(o->self, o->incarnation);
@@ -92,6 +93,14 @@
     atomic_store(&f->appender, appender);
 }
 
+/* The time for expiry: wall-clock ms that do not follow a later step of the
+   wall clock, which would end or prolong every ticket at once. */
+static int64_t
+now_ms(const gv_forward_t *f)
+{
+    return GvClock_MonoMs() + f->wall_offset_ms;
+}
+
 static gv_onceshard_t *
 shard_of_ticket(gv_forward_t *f, const gv_ticket_t *t)
 {
@@ -125,8 +134,8 @@
     gv_ticket_t t = {.sequence = atomic_fetch_add(&f->next_sequence, 1)};
     gv_onceshard_t *sh = shard_of_ticket(f, &t);
     pthread_mutex_lock(&sh->mu);
-    int err = GvOnce_Issue(sh->once, t.sequence, GvClock_WallMs(),
-                           GV_TICKET_TTL_MS, &t);
+    int err =
+        GvOnce_Issue(sh->once, t.sequence, now_ms(f), GV_TICKET_TTL_MS, &t);
     pthread_mutex_unlock(&sh->mu);
     if (err != GV_OK) {
         return err;
@@ -167,7 +176,7 @@
     int n;
     pthread_mutex_lock(&run->shard->mu);
     void **waiters =
-        GvOnce_Finish(run->shard->once, run->id, a, GvClock_WallMs(), &n);
+        GvOnce_Finish(run->shard->once, run->id, a, now_ms(run->f), &n);
     /* The table of runs borrows the request: it ends only after this. */
     g_hash_table_remove(run->shard->runs, &run->id);
     pthread_mutex_unlock(&run->shard->mu);
@@ -322,7 +331,7 @@
 begin(gv_forward_t *f, gv_onceshard_t *sh, const gv_ticket_t *t, gv_str_t id,
       int64_t expires_ms, gv_request_t *rq)
 {
-    int64_t now = GvClock_WallMs();
+    int64_t now = now_ms(f);
     gv_once_result_t r;
     gv_once_kind_t kind = GV_ONCE_INVALID;
     gv_answer_t kept = {0};
@@ -409,6 +418,6 @@
 {
     unsigned i = atomic_fetch_add(&f->next_sweep, 1) % GV_SHARDS;
     pthread_mutex_lock(&f->shards[i].mu);
-    GvOnce_Sweep(f->shards[i].once, GvClock_WallMs());
+    GvOnce_Sweep(f->shards[i].once, now_ms(f));
     pthread_mutex_unlock(&f->shards[i].mu);
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -20,6 +20,7 @@
     _Atomic(gv_peers_t *) peers;
     _Atomic(gv_appender_t *) appender;
     atomic_uint_fast64_t next_sequence;
+    int64_t wall_offset_ms; /* wall clock less monotonic clock at the start */
     atomic_uint next_sweep;
     gv_onceshard_t shards[GV_SHARDS];
     pthread_mutex_t claim_mu;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -438,13 +438,14 @@
     if (k->reader != NULL) {
         GvLogReader_Stop(k->reader);
     }
+    /* Requests of peers claim keys through the appender. */
+    if (k->peers != NULL) {
+        GvPeers_Stop(k->peers);
+    }
     if (k->appender != NULL) {
         GvAppender_Stop(k->appender);
     }
     GvCheckpointer_Free(p->checkpointer);
-    if (k->peers != NULL) {
-        GvPeers_Stop(k->peers);
-    }
     if (k->prober != NULL) {
         GvProber_Stop(k->prober);
     }
--- a/src/once.c
+++ b/src/once.c
@@ -107,8 +107,8 @@
 GvOnce_Issue(gv_once_t *o, uint64_t sequence, int64_t now_ms, int64_t ttl_ms,
              gv_ticket_t *t)
 {
-    advance(o, now_ms);
-    *t = (gv_ticket_t){o->entry, o->incarnation, sequence, now_ms + ttl_ms};
+    int64_t expires_ms = advance(o, now_ms) + ttl_ms;
+    *t = (gv_ticket_t){o->entry, o->incarnation, sequence, expires_ms};
     char text[GV_TICKET_TEXT_BYTES];
     int n = GvTicket_Format(t, text, sizeof text);
     g_assert(n > 0);
@@ -116,7 +116,7 @@
     if (g_hash_table_contains(o->entries, &id)) {
         return GV_EEXIST;
     }
-    if (add(o, id, t->expires_ms) == NULL) {
+    if (add(o, id, expires_ms) == NULL) {
         return GV_EFULL;
     }
     o->top_sequence = MAX(o->top_sequence, sequence);
