Test the operator commands against the platform stand-in

It covers merging and racing publishes, claims, waves, lost and doubled appends, an outage, a log whose start is no longer retained, and the pages of an entry host.

--- a/src/cmd_wave.c
+++ b/src/cmd_wave.c
@@ -56,6 +56,15 @@
     return root;
 }
 
+/* Releases a page; NULL is allowed. */
+static void
+drop(JsonNode *page)
+{
+    if (page != NULL) {
+        json_node_unref(page);
+    }
+}
+
 /* Prints the waves that an entry host knows; reads the log when there is no
    entry host or its page has no waves. */
 static int
@@ -66,7 +75,8 @@
     int code = GV_EXIT_OK;
     if (waves == NULL) {
         gv_operator_t *op = NULL;
-        g_clear_pointer(&page, json_node_unref);
+        drop(page);
+        page = NULL;
         code = GvCli_Open(c, &op);
         if (code == GV_EXIT_OK) {
             page = GvCli_LedgerPage(GvOperator_Ledger(op));
@@ -85,7 +95,7 @@
         }
         json_node_unref(waves);
     }
-    g_clear_pointer(&page, json_node_unref);
+    drop(page);
     return code;
 }
 
--- a/src/gypsumvalve.c
+++ b/src/gypsumvalve.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -36,5 +37,8 @@
                 argv[1]);
         return GV_EXIT_USAGE;
     }
+    char *name = g_strdup_printf("gypsumvalve %s", argv[1]);
+    g_set_prgname(name); /* for the usage line of --help */
+    g_free(name);
     return c->run(argc - 1, argv + 1);
 }
--- a/tests/ledger_lib.py
+++ b/tests/ledger_lib.py
@@ -108,6 +108,7 @@
     for name in ("Confirm", "Act", "Takeover"):
         getattr(lib, "GvLedger_Pack" + name).argtypes = [PTR, Str, U64, Str,
                                                          U64]
+    lib.GvLedger_PackCheckpoint.argtypes = [PTR, PTR]
     lib.GvLedger_PackDone.argtypes = [PTR, Str, U64, INT]
     lib.GvLedger_PackWave.argtypes = [PTR, Str, Str, INT, INT]
     return lib
--- /dev/null
+++ b/tests/proc_operator.py
@@ -0,0 +1,270 @@
+#!/usr/bin/env python3
+"""The operator command line against the platform stand-in and a small entry
+host written here. Guards against: a change reported with the wrong fate when
+an answer is lost or the platform is down, a publish that drops or overwrites
+another team's settings, commands that fail once the start of the log is no
+longer retained, and a wrong exit code."""
+import ctypes
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import ledger_lib as gv
+
+BUILD = pathlib.Path(sys.argv[1])
+LIB = gv.load(str(BUILD))
+POOLS = ("kind: pool\npool: p\nmax_out: 2\nspare: q\n---\nkind: pool\n"
+         "pool: q\nis_spare: true\n---\n")
+SERVICE = "kind: service\nservice: %s\npool: p\nqueue: {max_requests: %d}\n"
+OK, USAGE, INVALID, REJECTED, UNREACHABLE, UNKNOWN = 0, 2, 3, 4, 5, 6
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+class Platform:
+    def __init__(self, *args):
+        self.addr = "127.0.0.1:%d" % free_port()
+        env = {k: v for k, v in os.environ.items() if k != "LD_PRELOAD"}
+        self.env = dict(env, GYPSUMVALVE_PLATFORM=self.addr)
+        self.env.pop("GYPSUMVALVE_ENTRY", None)
+        self.proc = subprocess.Popen([str(BUILD / "standin-platform"),
+                                      "--listen", self.addr, *args], env=env)
+        self.seq, self.raws = 0, []
+        self.wait()
+
+    def wait(self):
+        for _ in range(100):
+            try:
+                self.call("GET", "/hosts")
+                return
+            except OSError:
+                time.sleep(0.05)
+        raise AssertionError("the stand-in did not start")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        self.proc.kill()
+        self.proc.wait()
+
+    def call(self, method, path, body=None):
+        conn = http.client.HTTPConnection(self.addr, timeout=10)
+        conn.request(method, path, body)
+        answer = conn.getresponse()
+        answer.read()
+        conn.close()
+        assert answer.status == 200, (path, answer.status)
+
+    def run(self, *args, code=OK, **env):
+        done = subprocess.run([str(BUILD / "gypsumvalve"), *args],
+                              env=dict(self.env, **env), capture_output=True,
+                              text=True, timeout=60, check=False)
+        assert done.returncode == code, (args, done)
+        return done.stdout + done.stderr
+
+    def append(self, kind, call, *args):
+        """Appends a record as an entry host would."""
+        self.seq += 1
+        now = int(time.time() * 1000)
+        r = gv.Record(gv.s(kind), gv.s("e1"), 10, self.seq, now, now + 60000,
+                      None)
+        raw = gv.pack(LIB, LIB.GvRecord_Pack, ctypes.byref(r),
+                      gv.s(gv.pack(LIB, call, *args)))
+        self.raws.append(raw)
+        head = b"\xc6" + len(raw).to_bytes(4, "big")
+        self.call("POST", "/log/append", b"\x91" + head + raw)
+
+    def add_hosts(self):
+        m = gv.Member(gv.s("e1"), gv.s("k1"), gv.s("127.0.0.1:71"),
+                      gv.s("127.0.0.1:81"), 10)
+        self.append("member", LIB.GvLedger_PackMember, ctypes.byref(m), 0)
+        for i in range(4):
+            h = gv.Host(gv.s("h%d" % i), gv.s("k1"), gv.s("r%d" % i),
+                        gv.s("127.0.0.1:9001"), gv.s("p"), gv.s("b1"), 8, 0)
+            self.append("host", LIB.GvLedger_PackHost, ctypes.byref(h))
+
+    def status(self):
+        return json.loads(self.run("status", "--json"))
+
+    def host(self, name):
+        return [h for h in self.status()["hosts"] if h["host"] == name][0]
+
+
+def write(root, team, text):
+    path = pathlib.Path(root) / team
+    path.mkdir(exist_ok=True)
+    (path / "gypsumvalve.yaml").write_text(text)
+    return str(path)
+
+
+def publish(p, root):
+    base = write(root, "base", POOLS)
+    one = write(root, "one", SERVICE % ("one", 10))
+    p.run("publish", one, code=INVALID)  # its pool is not declared yet
+    p.run("publish", base, one)
+    version = p.status()["settings_version"]
+    assert "unchanged" in p.run("publish", one)
+    # Another team's publish leaves the first one's service in force.
+    two = write(root, "two", SERVICE % ("two", 10))
+    p.run("publish", two)
+    assert p.status()["settings_version"] > version
+    p.run("publish", one, "--remove", "service/two")
+    p.run("publish", one, "--remove", "service/two", code=USAGE)
+    out = p.run("publish", write(root, "bad", SERVICE % ("x", 0)), two,
+                code=INVALID)
+    assert "bad/gypsumvalve.yaml:4: queue.max_requests: expected" in out, out
+    p.add_hosts()
+    out = p.run("publish", "--replace", write(
+        root, "q", "{kind: pool, pool: q}"), code=REJECTED)
+    assert "pool p is dropped" in out, out
+
+
+def racing_publishers(p, root):
+    """Of operators on one base, each is accepted or told why not."""
+    codes = []
+
+    def one(i):
+        path = write(root, "race%d" % i, SERVICE % ("race%d" % i, 10))
+        done = subprocess.run([str(BUILD / "gypsumvalve"), "publish", path],
+                              env=p.env, capture_output=True, text=True,
+                              timeout=60, check=False)
+        codes.append((done.returncode, done.stderr))
+
+    threads = [threading.Thread(target=one, args=(i,)) for i in range(4)]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    assert any(c == OK for c, _ in codes), codes
+    assert all(c == OK or (c == REJECTED and "base version" in e)
+               for c, e in codes), codes
+
+
+def claims(p):
+    p.run("drain", "h0")
+    assert p.host("h0")["claim"] == "drain"
+    p.run("drain", "h0", code=REJECTED)
+    p.run("undrain", "h0")
+    p.run("undrain", "h0", code=REJECTED)
+    p.run("move", "h1", "--to", "q")
+    assert p.host("h1")["waiting"] == 1
+    p.run("move", "h1", "--cancel")
+    p.run("move", "h1", "--to", "q")
+    # The only entry host is removed, so the move needs no confirmation.
+    p.run("entry", "remove", "e1")
+    p.run("entry", "remove", "e1", code=REJECTED)
+    assert p.host("h1")["pool"] == "q"
+
+
+def waves(p):
+    p.run("wave", "start", "w", "--pool", "p", "--width", "2")
+    assert "state=running" in p.run("wave", "status", "w")
+    p.run("wave", "start", "w2", "--pool", "p", code=REJECTED)
+    p.run("wave", "resume", "w", code=REJECTED)
+    p.run("wave", "stop", "w")
+    assert json.loads(p.run("wave", "status", "--json"))["waves"][0][
+        "state"] == "done"
+    p.run("wave", "status", "none", code=REJECTED)
+
+
+def faults(p):
+    """The verdict is right although answers are lost or doubled."""
+    for fault in ("lose_append", "duplicate_append"):
+        p.call("POST", "/faults?%s=1" % fault)
+        p.run("drain", "h2")
+        p.call("POST", "/faults?%s=1" % fault)
+        p.run("undrain", "h2")
+    before = p.status()["offset"]
+    p.call("POST", "/faults?outage=503")
+    p.run("drain", "h2", "--timeout", "1", code=UNREACHABLE)
+    p.call("POST", "/faults?outage=0")
+    assert p.status()["offset"] == before
+
+
+def retention(with_checkpoint):
+    """A session starts from a checkpoint when the log's start is gone."""
+    with Platform("--retention-records", "8") as p:
+        doc = gv.Document(gv.s("a.yaml"), gv.s("{kind: pool, pool: p}"))
+        p.append("settings", LIB.GvLedger_PackSettings, 0, ctypes.byref(doc),
+                 1)
+        p.add_hosts()
+        ledger = gv.Ledger(LIB)
+        for raw in p.raws:
+            assert ledger.apply(int(time.time() * 1000), raw).kind == 0
+        if with_checkpoint:
+            p.append("checkpoint", LIB.GvLedger_PackCheckpoint, ledger.handle)
+        ledger.close()
+        for i in range(4):
+            h = gv.Host(gv.s("h0"), gv.s("k1"), gv.s("r0"),
+                        gv.s("127.0.0.1:9001"), gv.s("p"), gv.s("b%d" % i), 8)
+            p.append("host", LIB.GvLedger_PackHost, ctypes.byref(h))
+        if with_checkpoint:
+            p.run("drain", "h0")
+            assert p.host("h0")["boot"] == "b3"
+        else:
+            out = p.run("drain", "h0", code=UNREACHABLE)
+            assert "no checkpoint" in out, out
+
+
+class Entry(http.server.BaseHTTPRequestHandler):
+    pages = {"/v1/status": {"name": "e1", "services": [{"service": "s",
+                                                        "queued": 3}]},
+             "/v1/burn": {"services": [{"service": "s", "windows": [
+                 {"window_s": 60, "burn": 1.5}]}]}}
+
+    def do_GET(self):
+        body = json.dumps(self.pages[self.path]).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args):
+        pass
+
+
+def entry_pages(p):
+    server = http.server.HTTPServer(("127.0.0.1", 0), Entry)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    addr = "127.0.0.1:%d" % server.server_port
+    assert "service=s queued=3" in p.run("status", "--entry", addr)
+    assert "window_s=60 burn=1.500" in p.run("burn", "s", "--entry", addr)
+    p.run("burn", "t", GYPSUMVALVE_ENTRY=addr, code=USAGE)
+    # This entry host's page has no waves: they are read from the log.
+    assert "name=w" in p.run("wave", "status", "--entry", addr)
+    server.shutdown()
+    server.server_close()
+    assert "offset" in p.run("status", "--entry", addr)
+    p.run("burn", "--entry", addr, "--timeout", "1", code=UNREACHABLE)
+    p.run("burn", code=USAGE)
+
+
+def main():
+    with tempfile.TemporaryDirectory() as root:
+        with Platform() as p:
+            publish(p, root)
+            claims(p)
+            waves(p)
+            racing_publishers(p, root)
+            faults(p)
+            entry_pages(p)
+    retention(True)
+    retention(False)
+    print("ok")
+
+
+if __name__ == "__main__":
+    main()
