--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,7 +17,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
-from cluster import Cluster, http_call, wait_until  # noqa: E402
+from cluster import Cluster, http_call  # noqa: E402
+from harness import wait_until  # noqa: E402
 
 TICKS = os.sysconf("SC_CLK_TCK")
 ROWS = []
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,13 +5,13 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import tempfile
 import threading
 import time
 
 import history
+from harness import free_addr, wait_until
 
 SERVICE = """kind: service
 service: {0}
@@ -33,12 +33,6 @@
 """
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
 def http_call(addr, method, path, headers=None, body=None, timeout=5.0):
     """Returns (status, headers, body text), or None when the connection
     broke before a whole answer."""
@@ -54,16 +48,6 @@
         conn.close()
 
 
-def wait_until(check, seconds, what):
-    """Polls check until it is true; fails the test at the bound."""
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if check():
-            return
-        time.sleep(0.05)
-    raise AssertionError(f"not within {seconds} s: {what}")
-
-
 class Cluster:
     """Data centres dc1..; entry hosts e1.. spread over them in order; hosts
     SERVICE-DC-N, four to a rack. Ends all of its processes on exit."""
@@ -77,20 +61,20 @@
         self.services = services
         self.min_hosts, self.max_out = min_hosts, max_out
         self.procs = {}
-        self.platform = f"127.0.0.1:{free_port()}"
+        self.platform, self.control = free_addr(), free_addr()
         self.entries = {}
         for dc in self.dcs:
             for _ in range(entries):
                 name = f"e{len(self.entries) + 1}"
-                self.entries[name] = (dc, f"127.0.0.1:{free_port()}",
-                                      f"127.0.0.1:{free_port()}")
+                self.entries[name] = (dc, free_addr(),
+                                      free_addr())
         self.hosts = {}
         for dc in self.dcs:
             for n in range(hosts):
                 for service in services:
                     name = f"{service}-{dc}-{n + 1}"
                     self.hosts[name] = (dc, service,
-                                        f"127.0.0.1:{free_port()}")
+                                        free_addr())
         self.reboot_ms = reboot_ms
         self.platform_args = platform_args
         # Addresses under which entry hosts reach platform and peers; a test
@@ -120,7 +104,7 @@
 
     def start(self):
         self.spawn("platform", ["standin-platform", "--listen", self.platform,
-                                *self.platform_args])
+                                "--control", self.control, *self.platform_args])
         wait_until(lambda: http_call(self.platform, "GET", "/hosts"), 10,
                    "platform answers")
         racks = {}
@@ -199,7 +183,7 @@
 
     def fault(self, **values):
         query = "&".join(f"{k}={v}" for k, v in values.items())
-        assert http_call(self.platform, "POST", f"/faults?{query}")[0] == 200
+        assert http_call(self.control, "POST", f"/faults?{query}")[0] == 200
 
     def target(self, host, method, path):
         return http_call(self.hosts[host][2], method, path)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -6,7 +6,8 @@
 import threading
 import time
 
-from cluster import Callers, Cluster, wait_until
+from cluster import Callers, Cluster
+from harness import wait_until
 
 
 def entry_killed(build):
@@ -42,7 +43,7 @@
     and against settings that are lost when an entry host restarts during the
     outage."""
     with Cluster(build, entries=3) as c:
-        c.fault(outage=1)
+        c.fault(outage="refuse")
         with Callers(c, seed=13) as callers:
             time.sleep(1)
             c.kill("e3")
@@ -113,7 +114,7 @@
     with Cluster(build, hosts=3) as c, Callers(c, seed=16) as callers:
         c.fault(list_lag_ms=60000)
         time.sleep(1)
-        c.fault(outage=1)
+        c.fault(outage="refuse")
         c.target("plan-dc1-1", "POST", "/control/leave")
         time.sleep(5)
         before = c.target("plan-dc1-1", "GET", "/history")[2].count("start ")
