--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -11,7 +11,7 @@
 import time
 
 import history
-from harness import free_addr, wait_until
+from harness import free_ports, wait_until
 
 SERVICE = """kind: service
 service: {0}
@@ -61,20 +61,24 @@
         self.services = services
         self.min_hosts, self.max_out = min_hosts, max_out
         self.procs = {}
-        self.platform, self.control = free_addr(), free_addr()
+        ports = iter(free_ports(
+            2 + dcs * (2 * entries + hosts * len(services))))
+
+        def addr():
+            return f"127.0.0.1:{next(ports)}"
+
+        self.platform, self.control = addr(), addr()
         self.entries = {}
         for dc in self.dcs:
             for _ in range(entries):
                 name = f"e{len(self.entries) + 1}"
-                self.entries[name] = (dc, free_addr(),
-                                      free_addr())
+                self.entries[name] = (dc, addr(), addr())
         self.hosts = {}
         for dc in self.dcs:
             for n in range(hosts):
                 for service in services:
                     name = f"{service}-{dc}-{n + 1}"
-                    self.hosts[name] = (dc, service,
-                                        free_addr())
+                    self.hosts[name] = (dc, service, addr())
         self.reboot_ms = reboot_ms
         self.platform_args = platform_args
         # Addresses under which entry hosts reach platform and peers; a test
