--- a/bench/main.c
+++ b/bench/main.c
@@ -45,6 +45,16 @@
     return m;
 }
 
+double
+GvBench_Worst(const double *v, int n)
+{
+    double worst = v[0];
+    for (int i = 1; i < n; i++) {
+        worst = MAX(worst, v[i]);
+    }
+    return worst;
+}
+
 double
 GvBench_Percentile(GArray *a, double p)
 {
@@ -75,10 +85,9 @@
     static const struct {
         const char *name;
         void (*run)(const gv_bench_t *b);
-    } groups[] = {{"queue", GvBench_Queue},
-                  {"place", GvBench_Place},
-                  {"retry", GvBench_Retry},
-                  {"wave", GvBench_Wave}};
+    } groups[] = {{"queue", GvBench_Queue},     {"place", GvBench_Place},
+                  {"retry", GvBench_Retry},     {"wave", GvBench_Wave},
+                  {"reserve", GvBench_Reserve}, {"fold", GvBench_Fold}};
     if (argc < 3) {
         fprintf(stderr, "usage: bench DATA_DIR RESULTS [GROUP ...]\n");
         return 2;
--- a/src/forward.c
+++ b/src/forward.c
@@ -11,6 +11,18 @@
 GV_COUNTER(repeats, "repeats_total",
            "Submissions that joined a run or got a kept answer");
 
+static guint
+hash_id(gconstpointer p)
+{
+    return GvStr_Hash(*(const gv_str_t *)p);
+}
+
+static gboolean
+equal_ids(gconstpointer a, gconstpointer b)
+{
+    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
+}
+
 /* Creates the module. The strings in o are copied. */
 gv_forward_t *
 GvForward_New(const gv_forward_opts_t *o)
@@ -23,12 +35,14 @@
     atomic_init(&f->peers, o->peers);
     atomic_init(&f->appender, o->appender);
     atomic_init(&f->next_sequence, 1);
+    f->wall_offset_ms = GvClock_WallMs() - GvClock_MonoMs();
     for (int i = 0; i < GV_SHARDS; i++) {
-        g_mutex_init(&f->shards[i].mu);
+        pthread_mutex_init(&f->shards[i].mu, NULL);
         f->shards[i].once = GvOnce_New(o->self, o->incarnation);
+        f->shards[i].runs = g_hash_table_new(hash_id, equal_ids);
     }
-    g_mutex_init(&f->claim_mu);
-    g_mutex_init(&f->hop_mu);
+    pthread_mutex_init(&f->claim_mu, NULL);
+    pthread_mutex_init(&f->hop_mu, NULL);
     f->unclaimed = g_ptr_array_new();
     f->hops = g_hash_table_new(NULL, NULL);
     f->served = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -47,7 +61,8 @@
     }
     for (int i = 0; i < GV_SHARDS; i++) {
         GvOnce_Free(f->shards[i].once);
-        g_mutex_clear(&f->shards[i].mu);
+        g_hash_table_destroy(f->shards[i].runs);
+        pthread_mutex_destroy(&f->shards[i].mu);
     }
     for (guint i = 0; i < f->unclaimed->len; i++) {
         GvRequest_Unref(g_ptr_array_index(f->unclaimed, i));
@@ -56,8 +71,8 @@
     g_hash_table_destroy(f->hops);
     g_hash_table_destroy(f->served);
     g_hash_table_destroy(f->loads);
-    g_mutex_clear(&f->claim_mu);
-    g_mutex_clear(&f->hop_mu);
+    pthread_mutex_destroy(&f->claim_mu);
+    pthread_mutex_destroy(&f->hop_mu);
     GvStr_Free(&f->o.self);
     GvStr_Free(&f->o.dc);
     GvStr_Free(&f->o.region);
@@ -78,6 +93,14 @@
     atomic_store(&f->appender, appender);
 }
 
+/* The time for expiry: wall-clock ms that do not follow a later step of the
+   wall clock, which would end or prolong every ticket at once. */
+static int64_t
+now_ms(const gv_forward_t *f)
+{
+    return GvClock_MonoMs() + f->wall_offset_ms;
+}
+
 static gv_onceshard_t *
 shard_of_ticket(gv_forward_t *f, const gv_ticket_t *t)
 {
@@ -110,10 +133,10 @@
 {
     gv_ticket_t t = {.sequence = atomic_fetch_add(&f->next_sequence, 1)};
     gv_onceshard_t *sh = shard_of_ticket(f, &t);
-    g_mutex_lock(&sh->mu);
-    int err = GvOnce_Issue(sh->once, t.sequence, GvClock_WallMs(),
-                           GV_TICKET_TTL_MS, &t);
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
+    int err =
+        GvOnce_Issue(sh->once, t.sequence, now_ms(f), GV_TICKET_TTL_MS, &t);
+    pthread_mutex_unlock(&sh->mu);
     if (err != GV_OK) {
         return err;
     }
@@ -151,10 +174,12 @@
 finish_run(run_t *run, const gv_answer_t *a)
 {
     int n;
-    g_mutex_lock(&run->shard->mu);
+    pthread_mutex_lock(&run->shard->mu);
     void **waiters =
-        GvOnce_Finish(run->shard->once, run->id, a, GvClock_WallMs(), &n);
-    g_mutex_unlock(&run->shard->mu);
+        GvOnce_Finish(run->shard->once, run->id, a, now_ms(run->f), &n);
+    /* The table of runs borrows the request: it ends only after this. */
+    g_hash_table_remove(run->shard->runs, &run->id);
+    pthread_mutex_unlock(&run->shard->mu);
     for (int i = 0; i < n; i++) {
         GvForward_Reply(waiters[i], GvAnswer_Copy(a));
         GvRequest_Unref(waiters[i]);
@@ -207,6 +232,12 @@
         GvAnswer_Free(&a);
     }
     else {
+        pthread_mutex_lock(&shard->mu);
+        /* finish_run removes it after it has ended. */
+        if (!GvRequest_Ended(inner)) {
+            g_hash_table_insert(shard->runs, &run->id, inner);
+        }
+        pthread_mutex_unlock(&shard->mu);
         f->o.submit(f->o.user, inner);
         GvRequest_Unref(inner);
     }
@@ -245,7 +276,9 @@
     }
 }
 
-/* Drops a request that has ended from the waiters of its run. */
+/* Drops a request that has ended from the waiters of its run. A run that
+   nobody waits for is cancelled if it has not been started; otherwise it goes
+   on and its answer is kept. */
 static void
 on_waiter_ended(void *user, gv_request_t *rq)
 {
@@ -264,11 +297,19 @@
         id = owned = key_id(rq);
         sh = shard_of_key(f, id);
     }
-    g_mutex_lock(&sh->mu);
-    bool removed = GvOnce_RemoveWaiter(sh->once, id, rq);
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
+    int left = GvOnce_RemoveWaiter(sh->once, id, rq);
+    gv_request_t *run = left == 0 ? g_hash_table_lookup(sh->runs, &id) : NULL;
+    if (run != NULL) {
+        GvRequest_Ref(run);
+    }
+    pthread_mutex_unlock(&sh->mu);
     GvStr_Free(&owned);
-    if (removed) {
+    if (run != NULL) {
+        GvRequest_CancelIdle(run, "nobody waits for it");
+        GvRequest_Unref(run);
+    }
+    if (left >= 0) {
         GvRequest_Unref(rq);
     }
 }
@@ -290,12 +331,12 @@
 begin(gv_forward_t *f, gv_onceshard_t *sh, const gv_ticket_t *t, gv_str_t id,
       int64_t expires_ms, gv_request_t *rq)
 {
-    int64_t now = GvClock_WallMs();
+    int64_t now = now_ms(f);
     gv_once_result_t r;
     gv_once_kind_t kind = GV_ONCE_INVALID;
     gv_answer_t kept = {0};
     GvRequest_Ref(rq); /* for the table, while the request waits there */
-    g_mutex_lock(&sh->mu);
+    pthread_mutex_lock(&sh->mu);
     for (int i = 0; i < 2; i++) {
         r = t != NULL ? GvOnce_BeginTicket(sh->once, t, now, rq)
                       : GvOnce_BeginKey(sh->once, id, expires_ms, now, rq);
@@ -309,7 +350,7 @@
     if (kind == GV_ONCE_ANSWER) {
         kept = GvAnswer_Copy(r.answer);
     }
-    g_mutex_unlock(&sh->mu);
+    pthread_mutex_unlock(&sh->mu);
     act(f, sh, id, rq, kind, kept);
     if (kind != GV_ONCE_START && kind != GV_ONCE_WAIT) {
         GvRequest_Unref(rq);
@@ -376,7 +417,7 @@
 GvForward_Tick(gv_forward_t *f)
 {
     unsigned i = atomic_fetch_add(&f->next_sweep, 1) % GV_SHARDS;
-    g_mutex_lock(&f->shards[i].mu);
-    GvOnce_Sweep(f->shards[i].once, GvClock_WallMs());
-    g_mutex_unlock(&f->shards[i].mu);
+    pthread_mutex_lock(&f->shards[i].mu);
+    GvOnce_Sweep(f->shards[i].once, now_ms(f));
+    pthread_mutex_unlock(&f->shards[i].mu);
 }
