Read the host list only when its version changed

A list of the target size (5,800 hosts of about 70 bytes) takes some 400 KB; read every two seconds it would exceed the control traffic allowed on a node by far. GET /hosts?known=V answers 204 for the version that the caller has. The second read in the prober's test is now waited for: the former assertion depended on how long the steps before it took.

--- a/src/hosttable.c
+++ b/src/hosttable.c
@@ -7,6 +7,7 @@
 #include "pack.h"
 
 typedef struct {
+    uint64_t version;
     int64_t made_ms;
     GBytes *body;
 } list_t;
@@ -183,7 +184,7 @@
     for (guint i = 0; i < t->hosts->len; i++) {
         pack_host(&pk, &GvHostTable_At(t, (int)i)->listed);
     }
-    list_t l = {now_ms, g_bytes_new(sb.data, sb.size)};
+    list_t l = {t->version, now_ms, g_bytes_new(sb.data, sb.size)};
     msgpack_sbuffer_destroy(&sb);
     g_array_append_val(t->lists, l);
     if (t->lists->len > GV_HOSTTABLE_LISTS) {
@@ -193,14 +194,17 @@
 
 /* Returns a reference to one list body; see the header. */
 GBytes *
-GvHostTable_List(const gv_hosttable_t *t, int64_t until_ms, uint64_t older)
+GvHostTable_List(const gv_hosttable_t *t, int64_t until_ms, uint64_t older,
+                 uint64_t *version)
 {
     guint at = t->lists->len - 1;
     while (at > 0 && g_array_index(t->lists, list_t, at).made_ms > until_ms) {
         at--;
     }
     at -= (guint)MIN(older, at);
-    return g_bytes_ref(g_array_index(t->lists, list_t, at).body);
+    const list_t *l = &g_array_index(t->lists, list_t, at);
+    *version = l->version;
+    return g_bytes_ref(l->body);
 }
 
 /* Reads a state name; see the header. */
@@ -215,3 +219,49 @@
     }
     return GV_EINVAL;
 }
+
+/* Reads a string parameter, "" when absent. */
+static gv_str_t
+query_str(const gv_served_t *rq, const char *name)
+{
+    return GvStr_C(GvServed_Query(rq, name));
+}
+
+/* Reads the parameters of /hosts/set; see the header. */
+const char *
+GvHostTable_ParseQuery(const gv_served_t *rq, gv_listed_host_t *h)
+{
+    uint64_t slots = 0;
+    const struct {
+        const char *name;
+        gv_str_t *value;
+        bool optional;
+    } names[] = {{"host", &h->host, false},
+                 {"dc", &h->dc, false},
+                 {"rack", &h->rack, true},
+                 {"pool", &h->pool, true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        *names[i].value = query_str(rq, names[i].name);
+        if (!(names[i].optional && names[i].value->n == 0) &&
+            !GvStr_IsName(*names[i].value)) {
+            return names[i].name;
+        }
+    }
+    h->addr = query_str(rq, "addr");
+    h->boot = query_str(rq, "boot");
+    if (h->addr.n > GV_NAME_MAX_BYTES || strchr(h->addr.p, ':') == NULL) {
+        return "addr";
+    }
+    if (h->boot.n > GV_NAME_MAX_BYTES) {
+        return "boot";
+    }
+    if (GvServed_QueryNumber(rq, "slots", GV_TARGET_SLOTS_MAX, &slots) != 0) {
+        return "slots";
+    }
+    h->slots = (int)slots;
+    const char *state = GvServed_Query(rq, "state");
+    if (state != NULL && GvHostTable_ParseState(state, &h->state) != GV_OK) {
+        return "state";
+    }
+    return NULL;
+}
--- a/src/hosttable.h
+++ b/src/hosttable.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "hostlist.h"
+#include "httpserver.h"
 
 /* Hosts of the platform stand-in with the versions of their list. Not
    thread-safe. Times are passed in. */
@@ -40,8 +41,12 @@
 /* Returns the newest list made at until_ms or before, or the one `older`
    versions before it; the oldest kept one if there is none. */
 GBytes *GvHostTable_List(const gv_hosttable_t *t, int64_t until_ms,
-                         uint64_t older);
+                         uint64_t older, uint64_t *version);
 /* Reads a state name; returns 0 or GV_EINVAL. */
 int GvHostTable_ParseState(const char *text, gv_listed_state_t *state);
 
+/* Reads the query parameters that describe a host, as views. Returns the name
+   of the first invalid one, or NULL. */
+const char *GvHostTable_ParseQuery(const gv_served_t *rq, gv_listed_host_t *h);
+
 #endif
--- a/src/platform.c
+++ b/src/platform.c
@@ -49,6 +49,7 @@
 {
     switch (status) {
     case 200:
+    case 204:
         return GV_OK;
     case 404:
         return GV_ENOENT;
@@ -209,25 +210,38 @@
    logged), or a connection error. */
 int
 GvPlatform_Hosts(gv_platform_t *p, gv_hostlist_t *list)
+{
+    return GvPlatform_HostsSince(p, 0, list);
+}
+
+/* Reads the host list unless its version is known; see the header. */
+int
+GvPlatform_HostsSince(gv_platform_t *p, uint64_t known, gv_hostlist_t *list)
 {
     memset(list, 0, sizeof *list);
+    char path[64];
+    snprintf(path, sizeof path, "/hosts?known=%" G_GUINT64_FORMAT,
+             (guint64)known);
     gv_http_request_t rq = {.method = GV_STR("GET"),
-                            .path = GV_STR("/hosts"),
+                            .path = GvStr_C(path),
                             .idempotent = true,
                             .timeout_ms = GV_PLATFORM_TIMEOUT_MS,
                             .max_body = GV_HOSTLIST_BYTES};
     gv_http_answer_t a;
-    int err = call(p, &rq, &a);
-    if (err == GV_OK) {
+    int res = call(p, &rq, &a);
+    if (res == GV_OK && a.status == 204) {
+        res = 1;
+    }
+    else if (res == GV_OK) {
         char why[160];
         gv_str_t bytes = GvStr_N(a.body->data, a.body->len);
         if (GvHostList_Parse(bytes, list, why, sizeof why) != GV_OK) {
             GvLog_Write(GV_LOG_WARN, "%s", why);
-            err = GV_EIO;
+            res = GV_EIO;
         }
     }
     GvHttp_ClearAnswer(&a);
-    return err;
+    return res;
 }
 
 /* Asks the platform to drain, reboot or make ready a host. Returns 0,
--- a/src/platform.h
+++ b/src/platform.h
@@ -11,7 +11,8 @@
    POST /log/append      msgpack [bin, ...]      -> [first offset, count]
    GET  /log/read?from=N&max=M&wait_ms=W
         -> [first retained, next, retention_ms, [[offset, append_ms, bin]...]]
-   GET  /hosts           -> see hostlist.h
+   GET  /hosts?known=V   -> see hostlist.h; 204 when V is the version that
+        would be served
    POST /hosts/drain|reboot|ready?host=H&fence=N -> 200, or 409 for an older
         fence
    Not thread-safe: one instance for each thread. */
@@ -38,6 +39,10 @@
                     gv_log_page_t *page);
 void GvPlatform_ClearPage(gv_log_page_t *page);
 int GvPlatform_Hosts(gv_platform_t *p, gv_hostlist_t *list);
+/* As above; returns 1 and an empty list when the platform has no other list
+   than version `known`. A list of the target size takes some 400 KB. */
+int GvPlatform_HostsSince(gv_platform_t *p, uint64_t known,
+                          gv_hostlist_t *list);
 typedef enum {
     GV_HOSTOP_DRAIN,
     GV_HOSTOP_REBOOT,
--- a/src/prober.c
+++ b/src/prober.c
@@ -244,7 +244,8 @@
     bool more = true;
     while (more) {
         gv_hostlist_t list;
-        if (GvPlatform_Hosts(platform, &list) == GV_OK) {
+        uint64_t known = GvProber_ListVersion(p);
+        if (GvPlatform_HostsSince(platform, known, &list) == GV_OK) {
             apply_list(p, &list);
             GvHostList_Clear(&list);
         }
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -159,20 +159,29 @@
     reply_outage(rq, outage);
 }
 
-/* Serves the newest list, or the older one that the faults ask for. */
+/* Serves the newest list, or the older one that the faults ask for; 204 for
+   the version that the caller knows. */
 static void
 hosts_list(platform_t *p, gv_served_t *rq)
 {
+    uint64_t known = 0;
+    uint64_t version;
+    if (GvServed_QueryNumber(rq, "known", INT64_MAX, &known) != GV_OK) {
+        reply_bad(rq, "known");
+        return;
+    }
     pthread_mutex_lock(&p->lock);
     int64_t now_ms = GvClock_MonoMs();
     GvHostTable_MakeList(p->hosts, now_ms);
     GBytes *body =
         GvHostTable_List(p->hosts, now_ms - (int64_t)p->faults.list_lag_ms,
-                         p->faults.list_repeat);
+                         p->faults.list_repeat, &version);
     pthread_mutex_unlock(&p->lock);
     gsize n;
     const void *data = g_bytes_get_data(body, &n);
-    GvServed_Reply(rq, 200, "application/msgpack", GvStr_N(data, n));
+    bool same = version == known;
+    GvServed_Reply(rq, same ? 204 : 200, "application/msgpack",
+                   GvStr_N(data, same ? 0 : n));
     g_bytes_unref(body);
 }
 
@@ -191,60 +200,13 @@
     return boot;
 }
 
-/* Reads a string parameter, "" when absent. */
-static gv_str_t
-query_str(gv_served_t *rq, const char *name)
-{
-    return GvStr_C(GvServed_Query(rq, name));
-}
-
-/* Reads the parameters of /hosts/set as views. Returns the name of the first
-   invalid one, or NULL. */
-static const char *
-parse_host(gv_served_t *rq, gv_listed_host_t *h)
-{
-    uint64_t slots = 0;
-    const struct {
-        const char *name;
-        gv_str_t *value;
-        bool optional;
-    } names[] = {{"host", &h->host, false},
-                 {"dc", &h->dc, false},
-                 {"rack", &h->rack, true},
-                 {"pool", &h->pool, true}};
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        *names[i].value = query_str(rq, names[i].name);
-        if (!(names[i].optional && names[i].value->n == 0) &&
-            !GvStr_IsName(*names[i].value)) {
-            return names[i].name;
-        }
-    }
-    h->addr = query_str(rq, "addr");
-    h->boot = query_str(rq, "boot");
-    if (h->addr.n > GV_NAME_MAX_BYTES || strchr(h->addr.p, ':') == NULL) {
-        return "addr";
-    }
-    if (h->boot.n > GV_NAME_MAX_BYTES) {
-        return "boot";
-    }
-    if (GvServed_QueryNumber(rq, "slots", GV_TARGET_SLOTS_MAX, &slots) != 0) {
-        return "slots";
-    }
-    h->slots = (int)slots;
-    const char *state = GvServed_Query(rq, "state");
-    if (state != NULL && GvHostTable_ParseState(state, &h->state) != GV_OK) {
-        return "state";
-    }
-    return NULL;
-}
-
 /* Registers a host or replaces its data. A target's boot identifier is the
    one that it reports, unless the query names one. */
 static void
 hosts_set(platform_t *p, gv_served_t *rq)
 {
     gv_listed_host_t h = {.state = GV_LISTED_LIVE};
-    const char *bad = parse_host(rq, &h);
+    const char *bad = GvHostTable_ParseQuery(rq, &h);
     if (bad != NULL) {
         reply_bad(rq, bad);
         return;
@@ -267,7 +229,7 @@
 fenced_host(platform_t *p, gv_served_t *rq)
 {
     uint64_t fence = 0;
-    gv_str_t name = query_str(rq, "host");
+    gv_str_t name = GvStr_C(GvServed_Query(rq, "host"));
     gv_thost_t *h = NULL;
     if (!GvStr_IsName(name)) {
         reply_bad(rq, "host");
--- a/tests/proc_platform.py
+++ b/tests/proc_platform.py
@@ -163,6 +163,10 @@
         self.assertEqual(hosts, [["h1", "k1", "r1", "127.0.0.1:1", 8,
                                   "routing", "live", "h1-0"]])
         self.assertEqual(self.hosts()[0], version)
+        for known, status in ((version, 204), (version - 1, 200),
+                              (version + 1, 200), ("x", 400)):
+            res = call(self.addr, "GET", f"/hosts?known={known}")
+            self.assertEqual(res.status, status)
         self.faults("list_lag_ms=1000")
         harness.wait_until(lambda: self.hosts() == [version, hosts], 10,
                            "the first list is old enough")
--- a/tests/test_prober.c
+++ b/tests/test_prober.c
@@ -40,7 +40,8 @@
     (void)user;
     pthread_mutex_lock(&lock);
     GvHostTable_MakeList(hosts, 0);
-    GBytes *list = GvHostTable_List(hosts, 0, 0);
+    uint64_t version;
+    GBytes *list = GvHostTable_List(hosts, 0, 0, &version);
     pthread_mutex_unlock(&lock);
     gsize n;
     const void *data = g_bytes_get_data(list, &n);
@@ -138,6 +139,9 @@
         wait_told(i, LEAVING);
     }
     g_assert_cmpint(GvClock_MonoMs() - start_ms, <, 2 * GV_PROBE_INTERVAL_MS);
+    for (int n = 0; n < 1000 && atomic_load(&lists) < 2; n++) {
+        g_usleep(10000);
+    }
     g_assert_cmpint(atomic_load(&lists), >, 1);
     g_assert_cmpint(atomic_load(&taken), ==, 1);
     for (int i = 0; i < TARGETS; i++) {
