--- a/src/logreader.c
+++ b/src/logreader.c
@@ -325,11 +325,16 @@
 ask_head(gv_logreader_t *r, uint64_t *head)
 {
     gv_platform_t *p = GvPlatform_New(r->opts.platform_addr);
+    uint64_t from = next_offset(r);
     gv_log_page_t page;
-    int err = GvPlatform_Read(p, next_offset(r), 1, 0, &page);
+    int err = GvPlatform_Read(p, from, 1, 0, &page);
     if (err == GV_EGONE) {
         err = GV_OK;
     }
+    else if (err == GV_OK && page.next < from) {
+        /* A log that lost records has no head to be in step with. */
+        err = GV_EIO;
+    }
     *head = page.next;
     GvPlatform_ClearPage(&page);
     GvPlatform_Free(p);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -416,6 +416,7 @@
     g_usleep(1500000);
     g_assert_cmpint((int)next_of(b.replica), ==, 1);
     g_assert_false(GvLogReader_PlatformOk(b.reader));
+    g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
     node_stop(&b);
     node_stop(&a);
     fake_stop(&f);
