Keep moved hosts longer, and longer when waiting weighs more

Cause: four moves a minute, as each queue's burst took a host and the time between bursts gave it back after 60 s.

Change: a pool keeps a host for 5 minutes at equal weights (450 s at 3:1, 150 s at 1:3) and gives it back only with 2.5 hosts to spare instead of 1.5. Tried and left out: 60, 120, 200 and 900 s, a rest of 30 or 120 s before a pool takes a host, and a lack of 0.5 to 2 hosts before it takes one; they gave more moves, or more late work than static has.

--- a/src/limits.h
+++ b/src/limits.h
@@ -184,7 +184,11 @@
 #define GV_EJECT_STREAK       5
 #define GV_EJECT_WAIT_MS      1000
 #define GV_EJECT_WAIT_MAX_MS  60000
-#define GV_RESERVE_UP_MS      5000
-#define GV_RESERVE_DOWN_MS    60000
+/* Least time between two moves of a pool, before it takes a host and before
+   it gives one away; the latter for equal weights, more when waiting weighs
+   more. With 60 s the bursts of one queue after the other moved hosts to and
+   fro four times a minute in bench. */
+#define GV_RESERVE_UP_MS   5000
+#define GV_RESERVE_DOWN_MS 300000
 
 #endif
--- a/src/reserve_hysteresis.c
+++ b/src/reserve_hysteresis.c
@@ -6,6 +6,15 @@
 /* Slots are planned to be this busy. */
 #define PLANNED_USE 0.8
 
+/* The part of the weights that is on waiting. */
+static double
+cover_of(const gv_reserve_pool_t *p)
+{
+    double w = p->pool->weight_waiting;
+    double b = p->pool->weight_buffer;
+    return w + b > 0 ? w / (w + b) : 0.5;
+}
+
 /* Hosts that the pool needs for its demand. The weights choose a level
    between the smoothed demand and its recent peak: waiting costs more when
    the peak is not covered, buffer costs more when it is. */
@@ -13,9 +22,7 @@
 need_of(const gv_reserve_pool_t *p)
 {
     const gv_demand_t *d = &p->demand;
-    double w = p->pool->weight_waiting;
-    double b = p->pool->weight_buffer;
-    double cover = w + b > 0 ? w / (w + b) : 0.5;
+    double cover = cover_of(p);
     double above = MAX(d->peak_slots - d->busy_slots, 0);
     double slots = d->busy_slots + cover * above;
     return slots / PLANNED_USE / MAX(p->slots, 1);
@@ -44,7 +51,7 @@
     gv_reserve_move_t up = {-1, -1};
     gv_reserve_move_t down = {-1, -1};
     double lack = 0;
-    double extra = 1.5;
+    double extra = 2.5;
     for (int i = 0; i < n; i++) {
         int s = p[i].pool->is_spare ? -1 : GvReserve_SpareOf(p, n, i);
         if (s < 0) {
@@ -57,8 +64,9 @@
             lack = diff;
             up = (gv_reserve_move_t){s, i};
         }
+        int64_t down_ms = (int64_t)(GV_RESERVE_DOWN_MS * 2 * cover_of(&p[i]));
         if (-diff > extra && can_give(&p[i]) &&
-            rested(&p[i], now_ms, GV_RESERVE_DOWN_MS)) {
+            rested(&p[i], now_ms, down_ms)) {
             extra = -diff;
             down = (gv_reserve_move_t){i, s};
         }
