--- a/tests/test_peer_services.c
+++ b/tests/test_peer_services.c
@@ -304,8 +304,10 @@
     g_assert_cmpint(a.pumped, ==, 1);
     /* Idle: given back before the loan's end. */
     g_atomic_int_set(&a.queued, 0);
+    int64_t end = GvClock_MonoMs() + GV_LOAN_MS / 2;
     GvLending_Tick(a.lending, GvClock_MonoMs());
     wait_usable(&a, 4, &b, 4);
+    g_assert_cmpint(GvClock_MonoMs(), <, end);
     /* b has work of its own for two of its slots. */
     g_atomic_int_set(&a.queued, 8);
     g_atomic_int_set(&b.queued, 2);
