--- a/src/admin.c
+++ b/src/admin.c
@@ -120,6 +120,31 @@
     g_array_free(rows, TRUE);
 }
 
+/* Requests shown on the status page, at most. */
+#define REQUESTS_SHOWN 200
+
+static void
+put_requests(JsonBuilder *b, gv_kernel_t *k, int64_t now)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_request_row_t));
+    GvRequests_Report(k->requests, rows, REQUESTS_SHOWN, now);
+    json_builder_set_member_name(b, "requests");
+    json_builder_begin_array(b);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_request_row_t *r = &g_array_index(rows, gv_request_row_t, i);
+        char id[24];
+        g_snprintf(id, sizeof id, "%" G_GINT64_MODIFIER "x", (guint64)r->id);
+        json_builder_begin_object(b);
+        put_str(b, "id", GvStr_C(id));
+        put_str(b, "service", GvStr_C(r->service));
+        put_int(b, "age_ms", r->age_ms);
+        put_bool(b, "active", r->active);
+        json_builder_end_object(b);
+    }
+    json_builder_end_array(b);
+    g_array_free(rows, TRUE);
+}
+
 static void
 put_members(JsonBuilder *b, gv_kernel_t *k)
 {
@@ -169,6 +194,7 @@
     put_bool(b, "platform_ok", GvLogReader_PlatformOk(k->reader));
     put_ledger(b, k);
     put_int(b, "in_progress", GvRequests_Count(k->requests));
+    put_requests(b, k, now);
     put_services(b, k, now);
     put_targets(b, k, now);
     put_members(b, k);
--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -23,6 +23,7 @@
              int64_t now_ms, gv_field_t *f)
 {
     *f = (gv_field_t){.vs = GvView_Service(v, GvStr_C(sh->name))};
+    sh->usable = 0;
     f->load.busy_long = sh->busy_long;
     f->load.mean_run_ms = GvEstimate_MeanMs(sh->estimate);
     if (f->vs == NULL || !v->joined) {
@@ -456,11 +457,17 @@
 {
     GPtrArray *late = g_ptr_array_new();
     GPtrArray *retried = g_ptr_array_new();
+    gv_field_t f;
+    const gv_view_t *v = GvView_Acquire(d->o.views);
     pthread_mutex_lock(&sh->lock);
+    /* Also without work: heartbeats tell the usable slots. */
+    GvField_Fill(d, sh, v, now_ms, &f);
+    GvField_Clear(&f);
     collect_expired(d, sh, now_ms, late);
     check_runs(d, sh, now_ms, retried);
     update_demand(d, sh, now_ms);
     pthread_mutex_unlock(&sh->lock);
+    GvView_Release();
     for (guint i = 0; i < late->len; i++) {
         gv_request_t *rq = late->pdata[i];
         gv_answer_t a =
--- a/src/kernel_member.c
+++ b/src/kernel_member.c
@@ -9,7 +9,9 @@
    that arrives is rejected by the ledger and harmless. */
 #define JOIN_RETRY_MS   1000
 #define JOIN_TIMEOUT_MS 10000
-#define LEAVE_WAIT_MS   10000
+#define LEAVE_WAIT_MS   5000
+/* Without a platform the append cannot succeed soon. */
+#define LEAVE_OUTAGE_MS 1000
 
 /* Sets the incarnation: the wall-clock time, raised above the one that the
    ledger knows for this name. */
@@ -109,7 +111,9 @@
     }
     struct timespec end;
     clock_gettime(CLOCK_REALTIME, &end);
-    end.tv_sec += LEAVE_WAIT_MS / 1000;
+    end.tv_sec +=
+        (GvLogReader_PlatformOk(k->reader) ? LEAVE_WAIT_MS : LEAVE_OUTAGE_MS) /
+        1000;
     pthread_mutex_lock(&k->private->lock);
     int rc = 0;
     while (!k->private->leave_done && rc == 0) {
--- a/src/request.c
+++ b/src/request.c
@@ -307,6 +307,27 @@
     pthread_mutex_unlock(&sh->lock);
 }
 
+/* Appends up to max rows of requests in progress, in the order of their
+   deadlines within a shard. */
+void
+GvRequests_Report(gv_requests_t *t, GArray *out, guint max, int64_t now_ms)
+{
+    for (int i = 0; i < GV_SHARDS; i++) {
+        shard_t *sh = &t->shards[i];
+        pthread_mutex_lock(&sh->lock);
+        GTreeNode *node = g_tree_node_first(sh->by_deadline);
+        for (; node != NULL && out->len < max; node = g_tree_node_next(node)) {
+            const gv_request_t *rq = g_tree_node_key(node);
+            gv_request_row_t r = {.id = rq->id,
+                                  .age_ms = now_ms - rq->arrived_ms,
+                                  .active = rq->active};
+            g_strlcpy(r.service, rq->o.service.p, sizeof r.service);
+            g_array_append_val(out, r);
+        }
+        pthread_mutex_unlock(&sh->lock);
+    }
+}
+
 /* Takes out one request whose deadline has passed, with a reference. */
 static gv_request_t *
 first_late(shard_t *sh, int64_t now_ms)
--- a/src/request.h
+++ b/src/request.h
@@ -1,9 +1,11 @@
 #ifndef GV_REQUEST_H
 #define GV_REQUEST_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "limits.h"
 #include "outcome.h"
 #include "queue.h"
 #include "str.h"
@@ -69,6 +71,16 @@
 gv_requests_t *GvRequests_New(int max);
 void GvRequests_Free(gv_requests_t *t);
 int GvRequests_Count(gv_requests_t *t);
+typedef struct {
+    uint64_t id;
+    char service[GV_NAME_MAX_BYTES + 1];
+    int64_t age_ms;
+    bool active; /* an attempt is in progress */
+} gv_request_row_t;
+
+/* Appends up to max rows (gv_request_row_t) of requests in progress. */
+void GvRequests_Report(gv_requests_t *t, GArray *out, guint max,
+                       int64_t now_ms);
 /* Ends every request whose deadline has passed; for the timer. */
 void GvRequests_Expire(gv_requests_t *t, int64_t now_ms);
 /* Returns 0 with two references, the table's and the caller's, or GV_EFULL.
--- /dev/null
+++ b/tests/proc_path.py
@@ -0,0 +1,377 @@
+#!/usr/bin/env python3
+"""Requests end to end: callers, two entry hosts and targets as separate
+processes, with the settings read from the log."""
+import json
+import socket
+import sys
+import tempfile
+import threading
+import time
+
+import harness
+from harness import call, pack, wait_until
+
+SERVICE = """kind: service
+service: routing
+pool: routing
+availability: {objective_percent: 99.9, min_hosts: 0}
+deadline: {default_ms: 3000, max_ms: 20000}
+idempotent: {methods: [GET, PUT], paths: [/quote]}
+run_time: {short_ms: 5000, long_share_percent: 100}
+queue: {max_requests: 20}
+retry: {percent: 50}
+"""
+POOL = "kind: pool\npool: routing\nmax_out: 1\n"
+MAX_BODY = 1024 * 1024
+
+
+def counters(addr):
+    lines = call(addr, "GET", "/metrics").text.splitlines()
+    return {name.removeprefix("gypsumvalve_"): int(value)
+            for name, value in (line.split() for line in lines
+                                if not line.startswith("#"))}
+
+
+class Path(harness.ProcessTest):
+    """One data centre with two targets of two slots and two entry hosts."""
+    slots = 2
+
+    def setUp(self):
+        super().setUp()
+        self.sequence = 0
+        self.platform = harness.free_addr()
+        self.procs.start("platform", "standin-platform", "--listen",
+                         self.platform, addr=self.platform)
+        self.targets = {f"t{i}": harness.free_addr() for i in (1, 2)}
+        self.procs.start(
+            "targets", "standin-target", "--slots", self.slots,
+            *(f"--target={n}={a}" for n, a in self.targets.items()),
+            addr=self.targets["t2"])
+        self.entries = {f"e{i}": (harness.free_addr(), harness.free_addr())
+                        for i in (1, 2)}
+        self.addCleanup(self.stop_entries)
+        for name in self.entries:
+            self.start_entry(name)
+        self.publish()
+        self.e1, self.e2 = (http for http, _ in self.entries.values())
+        for http, _ in self.entries.values():
+            wait_until(lambda a=http: self.usable(a) == self.slots, 15,
+                       f"{http} has its share of the slots")
+
+    def stop_entries(self):
+        """Entry hosts end before the platform, so that they can leave."""
+        for name in self.entries:
+            if name in self.procs.children:
+                self.assertEqual(self.procs.stop(name), 0)
+
+    def start_entry(self, name):
+        http, peer = self.entries[name]
+        with open(f"{self.tmp()}/{name}.yaml", "w", encoding="utf-8") as f:
+            f.write(f"name: {name}\ndata_centre: k1\nregion: r1\n"
+                    f"http: {http}\npeer: {peer}\n"
+                    f"platform: {self.platform}\nworkers: 8\npeers:\n")
+            for other, (_, addr) in self.entries.items():
+                if other != name:
+                    f.write(f"  - {{name: {other}, data_centre: k1, "
+                            f"region: r1, peer: {addr}}}\n")
+        self.procs.start(name, "gventryd", "--config", f.name, addr=http)
+
+    def tmp(self):
+        if not hasattr(self, "dir"):
+            self.dir = tempfile.TemporaryDirectory()
+            self.addCleanup(self.dir.cleanup)
+        return self.dir.name
+
+    def append(self, kind, payload):
+        self.sequence += 1
+        now = int(time.time() * 1000)
+        record = pack([1, kind, "test", 1, self.sequence, now, now + 60000,
+                       payload])
+        self.assertEqual(call(self.platform, "POST", "/log/append",
+                              pack([record])).status, 200)
+
+    def publish(self):
+        self.append("settings", [0, [["s.yaml", SERVICE], ["p.yaml", POOL]]])
+        for name, addr in self.targets.items():
+            self.append("host", [name, "k1", f"r-{name}", addr, self.slots,
+                                 "routing", f"{name}-0", 0])
+
+    def status(self, addr):
+        return json.loads(call(addr, "GET", "/v1/status").text)
+
+    def usable(self, addr):
+        status = self.status(addr)
+        return sum(t["usable"] for t in status["targets"]) \
+            if status["joined"] and status["services"] else 0
+
+    def runs(self):
+        """Lines of all targets' histories that begin a run."""
+        return [line for addr in self.targets.values()
+                for line in call(addr, "GET", "/history").text.splitlines()
+                if line.startswith("start")]
+
+    def fault(self, query):
+        for addr in self.targets.values():
+            self.assertEqual(call(addr, "POST",
+                                  f"/control/fault?{query}").status, 200)
+
+    def outcome(self, answer):
+        return answer.status, answer.headers["Gv-Outcome"]
+
+    def background(self, *args, **kwargs):
+        """Makes a call on a thread; returns (thread, list of its answer)."""
+        out = []
+        thread = threading.Thread(
+            target=lambda: out.append(call(*args, **kwargs)))
+        thread.start()
+        self.addCleanup(thread.join)
+        return thread, out
+
+    def fill(self, addr, run_ms=1500):
+        """Takes every slot of the entry host by long runs."""
+        before = len(self.runs())
+        calls = [self.background(addr, "POST", f"/svc/routing/f?run_ms={run_ms}")
+                 for _ in range(self.slots)]
+        wait_until(lambda: len(self.runs()) == before + self.slots, 5,
+                   "slots are taken")
+        return calls
+
+
+class Answers(Path):
+    def test_own_answers(self):
+        """Guards against answers that reach another caller."""
+        errors = []
+
+        def caller(addr, n):
+            for i in range(20):
+                body = f"{n}-{i}"
+                a = call(addr, "POST", "/svc/routing/a?run_ms=3", body)
+                if self.outcome(a) == (503, "not-run"):
+                    continue
+                if self.outcome(a) != (200, "run") or a.text != f"ok {body}":
+                    errors.append((a.status, a.text))
+        threads = [threading.Thread(target=caller, args=(a, f"{a}{n}"))
+                   for a in (self.e1, self.e2) for n in range(4)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        self.assertEqual(errors, [])
+        self.assertGreater(len(self.runs()), 80)
+
+    def test_refusals(self):
+        """Guards against a wrong request that reaches a target, and against
+        an oversize body without a clear 413."""
+        cases = [("/svc/nothing/a", {}, b"", 404),
+                 ("/svc/bad%20name/a", {}, b"", 400),
+                 ("/svc/routing/a", {"Gv-Deadline-Ms": "x"}, b"", 400),
+                 ("/svc/routing/a", {"Gv-Class": "slow"}, b"", 400),
+                 ("/svc/routing/a", {}, b"x" * (MAX_BODY + 1), 413),
+                 ("/nothing", {}, b"", 404)]
+        for path, headers, body, status in cases:
+            a = call(self.e1, "POST", path, body, headers)
+            self.assertEqual(self.outcome(a), (status, "not-run"), path)
+            self.assertTrue(a.text.strip(), path)
+        self.assertEqual(self.runs(), [])
+        a = call(self.e1, "POST", "/svc/routing/a", b"x" * MAX_BODY)
+        self.assertEqual(a.status, 502)  # the answer is 3 bytes too large
+        a = call(self.e1, "POST", "/svc/routing/a", b"x" * (MAX_BODY - 3))
+        self.assertEqual(self.outcome(a), (200, "run"))
+
+    def test_metrics(self):
+        """Guards against counters that do not follow the requests."""
+        call(self.e1, "GET", "/svc/routing/a")
+        got = counters(self.e1)
+        self.assertEqual(got["requests_received_total"], 1)
+        self.assertEqual(got["requests_run_total"], 1)
+        self.assertEqual(got["requests_in_progress"], 0)
+        burn = json.loads(call(self.e1, "GET", "/v1/burn").text)
+        self.assertEqual(burn["services"][0]["windows"][0]["good"], 1)
+
+
+class Deadlines(Path):
+    def test_deadline_while_running(self):
+        """Guards against an answer after the deadline, and against not-run
+        for a request that a silent target may have run."""
+        self.fault("freeze=1")
+        begin = time.monotonic()
+        a = call(self.e1, "POST", "/svc/routing/a", b"",
+                 {"Gv-Deadline-Ms": "500"})
+        took = time.monotonic() - begin
+        self.assertEqual(self.outcome(a), (504, "unknown"))
+        self.assertTrue(0.45 < took < 0.9, took)
+        busy = sum(t["busy"] for t in self.status(self.e1)["targets"])
+        self.assertEqual(busy, 1)  # abandoned, but still in progress
+        self.fault("reset=1")
+        wait_until(lambda: sum(
+            t["busy"] for t in self.status(self.e1)["targets"]) == 0, 5,
+            "the abandoned exchange ends")
+
+    def test_deadline_while_queued(self):
+        """Guards against a queued request that ends as unknown or runs after
+        its deadline."""
+        self.fill(self.e1)
+        self.fill(self.e2)
+        before = len(self.runs())
+        a = call(self.e1, "POST", "/svc/routing/late", b"",
+                 {"Gv-Deadline-Ms": "300"})
+        self.assertEqual(a.headers["Gv-Outcome"], "not-run")
+        time.sleep(1.5)
+        self.assertEqual(len(self.runs()), before)
+
+    def test_full_queue(self):
+        """Guards against a queue without a bound, and against a refusal
+        because of load without Retry-After."""
+        self.fill(self.e1)
+        self.fill(self.e2)
+        calls = [self.background(self.e1, "POST", "/svc/routing/q", b"",
+                                 {"Gv-Deadline-Ms": "15000"})
+                 for _ in range(30)]
+        for thread, _ in calls:
+            thread.join()
+        got = [self.outcome(out[0]) for _, out in calls]
+        refused = [out[0] for _, out in calls
+                   if self.outcome(out[0]) == (503, "not-run")]
+        self.assertEqual(len(refused) + got.count((200, "run")), 30, got)
+        self.assertGreaterEqual(len(refused), 10)
+        for a in refused:
+            self.assertGreaterEqual(int(a.headers["Retry-After"]), 1)
+
+
+class Cancels(Path):
+    def test_cancel_queued_and_running(self):
+        """Guards against a cancelled request that still starts, and against
+        not-run for one that has started."""
+        calls = self.fill(self.e1, 2000)
+        self.fill(self.e2, 2000)
+        ids = {r["id"]: r for r in self.status(self.e1)["requests"]}
+        _, out = self.background(self.e1, "POST", "/svc/routing/c", b"")
+        queued = wait_until(
+            lambda: [r for r in self.status(self.e1)["requests"]
+                     if r["id"] not in ids], 5, "request is queued")[0]["id"]
+        for rid, want in ((queued, "not-run"), (next(iter(ids)), "unknown")):
+            a = call(self.e1, "DELETE", f"/v1/requests/{rid}")
+            self.assertEqual(a.status, 200)
+            self.assertEqual(
+                call(self.e1, "DELETE", f"/v1/requests/{rid}").status, 404)
+            if want == "not-run":
+                wait_until(lambda: out, 2, "queued request has ended")
+                self.assertEqual(out[0].headers["Gv-Outcome"], want)
+        wait_until(lambda: [o for _, o in calls if o], 2, "a run has ended")
+        ended = [o[0].headers["Gv-Outcome"] for _, o in calls if o]
+        self.assertIn("unknown", ended)
+        time.sleep(2)
+        self.assertFalse([r for r in self.runs() if " /c" in r])
+
+    def test_caller_gone_while_queued(self):
+        """Guards against work that starts for a caller who has left."""
+        self.fill(self.e1)
+        self.fill(self.e2)
+        host, port = self.e1.split(":")
+        with socket.create_connection((host, int(port))) as s:
+            s.sendall(b"POST /svc/routing/gone HTTP/1.1\r\nHost: x\r\n"
+                      b"Content-Length: 0\r\n\r\n")
+            wait_until(lambda: self.status(self.e1)["in_progress"] ==
+                       self.slots + 1, 5, "request is queued")
+        wait_until(lambda: counters(self.e1)["callers_left_total"] == 1, 2,
+                   "the caller's absence is noticed")
+        time.sleep(1.6)
+        self.assertFalse([r for r in self.runs() if " /gone" in r])
+
+
+class Failures(Path):
+    def test_target_full(self):
+        """Guards against a refusal before the start that reaches the caller
+        while another target has a free slot."""
+        t1 = self.targets["t1"]
+        for _ in range(self.slots):
+            self.background(t1, "POST", "/direct?run_ms=1500")
+        wait_until(lambda: len(self.runs()) == self.slots, 5, "t1 is full")
+        for i in range(10):
+            a = call(self.e1, "POST", "/svc/routing/a", f"{i}")
+            self.assertEqual(self.outcome(a), (200, "run"), a.text)
+
+    def test_failing_target(self):
+        """Guards against a second run of a non-idempotent request, and
+        against a missing retry of an idempotent one."""
+        t1 = self.targets["t1"]
+        call(t1, "POST", "/control/fault?fail_all=1")
+        got = set()
+        for _ in range(10):
+            before = len(self.runs())
+            a = call(self.e1, "GET", "/svc/routing/a")
+            self.assertEqual(self.outcome(a), (200, "run"))
+            before = len(self.runs())
+            a = call(self.e1, "POST", "/svc/routing/a", b"")
+            self.assertEqual(len(self.runs()), before + 1)
+            got.add(self.outcome(a))
+            a = call(self.e1, "POST", "/svc/routing/quote", b"")
+            self.assertEqual(self.outcome(a), (200, "run"))
+        self.assertLessEqual(got, {(200, "run"), (500, "run")})
+        self.assertGreater(counters(self.e1)["retries_total"], 0)
+
+    def test_cut_after_start(self):
+        """Guards against a run lost after its start that is reported as
+        not-run or repeated."""
+        cut, out = self.background(self.e1, "POST",
+                                   "/svc/routing/a?run_ms=1000", b"")
+        wait_until(self.runs, 5, "request has started")
+        for addr in self.targets.values():
+            call(addr, "POST", "/control/reboot")
+        cut.join()
+        self.assertEqual(out[0].headers["Gv-Outcome"], "unknown")
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_silent_connection(self):
+        """Guards against an idempotent request that waits on a silent
+        connection until its deadline while its target answers others."""
+        for addr in self.targets.values():
+            call(addr, "GET", "/svc/warm")
+        call(self.e1, "GET", "/svc/routing/a")
+        self.fault("silent=1")
+        begin = time.monotonic()
+        a = call(self.e1, "GET", "/svc/routing/a", None,
+                 {"Gv-Deadline-Ms": "12000"}, timeout=15)
+        self.assertEqual(self.outcome(a), (200, "run"))
+        self.assertLess(time.monotonic() - begin, 6)
+
+
+class Stops(Path):
+    def test_graceful_stop(self):
+        """Guards against a planned stop that interrupts a run, accepts new
+        work, or leaves without appending `leave`."""
+        run, out = self.background(self.e1, "POST",
+                                   "/svc/routing/a?run_ms=1500", b"body")
+        wait_until(self.runs, 5, "request has started")
+        self.procs.children["e1"].terminate()
+        wait_until(lambda: call(self.e1, "GET", "/healthz").status == 503, 2,
+                   "health turns 503")
+        a = call(self.e1, "POST", "/svc/routing/new", b"")
+        self.assertEqual(self.outcome(a), (503, "not-run"))
+        run.join()
+        self.assertEqual(out[0].text, "ok body")
+        self.assertEqual(self.procs.stop("e1"), 0)
+        wait_until(lambda: [m["name"] for m in
+                            self.status(self.e2)["members"]] == ["e2"], 5,
+                   "leave is applied")
+        self.assertEqual(self.usable(self.e2), 2 * self.slots)
+
+    def test_reload(self):
+        """Guards against an invalid node file that ends the daemon or
+        replaces the settings in force."""
+        path = f"{self.tmp()}/e1.yaml"
+        with open(path, encoding="utf-8") as f:
+            good = f.read()
+        for text in ("name: [", good.replace("data_centre: k1", "", 1),
+                     good.replace("name: e1", "name: e9")):
+            with open(path, "w", encoding="utf-8") as f:
+                f.write(text)
+            self.procs.children["e1"].send_signal(1)
+            time.sleep(0.3)
+            self.assertEqual(self.status(self.e1)["name"], "e1")
+        a = call(self.e1, "GET", "/svc/routing/a")
+        self.assertEqual(self.outcome(a), (200, "run"))
+
+
+if __name__ == "__main__":
+    harness.main(__name__, sys.argv)
