--- a/src/limits.h
+++ b/src/limits.h
@@ -122,8 +122,18 @@
 #define GV_LOAN_ASK_MS 500
 
 /* Daemon threads */
-#define GV_TIMER_TICK_MS      50
-#define GV_MAINTAIN_MS        500
+#define GV_TIMER_TICK_MS 50
+#define GV_MAINTAIN_MS   500
+/* Maintenance: an entry host that ranks behind another for a task waits this
+   long for each rank, which is longer than an append takes to be read. */
+#define GV_RANK_STEP_MS 1500
+/* An append by the maintenance thread is not repeated before this time. */
+#define GV_MAINTAIN_APPEND_MS 5000
+/* Longer than a probe interval, so that one lost probe changes nothing. */
+#define GV_FAILED_MS          5000
+#define GV_UP_MS              2000
+#define GV_REBOOT_REPEAT_MS   30000
+#define GV_REBOOT_MAX_MS      (15 * 60 * 1000)
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
--- /dev/null
+++ b/src/maintain_hosts.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "maintain_private.h"
+#include "prober.h"
+
+/* Adds an intention when it is this entry host's turn for it. */
+static void
+want_host(gv_maintain_t *m, GPtrArray *out, const char *word,
+          const gv_lhost_t *h, int64_t now_ms)
+{
+    char key[256];
+    g_snprintf(key, sizeof key, "host %.*s %s %.*s", GV_STR_ARG(h->name), word,
+               GV_STR_ARG(h->boot));
+    if (GvMaintain_IsDue(m, key, now_ms)) {
+        msgpack_sbuffer sb;
+        msgpack_sbuffer_init(&sb);
+        GvLedger_PackHost(&sb, h);
+        GvMaintain_Want(out, "host", sb, "%s", key);
+    }
+}
+
+/* Returns how long the host's health has been as it is, and notes changes.
+   The time begins when this process first sees the host. */
+static int64_t
+health_age(gv_maintain_t *m, gv_str_t host, bool healthy, int64_t now_ms)
+{
+    char key[GV_NAME_MAX_BYTES + 4];
+    char other[GV_NAME_MAX_BYTES + 4];
+    g_snprintf(key, sizeof key, "%c %.*s", healthy ? 'u' : 'f',
+               GV_STR_ARG(host));
+    g_snprintf(other, sizeof other, "%c %.*s", healthy ? 'f' : 'u',
+               GV_STR_ARG(host));
+    g_hash_table_remove(m->health, other);
+    gint64 *since = g_hash_table_lookup(m->health, key);
+    if (since == NULL) {
+        since = g_new(gint64, 1);
+        *since = now_ms;
+        g_hash_table_insert(m->health, g_strdup(key), since);
+    }
+    return now_ms - *since;
+}
+
+/* Tells whether one more host of the data centre may be reported as failed.
+   An entry host that cannot reach most targets has a fault of its own. */
+static bool
+may_fail_one(gv_maintain_t *m, const gv_ledger_t *l)
+{
+    const GPtrArray *hosts = GvLedger_Hosts(l);
+    int n = 0;
+    int sick = 0;
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        gv_health_view_t v;
+        if (GvStr_Equal(h->dc, m->k->conf.dc) && h->state == GV_HOST_UP) {
+            n++;
+            sick += GvProber_Get(m->k->prober, h->name, &v) && !v.healthy;
+        }
+    }
+    return n <= 2 || sick * 2 <= n;
+}
+
+static void
+report(gv_maintain_t *m, const gv_ledger_t *l, const gv_lhost_t *known,
+       const gv_listed_host_t *listed, int64_t now_ms, GPtrArray *out)
+{
+    gv_str_t name = known != NULL ? known->name : listed->host;
+    gv_health_view_t v;
+    bool seen = GvProber_Get(m->k->prober, name, &v);
+    bool healthy = !seen || v.healthy;
+    int64_t age = health_age(m, name, healthy, now_ms);
+    gv_settings_t *s = GvLedger_Settings(l);
+    bool declared = listed != NULL && s != NULL &&
+                    GvSettings_Pool(s, listed->pool) != NULL;
+    gv_lhost_t h = known != NULL ? *known : (gv_lhost_t){.name = name};
+    if (listed != NULL) {
+        h.rack = listed->rack;
+        h.addr = listed->addr;
+        h.slots = listed->slots;
+        h.boot = listed->boot.n > 0 ? listed->boot : h.boot;
+    }
+    switch (GvMaintain_Report(known, listed, healthy, age, declared)) {
+    case GV_REPORT_NONE:
+        break;
+    case GV_REPORT_ADD:
+        h.dc = listed->dc;
+        h.pool = listed->pool;
+        want_host(m, out, "added", &h, now_ms);
+        break;
+    case GV_REPORT_CHANGE:
+        want_host(m, out, "changed", &h, now_ms);
+        break;
+    case GV_REPORT_GONE:
+        h.state = GV_HOST_GONE;
+        want_host(m, out, "gone", &h, now_ms);
+        break;
+    case GV_REPORT_FAILED:
+        if (may_fail_one(m, l)) {
+            h = *known;
+            h.state = GV_HOST_FAILED;
+            want_host(m, out, "failed", &h, now_ms);
+        }
+        break;
+    case GV_REPORT_UP:
+        h.state = GV_HOST_UP;
+        want_host(m, out, "up", &h, now_ms);
+        break;
+    }
+}
+
+/* Wants an entry host removed that the platform lists as gone. Only entry
+   hosts of the region take part. */
+static void
+remove_member(gv_maintain_t *m, const gv_ledger_t *l,
+              const gv_listed_host_t *listed, int64_t now_ms, GPtrArray *out)
+{
+    const gv_member_t *mem = GvLedger_Member(l, listed->host);
+    if (listed->state != GV_LISTED_GONE || mem == NULL ||
+        GvStr_Equal(mem->name, m->k->conf.name)) {
+        return;
+    }
+    bool near = GvStr_Equal(mem->dc, m->k->conf.dc);
+    for (int i = 0; i < m->k->conf.n_peers; i++) {
+        const gv_peer_conf_t *p = &m->k->conf.peers[i];
+        near = near || (GvStr_Equal(p->name, mem->name) &&
+                        GvStr_Equal(p->region, m->k->conf.region));
+    }
+    char key[160];
+    g_snprintf(key, sizeof key, "member %.*s removed %" G_GUINT64_FORMAT,
+               GV_STR_ARG(mem->name), (guint64)mem->incarnation);
+    if (near && GvMaintain_IsDue(m, key, now_ms)) {
+        msgpack_sbuffer sb;
+        msgpack_sbuffer_init(&sb);
+        GvLedger_PackMember(&sb, mem, GV_MEMBER_REMOVED);
+        GvMaintain_Want(out, "member", sb, "%s", key);
+    }
+}
+
+/* Wants records for hosts of the own data centre about which the ledger, the
+   platform's list and the targets' health disagree. */
+void
+GvMaintain_PlanHosts(gv_maintain_t *m, const gv_ledger_t *l, int64_t now_ms,
+                     GPtrArray *out)
+{
+    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+    pthread_mutex_lock(&m->lock);
+    for (int i = 0; i < m->list.n; i++) {
+        const gv_listed_host_t *h = &m->list.hosts[i];
+        if (h->slots == 0) {
+            remove_member(m, l, h, now_ms, out);
+            continue;
+        }
+        g_hash_table_insert(listed, (gpointer)h->host.p, (gpointer)h);
+        if (GvLedger_Host(l, h->host) == NULL) {
+            report(m, l, NULL, h, now_ms, out);
+        }
+    }
+    const GPtrArray *hosts = GvLedger_Hosts(l);
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        if (GvStr_Equal(h->dc, m->k->conf.dc)) {
+            report(m, l, h, g_hash_table_lookup(listed, h->name.p), now_ms,
+                   out);
+        }
+    }
+    pthread_mutex_unlock(&m->lock);
+    g_hash_table_destroy(listed);
+}
