--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -2,6 +2,7 @@
 #define GV_FORWARD_PRIVATE_H
 
 #include <glib.h>
+#include <pthread.h>
 #include <stdatomic.h>
 
 #include "forward.h"
@@ -9,8 +10,9 @@
 #include "once.h"
 
 typedef struct {
-    GMutex mu;
+    pthread_mutex_t mu;
     gv_once_t *once;
+    GHashTable *runs; /* id (gv_str_t) -> request that runs it */
 } gv_onceshard_t;
 
 struct gv_forward_s {
@@ -18,12 +20,13 @@
     _Atomic(gv_peers_t *) peers;
     _Atomic(gv_appender_t *) appender;
     atomic_uint_fast64_t next_sequence;
+    int64_t wall_offset_ms; /* wall clock less monotonic clock at the start */
     atomic_uint next_sweep;
     gv_onceshard_t shards[GV_SHARDS];
-    GMutex claim_mu;
+    pthread_mutex_t claim_mu;
     GPtrArray *unclaimed; /* requests whose key is to be claimed */
     int claims;           /* records appended and not yet decided */
-    GMutex hop_mu;
+    pthread_mutex_t hop_mu;
     GHashTable *hops;   /* request -> hop_t at a peer */
     GHashTable *served; /* "PEER NUMBER" -> request of that peer */
     GHashTable *loads;  /* peer -> GHashTable of service -> free slots */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -438,13 +438,14 @@
     if (k->reader != NULL) {
         GvLogReader_Stop(k->reader);
     }
+    /* Requests of peers claim keys through the appender. */
+    if (k->peers != NULL) {
+        GvPeers_Stop(k->peers);
+    }
     if (k->appender != NULL) {
         GvAppender_Stop(k->appender);
     }
     GvCheckpointer_Free(p->checkpointer);
-    if (k->peers != NULL) {
-        GvPeers_Stop(k->peers);
-    }
     if (k->prober != NULL) {
         GvProber_Stop(k->prober);
     }
@@ -453,6 +454,9 @@
     GvLending_Free(k->lending);
     GvForward_Free(k->forward);
     GvLedgerSync_Free(k->ledgersync);
+    if (k->peers != NULL) {
+        GvPeers_Free(k->peers);
+    }
     GvRequests_Free(k->requests);
     GvViews_Free(k->views);
     GvTargets_Free(k->targets);
--- a/src/once.c
+++ b/src/once.c
@@ -107,8 +107,8 @@
 GvOnce_Issue(gv_once_t *o, uint64_t sequence, int64_t now_ms, int64_t ttl_ms,
              gv_ticket_t *t)
 {
-    advance(o, now_ms);
-    *t = (gv_ticket_t){o->entry, o->incarnation, sequence, now_ms + ttl_ms};
+    int64_t expires_ms = advance(o, now_ms) + ttl_ms;
+    *t = (gv_ticket_t){o->entry, o->incarnation, sequence, expires_ms};
     char text[GV_TICKET_TEXT_BYTES];
     int n = GvTicket_Format(t, text, sizeof text);
     g_assert(n > 0);
@@ -116,7 +116,7 @@
     if (g_hash_table_contains(o->entries, &id)) {
         return GV_EEXIST;
     }
-    if (add(o, id, t->expires_ms) == NULL) {
+    if (add(o, id, expires_ms) == NULL) {
         return GV_EFULL;
     }
     o->top_sequence = MAX(o->top_sequence, sequence);
@@ -254,13 +254,17 @@
     return w;
 }
 
-/* Drops a waiter whose caller left. Returns false when it was not waiting. */
-bool
+/* Drops a waiter whose caller left. Returns the number of waiters left, or
+   GV_ENOENT when it was not waiting. */
+int
 GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter)
 {
     entry_t *e = g_hash_table_lookup(o->entries, &id);
-    return e != NULL && e->waiters != NULL &&
-           g_ptr_array_remove(e->waiters, waiter);
+    if (e == NULL || e->waiters == NULL ||
+        !g_ptr_array_remove(e->waiters, waiter)) {
+        return GV_ENOENT;
+    }
+    return (int)e->waiters->len;
 }
 
 /* Forgets entries that are not running and whose expiry is more than
