--- a/src/admin.c
+++ b/src/admin.c
@@ -1,8 +1,8 @@
 #include "admin.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "admin_private.h"
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
@@ -38,36 +38,6 @@
     return a;
 }
 
-static void
-put_str(JsonBuilder *b, const char *name, gv_str_t s)
-{
-    char *text = g_strndup(s.p, s.n);
-    json_builder_set_member_name(b, name);
-    json_builder_add_string_value(b, text);
-    g_free(text);
-}
-
-static void
-put_int(JsonBuilder *b, const char *name, int64_t v)
-{
-    json_builder_set_member_name(b, name);
-    json_builder_add_int_value(b, v);
-}
-
-static void
-put_num(JsonBuilder *b, const char *name, double v)
-{
-    json_builder_set_member_name(b, name);
-    json_builder_add_double_value(b, v);
-}
-
-static void
-put_bool(JsonBuilder *b, const char *name, bool v)
-{
-    json_builder_set_member_name(b, name);
-    json_builder_add_boolean_value(b, v);
-}
-
 static void
 put_services(JsonBuilder *b, gv_kernel_t *k, int64_t now)
 {
@@ -79,13 +49,13 @@
         const gv_dispatch_row_t *r =
             &g_array_index(rows, gv_dispatch_row_t, i);
         json_builder_begin_object(b);
-        put_str(b, "service", GvStr_C(r->service));
-        put_int(b, "queued", r->queued);
-        put_int(b, "busy", r->busy);
-        put_int(b, "slots", r->slots);
-        put_int(b, "rate", r->rate);
-        put_num(b, "mean_run_ms", r->mean_run_ms);
-        put_num(b, "wait_ms", r->wait_ms);
+        GvJson_Str(b, "service", GvStr_C(r->service));
+        GvJson_Int(b, "queued", r->queued);
+        GvJson_Int(b, "busy", r->busy);
+        GvJson_Int(b, "slots", r->slots);
+        GvJson_Int(b, "rate", r->rate);
+        GvJson_Num(b, "mean_run_ms", r->mean_run_ms);
+        GvJson_Num(b, "wait_ms", r->wait_ms);
         json_builder_end_object(b);
     }
     json_builder_end_array(b);
@@ -102,18 +72,18 @@
     for (guint i = 0; i < rows->len; i++) {
         const gv_target_row_t *r = &g_array_index(rows, gv_target_row_t, i);
         json_builder_begin_object(b);
-        put_str(b, "host", GvStr_C(r->host));
-        put_str(b, "pool", GvStr_C(r->pool));
-        put_str(b, "addr", GvStr_C(r->addr));
-        put_str(b, "boot", GvStr_C(r->boot));
-        put_int(b, "slots", r->slots);
-        put_int(b, "usable", r->usable);
-        put_int(b, "busy", r->busy);
-        put_int(b, "abandoned", r->abandoned);
-        put_bool(b, "closed", r->closed);
-        put_bool(b, "leaving", r->leaving);
-        put_bool(b, "healthy", r->healthy);
-        put_bool(b, "ejected", r->ejected);
+        GvJson_Str(b, "host", GvStr_C(r->host));
+        GvJson_Str(b, "pool", GvStr_C(r->pool));
+        GvJson_Str(b, "addr", GvStr_C(r->addr));
+        GvJson_Str(b, "boot", GvStr_C(r->boot));
+        GvJson_Int(b, "slots", r->slots);
+        GvJson_Int(b, "usable", r->usable);
+        GvJson_Int(b, "busy", r->busy);
+        GvJson_Int(b, "abandoned", r->abandoned);
+        GvJson_Bool(b, "closed", r->closed);
+        GvJson_Bool(b, "leaving", r->leaving);
+        GvJson_Bool(b, "healthy", r->healthy);
+        GvJson_Bool(b, "ejected", r->ejected);
         json_builder_end_object(b);
     }
     json_builder_end_array(b);
@@ -135,10 +105,10 @@
         char id[24];
         g_snprintf(id, sizeof id, "%" G_GINT64_MODIFIER "x", (guint64)r->id);
         json_builder_begin_object(b);
-        put_str(b, "id", GvStr_C(id));
-        put_str(b, "service", GvStr_C(r->service));
-        put_int(b, "age_ms", r->age_ms);
-        put_bool(b, "active", r->active);
+        GvJson_Str(b, "id", GvStr_C(id));
+        GvJson_Str(b, "service", GvStr_C(r->service));
+        GvJson_Int(b, "age_ms", r->age_ms);
+        GvJson_Bool(b, "active", r->active);
         json_builder_end_object(b);
     }
     json_builder_end_array(b);
@@ -154,46 +124,31 @@
     for (int i = 0; i < v->n_members; i++) {
         const gv_member_t *m = &v->members[i];
         json_builder_begin_object(b);
-        put_str(b, "name", m->name);
-        put_str(b, "data_centre", m->dc);
-        put_int(b, "incarnation", (int64_t)m->incarnation);
-        put_bool(b, "alive", GvPeers_Alive(k->peers, m->name, NULL));
+        GvJson_Str(b, "name", m->name);
+        GvJson_Str(b, "data_centre", m->dc);
+        GvJson_Int(b, "incarnation", (int64_t)m->incarnation);
+        GvJson_Bool(b, "alive", GvPeers_Alive(k->peers, m->name, NULL));
         json_builder_end_object(b);
     }
     GvView_Release();
     json_builder_end_array(b);
 }
 
-/* The ledger's own state; one lock for a consistent look. */
-static void
-put_ledger(JsonBuilder *b, gv_kernel_t *k)
-{
-    const gv_ledger_t *l = GvReplica_Lock(k->replica);
-    put_int(b, "offset", (int64_t)GvLedger_Next(l));
-    put_int(b, "settings_version", (int64_t)GvLedger_SettingsVersion(l));
-    put_int(b, "covered", (int64_t)GvLedger_Covered(l));
-    char digest[24];
-    g_snprintf(digest, sizeof digest, "%016" G_GINT64_MODIFIER "x",
-               (guint64)GvLedger_Digest(l));
-    put_str(b, "digest", GvStr_C(digest));
-    GvReplica_Unlock(k->replica);
-}
-
 static gv_answer_t
 status_page(gv_kernel_t *k)
 {
     int64_t now = GvClock_MonoMs();
     JsonBuilder *b = json_builder_new();
     json_builder_begin_object(b);
-    put_str(b, "name", k->conf.name);
-    put_str(b, "data_centre", k->conf.dc);
-    put_str(b, "region", k->conf.region);
-    put_int(b, "incarnation", (int64_t)k->incarnation);
-    put_bool(b, "joined", GvKernel_Joined(k));
-    put_bool(b, "stopping", GvKernel_Stopping(k));
-    put_bool(b, "platform_ok", GvLogReader_PlatformOk(k->reader));
-    put_ledger(b, k);
-    put_int(b, "in_progress", GvRequests_Count(k->requests));
+    GvJson_Str(b, "name", k->conf.name);
+    GvJson_Str(b, "data_centre", k->conf.dc);
+    GvJson_Str(b, "region", k->conf.region);
+    GvJson_Int(b, "incarnation", (int64_t)k->incarnation);
+    GvJson_Bool(b, "joined", GvKernel_Joined(k));
+    GvJson_Bool(b, "stopping", GvKernel_Stopping(k));
+    GvJson_Bool(b, "platform_ok", GvLogReader_PlatformOk(k->reader));
+    GvAdmin_PutLedger(b, k);
+    GvJson_Int(b, "in_progress", GvRequests_Count(k->requests));
     put_requests(b, k, now);
     put_services(b, k, now);
     put_targets(b, k, now);
@@ -209,10 +164,10 @@
     json_builder_begin_array(b);
     for (int i = 0; i < GV_BURN_WINDOWS; i++) {
         json_builder_begin_object(b);
-        put_int(b, "window_s", r->burn[i].window_s);
-        put_int(b, "good", (int64_t)r->burn[i].good);
-        put_int(b, "bad", (int64_t)r->burn[i].bad);
-        put_num(b, "burn", r->burn[i].burn);
+        GvJson_Int(b, "window_s", r->burn[i].window_s);
+        GvJson_Int(b, "good", (int64_t)r->burn[i].good);
+        GvJson_Int(b, "bad", (int64_t)r->burn[i].bad);
+        GvJson_Num(b, "burn", r->burn[i].burn);
         json_builder_end_object(b);
     }
     json_builder_end_array(b);
@@ -225,14 +180,14 @@
     GvDispatch_Report(k->dispatch, rows, GvClock_MonoMs());
     JsonBuilder *b = json_builder_new();
     json_builder_begin_object(b);
-    put_str(b, "name", k->conf.name);
+    GvJson_Str(b, "name", k->conf.name);
     json_builder_set_member_name(b, "services");
     json_builder_begin_array(b);
     for (guint i = 0; i < rows->len; i++) {
         const gv_dispatch_row_t *r =
             &g_array_index(rows, gv_dispatch_row_t, i);
         json_builder_begin_object(b);
-        put_str(b, "service", GvStr_C(r->service));
+        GvJson_Str(b, "service", GvStr_C(r->service));
         put_windows(b, r);
         json_builder_end_object(b);
     }
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -8,6 +8,8 @@
 #include "prober.h"
 
 #define SYNC_MS 3000
+/* Steps of one claim in one round, so that no claim keeps the others. */
+#define STEPS_MAX 6
 
 static bool
 waits_for(const gv_claim_t *c, gv_str_t name)
@@ -239,47 +241,64 @@
     GvMaintain_Want(out, "done", sb, "done %s %" PRIu64, d->host, d->claim);
 }
 
+/* Asks for the reboot. A lost response may hide its effect: the time counts
+   from the call, and the new boot shows it. */
 static void
-run_step(gv_maintain_t *m, gv_hold_t *d, int64_t now_ms, GPtrArray *out)
+reboot(gv_maintain_t *m, gv_hold_t *d, int64_t now_ms)
+{
+    if (recheck(m, d)) {
+        host_op(m, d, GV_HOSTOP_REBOOT);
+        d->facts.rebooted = true;
+        d->rebooted_at_ms = now_ms;
+        d->facts.reboot_ms = 0;
+    }
+}
+
+static void
+want_act(gv_maintain_t *m, const gv_hold_t *d, GPtrArray *out)
 {
     msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvLedger_PackAct(&sb, GvStr_C(d->host), d->claim, m->k->conf.name,
+                     m->k->incarnation);
+    GvMaintain_Want(out, "act", sb, "act %s %" PRIu64, d->host, d->fence);
+}
+
+/* Makes one step. Returns true when another may follow at once. */
+static bool
+run_step(gv_maintain_t *m, gv_hold_t *d, int64_t now_ms, GPtrArray *out)
+{
     gv_claim_facts_t *f = &d->facts;
     switch (GvMaintain_NextStep(f)) {
     case GV_STEP_WAIT:
-        break;
+        return false;
     case GV_STEP_PROBE:
         probe(d);
-        break;
+        return GvMaintain_NextStep(f) != GV_STEP_PROBE;
     case GV_STEP_ACT:
-        msgpack_sbuffer_init(&sb);
-        GvLedger_PackAct(&sb, GvStr_C(d->host), d->claim, m->k->conf.name,
-                         m->k->incarnation);
-        GvMaintain_Want(out, "act", sb, "act %s %" PRIu64, d->host, d->fence);
-        break;
+        want_act(m, d, out);
+        return false;
     case GV_STEP_DRAIN:
         f->drained = host_op(m, d, GV_HOSTOP_DRAIN);
-        break;
+        return f->drained;
     case GV_STEP_REBOOT:
-        /* A lost response may hide a reboot: the time counts from the call,
-           and the new boot shows its effect. */
-        host_op(m, d, GV_HOSTOP_REBOOT);
-        f->rebooted = true;
-        d->rebooted_at_ms = now_ms;
-        break;
+        reboot(m, d, now_ms);
+        return false;
     case GV_STEP_READY:
         f->readied = host_op(m, d, GV_HOSTOP_READY);
-        break;
+        return f->readied;
     case GV_STEP_DONE_HEALTHY:
         want_done(m, d, GV_DONE_HEALTHY, out);
-        f->probes = 0;
-        break;
+        f->probes = 0; /* a fresh probe before any repetition */
+        return false;
     case GV_STEP_DONE_FAILED:
         want_done(m, d, GV_DONE_FAILED, out);
-        break;
+        return false;
     }
+    return false;
 }
 
-/* Makes the next step of each claim that this entry host holds. */
+/* Makes the next steps of each claim that this entry host holds. */
 void
 GvMaintain_RunHolds(gv_maintain_t *m, int64_t now_ms, GPtrArray *out)
 {
@@ -287,6 +306,8 @@
     gpointer value;
     g_hash_table_iter_init(&it, m->holds);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        run_step(m, value, now_ms, out);
+        for (int i = 0; i < STEPS_MAX && run_step(m, value, now_ms, out);
+             i++) {
+        }
     }
 }
--- /dev/null
+++ b/tests/proc_maintain.py
@@ -0,0 +1,120 @@
+#!/usr/bin/env python3
+"""Maintenance over real processes: hosts from the platform's list, a wave
+through drain, reboot and return, failure reports and removals."""
+import sys
+import time
+
+import harness
+from harness import call, wait_until
+from proc_path import Path, POOL, SERVICE
+
+
+class Maintain(Path):
+    slots = 4
+
+    def publish(self):
+        for name, addr in self.targets.items():
+            self.list_host(name, addr)
+        text = SERVICE.replace("min_hosts: 0", "min_hosts: 1")
+        self.append("settings", [0, [["s.yaml", text], ["p.yaml", POOL]]])
+
+    def list_host(self, name, addr, state="live", slots=4, pool="routing"):
+        self.assertEqual(call(
+            self.platform, "POST", f"/hosts/set?host={name}&dc=k1&rack=r-{name}"
+            f"&addr={addr}&slots={slots}&pool={pool}&state={state}").status,
+            200)
+
+    def boots(self):
+        return {t["host"]: t["boot"] for t in
+                self.status(self.e1)["targets"]}
+
+    def row(self, host):
+        return next(t for t in self.status(self.e1)["targets"]
+                    if t["host"] == host)
+
+    def done(self, before):
+        rows = self.status(self.e2)["targets"]
+        return all(r["boot"] != before[r["host"]] and not r["closed"]
+                   for r in rows)
+
+
+class Waves(Maintain):
+    def test_wave(self):
+        """Guards against a wave that cuts a run, stops serving, stops both
+        hosts at once, or does not end."""
+        before = self.boots()
+        run, out = self.background(self.e1, "POST",
+                                   "/svc/routing/a?run_ms=2500", b"long")
+        wait_until(self.runs, 5, "request has started")
+        self.append("wave", ["w1", "routing", 2, 0])
+        bad = []
+
+        def finished():
+            a = call(self.e2, "POST", "/svc/routing/b", b"")
+            if a.status != 200:
+                bad.append((a.status, a.text))
+            rows = self.status(self.e1)["targets"]
+            self.assertLessEqual(sum(r["closed"] for r in rows), 1)
+            return self.done(before)
+        wait_until(finished, 60, "both hosts have been maintained")
+        run.join()
+        self.assertEqual((out[0].status, out[0].text), (200, "ok long"))
+        self.assertEqual(bad, [])
+        cuts = [x for a in self.targets.values()
+                for x in call(a, "GET", "/history").text.splitlines()
+                if x.startswith("cut")]
+        self.assertEqual(cuts, [])
+
+    def test_takeover(self):
+        """Guards against a claim that stays when its holder leaves."""
+        before = self.boots()
+        run, _ = self.background(self.e1, "POST",
+                                 "/svc/routing/a?run_ms=3000", b"")
+        wait_until(self.runs, 5, "request has started")
+        self.append("wave", ["w1", "routing", 1, 0])
+        holder = wait_until(lambda: [c["holder"] for c in self.claims()], 20,
+                            "a claim is held")[0]
+        self.assertEqual(self.procs.stop(holder), 0)
+        run.join()
+        rest = self.e2 if holder == "e1" else self.e1
+        wait_until(lambda: all(
+            r["boot"] != before[r["host"]] and not r["closed"]
+            for r in self.status(rest)["targets"]), 60, "the wave ends")
+
+    def claims(self):
+        return self.status(self.e2)["claims"]
+
+
+class Hosts(Maintain):
+    def test_failed_and_up(self):
+        """Guards against a failed host that stays in service or never
+        returns."""
+        t1 = self.targets["t1"]
+        call(t1, "POST", "/control/fault?freeze=1")
+        wait_until(lambda: self.row("t1")["closed"], 30, "t1 is failed")
+        a = call(self.e1, "POST", "/svc/routing/a", b"")
+        self.assertEqual(self.outcome(a), (200, "run"))
+        call(t1, "POST", "/control/fault?reset=1")
+        wait_until(lambda: not self.row("t1")["closed"], 30, "t1 is up")
+
+    def test_gone(self):
+        """Guards against a host or an entry host listed as gone that stays
+        known."""
+        self.list_host("t2", self.targets["t2"], "gone")
+        wait_until(lambda: [t["host"] for t in
+                            self.status(self.e1)["targets"]] == ["t1"], 20,
+                   "t2 is dropped")
+        proc = self.procs.children.pop("e2")
+        proc.kill()
+        proc.communicate()
+        self.list_host("e2", self.entries["e2"][0], "gone", 0, "")
+        wait_until(lambda: [m["name"] for m in
+                            self.status(self.e1)["members"]] == ["e1"], 20,
+                   "e2 is removed")
+        time.sleep(0.2)
+        a = call(self.e1, "POST", "/svc/routing/a", b"")
+        self.assertEqual(self.outcome(a), (200, "run"))
+
+
+if __name__ == "__main__":
+    harness.main(__name__, sys.argv)
--- /dev/null
+++ b/tests/script_maintain.c
@@ -0,0 +1,92 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "maintain_plan.h"
+#include "script.h"
+
+/* Reads "name=value" words; returns the value or fallback. */
+static const char *
+word(int argc, char **argv, const char *name, const char *fallback)
+{
+    size_t n = strlen(name);
+    for (int i = 1; i < argc; i++) {
+        if (strncmp(argv[i], name, n) == 0 && argv[i][n] == '=') {
+            return argv[i] + n + 1;
+        }
+    }
+    return fallback;
+}
+
+static long
+number(int argc, char **argv, const char *name)
+{
+    return strtol(word(argc, argv, name, "0"), NULL, 10);
+}
+
+/* step PHASE [probes=N running=N (no report without it) waived_ms=N limit=N
+   drained=1 rebooted=1 reboot_ms=N new_boot=1 leaving=1 readied=1] */
+static void
+verb_step(int argc, char **argv)
+{
+    static const char *const names[] = {"wait",    "probe",  "act",
+                                        "drain",   "reboot", "ready",
+                                        "healthy", "failed"};
+    const char *running = word(argc, argv, "running", NULL);
+    gv_claim_facts_t f = {
+        .phase = strcmp(argv[1], "granted") == 0 ? GV_PHASE_GRANTED
+                 : strcmp(argv[1], "clear") == 0 ? GV_PHASE_CLEAR
+                                                 : GV_PHASE_STOPPING,
+        .waived = word(argc, argv, "waived_ms", NULL) != NULL,
+        .waived_ms = number(argc, argv, "waived_ms"),
+        .run_limit_ms = number(argc, argv, "limit"),
+        .probes = (int)number(argc, argv, "probes"),
+        .reported = running != NULL,
+        .running = (int)number(argc, argv, "running"),
+        .new_boot = number(argc, argv, "new_boot") == 1,
+        .leaving = number(argc, argv, "leaving") == 1,
+        .drained = number(argc, argv, "drained") == 1,
+        .rebooted = number(argc, argv, "rebooted") == 1,
+        .reboot_ms = number(argc, argv, "reboot_ms"),
+        .readied = number(argc, argv, "readied") == 1,
+    };
+    for (int i = 1; i < argc; i++) {
+        printf("%s ", argv[i]);
+    }
+    printf("-> %s\n", names[GvMaintain_NextStep(&f)]);
+}
+GV_VERB("step", verb_step);
+
+/* report KNOWN LISTED HEALTH MS: KNOWN is none, up, failed or stopping, with
+   its boot after a comma; LISTED is none, live, leaving or gone, likewise. */
+static void
+verb_report(int argc, char **argv)
+{
+    static const char *const names[] = {"none", "add",    "change",
+                                        "gone", "failed", "up"};
+    gv_claim_t claim = {.phase = GV_PHASE_STOPPING};
+    char **known = g_strsplit(argv[1], ",", 2);
+    char **listed = g_strsplit(argv[2], ",", 2);
+    gv_lhost_t k = {
+        .addr = GV_STR("a:1"),
+        .boot = GvStr_C(known[1] != NULL ? known[1] : ""),
+        .state = strcmp(known[0], "failed") == 0 ? GV_HOST_FAILED : GV_HOST_UP,
+        .claim = strcmp(known[0], "stopping") == 0 ? &claim : NULL,
+    };
+    gv_listed_host_t l = {
+        .addr = GV_STR("a:1"),
+        .boot = GvStr_C(listed[1] != NULL ? listed[1] : ""),
+        .state = strcmp(listed[0], "live") == 0      ? GV_LISTED_LIVE
+                 : strcmp(listed[0], "leaving") == 0 ? GV_LISTED_LEAVING
+                                                     : GV_LISTED_GONE,
+    };
+    gv_report_t r = GvMaintain_Report(
+        strcmp(known[0], "none") == 0 ? NULL : &k,
+        strcmp(listed[0], "none") == 0 ? NULL : &l,
+        strcmp(argv[3], "healthy") == 0, atol(argv[4]), argc < 6);
+    printf("%s %s %s %s -> %s\n", argv[1], argv[2], argv[3], argv[4],
+           names[r]);
+    g_strfreev(known);
+    g_strfreev(listed);
+}
+GV_VERB("report", verb_report);
