Keep a lagging host list from reverting a boot identifier

After a reboot the list still showed the old boot for a second, and an entry host reported it as a change; the log then held the old boot until the next list. A listed boot now counts only when the target runs it. The time that a host is unhealthy during its holder's reboot no longer counts as a failure.

--- a/src/maintain_hosts.c
+++ b/src/maintain_hosts.c
@@ -20,9 +20,11 @@
 }
 
 /* Returns how long the host's health has been as it is, and notes changes.
-   The time begins when this process first sees the host. */
+   The time begins when this process first sees the host; a reboot by its
+   holder does not count. */
 static int64_t
-health_age(gv_maintain_t *m, gv_str_t host, bool healthy, int64_t now_ms)
+health_age(gv_maintain_t *m, gv_str_t host, bool healthy, bool stopping,
+           int64_t now_ms)
 {
     char key[GV_NAME_MAX_BYTES + 4];
     char other[GV_NAME_MAX_BYTES + 4];
@@ -31,6 +33,10 @@
     g_snprintf(other, sizeof other, "%c %.*s", healthy ? 'f' : 'u',
                GV_STR_ARG(host));
     g_hash_table_remove(m->health, other);
+    if (stopping) {
+        g_hash_table_remove(m->health, key);
+        return 0;
+    }
     gint64 *since = g_hash_table_lookup(m->health, key);
     if (since == NULL) {
         since = g_new(gint64, 1);
@@ -59,15 +65,36 @@
     return n <= 2 || sick * 2 <= n;
 }
 
+/* Leaves the boot out of a list entry unless the target runs it: the list lags
+   behind, and the boot before a reboot must not return. */
+static gv_listed_host_t
+without_old_boot(gv_maintain_t *m, const gv_listed_host_t *listed)
+{
+    gv_listed_host_t h = *listed;
+    char boot[GV_NAME_MAX_BYTES + 1];
+    if (GvTargets_Boot(m->k->targets, h.host, boot, sizeof boot) &&
+        !GvStr_Equal(h.boot, GvStr_C(boot))) {
+        h.boot = GV_STR("");
+    }
+    return h;
+}
+
 static void
 report(gv_maintain_t *m, const gv_ledger_t *l, const gv_lhost_t *known,
        const gv_listed_host_t *listed, int64_t now_ms, GPtrArray *out)
 {
+    gv_listed_host_t fresh;
+    if (known != NULL && listed != NULL) {
+        fresh = without_old_boot(m, listed);
+        listed = &fresh;
+    }
     gv_str_t name = known != NULL ? known->name : listed->host;
     gv_health_view_t v;
     bool seen = GvProber_Get(m->k->prober, name, &v);
     bool healthy = !seen || v.healthy;
-    int64_t age = health_age(m, name, healthy, now_ms);
+    bool stopping = known != NULL && known->claim != NULL &&
+                    known->claim->phase == GV_PHASE_STOPPING;
+    int64_t age = health_age(m, name, healthy, stopping, now_ms);
     gv_settings_t *s = GvLedger_Settings(l);
     bool declared = listed != NULL && s != NULL &&
                     GvSettings_Pool(s, listed->pool) != NULL;
@@ -82,6 +109,7 @@
     case GV_REPORT_NONE:
         break;
     case GV_REPORT_ADD:
+        g_assert(listed != NULL);
         h.dc = listed->dc;
         h.pool = listed->pool;
         want_host(m, out, "added", &h, now_ms);
@@ -95,7 +123,6 @@
         break;
     case GV_REPORT_FAILED:
         if (may_fail_one(m, l)) {
-            h = *known;
             h.state = GV_HOST_FAILED;
             want_host(m, out, "failed", &h, now_ms);
         }
--- a/src/target.h
+++ b/src/target.h
@@ -70,8 +70,9 @@
 void GvTargets_NoteProbe(gv_targets_t *ts, gv_str_t host, int64_t now_ms);
 /* Tells whether a fresh probe succeeded after since_ms (monotonic). */
 bool GvTarget_ProbedSince(gv_target_t *t, int64_t since_ms);
-/* Copies the pool of a target; false for an unknown one. */
+/* Copy the pool or the newest boot of a target; false for an unknown one. */
 bool GvTargets_Pool(gv_targets_t *ts, gv_str_t host, char *pool, size_t n);
+bool GvTargets_Boot(gv_targets_t *ts, gv_str_t host, char *boot, size_t n);
 
 /* Slot loans, for the lending module. */
 int GvTargets_Lend(gv_targets_t *ts, gv_str_t host, int count, int queued,
--- a/src/target_loan.c
+++ b/src/target_loan.c
@@ -69,6 +69,20 @@
     return t != NULL;
 }
 
+/* Copies the newest boot identifier that the target is known to run. Returns
+   false for an unknown target. */
+bool
+GvTargets_Boot(gv_targets_t *ts, gv_str_t host, char *boot, size_t n)
+{
+    gv_target_t *t;
+    gv_target_shard_t *sh = GvTargets_Lock(ts, host, &t);
+    if (t != NULL) {
+        g_strlcpy(boot, t->boot, n);
+    }
+    GvTargetShard_Unlock(sh);
+    return t != NULL;
+}
+
 static void
 add_row(gv_target_t *t, GArray *out, int64_t now_ms)
 {
