Bound the state by its exact packed size

A trial at the target size (5,800 hosts with boot identifiers of 36 bytes) was refused at about 4,000 hosts, because the bound counted each string and number at its largest. The size of hosts is now exact. GV_KEYS_MAX goes to 12288 and GV_STATE_MAX_BYTES to 720 KiB. test_ledger_size shows that the target size with all keys takes 880,427 bytes, and that the largest state that is accepted (7,369 such hosts) takes 1,028,645 bytes and still fits in a checkpoint record of 1 MiB.

--- a/src/ledger_count.c
+++ b/src/ledger_count.c
@@ -3,10 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Bytes of a packed string's header and of a packed integer, at most. */
-#define STR_HEAD 3
-#define INT_SIZE 9
-
 /* Room for "p/", two names and a separator. */
 #define TALLY_KEY (2 * GV_NAME_MAX_BYTES + 8)
 
@@ -42,16 +38,38 @@
     return out;
 }
 
-/* Returns an upper bound of the packed size of a host with its claim. */
+/* Returns the packed size of a string. */
+static size_t
+str_size(gv_str_t s)
+{
+    return s.n + (s.n < 32 ? 1 : s.n < 256 ? 2 : 3);
+}
+
+/* Returns the packed size of a number. */
+static size_t
+uint_size(uint64_t v)
+{
+    return v < 128           ? 1
+           : v < 256         ? 2
+           : v <= UINT16_MAX ? 3
+           : v <= UINT32_MAX ? 5
+                             : 9;
+}
+
+/* Returns the packed size of a host with its claim. It is exact, because at
+   the target size hosts take most of a checkpoint. */
 static size_t
 host_bytes(const gv_lhost_t *h)
 {
-    size_t n = h->name.n + h->dc.n + h->rack.n + h->addr.n + h->pool.n +
-               h->boot.n + 6 * STR_HEAD + 5 * INT_SIZE;
+    size_t n = str_size(h->name) + str_size(h->dc) + str_size(h->rack) +
+               str_size(h->addr) + str_size(h->pool) + str_size(h->boot) +
+               uint_size((uint64_t)h->slots) + uint_size(h->wave_done) + 3;
     const gv_claim_t *c = h->claim;
     if (c != NULL) {
-        n += c->wave.n + c->to_pool.n + c->holder.n + 4 * STR_HEAD +
-             6 * INT_SIZE + (size_t)c->waiting->len * (GV_NAME_MAX_BYTES + 2);
+        n += uint_size(c->offset) + uint_size(c->fence) + str_size(c->wave) +
+             str_size(c->to_pool) + str_size(c->holder) +
+             uint_size(c->holder_incarnation) + 6 +
+             (size_t)c->waiting->len * (GV_NAME_MAX_BYTES + 2);
     }
     return n;
 }
--- a/src/ledger_done.c
+++ b/src/ledger_done.c
@@ -8,7 +8,9 @@
     gv_wave_t *w = GvTable_Find(&l->waves, h->claim->wave);
     if (w != NULL) {
         w->healthy++;
+        GvLedger_Count(l, h, -1);
         h->wave_done = w->offset;
+        GvLedger_Count(l, h, 1);
     }
     GvLedger_EndClaim(l, h);
     GvLedger_CheckWaveDone(l, h->pool);
--- a/src/limits.h
+++ b/src/limits.h
@@ -73,9 +73,10 @@
 #define GV_QUEUE_LIMIT_REQUESTS 100000
 
 /* Ledger. A checkpoint of the whole state has to fit in one record of
-   GV_RECORD_MAX_BYTES: keys take 24 bytes each (384 KiB in all), the other
-   tables share GV_STATE_MAX_BYTES. */
-#define GV_STATE_MAX_BYTES   (600 * 1024)
+   GV_RECORD_MAX_BYTES: keys take 24 bytes each (288 KiB in all), the other
+   tables share GV_STATE_MAX_BYTES. At the target size, with boot identifiers
+   of 36 bytes, hosts take 535 KiB. */
+#define GV_STATE_MAX_BYTES   (720 * 1024)
 #define GV_HOST_STATE_BYTES  512 /* largest packed host, member or wave */
 #define GV_ADDR_MAX_BYTES    31
 #define GV_BOOT_MAX_BYTES    63
@@ -97,7 +98,7 @@
 #define GV_ONCE_MAX_ENTRIES  65536
 #define GV_ONCE_ANSWER_BYTES (64 * 1024)
 #define GV_KEY_TTL_MS        (60 * 60 * 1000)
-#define GV_KEYS_MAX          16384
+#define GV_KEYS_MAX          12288
 #define GV_KEY_BATCH         64
 
 /* All shards together; a larger response is kept as its outcome only. */
--- /dev/null
+++ b/tests/test_ledger_size.c
@@ -0,0 +1,167 @@
+#include <glib.h>
+#include <stdio.h>
+
+#include "error.h"
+#include "ledger.h"
+
+#define TARGET_HOSTS 5800
+#define TARGET_POOLS 32
+#define TARGET_ENTRY 136
+#define TARGET_DCS   17
+#define INCARNATION  1700000000000
+#define SERVICE_YAML                                                          \
+    "kind: service\nservice: svc%d\npool: pool%d\n"                           \
+    "availability: {objective_percent: 99.9, min_hosts: 100}\n"               \
+    "deadline: {default_ms: 5000, max_ms: 60000}\nteams:\n"                   \
+    "  - {name: crews, quota: 60}\n  - {name: authorities, quota: 40}\n"      \
+    "idempotent: {methods: [GET, PUT], paths: [/quote]}\n"
+
+static int64_t now_ms;
+static uint64_t sequence;
+
+/* Applies a payload and empties it. */
+static gv_verdict_t
+put(gv_ledger_t *l, const char *kind, msgpack_sbuffer *payload)
+{
+    gv_verdict_t v;
+    msgpack_sbuffer sb;
+    gv_record_t r = {.kind = GvStr_C(kind),
+                     .origin = GV_STR("entry1"),
+                     .incarnation = INCARNATION,
+                     .sequence = ++sequence,
+                     .created_ms = now_ms,
+                     .expires_ms = now_ms + 60000};
+    msgpack_sbuffer_init(&sb);
+    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
+    g_assert_cmpint(GvLedger_Apply(l, GvLedger_Next(l), now_ms,
+                                   GvStr_N(sb.data, sb.size), &v),
+                    ==, GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+    msgpack_sbuffer_destroy(payload);
+    msgpack_sbuffer_init(payload);
+    return v;
+}
+
+static void
+put_settings(gv_ledger_t *l, msgpack_sbuffer *sb)
+{
+    gv_document_t docs[4 * TARGET_POOLS];
+    char *texts[4 * TARGET_POOLS];
+    for (int i = 0; i < 4 * TARGET_POOLS; i++) {
+        texts[i] = i < TARGET_POOLS
+                       ? g_strdup_printf("kind: pool\npool: pool%d\n", i)
+                       : g_strdup_printf(SERVICE_YAML, i, i % TARGET_POOLS);
+        docs[i].file = GV_STR("teams/of-some-service/gypsumvalve.yaml");
+        docs[i].text = GvStr_C(texts[i]);
+    }
+    GvLedger_PackSettings(sb, 0, docs, 4 * TARGET_POOLS);
+    g_assert_cmpint(put(l, "settings", sb).kind, ==, GV_VERDICT_ACCEPTED);
+    for (int i = 0; i < 4 * TARGET_POOLS; i++) {
+        g_free(texts[i]);
+    }
+}
+
+static gv_verdict_t
+put_host(gv_ledger_t *l, msgpack_sbuffer *sb, int i)
+{
+    char name[24], dc[24], rack[24], pool[24], boot[48];
+    snprintf(name, sizeof name, "worker-%05d", i);
+    snprintf(dc, sizeof dc, "dc%d", i % TARGET_DCS);
+    snprintf(rack, sizeof rack, "rack%d", i / (4 * TARGET_DCS));
+    snprintf(pool, sizeof pool, "pool%d", i % TARGET_POOLS);
+    snprintf(boot, sizeof boot, "3f2a9c00-58c1-4d2e-9b7a-%012d", i);
+    gv_lhost_t h = {.name = GvStr_C(name),
+                    .dc = GvStr_C(dc),
+                    .rack = GvStr_C(rack),
+                    .addr = GV_STR("10.101.102.103:9001"),
+                    .pool = GvStr_C(pool),
+                    .boot = GvStr_C(boot),
+                    .slots = 8};
+    GvLedger_PackHost(sb, &h);
+    return put(l, "host", sb);
+}
+
+static gv_verdict_t
+put_keys(gv_ledger_t *l, msgpack_sbuffer *sb, int from)
+{
+    gv_key_item_t items[GV_KEY_BATCH];
+    char keys[GV_KEY_BATCH][16];
+    for (int i = 0; i < GV_KEY_BATCH; i++) {
+        snprintf(keys[i], sizeof keys[i], "key-%d", from + i);
+        items[i] = (gv_key_item_t){GV_STR("svc1"), GvStr_C(keys[i]),
+                                   now_ms + GV_KEY_TTL_MS};
+    }
+    GvLedger_PackKeys(sb, items, GV_KEY_BATCH, GV_STR("entry1"), INCARNATION);
+    return put(l, "key", sb);
+}
+
+/* Checks that a checkpoint of l is a valid record that loads equally. */
+static void
+check_checkpoint(gv_ledger_t *l, msgpack_sbuffer *sb)
+{
+    gv_ledger_t *copy;
+    msgpack_sbuffer_init(sb);
+    GvLedger_Save(l, sb);
+    g_test_message("state of %u hosts: %zu bytes", GvLedger_Hosts(l)->len,
+                   sb->size);
+    g_assert_cmpint(GvLedger_Load(GvStr_N(sb->data, sb->size), &copy), ==,
+                    GV_OK);
+    g_assert_cmpuint(GvLedger_Digest(copy), ==, GvLedger_Digest(l));
+    GvLedger_Free(copy);
+    msgpack_sbuffer_clear(sb);
+    GvLedger_PackCheckpoint(sb, l);
+    gv_verdict_t v = put(l, "checkpoint", sb);
+    g_assert_cmpstr(v.reason, ==, "");
+}
+
+/* Guards against a state of the target size, or any state that the ledger
+   accepts, that no longer fits in a checkpoint record: every entry host that
+   starts later would be without a ledger. */
+static void
+test_size(void)
+{
+    msgpack_sbuffer sb;
+    gv_ledger_t *l = GvLedger_New();
+    now_ms = 1700000000000;
+    msgpack_sbuffer_init(&sb);
+    put_settings(l, &sb);
+    for (int i = 0; i < TARGET_ENTRY; i++) {
+        char name[24], dc[24];
+        snprintf(name, sizeof name, "entry%d", i);
+        snprintf(dc, sizeof dc, "dc%d", i % TARGET_DCS);
+        gv_member_t m = {GvStr_C(name),
+                         GvStr_C(dc),
+                         GV_STR("10.101.102.103:7001"),
+                         GV_STR("10.101.102.103:8001"),
+                         INCARNATION,
+                         0};
+        GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
+        g_assert_cmpint(put(l, "member", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    }
+    for (int i = 0; i < TARGET_HOSTS; i++) {
+        g_assert_cmpstr(put_host(l, &sb, i).reason, ==, "");
+    }
+    for (int i = 0; i < GV_KEYS_MAX; i += GV_KEY_BATCH) {
+        g_assert_cmpstr(put_keys(l, &sb, i).reason, ==, "");
+    }
+    g_assert_cmpint(put_keys(l, &sb, GV_KEYS_MAX).kind, ==,
+                    GV_VERDICT_REJECTED);
+    check_checkpoint(l, &sb);
+    /* Hosts beyond the target size, until the ledger refuses them. */
+    gv_verdict_t v = {0};
+    for (int i = TARGET_HOSTS; v.kind == GV_VERDICT_ACCEPTED; i++) {
+        v = put_host(l, &sb, i);
+    }
+    g_assert_cmpstr(v.reason, ==, "too many hosts");
+    check_checkpoint(l, &sb);
+    msgpack_sbuffer_destroy(&sb);
+    GvLedger_Free(l);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/ledger/size", test_size);
+    return g_test_run();
+}
