Print status members in their order and test lost answers

With a platform whose append answers are all lost, the command repeats the same bytes until its deadline and reports the fate as unknown (exit code 6).

--- a/src/cli_print.c
+++ b/src/cli_print.c
@@ -28,8 +28,8 @@
     const char *name;
     JsonNode *node;
     printf("%*s", indent, "");
-    json_object_iter_init(&it, o);
-    while (json_object_iter_next(&it, &name, &node)) {
+    json_object_iter_init_ordered(&it, o);
+    while (json_object_iter_next_ordered(&it, &name, &node)) {
         if (JSON_NODE_HOLDS_VALUE(node)) {
             printf("%s=", name);
             print_scalar(node);
@@ -37,8 +37,8 @@
         }
     }
     printf("\n");
-    json_object_iter_init(&it, o);
-    while (json_object_iter_next(&it, &name, &node)) {
+    json_object_iter_init_ordered(&it, o);
+    while (json_object_iter_next_ordered(&it, &name, &node)) {
         JsonArray *a =
             JSON_NODE_HOLDS_ARRAY(node) ? json_node_get_array(node) : NULL;
         for (guint i = 0; a != NULL && i < json_array_get_length(a); i++) {
@@ -65,16 +65,16 @@
         return;
     }
     JsonObject *o = json_node_get_object(root);
-    json_object_iter_init(&it, o);
-    while (json_object_iter_next(&it, &name, &node)) {
+    json_object_iter_init_ordered(&it, o);
+    while (json_object_iter_next_ordered(&it, &name, &node)) {
         if (JSON_NODE_HOLDS_VALUE(node)) {
             printf("%s: ", name);
             print_scalar(node);
             printf("\n");
         }
     }
-    json_object_iter_init(&it, o);
-    while (json_object_iter_next(&it, &name, &node)) {
+    json_object_iter_init_ordered(&it, o);
+    while (json_object_iter_next_ordered(&it, &name, &node)) {
         if (!JSON_NODE_HOLDS_ARRAY(node)) {
             continue;
         }
--- a/tests/proc_operator.py
+++ b/tests/proc_operator.py
@@ -252,6 +252,39 @@
     p.run("burn", code=USAGE)
 
 
+class Mute(http.server.BaseHTTPRequestHandler):
+    """A platform whose log stays empty and whose append answers get lost."""
+    bodies = []
+
+    def do_GET(self):
+        page = bytes.fromhex("940000cd03e890")
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(page)))
+        self.end_headers()
+        self.wfile.write(page)
+
+    def do_POST(self):
+        size = int(self.headers["Content-Length"])
+        self.bodies.append(self.rfile.read(size))
+        self.close_connection = True
+
+    def log_message(self, *args):
+        pass
+
+
+def lost_answers(p):
+    """Without a verdict the fate is unknown; only the same record is sent."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Mute)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    addr = "127.0.0.1:%d" % server.server_port
+    out = p.run("drain", "h0", "--platform", addr, "--timeout", "2", "--json",
+                code=UNKNOWN)
+    assert json.loads(out)["result"] == "unknown", out
+    assert len(Mute.bodies) > 1 and len(set(Mute.bodies)) == 1, Mute.bodies
+    server.shutdown()
+    server.server_close()
+
+
 def main():
     with tempfile.TemporaryDirectory() as root:
         with Platform() as p:
@@ -261,6 +294,7 @@
             racing_publishers(p, root)
             faults(p)
             entry_pages(p)
+            lost_answers(p)
     retention(True)
     retention(False)
     print("ok")
