--- a/src/appender.c
+++ b/src/appender.c
@@ -59,6 +59,7 @@
     int64_t retry_at_ms;
 };
 
+/* Releases an item and its payload. */
 static void
 free_item(item_t *it)
 {
@@ -92,6 +93,7 @@
     g_array_free(results, TRUE);
 }
 
+/* Creates an empty list of calls that are due. */
 static GArray *
 new_results(void)
 {
@@ -143,6 +145,7 @@
     return bytes;
 }
 
+/* Releases the records of the batch and empties it. */
 static void
 clear_batch(gv_appender_t *a)
 {
@@ -337,6 +340,7 @@
     return true;
 }
 
+/* Thread: sends what is due and calls done() without the lock. */
 static void *
 append_loop(void *user)
 {
@@ -359,6 +363,7 @@
     return NULL;
 }
 
+/* Releases an appender whose thread does not run. */
 static void
 free_appender(gv_appender_t *a)
 {
--- a/src/checkpointer.c
+++ b/src/checkpointer.c
@@ -103,6 +103,7 @@
     return GvCheckpoint_IsDue(next, covered, now_ms - c->since_ms, &kept);
 }
 
+/* Ends the append in progress. */
 static void
 on_done(void *user, int err, const gv_verdict_t *v)
 {
--- a/src/health.c
+++ b/src/health.c
@@ -53,6 +53,7 @@
     void *user;
 };
 
+/* Tells whether the set holds boot. */
 static bool
 has_boot(const boot_set_t *s, const char *boot)
 {
@@ -64,6 +65,7 @@
     return false;
 }
 
+/* Adds boot unless the set holds it. */
 static void
 add_boot(boot_set_t *s, const char *boot)
 {
@@ -74,6 +76,7 @@
     }
 }
 
+/* Releases a host with its sets. */
 static void
 free_entry(gpointer p)
 {
@@ -166,6 +169,7 @@
     g_free(t);
 }
 
+/* Returns the host of that name, or NULL. */
 static entry_t *
 find(const gv_health_table_t *t, gv_str_t host)
 {
--- a/src/hosttable.c
+++ b/src/hosttable.c
@@ -22,6 +22,7 @@
 
 static const char *const state_names[] = {"live", "leaving", "gone"};
 
+/* Releases a host and its strings. */
 static void
 free_host(gpointer p)
 {
@@ -35,6 +36,7 @@
     g_free(h);
 }
 
+/* Drops the reference of a list version to its body. */
 static void
 clear_list(gpointer p)
 {
@@ -65,6 +67,7 @@
     g_free(t);
 }
 
+/* Returns the host of that name, or NULL. */
 static gv_thost_t *
 find(const gv_hosttable_t *t, gv_str_t name)
 {
@@ -74,6 +77,7 @@
     return h;
 }
 
+/* Replaces an owned string by a copy of value. */
 static void
 replace(gv_str_t *field, gv_str_t value)
 {
@@ -152,6 +156,7 @@
     return t->hosts->pdata[i];
 }
 
+/* Packs one item of the list in the order of hostlist.h. */
 static void
 pack_host(msgpack_packer *pk, const gv_listed_host_t *h)
 {
--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -34,6 +34,7 @@
     GPtrArray *headers; /* name, value, name, value ... */
 };
 
+/* Releases a request with its answer. */
 static void
 free_served(gv_served_t *rq)
 {
@@ -45,6 +46,7 @@
     g_free(rq);
 }
 
+/* Creates the state of a request from its first line. */
 static gv_served_t *
 new_served(struct MHD_Connection *conn, const char *method, const char *path)
 {
@@ -109,6 +111,7 @@
     return send_answer(rq);
 }
 
+/* Called by libmicrohttpd when a request has ended in any way. */
 static void
 on_completed(void *cls, struct MHD_Connection *conn, void **ctx,
              enum MHD_RequestTerminationCode code)
@@ -233,6 +236,7 @@
     return err;
 }
 
+/* Ends the main loop; a GLib signal source. */
 static gboolean
 quit(gpointer loop)
 {
--- a/src/logreader.c
+++ b/src/logreader.c
@@ -33,6 +33,7 @@
     int failures; /* in a row */
 };
 
+/* Returns the next offset of the replica. */
 static uint64_t
 next_offset(gv_logreader_t *r)
 {
@@ -41,6 +42,7 @@
     return next;
 }
 
+/* Tells whether GvLogReader_Stop was called. */
 static bool
 is_stopping(gv_logreader_t *r)
 {
@@ -69,6 +71,7 @@
     }
 }
 
+/* Notes the bounds of the log that a page states. */
 static void
 set_retained(gv_logreader_t *r, const gv_log_page_t *page)
 {
@@ -239,6 +242,7 @@
     } while (ms > 0 && pause_for(r, ms) && !is_stopping(r));
 }
 
+/* Thread: reads until stopped, with a delay after each failure. */
 static void *
 read_loop(void *user)
 {
@@ -252,6 +256,7 @@
     return NULL;
 }
 
+/* Releases a reader whose thread does not run. */
 static void
 free_reader(gv_logreader_t *r)
 {
--- a/src/logstore.c
+++ b/src/logstore.c
@@ -25,6 +25,7 @@
     int64_t last_ms;
 };
 
+/* Releases an entry and its bytes. */
 static void
 free_entry(gpointer p)
 {
@@ -73,6 +74,7 @@
     return GvLogStore_Next(s) - 1;
 }
 
+/* Returns the entry at an offset that is still in the array. */
 static const entry_t *
 entry_at(const gv_logstore_t *s, uint64_t offset)
 {
--- a/src/prober.c
+++ b/src/prober.c
@@ -57,6 +57,7 @@
     uint64_t list_version;
 };
 
+/* Releases a target and its strings. */
 static void
 free_target(gpointer p)
 {
@@ -184,6 +185,7 @@
     pthread_cond_broadcast(&p->work);
 }
 
+/* Thread: hands out probes every GV_PROBE_INTERVAL_MS. */
 static void *
 probe_loop(void *user)
 {
@@ -236,6 +238,7 @@
     }
 }
 
+/* Thread: reads the host list about every GV_PROBE_INTERVAL_MS. */
 static void *
 list_loop(void *user)
 {
@@ -259,6 +262,7 @@
     return NULL;
 }
 
+/* Releases the names of the members. */
 static void
 free_members(gv_prober_t *p)
 {
--- a/src/replica.c
+++ b/src/replica.c
@@ -15,6 +15,7 @@
     size_t ring_bytes;
 };
 
+/* Releases a record of the ring. */
 static void
 free_raw(gpointer p)
 {
--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -55,6 +55,7 @@
     }
 }
 
+/* Answers 200 with sb and releases it. */
 static void
 reply_msgpack(gv_served_t *rq, msgpack_sbuffer *sb)
 {
@@ -88,6 +89,7 @@
     return !lost;
 }
 
+/* POST /log/append. All records are appended, or none. */
 static void
 log_append(platform_t *p, gv_served_t *rq)
 {
@@ -125,6 +127,8 @@
     }
 }
 
+/* GET /log/read. Waits up to wait_ms for a record at `from`; an outage that
+   begins meanwhile ends the wait. */
 static void
 log_read(platform_t *p, gv_served_t *rq)
 {
@@ -410,6 +414,8 @@
     }
 }
 
+/* Passes a request to its route; 404 for an unknown path, 405 for a wrong
+   method. */
 static void
 handle(void *user, gv_served_t *rq)
 {
@@ -514,6 +520,8 @@
     return 0;
 }
 
+/* Reads the options and serves. Exit status 2 for invalid options, 1 when an
+   address cannot be bound. */
 int
 main(int argc, char **argv)
 {
--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -95,6 +95,7 @@
     return !t->stopping;
 }
 
+/* Answers with the mark that the request was refused before its start. */
 static void
 reply_not_started(gv_served_t *rq, int status, const char *why)
 {
@@ -249,6 +250,7 @@
     pthread_mutex_unlock(&t->lock);
 }
 
+/* GET /health. A rebooting target answers 503, as to any path. */
 static void
 handle_health(target_t *t, gv_served_t *rq)
 {
@@ -269,6 +271,7 @@
     pthread_mutex_unlock(&t->lock);
 }
 
+/* GET /history: one event a line, oldest first. */
 static void
 handle_history(target_t *t, gv_served_t *rq)
 {
@@ -318,6 +321,7 @@
     return known == GvServed_QueryCount(rq) ? NULL : "unknown fault";
 }
 
+/* POST /control/fault. Nothing changes when one of the faults is invalid. */
 static void
 set_faults(target_t *t, gv_served_t *rq)
 {
@@ -383,6 +387,7 @@
     return name == NULL ? here : NULL;
 }
 
+/* Passes a request to its handler; user is the target that was addressed. */
 static void
 handle(void *user, gv_served_t *rq)
 {
@@ -473,6 +478,8 @@
     g_ptr_array_free(targets, TRUE);
 }
 
+/* Reads the options and serves. Exit status 2 for invalid options, 1 when a
+   target cannot be served. */
 int
 main(int argc, char **argv)
 {
