--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -3,6 +3,7 @@
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,16 +21,19 @@
     int64_t used_ms; /* end of the last exchange */
 };
 
+/* Also sets SIGPIPE to be ignored. */
+static void
+init_neon(void)
+{
+    ne_sock_init();
+}
+
 /* Creates a client without a connection. */
 gv_http_client_t *
 GvHttp_New(void)
 {
-    static gsize once;
-    if (g_once_init_enter(&once)) {
-        /* Also sets SIGPIPE to be ignored. */
-        ne_sock_init();
-        g_once_init_leave(&once, 1);
-    }
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
+    pthread_once(&once, init_neon);
     return g_new0(gv_http_client_t, 1);
 }
 
@@ -190,8 +194,11 @@
     for (int i = 0; i < rq->n_headers; i++) {
         const gv_header_t *h = &rq->headers[i];
         char *name = g_strndup(h->name.p, h->name.n);
-        ne_print_request_header(req, name, "%.*s", GV_STR_ARG(h->value));
+        char *value = g_strndup(h->value.p, h->value.n);
+        /* ne_print_request_header would cut a long value. */
+        ne_add_request_header(req, name, value);
         g_free(name);
+        g_free(value);
     }
     bool plain = strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 ||
                  strcmp(method, "OPTIONS") == 0 ||
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,7 +19,7 @@
 
 /* The platform's log in this process, with switchable faults. */
 typedef struct {
-    GMutex lock;
+    pthread_mutex_t lock;
     gv_logstore_t *log;
     int appends;
     int lose;        /* appends whose answer gets lost */
@@ -58,7 +59,7 @@
 {
     fake_t *f = user;
     uint64_t from = 0;
-    g_mutex_lock(&f->lock);
+    pthread_mutex_lock(&f->lock);
     if (f->status != 0) {
         GvServed_ReplyText(rq, f->status, "x");
     }
@@ -78,7 +79,7 @@
         msgpack_sbuffer_destroy(&sb);
     }
     bool empty = from >= GvLogStore_Next(f->log);
-    g_mutex_unlock(&f->lock);
+    pthread_mutex_unlock(&f->lock);
     g_usleep(empty ? 10000 : 0);
 }
 
@@ -94,7 +95,7 @@
     getsockname(fd, (struct sockaddr *)&sin, &len);
     close(fd);
     g_snprintf(f->addr, sizeof f->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
-    g_mutex_init(&f->lock);
+    pthread_mutex_init(&f->lock, NULL);
     f->log = GvLogStore_New(retention, 0);
     gv_server_opts_t o = {f->addr, 16, 4 * GV_RECORD_MAX_BYTES, fake_handle,
                           f};
@@ -106,17 +107,17 @@
 {
     GvServer_Stop(f->server);
     GvLogStore_Free(f->log);
-    g_mutex_clear(&f->lock);
+    pthread_mutex_destroy(&f->lock);
 }
 
 /* Sets what everything is answered with. */
 static void
 fake_answer(fake_t *f, int status, gv_str_t canned)
 {
-    g_mutex_lock(&f->lock);
+    pthread_mutex_lock(&f->lock);
     f->status = status;
     f->canned = canned;
-    g_mutex_unlock(&f->lock);
+    pthread_mutex_unlock(&f->lock);
 }
 
 /* Replica, log reader and appender of one entry host. */
@@ -407,19 +408,56 @@
     }
     g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
     g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
-    g_mutex_lock(&f.lock);
+    pthread_mutex_lock(&f.lock);
     GvLogStore_Free(f.log);
     f.log = GvLogStore_New(0, 0);
     f.status = 0;
-    g_mutex_unlock(&f.lock);
+    pthread_mutex_unlock(&f.lock);
     g_usleep(1500000);
     g_assert_cmpint((int)next_of(b.replica), ==, 1);
     g_assert_false(GvLogReader_PlatformOk(b.reader));
+    g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
     node_stop(&b);
     node_stop(&a);
     fake_stop(&f);
 }
 
+/* Guards against a quiet log whose checkpoint is never renewed, and against a
+   second checkpoint right after another one. */
+static void
+test_checkpointer(void)
+{
+    fake_t f;
+    node_t n;
+    result_t r = {0};
+    fake_start(&f, 0);
+    GvLogStore_Free(f.log);
+    f.log = GvLogStore_New(0, 60000);
+    node_start(&n, &f, "e1");
+    submit(&n, "m1", 10000, &r);
+    wait_calls(&r, 1);
+    g_assert_cmpint(GvLogReader_SyncToHead(n.reader, 5000), ==, GV_OK);
+    gv_checkpointer_t *c = GvCheckpointer_New(n.replica, n.reader, n.appender);
+    GvCheckpointer_Tick(c, 1000);
+    GvCheckpointer_Tick(c, 15999); /* a quarter of the retention less 1 */
+    GvCheckpointer_Tick(c, 30000); /* due: the random delay begins */
+    g_usleep(200000);
+    g_assert_cmpint((int)next_of(n.replica), ==, 1);
+    GvCheckpointer_Tick(c, 30001 + GV_CHECKPOINT_DELAY_MS);
+    for (int i = 0; i < 1000 && next_of(n.replica) < 2; i++) {
+        g_usleep(10000);
+    }
+    g_assert_cmpint((int)GvLedger_Covered(GvReplica_Lock(n.replica)), ==, 1);
+    GvReplica_Unlock(n.replica);
+    GvCheckpointer_Tick(c, 40000);
+    GvCheckpointer_Tick(c, 41000 + GV_CHECKPOINT_DELAY_MS);
+    g_usleep(200000);
+    g_assert_cmpint((int)next_of(n.replica), ==, 2);
+    node_stop(&n);
+    GvCheckpointer_Free(c);
+    fake_stop(&f);
+}
+
 /* Guards against raw records that a peer would apply at wrong offsets. */
 static void
 test_ring(void)
@@ -485,6 +523,7 @@
     g_test_add_func("/platform/append-fate", test_append_fate);
     g_test_add_func("/platform/checkpoint", test_checkpoint);
     g_test_add_func("/platform/never-back", test_never_back);
+    g_test_add_func("/platform/checkpointer", test_checkpointer);
     g_test_add_func("/platform/ring", test_ring);
     g_test_add_func("/platform/checkpoint-due", test_due);
     return g_test_run();
