--- a/src/queue_fair.c
+++ b/src/queue_fair.c
@@ -341,7 +341,7 @@
     /* Long work that waited longer goes first up to half of its share; the
        other half it takes only when no short work waits. */
     if (l != NULL && s != NULL) {
-        bool owed = load->busy_long < (most + 3) / 4 && l->order < s->order;
+        bool owed = load->busy_long < (most + 1) / 2 && l->order < s->order;
         return owed ? l : s;
     }
     return s != NULL ? s : l != NULL ? l : u;
