Allow an empty place in GvPeers_Set

The undefined-behaviour sanitizer stopped test_forward: the copy of an empty name passed a null pointer to memcpy.

--- a/src/peerlink.c
+++ b/src/peerlink.c
@@ -35,7 +35,9 @@
 set_name(char *out, gv_str_t name)
 {
     size_t n = MIN(name.n, GV_NAME_MAX_BYTES);
-    memcpy(out, name.p, n);
+    if (n > 0) {
+        memcpy(out, name.p, n);
+    }
     out[n] = '\0';
 }
 
