Fix the start of an entry host during an outage

The log reader passes one user pointer to all of its callbacks, so that the ledger exchange got the kernel instead of itself and the daemon aborted as soon as the platform failed. The new process test starts an entry host without the platform and found it; another moves a host between pools under load.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -250,6 +250,13 @@
     return GvDispatch_Start(&o, &k->dispatch);
 }
 
+static bool
+from_peer(void *user)
+{
+    gv_kernel_t *k = user;
+    return GvLedgerSync_Fetch(k->ledgersync);
+}
+
 static int
 start_reader(gv_kernel_t *k)
 {
@@ -258,7 +265,7 @@
         .replica = k->replica,
         .on_verdict = GvKernel_OnVerdict,
         .on_batch = GvKernel_OnBatch,
-        .from_peer = GvLedgerSync_Fetch,
+        .from_peer = from_peer,
         .user = k,
     };
     return GvLogReader_Start(&o, &k->reader);
--- a/src/kernel_peer.c
+++ b/src/kernel_peer.c
@@ -34,9 +34,24 @@
     }
 }
 
-/* Tells the peer module the addresses of the members. The node settings know
-   the region of those listed there; the members of the own data centre are in
-   the own region; the others tell theirs by HELLO. */
+/* Returns the region of a member: that of the own data centre, else what the
+   peer module knows from its HELLO or from the node settings. */
+static gv_str_t
+region_of(gv_kernel_t *k, const gv_member_t *m, const GArray *known)
+{
+    if (GvStr_Equal(m->dc, k->conf.dc)) {
+        return k->conf.region;
+    }
+    for (guint i = 0; i < known->len; i++) {
+        const gv_peer_info_t *p = &g_array_index(known, gv_peer_info_t, i);
+        if (GvStr_Equal(GvStr_C(p->name), m->name)) {
+            return GvStr_C(p->region);
+        }
+    }
+    return GV_STR("");
+}
+
+/* Tells the peer module the addresses of the members. */
 void
 GvKernel_SetPeers(gv_kernel_t *k)
 {
@@ -44,25 +59,21 @@
     if (peers == NULL) {
         return;
     }
+    GArray *known = g_array_new(FALSE, FALSE, sizeof(gv_peer_info_t));
+    GvPeers_List(peers, known);
     const gv_view_t *v = GvView_Acquire(k->views);
     for (int i = 0; i < v->n_members; i++) {
         const gv_member_t *m = &v->members[i];
-        if (GvStr_Equal(m->name, k->conf.name)) {
-            continue;
-        }
-        gv_peer_addr_t a = {
-            .name = m->name, .dc = m->dc, .addr = m->peer_addr};
-        if (GvStr_Equal(m->dc, k->conf.dc)) {
-            a.region = k->conf.region;
-        }
-        for (int j = 0; j < k->conf.n_peers; j++) {
-            if (GvStr_Equal(k->conf.peers[j].name, m->name)) {
-                a.region = k->conf.peers[j].region;
-            }
+        if (!GvStr_Equal(m->name, k->conf.name)) {
+            gv_peer_addr_t a = {.name = m->name,
+                                .dc = m->dc,
+                                .region = region_of(k, m, known),
+                                .addr = m->peer_addr};
+            GvPeers_Set(peers, &a);
         }
-        GvPeers_Set(peers, &a);
     }
     GvView_Release();
+    g_array_free(known, TRUE);
 }
 
 /* Tells the prober the targets of the own data centre. */
--- a/tests/proc_maintain.py
+++ b/tests/proc_maintain.py
@@ -11,12 +11,17 @@
 
 class Maintain(Path):
     slots = 4
+    services = ("routing",)
 
     def publish(self):
         for name, addr in self.targets.items():
             self.list_host(name, addr)
-        text = SERVICE.replace("min_hosts: 0", "min_hosts: 1")
-        self.append("settings", [0, [["s.yaml", text], ["p.yaml", POOL]]])
+        docs = []
+        for name in self.services:
+            text = SERVICE.replace("min_hosts: 0", "min_hosts: 1")
+            docs += [[f"{name}.yaml", text.replace("routing", name)],
+                     [f"{name}-pool.yaml", POOL.replace("routing", name)]]
+        self.append("settings", [0, docs])
 
     def list_host(self, name, addr, state="live", slots=4, pool="routing"):
         self.assertEqual(call(
@@ -85,6 +90,28 @@
         return self.status(self.e2)["claims"]
 
 
+class Moves(Maintain):
+    services = ("routing", "spare")
+
+    def test_move(self):
+        """Guards against a host that works for two pools, or that never
+        arrives in its new one."""
+        run, out = self.background(self.e1, "POST",
+                                   "/svc/routing/a?run_ms=1500", b"x")
+        wait_until(self.runs, 5, "request has started")
+        busy = next(t["host"] for t in self.status(self.e1)["targets"]
+                    if t["busy"] == 1)
+        self.append("claim", [busy, 1, "", "spare", "test", 1])
+        wait_until(lambda: self.row(busy)["closed"], 5, "host is closed")
+        self.assertEqual(self.row(busy)["pool"], "routing")
+        self.assertEqual(out, [])
+        run.join()
+        wait_until(lambda: (self.row(busy)["pool"], self.row(busy)["closed"])
+                   == ("spare", False), 10, "host has moved")
+        a = call(self.e2, "POST", "/svc/spare/b", b"y")
+        self.assertEqual((a.status, a.text), (200, "ok y"))
+
+
 class Hosts(Maintain):
     def test_failed_and_up(self):
         """Guards against a failed host that stays in service or never
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -336,6 +336,27 @@
         self.assertLess(time.monotonic() - begin, 6)
 
 
+class Outage(Path):
+    def test_start_without_platform(self):
+        """Guards against an entry host that sends to targets, or refuses
+        work, when it starts while the log cannot be read."""
+        call(self.platform, "POST", "/faults?outage=503")
+        self.entries["e3"] = (harness.free_addr(), harness.free_addr())
+        self.start_entry("e3")
+        e3 = self.entries["e3"][0]
+        status = wait_until(lambda: [s for s in [self.status(e3)]
+                                     if s["services"]], 10, "ledger of a peer")
+        self.assertFalse(status[0]["joined"])
+        a = wait_until(lambda: [a for a in [call(
+            e3, "POST", "/svc/routing/a", b"x")] if a.status == 200], 10,
+            "work is handed to a member")[0]
+        self.assertEqual(a.text, "ok x")
+        self.assertFalse([r for r in self.runs() if r.split()[1]
+                          .startswith("e3-")])
+        call(self.platform, "POST", "/faults?reset=1")
+        wait_until(lambda: self.status(e3)["joined"], 20, "e3 joins")
+
+
 class Stops(Path):
     def test_graceful_stop(self):
         """Guards against a planned stop that interrupts a run, accepts new
