--- a/src/kernel.c
+++ b/src/kernel.c
@@ -250,6 +250,7 @@
     return GvDispatch_Start(&o, &k->dispatch);
 }
 
+/* Takes what follows the own ledger from a peer while the log is down. */
 static bool
 from_peer(void *user)
 {
