--- a/src/dispatch_report.c
+++ b/src/dispatch_report.c
@@ -36,7 +36,8 @@
                 .service = GvStr_C(sh->name),
                 .queued = queued_of(d, sh),
                 .busy = (int)g_hash_table_size(sh->running),
-                .slots = sh->usable,
+                /* Peers send no work to an entry host without slots. */
+                .slots = atomic_load(&d->refuse) ? 0 : sh->usable,
                 .rate = sh->rate,
             };
             g_array_append_val(out, load);
