Refuse delayed reboot calls by the token of the ready call

Cause: drain, reboot and ready carried the same token, so a reboot call that was delayed on its way would still be accepted after the host was back in service. Ruled out: a higher token for the reboot, which would not exceed the next claim's. Change: ready carries the next ledger offset.

--- a/src/limits.h
+++ b/src/limits.h
@@ -125,7 +125,7 @@
 
 /* Daemon threads */
 #define GV_TIMER_TICK_MS 50
-#define GV_MAINTAIN_MS   500
+#define GV_MAINTAIN_MS   200
 /* Maintenance: an entry host that ranks behind another for a task waits this
    long for each rank, which is longer than an append takes to be read. */
 #define GV_RANK_STEP_MS 1500
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -187,7 +187,14 @@
     if (!recheck(m, d)) {
         return false;
     }
-    int rc = GvPlatform_HostOp(m->platform, op, GvStr_C(d->host), d->fence);
+    uint64_t fence = d->fence;
+    if (op == GV_HOSTOP_READY) {
+        /* Higher than the token of the reboot, so that a reboot call that was
+           delayed on its way is refused once the host is back in service. */
+        fence = GvLedger_Next(GvReplica_Lock(m->k->replica));
+        GvReplica_Unlock(m->k->replica);
+    }
+    int rc = GvPlatform_HostOp(m->platform, op, GvStr_C(d->host), fence);
     GvLog_Write(rc == GV_OK ? GV_LOG_INFO : GV_LOG_WARN, "%s %s: %s",
                 words[op], d->host, rc == GV_OK ? "done" : Gv_StrError(rc));
     d->facts.probes = 0;
