--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -11,7 +11,8 @@
 B=${1:-build}
 TMP=$(mktemp -d)
 PIDS=()
-PORT=$((20000 + $$ % 20000))
+# Below the range from which the kernel takes ports for connections.
+PORT=$((10000 + $$ % 20000))
 PLATFORM=127.0.0.1:$PORT
 export GYPSUMVALVE_PLATFORM=$PLATFORM
 
@@ -109,6 +110,7 @@
     sort | uniq -c
 
 say "One maintenance wave over the routing pool, with requests meanwhile"
+WAVE_BEGIN=$SECONDS
 "$B/gypsumvalve" wave start demo-wave --pool routing --width 2
 (for i in $(seq 60); do
     curl -s -o /dev/null -w '%{http_code}\n' \
@@ -121,6 +123,7 @@
     case $state in *done*) break ;; esac
     sleep 0.1
 done
+echo "the wave took about $((SECONDS - WAVE_BEGIN)) s"
 wait "$LOAD"
 echo "$state"
 
