--- a/src/ledger.c
+++ b/src/ledger.c
@@ -16,10 +16,6 @@
 GV_COUNTER(malformed, "ledger_records_malformed_total",
            "Records that could not be read.");
 
-/* Latest time that the ledger accepts, so that sums of times and intervals
-   stay far from the limits of int64_t. */
-#define TIME_MAX_MS ((int64_t)1 << 53)
-
 /* Fills in the outcome and counts it. */
 static void
 conclude(gv_verdict_t *v, gv_verdict_kind_t kind, const char *reason)
@@ -145,7 +141,7 @@
         return GV_ESTALE;
     }
     l->next = offset + 1;
-    l->time_ms = MAX(l->time_ms, MIN(append_ms, TIME_MAX_MS));
+    l->time_ms = MAX(l->time_ms, MIN(append_ms, GV_LEDGER_TIME_MAX_MS));
     if (GvRecord_Unpack(bytes, &un, &r) != GV_OK) {
         conclude(v, GV_VERDICT_MALFORMED, "malformed envelope");
         msgpack_unpacked_destroy(&un);
--- a/src/ledger_load.c
+++ b/src/ledger_load.c
@@ -3,11 +3,7 @@
 #include "error.h"
 #include "ledger_state.h"
 
-#define STATE_FORMAT 1
-#define KEY_BYTES    24
-
-/* Latest time and largest count accepted from a saved state. */
-#define TIME_MAX_MS ((int64_t)1 << 53)
+#define KEY_BYTES 24
 
 /* Reads an owned string of at most max bytes without a NUL; sets err. */
 static gv_str_t
@@ -50,7 +46,7 @@
 load_ms(gv_unpack_t *u)
 {
     int64_t v = GvUnpack_Int(u);
-    if (v < 0 || v > TIME_MAX_MS) {
+    if (v < 0 || v > GV_LEDGER_TIME_MAX_MS) {
         u->err = GV_EINVAL;
         return 0;
     }
@@ -339,7 +335,7 @@
 static int
 load_state(gv_ledger_t *l, gv_unpack_t *top)
 {
-    if (GvUnpack_Uint(top) != STATE_FORMAT) {
+    if (GvUnpack_Uint(top) != GV_STATE_FORMAT) {
         return GV_EINVAL;
     }
     l->next = GvUnpack_Uint(top);
--- a/src/ledger_save.c
+++ b/src/ledger_save.c
@@ -2,8 +2,6 @@
 
 #include "ledger_state.h"
 
-#define STATE_FORMAT 1
-
 /* Packs a claim, or nil for none. */
 static void
 save_claim(msgpack_packer *pk, const gv_claim_t *c)
@@ -201,7 +199,7 @@
     msgpack_packer pk;
     msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
     msgpack_pack_array(&pk, 16);
-    GvPack_Uint(&pk, STATE_FORMAT);
+    GvPack_Uint(&pk, GV_STATE_FORMAT);
     GvPack_Uint(&pk, l->next);
     GvPack_Int(&pk, l->time_ms);
     GvPack_Uint(&pk, l->covered);
--- a/src/ledger_state.h
+++ b/src/ledger_state.h
@@ -5,6 +5,13 @@
 
 /* Inside of gv_ledger_t, shared by the ledger files only. */
 
+/* Of the bytes written by GvLedger_Save. */
+#define GV_STATE_FORMAT 1
+
+/* Latest time that the ledger accepts, so that sums of times and intervals
+   stay far from the limits of int64_t. */
+#define GV_LEDGER_TIME_MAX_MS ((int64_t)1 << 53)
+
 /* Rows sorted by name with a hash index beside them. Each row type begins
    with its name (gv_str_t). */
 typedef struct {
