--- a/bench/bench_wave.c
+++ b/bench/bench_wave.c
@@ -129,7 +129,7 @@
         host->boot++;
         break;
     case GV_PHASE_STOPPING: {
-        bool bad = host == &s->hosts[s->bad_host];
+        bool bad = (int)(host - s->hosts) == s->bad_host;
         GvLedger_PackDone(&s->feed.payload, h->name, c->offset,
                           bad ? GV_DONE_FAILED : GV_DONE_HEALTHY);
         (void)GvFeed_Append(&s->feed, "done");
