--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -95,6 +95,7 @@
     return !t->stopping;
 }
 
+/* Answers with the mark that the request was refused before its start. */
 static void
 reply_not_started(gv_served_t *rq, int status, const char *why)
 {
@@ -180,9 +181,12 @@
 run_request(target_t *t, gv_served_t *rq, uint64_t ms, int64_t deadline_us)
 {
     const char *attempt = word_of(GvServed_Header(rq, "Gv-Attempt-Id"));
-    char *rest =
-        g_strdup_printf(" %s %s %s", GvServed_Method(rq), GvServed_Path(rq),
-                        word_of(GvServed_Header(rq, "X-Tag")));
+    const char *tag = GvServed_Query(rq, "tag");
+    if (tag == NULL) {
+        tag = GvServed_Header(rq, "X-Tag");
+    }
+    char *rest = g_strdup_printf(" %s %s %s", GvServed_Method(rq),
+                                 GvServed_Path(rq), word_of(tag));
     t->running++;
     note(t, "start", attempt, rest);
     g_free(rest);
@@ -249,6 +253,7 @@
     pthread_mutex_unlock(&t->lock);
 }
 
+/* GET /health. A rebooting target answers 503, as to any path. */
 static void
 handle_health(target_t *t, gv_served_t *rq)
 {
@@ -269,6 +274,7 @@
     pthread_mutex_unlock(&t->lock);
 }
 
+/* GET /history: one event a line, oldest first. */
 static void
 handle_history(target_t *t, gv_served_t *rq)
 {
@@ -318,6 +324,7 @@
     return known == GvServed_QueryCount(rq) ? NULL : "unknown fault";
 }
 
+/* POST /control/fault. Nothing changes when one of the faults is invalid. */
 static void
 set_faults(target_t *t, gv_served_t *rq)
 {
@@ -383,6 +390,7 @@
     return name == NULL ? here : NULL;
 }
 
+/* Passes a request to its handler; user is the target that was addressed. */
 static void
 handle(void *user, gv_served_t *rq)
 {
@@ -473,6 +481,8 @@
     g_ptr_array_free(targets, TRUE);
 }
 
+/* Reads the options and serves. Exit status 2 for invalid options, 1 when a
+   target cannot be served. */
 int
 main(int argc, char **argv)
 {
