--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -146,10 +146,11 @@
             for i in range(20):
                 body = f"{n}-{i}"
                 a = call(addr, "POST", "/svc/routing/a?run_ms=3", body)
-                if self.outcome(a) == (503, "not-run"):
+                if a and self.outcome(a) == (503, "not-run"):
                     continue
-                if self.outcome(a) != (200, "run") or a.text != f"ok {body}":
-                    errors.append((a.status, a.text))
+                if not a or self.outcome(a) != (200, "run") or \
+                        a.text != f"ok {body}":
+                    errors.append((body, a and (a.status, a.text)))
         threads = [threading.Thread(target=caller, args=(a, f"{a}{n}"))
                    for a in (self.e1, self.e2) for n in range(4)]
         for t in threads:
