--- a/src/admin.c
+++ b/src/admin.c
@@ -13,6 +13,7 @@
 GV_GAUGE(exchanges, "exchanges_in_progress",
          "Exchanges with targets in progress, abandoned ones included");
 
+/* Makes an answer with a body. */
 static gv_answer_t
 answer(int status, const char *type, gv_str_t body)
 {
@@ -22,6 +23,7 @@
                          .body = GvStr_Dup(body)};
 }
 
+/* Makes an answer of the JSON built so far and frees the builder. */
 static gv_answer_t
 json_answer(JsonBuilder *b)
 {
@@ -38,6 +40,7 @@
     return a;
 }
 
+/* Adds the load of each service. */
 static void
 put_services(JsonBuilder *b, gv_kernel_t *k, int64_t now)
 {
@@ -62,6 +65,7 @@
     g_array_free(rows, TRUE);
 }
 
+/* Adds the targets of the own data centre. */
 static void
 put_targets(JsonBuilder *b, gv_kernel_t *k, int64_t now)
 {
@@ -93,6 +97,7 @@
 /* Requests shown on the status page, at most. */
 #define REQUESTS_SHOWN 200
 
+/* Adds the requests in progress, so that they can be cancelled by id. */
 static void
 put_requests(JsonBuilder *b, gv_kernel_t *k, int64_t now)
 {
@@ -115,6 +120,7 @@
     g_array_free(rows, TRUE);
 }
 
+/* Adds the entry hosts that have joined. */
 static void
 put_members(JsonBuilder *b, gv_kernel_t *k)
 {
@@ -134,6 +140,7 @@
     json_builder_end_array(b);
 }
 
+/* Makes /v1/status. */
 static gv_answer_t
 status_page(gv_kernel_t *k)
 {
@@ -157,6 +164,7 @@
     return json_answer(b);
 }
 
+/* Adds the burn rate over each window. */
 static void
 put_windows(JsonBuilder *b, const gv_dispatch_row_t *r)
 {
@@ -173,6 +181,7 @@
     json_builder_end_array(b);
 }
 
+/* Makes /v1/burn. */
 static gv_answer_t
 burn_page(gv_kernel_t *k)
 {
@@ -197,6 +206,7 @@
     return json_answer(b);
 }
 
+/* Makes /metrics; the gauges are set at the time of the call. */
 static gv_answer_t
 metrics_page(gv_kernel_t *k)
 {
--- a/src/admin_ledger.c
+++ b/src/admin_ledger.c
@@ -34,6 +34,7 @@
     json_builder_add_boolean_value(b, v);
 }
 
+/* Adds the waves that the ledger knows. */
 static void
 put_waves(JsonBuilder *b, const gv_ledger_t *l)
 {
@@ -55,6 +56,8 @@
     json_builder_end_array(b);
 }
 
+/* Adds the hosts under a claim; waiting is the number of confirmations that
+   are outstanding. */
 static void
 put_claims(JsonBuilder *b, const gv_ledger_t *l)
 {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -36,6 +36,7 @@
     return sh;
 }
 
+/* Frees a shard; its exchanges have ended. */
 static void
 free_shard(gpointer p)
 {
@@ -137,6 +138,7 @@
     atomic_store(&d->refuse, true);
 }
 
+/* Returns the queue options that the service's settings give. */
 static gv_queue_opts_t
 queue_opts(const gv_service_t *sv)
 {
@@ -149,6 +151,7 @@
     };
 }
 
+/* Adds the shard of a service that is seen for the first time. */
 static gv_shard_t *
 add_shard(gv_dispatch_t *d, const gv_service_t *sv)
 {
@@ -254,6 +257,7 @@
     }
 }
 
+/* Ends a request as not-run. */
 static void
 refuse(gv_request_t *rq, int status, int retry_after_ms, const char *reason)
 {
@@ -262,6 +266,7 @@
     GvRequest_End(rq, &a);
 }
 
+/* Fills what the queue needs to know. The shard is locked. */
 static void
 fill_item(gv_shard_t *sh, gv_request_t *rq)
 {
--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -54,6 +54,7 @@
     f->cands = NULL;
 }
 
+/* Marks the candidates on which the request has failed. */
 static void
 mark_tried(const gv_request_t *rq, gv_field_t *f)
 {
@@ -125,6 +126,7 @@
     return false;
 }
 
+/* Follows the waiting time of the requests that start. */
 static void
 note_wait(gv_shard_t *sh, double waited_ms)
 {
@@ -216,6 +218,8 @@
     return (ejected + 1) * 3 <= n;
 }
 
+/* Notes the host of a failed attempt, so that the next one avoids it. A
+   refusal because of load says nothing about the host. */
 static void
 remember_host(gv_request_t *rq, const gv_target_t *t, gv_attempt_t a)
 {
@@ -233,6 +237,7 @@
     }
 }
 
+/* Asks the retry policy. The shard is locked, which covers the budget. */
 static gv_retry_decision_t
 decide(gv_dispatch_t *d, gv_shard_t *sh, const gv_request_t *rq,
        gv_attempt_t a, int64_t now_ms)
--- a/src/dispatch_report.c
+++ b/src/dispatch_report.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "dispatch_private.h"
 
+/* Returns the length of the queue; the shard is locked. */
 static int
 queued_of(gv_dispatch_t *d, const gv_shard_t *sh)
 {
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -91,6 +91,7 @@
     };
 }
 
+/* Makes one attempt and passes its result on. */
 static void
 run_job(gv_exchange_t *x, gv_http_client_t *kept, gv_job_t *job)
 {
@@ -124,6 +125,7 @@
     x->o.done(x->o.user, job, &r);
 }
 
+/* Runs jobs until the pool stops and none is left. */
 static void *
 worker(void *arg)
 {
--- a/src/front.c
+++ b/src/front.c
@@ -34,6 +34,8 @@
     return call;
 }
 
+/* Frees the call after its response has been sent or its connection ended.
+ */
 static void
 on_completed(void *cls, struct MHD_Connection *conn, void **con_cls,
              enum MHD_RequestTerminationCode why)
@@ -53,6 +55,7 @@
     g_free(call);
 }
 
+/* Answers a request that was not accepted. */
 static enum MHD_Result
 reply_refusal(gv_call_t *call, int status, const char *reason)
 {
@@ -62,6 +65,7 @@
     return rc;
 }
 
+/* Answers 413 with the limit. */
 static enum MHD_Result
 reply_oversize(gv_call_t *call)
 {
@@ -91,6 +95,7 @@
     MHD_resume_connection(call->conn);
 }
 
+/* Notes the socket on which the caller waits. */
 static void
 watch_caller(gv_call_t *call)
 {
@@ -181,6 +186,8 @@
     return MHD_YES;
 }
 
+/* Called by MHD for the headers, for each part of the body, and at the end
+   of the body. Also called again after the connection was resumed. */
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
           const char *method, const char *version, const char *data,
--- a/src/front_read.c
+++ b/src/front_read.c
@@ -7,6 +7,7 @@
 #include "limits.h"
 #include "ticket.h"
 
+/* Returns the value of a request header, empty when absent. */
 static gv_str_t
 header(gv_call_t *call, const char *name)
 {
@@ -40,10 +41,10 @@
         return GV_EINVAL;
     }
     guint64 v = g_ascii_strtoull(text.p, &end, 10);
-    if (*end != '\0' || v == 0 || v > GV_DEADLINE_MAX_MS) {
+    if (*end != '\0' || v == 0) {
         return GV_EINVAL;
     }
-    *ms = (int64_t)v;
+    *ms = (int64_t)MIN(v, GV_DEADLINE_MAX_MS);
     return GV_OK;
 }
 
@@ -55,8 +56,7 @@
     int64_t ms = sv->deadline_default_ms;
     gv_str_t text = header(call, "Gv-Deadline-Ms");
     if (text.n > 0 && parse_ms(text, &ms) != GV_OK) {
-        snprintf(reason, n, "Gv-Deadline-Ms: not a number from 1 to %d",
-                 GV_DEADLINE_MAX_MS);
+        snprintf(reason, n, "Gv-Deadline-Ms: not a positive number of ms");
         return GV_EINVAL;
     }
     o->deadline_ms = GvClock_MonoMs() + MIN(ms, sv->deadline_max_ms);
@@ -76,6 +76,7 @@
     return GV_OK;
 }
 
+/* Reads the headers that are independent of the service. */
 static int
 read_fields(gv_call_t *call, gv_request_opts_t *o, char *reason, size_t n)
 {
--- a/src/gventryd.c
+++ b/src/gventryd.c
@@ -19,6 +19,7 @@
     }
 }
 
+/* Reads the node file and logs its problems. */
 static int
 load(const char *file, gv_nodeconf_t *conf)
 {
@@ -73,6 +74,7 @@
     }
 }
 
+/* Returns the name of the node file, or NULL after an error message. */
 static char *
 parse_args(int argc, char **argv)
 {
@@ -96,6 +98,8 @@
     return file;
 }
 
+/* Exit status: 0 after a planned stop, 1 after a failure, 2 for wrong
+   arguments. */
 int
 main(int argc, char **argv)
 {
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -83,6 +83,7 @@
     }
 }
 
+/* Sleeps for that long. */
 static void
 pause_ms(int ms)
 {
@@ -90,6 +91,7 @@
     clock_nanosleep(CLOCK_MONOTONIC, 0, &t, NULL);
 }
 
+/* Runs the timers of all parts; none of them waits. */
 static void *
 timer_thread(void *arg)
 {
@@ -130,6 +132,7 @@
     return NULL;
 }
 
+/* Starts the peer links and makes the configured peers known. */
 static int
 start_peers(gv_kernel_t *k, uint64_t incarnation)
 {
@@ -156,6 +159,7 @@
     return rc;
 }
 
+/* Runs a caller's request. */
 static void
 submit(void *user, gv_request_t *rq)
 {
@@ -163,6 +167,7 @@
     GvForward_Run(k->forward, rq);
 }
 
+/* Runs a request here, after tickets and keys were looked at. */
 static void
 submit_here(void *user, gv_request_t *rq)
 {
@@ -170,6 +175,7 @@
     GvDispatch_Submit(k->dispatch, rq);
 }
 
+/* The dispatcher's spill hook. */
 static bool
 spill(void *user, gv_request_t *rq)
 {
@@ -177,6 +183,7 @@
     return GvForward_Spill(k->forward, rq);
 }
 
+/* Tells the lending module the waiting work for a target. */
 static int
 queued_for(void *user, gv_str_t host)
 {
@@ -184,6 +191,7 @@
     return GvDispatch_QueuedFor(k->dispatch, host);
 }
 
+/* Starts waiting work after slots were borrowed. */
 static void
 pump(void *user)
 {
@@ -191,6 +199,7 @@
     GvDispatch_Pump(k->dispatch);
 }
 
+/* Passes a change of a target's health to the target table. */
 static void
 on_health(void *user, gv_str_t host, gv_str_t boot, bool healthy, bool leaving,
           int running)
@@ -200,6 +209,7 @@
     GvTargets_NoteHealth(k->targets, host, boot, leaving, healthy);
 }
 
+/* Passes a new host list to the maintenance thread. */
 static void
 on_list(void *user, const gv_hostlist_t *list)
 {
@@ -209,12 +219,14 @@
     }
 }
 
+/* Answers paths outside /svc/. */
 static int
 local(void *user, gv_str_t method, gv_str_t path, gv_answer_t *a)
 {
     return GvAdmin_Handle(user, method, path, a);
 }
 
+/* Counts the end of a caller's request for the burn rate. */
 static void
 ended(void *user, gv_request_t *rq)
 {
@@ -258,6 +270,7 @@
     return GvLedgerSync_Fetch(k->ledgersync);
 }
 
+/* Starts reading the log; its callbacks come from the reader thread. */
 static int
 start_reader(gv_kernel_t *k)
 {
@@ -294,6 +307,8 @@
     return known < k->incarnation;
 }
 
+/* Starts the appender. The log reader, which already runs, sees it when it
+   is whole. */
 static int
 start_appender(gv_kernel_t *k)
 {
@@ -310,6 +325,7 @@
     return rc;
 }
 
+/* Starts the HTTP server; from here on callers are served. */
 static int
 start_front(gv_kernel_t *k)
 {
@@ -325,6 +341,7 @@
     return GvFront_Start(&o, &k->front);
 }
 
+/* Starts the timer and the thread for probes and checkpoints. */
 static int
 start_threads(gv_kernel_t *k)
 {
@@ -335,6 +352,7 @@
     return p->timer_runs && p->doubter_runs ? GV_OK : GV_EIO;
 }
 
+/* Makes the modules that work for peers. */
 static void
 start_work(gv_kernel_t *k)
 {
@@ -366,6 +384,7 @@
         GvCheckpointer_New(k->replica, k->reader, k->appender);
 }
 
+/* Starts probing targets and reading the host list. */
 static int
 start_prober(gv_kernel_t *k)
 {
@@ -423,6 +442,7 @@
     return rc == GV_OK ? start_rest(k) : rc;
 }
 
+/* Ends the threads that start_threads began. */
 static void
 stop_threads(struct gv_kernel_private_s *p)
 {
--- a/src/kernel_member.c
+++ b/src/kernel_member.c
@@ -30,6 +30,7 @@
     GvViews_SetIncarnation(k->views, k->incarnation);
 }
 
+/* Appends a record about the own membership. */
 static int
 submit_member(gv_kernel_t *k, gv_member_change_t change, gv_append_done_t done)
 {
@@ -86,6 +87,7 @@
     }
 }
 
+/* Wakes the stop, whatever became of the record. */
 static void
 on_leave(void *user, int err, const gv_verdict_t *v)
 {
--- a/src/kernel_peer.c
+++ b/src/kernel_peer.c
@@ -123,6 +123,7 @@
     }
 }
 
+/* Keeps the highest observation number of this and of the last heartbeat. */
 static void
 note_seen(struct gv_kernel_private_s *p, const GArray *health)
 {
--- a/src/maintain.c
+++ b/src/maintain.c
@@ -7,6 +7,7 @@
 #include "log.h"
 #include "maintain_private.h"
 
+/* Frees an intention with its payload. */
 static void
 free_intent(gpointer p)
 {
@@ -62,6 +63,7 @@
     return *(gint64 *)value + 20 * GV_MAINTAIN_APPEND_MS < *(gint64 *)user;
 }
 
+/* Logs what became of a record, under its intention. */
 static void
 log_result(void *user, int err, const gv_verdict_t *v)
 {
@@ -146,6 +148,7 @@
     g_ptr_array_free(out, TRUE);
 }
 
+/* Makes a round every GV_MAINTAIN_MS. */
 static void *
 maintain_thread(void *arg)
 {
@@ -161,6 +164,7 @@
     return NULL;
 }
 
+/* Makes a table of owned names with owned values. */
 static GHashTable *
 times_new(void)
 {
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -11,6 +11,7 @@
 /* Steps of one claim in one round, so that no claim keeps the others. */
 #define STEPS_MAX 6
 
+/* Tells whether the claim waits for the confirmation of that entry host. */
 static bool
 waits_for(const gv_claim_t *c, gv_str_t name)
 {
@@ -46,6 +47,7 @@
     }
 }
 
+/* Tells whether this incarnation holds the claim. */
 static bool
 is_held(gv_maintain_t *m, const gv_claim_t *c)
 {
@@ -95,6 +97,7 @@
     return ms + GV_ABANDON_GRACE_MS;
 }
 
+/* Copies s, cut to n - 1 bytes and terminated. */
 static void
 copy_str(char *to, size_t n, gv_str_t s)
 {
@@ -103,6 +106,10 @@
     to[len] = '\0';
 }
 
+/* Adds the claim to the holds, or updates what the ledger tells about it.
+   With another fence the hold starts afresh. A claim taken over while it is
+   stopping compares boots with the ledger's, because the reboot may already
+   be over. */
 static void
 follow_claim(gv_maintain_t *m, const gv_ledger_t *l, const gv_lhost_t *h,
              int64_t now_ms)
@@ -134,6 +141,7 @@
     f->reboot_ms = f->rebooted ? now_ms - d->rebooted_at_ms : 0;
 }
 
+/* Tells whether the last look did not find the hold, and resets its mark. */
 static gboolean
 is_gone(gpointer key, gpointer value, gpointer user)
 {
@@ -194,6 +202,8 @@
     return rc == GV_OK;
 }
 
+/* Probes the target. The first report before the stop tells the boot that
+   has to change. */
 static void
 probe(gv_hold_t *d)
 {
@@ -254,6 +264,7 @@
     }
 }
 
+/* Wants the record after which the host may be stopped. */
 static void
 want_act(gv_maintain_t *m, const gv_hold_t *d, GPtrArray *out)
 {
--- a/src/maintain_hosts.c
+++ b/src/maintain_hosts.c
@@ -79,6 +79,7 @@
     return h;
 }
 
+/* Wants the record that is due for one host. */
 static void
 report(gv_maintain_t *m, const gv_ledger_t *l, const gv_lhost_t *known,
        const gv_listed_host_t *listed, int64_t now_ms, GPtrArray *out)
--- a/src/maintain_plan.c
+++ b/src/maintain_plan.c
@@ -73,6 +73,7 @@
     return f->rebooted ? after_reboot(f) : before_reboot(f);
 }
 
+/* Tells whether the list has other data; an empty boot is unknown. */
 static bool
 differs(const gv_lhost_t *known, const gv_listed_host_t *listed)
 {
@@ -111,6 +112,7 @@
     return GV_REPORT_NONE;
 }
 
+/* Weight of an entry host for a key. */
 static uint64_t
 weight(const char *key, gv_str_t name)
 {
--- a/src/maintain_wave.c
+++ b/src/maintain_wave.c
@@ -29,6 +29,7 @@
     pthread_mutex_unlock(&m->lock);
 }
 
+/* Returns the row of a pool, which is made on first use. */
 static gv_pool_demand_t *
 demand_of(gv_maintain_t *m, gv_str_t pool)
 {
@@ -68,6 +69,8 @@
     pthread_mutex_unlock(&m->lock);
 }
 
+/* Follows the moves to and from the pool; the last one is over when none is
+   in progress any more. */
 static void
 note_moves(gv_pool_demand_t *d, const gv_ledger_t *l, gv_str_t pool,
            int64_t now_ms)
@@ -110,6 +113,7 @@
     }
 }
 
+/* Returns the demand of the pool for the policies. */
 static gv_demand_t
 demand(gv_maintain_t *m, gv_str_t pool)
 {
@@ -121,6 +125,7 @@
     return r;
 }
 
+/* Wants a claim held by this incarnation. */
 static void
 want_claim(gv_maintain_t *m, GPtrArray *out, gv_str_t host,
            gv_claim_kind_t kind, gv_str_t wave, gv_str_t to_pool,
@@ -162,6 +167,7 @@
     }
 }
 
+/* Describes a pool for the reserve policy. */
 static gv_reserve_pool_t
 reserve_row(gv_maintain_t *m, const gv_ledger_t *l, const gv_pool_t *pool)
 {
--- a/src/request.c
+++ b/src/request.c
@@ -31,6 +31,7 @@
     int max;
 };
 
+/* Orders requests by deadline, then by id, which is unique. */
 static gint
 by_deadline(gconstpointer a, gconstpointer b, gpointer user)
 {
@@ -84,12 +85,14 @@
     return atomic_load(&t->count);
 }
 
+/* Requests spread evenly, because ids are consecutive. */
 static shard_t *
 shard_of(gv_requests_t *t, uint64_t id)
 {
     return &t->shards[id % GV_SHARDS];
 }
 
+/* Locks the shard of a request that the caller refers to. */
 static shard_t *
 lock_request(gv_request_t *rq)
 {
@@ -98,6 +101,7 @@
     return sh;
 }
 
+/* Replaces the views in o by copies; the body is owned already. */
 static void
 copy_strings(gv_request_opts_t *o)
 {
@@ -111,6 +115,7 @@
     o->key = GvStr_Dup(o->key);
 }
 
+/* Frees a request without references. */
 static void
 free_request(gv_request_t *rq)
 {
@@ -194,6 +199,7 @@
     return rq;
 }
 
+/* Counts the outcome that the caller is told. */
 static void
 count_outcome(gv_outcome_t o)
 {
--- a/src/target.c
+++ b/src/target.c
@@ -11,6 +11,7 @@
 /* Refusals older than this say nothing about the load of a target now. */
 #define REFUSED_KEEP_MS 1000
 
+/* Copies s, cut to n - 1 bytes and terminated. */
 static void
 copy(char *to, size_t n, gv_str_t s)
 {
@@ -76,6 +77,7 @@
     return t->host;
 }
 
+/* Returns the shard of a host name. */
 static gv_target_shard_t *
 shard_of(gv_targets_t *ts, gv_str_t host)
 {
@@ -91,6 +93,7 @@
     return sh;
 }
 
+/* Finds a target in its locked shard, or NULL. */
 static gv_target_t *
 find_locked(gv_target_shard_t *sh, gv_str_t host)
 {
@@ -163,6 +166,8 @@
     return true;
 }
 
+/* Adds a target. Until a probe says otherwise it counts as healthy, so that
+   a start does not wait for the first probes. */
 static gv_target_t *
 add_target(gv_targets_t *ts, gv_target_shard_t *sh, const gv_lhost_t *h)
 {
@@ -221,6 +226,8 @@
     }
 }
 
+/* Marks all targets as unlisted; apply_host marks those that the ledger has.
+ */
 static void
 unlist_all(gv_targets_t *ts)
 {
--- a/src/target_loan.c
+++ b/src/target_loan.c
@@ -83,6 +83,7 @@
     return t != NULL;
 }
 
+/* Appends one row; the shard is locked, because a loan may end here. */
 static void
 add_row(gv_target_t *t, GArray *out, int64_t now_ms)
 {
--- a/src/view.c
+++ b/src/view.c
@@ -18,6 +18,7 @@
     box_t *current;
 };
 
+/* Frees a view that no reader can see any more. */
 static void
 free_view(box_t *b)
 {
@@ -42,6 +43,7 @@
     g_free(b);
 }
 
+/* Called after the grace period. */
 static void
 free_rcu(struct rcu_head *head)
 {
@@ -82,6 +84,7 @@
     atomic_store(&vs->incarnation, incarnation);
 }
 
+/* Copies the members and looks for the own join. */
 static void
 fill_members(gv_views_t *vs, gv_view_t *v, const gv_ledger_t *l)
 {
