Forget maintenance tasks that are no longer wanted

A task kept the time at which it was first wanted for 100 s, so that a host that failed twice in that time was reported by all entry hosts at once.

--- a/src/maintain.c
+++ b/src/maintain.c
@@ -7,6 +7,12 @@
 #include "log.h"
 #include "maintain_private.h"
 
+/* When a task was first and last wanted. */
+typedef struct {
+    int64_t first_ms;
+    int64_t last_ms;
+} wanted_t;
+
 /* Frees an intention with its payload. */
 static void
 free_intent(gpointer p)
@@ -38,12 +44,13 @@
 bool
 GvMaintain_IsDue(gv_maintain_t *m, const char *key, int64_t now_ms)
 {
-    gint64 *first = g_hash_table_lookup(m->due, key);
-    if (first == NULL) {
-        first = g_new(gint64, 1);
-        *first = now_ms;
-        g_hash_table_insert(m->due, g_strdup(key), first);
+    wanted_t *w = g_hash_table_lookup(m->due, key);
+    if (w == NULL) {
+        w = g_new0(wanted_t, 1);
+        w->first_ms = now_ms;
+        g_hash_table_insert(m->due, g_strdup(key), w);
     }
+    w->last_ms = now_ms;
     gv_str_t *names = g_new0(gv_str_t, m->others->len + 1);
     for (guint i = 0; i < m->others->len; i++) {
         names[i] = GvStr_C(m->others->pdata[i]);
@@ -51,16 +58,24 @@
     int rank =
         GvMaintain_Rank(key, m->k->conf.name, names, (int)m->others->len);
     g_free(names);
-    return now_ms - *first >= (int64_t)rank * GV_RANK_STEP_MS;
+    return now_ms - w->first_ms >= (int64_t)rank * GV_RANK_STEP_MS;
+}
+
+/* Forgets a task that was not wanted in the last rounds. */
+static gboolean
+is_unwanted(gpointer key, gpointer value, gpointer user)
+{
+    (void)key;
+    const wanted_t *w = value;
+    return w->last_ms + 4 * GV_MAINTAIN_MS < *(gint64 *)user;
 }
 
-/* Forgets old intentions. A task that is still wanted is then due after its
-   rank's wait again, which only delays a repetition. */
+/* Forgets an append that may be repeated by now. */
 static gboolean
-is_old(gpointer key, gpointer value, gpointer user)
+is_over(gpointer key, gpointer value, gpointer user)
 {
     (void)key;
-    return *(gint64 *)value + 20 * GV_MAINTAIN_APPEND_MS < *(gint64 *)user;
+    return *(gint64 *)value < *(gint64 *)user;
 }
 
 /* Logs what became of a record, under its intention. */
@@ -99,8 +114,8 @@
             g_free(key);
         }
     }
-    g_hash_table_foreach_remove(m->due, is_old, &now_ms);
-    g_hash_table_foreach_remove(m->sent, is_old, &now_ms);
+    g_hash_table_foreach_remove(m->due, is_unwanted, &now_ms);
+    g_hash_table_foreach_remove(m->sent, is_over, &now_ms);
 }
 
 /* Lists the live peers of the own data centre. */
--- a/src/maintain_private.h
+++ b/src/maintain_private.h
@@ -50,7 +50,7 @@
     const gv_wave_policy_t *wave_policy;
     const gv_reserve_policy_t *reserve_policy;
     GHashTable *holds;    /* host -> gv_hold_t */
-    GHashTable *due;      /* intention -> first time it was wanted, ms */
+    GHashTable *due;      /* intention -> when it was wanted */
     GHashTable *sent;     /* intention -> earliest repetition, ms */
     GHashTable *health;   /* host -> time of the last change, ms */
     GHashTable *demands;  /* pool -> gv_pool_demand_t */
