Release a request that ended before its submission; correct three load figures

Causes, found by reading: GvDispatch_Submit kept a reference when the request had already ended; a refusal barred a target for a second; queued requests counted as slots in the pool's demand, which narrowed waves and moved hosts; a target whose trial is due did not count as ejected, so more than a third could be. wave_under_load now runs requests up to 1.4 s long: with short ones its mutant passed, because they end before the reboot anyway.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -374,10 +374,11 @@
     GvRequest_Ref(rq); /* for the queue */
     bool may_spill = d->o.spill != NULL && !rq->o.no_forward;
     int retry_after_ms = 0;
-    admission_t got = ADMITTED;
-    if (GvRequest_Hold(rq, on_ended, d)) {
-        got = admit(d, sh, rq, may_spill, &retry_after_ms);
+    if (!GvRequest_Hold(rq, on_ended, d)) {
+        GvRequest_Unref(rq); /* has ended already */
+        return;
     }
+    admission_t got = admit(d, sh, rq, may_spill, &retry_after_ms);
     if (got != ADMITTED && got != NO_SERVICE && may_spill) {
         if (spilled(d, rq)) {
             GvRequest_Unref(rq);
--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -211,11 +211,11 @@
         if (GvTarget_Candidate(vs->targets[i], vs->service->pool, now_ms,
                                &c)) {
             n++;
-            ejected += c.ejected;
+            ejected += GvTarget_IsEjected(vs->targets[i]);
         }
     }
     GvView_Release();
-    return (ejected + 1) * 3 <= n;
+    return GvEject_May(ejected, n);
 }
 
 /* Notes the host of a failed attempt, so that the next one avoids it. A
--- a/src/dispatch_report.c
+++ b/src/dispatch_report.c
@@ -104,6 +104,7 @@
             sum.busy_slots += sh->busy_slots;
             sum.peak_slots += sh->peak_slots;
             sum.queued += queued_of(d, sh);
+            sum.run_ms = MAX(sum.run_ms, GvEstimate_MeanMs(sh->estimate));
             sum.wait_ms = MAX(sum.wait_ms, sh->wait_ms);
         }
         pthread_mutex_unlock(&sh->lock);
--- a/src/limits.h
+++ b/src/limits.h
@@ -123,6 +123,10 @@
 #define GV_LOAN_MS     400
 #define GV_LOAN_ASK_MS 200
 
+/* A refusal by a full target says nothing about its load after about one
+   short run. */
+#define GV_REFUSED_KEEP_MS 50
+
 /* Daemon threads */
 #define GV_TIMER_TICK_MS 50
 #define GV_MAINTAIN_MS   200
--- a/src/maintain_wave.c
+++ b/src/maintain_wave.c
@@ -103,7 +103,8 @@
         double busy = own.busy_slots;
         double queued = own.queued;
         peer_load(m, s, pool, &busy, &queued);
-        double now_slots = busy + queued;
+        /* Slots that would work off the queue within a second. */
+        double now_slots = busy + queued * own.run_ms / 1000;
         double dt = (double)dt_ms;
         d->queued = queued;
         d->busy_slots += (now_slots - d->busy_slots) * MIN(dt / 10e3, 1);
--- a/src/target.c
+++ b/src/target.c
@@ -8,9 +8,6 @@
 GV_COUNTER(late_ends, "exchanges_abandoned_total",
            "Exchanges whose request ended before them");
 
-/* Refusals older than this say nothing about the load of a target now. */
-#define REFUSED_KEEP_MS 1000
-
 /* Copies s, cut to n - 1 bytes and terminated. */
 static void
 copy(char *to, size_t n, gv_str_t s)
@@ -304,7 +301,7 @@
         c->busy = t->busy;
         c->ejected = t->eject.ejected && now_ms < t->eject.probe_at_ms;
         c->recent_ms = t->ratio * 1000;
-        if (now_ms - t->refused_ms < REFUSED_KEEP_MS) {
+        if (now_ms - t->refused_ms < GV_REFUSED_KEEP_MS) {
             c->refused = t->refused;
         }
     }
@@ -337,6 +334,16 @@
     return rc;
 }
 
+/* Tells whether the target is ejected, also while a trial is due. */
+bool
+GvTarget_IsEjected(gv_target_t *t)
+{
+    gv_target_shard_t *sh = GvTarget_Lock(t);
+    bool ejected = t->eject.ejected;
+    GvTargetShard_Unlock(sh);
+    return ejected;
+}
+
 /* Ends an exchange that Begin started. run_ratio is the run time over the
    expected one, or 0 when there was none. */
 void
@@ -356,9 +363,13 @@
     }
     if (a == GV_ATTEMPT_REFUSED) {
         t->refused =
-            now_ms - t->refused_ms < REFUSED_KEEP_MS ? t->refused + 1 : 1;
+            now_ms - t->refused_ms < GV_REFUSED_KEEP_MS ? t->refused + 1 : 1;
         t->refused_ms = now_ms;
     }
+    else {
+        /* The run that ended has left a free slot. */
+        t->refused = 0;
+    }
     GvTargetShard_Unlock(sh);
 }
 
--- a/src/target.h
+++ b/src/target.h
@@ -39,6 +39,7 @@
 int GvTarget_Begin(gv_target_t *t, gv_str_t pool, int64_t now_ms, char *addr,
                    size_t n);
 /* Ends an exchange. may_eject: see GvEject_Note. */
+bool GvTarget_IsEjected(gv_target_t *t);
 void GvTarget_End(gv_target_t *t, gv_attempt_t a, bool may_eject,
                   double run_ratio, int64_t now_ms);
 /* Takes back a Begin after which nothing was sent. */
--- a/src/wave.h
+++ b/src/wave.h
@@ -10,6 +10,7 @@
     double busy_slots; /* smoothed */
     double peak_slots; /* recent peak, decays */
     double queued;     /* requests waiting */
+    double run_ms;     /* mean run time */
     double wait_ms;    /* smoothed waiting time */
 } gv_demand_t;
 
--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -95,7 +95,7 @@
     """Guards against a maintenance wave that cuts off a request in progress,
     also with an entry host that is paused during it."""
     with Cluster(build, hosts=3) as c, Callers(c, seed=15,
-                                               run_ms=150) as callers:
+                                               run_ms=700) as callers:
         started = c.operator("wave", "start", "w1", "--pool", "plan",
                              "--width", "2")
         assert started.returncode == 0, started.stdout + started.stderr
