--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -94,8 +94,8 @@
 def wave_under_load(build):
     """Guards against a maintenance wave that cuts off a request in progress,
     also with an entry host that is paused during it."""
-    with Cluster(build, hosts=3) as c, Callers(c, seed=15,
-                                               run_ms=700) as callers:
+    with Cluster(build, hosts=3) as c, \
+            Callers(c, seed=15, threads=24, run_ms=500) as callers:
         started = c.operator("wave", "start", "w1", "--pool", "plan",
                              "--width", "2")
         assert started.returncode == 0, started.stdout + started.stderr
@@ -106,8 +106,10 @@
         wait_until(lambda: "done" in c.operator(
             "wave", "status", "w1").stdout, 60, "wave done")
         callers.__exit__()
-        boots = [c.target(h, "GET", "/health")[2] for h in c.hosts]
-        assert boots
+        boots = {h: c.target(h, "GET", "/health")[2] for h in c.hosts}
+        for host in c.hosts:
+            rebooted = f"{host}-" in boots[host] and "-0 " not in boots[host]
+            assert rebooted == (c.hosts[host][1] == "plan"), boots[host]
         callers.verdict(least_run=100)
 
 
@@ -207,6 +209,14 @@
             c.start_entry(name)
             c.wait_serving(name)
         assert {version(c, e) for e in c.entries} == {before}, "reverted"
+        # With no peer left, only a checkpoint in the log has the settings.
+        for name in c.entries:
+            c.kill(name)
+        for name in c.entries:
+            c.start_entry(name)
+        for name in c.entries:
+            c.wait_serving(name)
+        assert {version(c, e) for e in c.entries} == {before}, "reverted"
 
 
 def silent_connections(build):
