Fail a test on any sanitizer report and state RCU order to TSan

Cause: a report in a daemon of a process test went to a log that nobody read, and the daemon was killed before its exit status could tell. Under ThreadSanitizer test_forward and test_peer_services reported races between the publication, use and release of a view, and inside liburcu itself.

Ruled out: a race in the program. liburcu 0.13 is not instrumented and orders accesses by barriers in assembly, so TSan sees neither the grace period nor the queue of call_rcu. A suppression by function would also hide races in callbacks on the call_rcu thread.

Change: tests/run.py lets the sanitizers of all descendants write their reports to a directory of the test and fails the test when there is one. view.c states publication, use and grace period to TSan; what liburcu allocates for rcu_barrier is suppressed by called_from_lib, which leaves callbacks checked.

--- a/src/view.c
+++ b/src/view.c
@@ -4,6 +4,38 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#if defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#include <sanitizer/tsan_interface.h>
+#define GV_TSAN
+#endif
+#endif
+
+/* liburcu orders memory accesses by barriers in assembly, which
+   ThreadSanitizer does not see. These state the order that RCU guarantees:
+   publication before use; use before the end of the grace period; callbacks
+   before the return of rcu_barrier. */
+#ifdef GV_TSAN
+#define ORDER_BEFORE(p) __tsan_release(p)
+#define ORDER_AFTER(p)  __tsan_acquire(p)
+static char grace;
+
+const char *__tsan_default_suppressions(void);
+
+/* liburcu is not instrumented either: the work items that rcu_barrier
+   allocates pass to its call_rcu thread through its own lock-free queue, so
+   that freeing them there is reported as a race. This covers only calls made
+   by the library itself, not those of callbacks into this program. */
+const char *
+__tsan_default_suppressions(void)
+{
+    return "called_from_lib:liburcu-bp.so\n";
+}
+#else
+#define ORDER_BEFORE(p) ((void)0)
+#define ORDER_AFTER(p)  ((void)0)
+#endif
+
 /* A view with what its publication and release need. */
 typedef struct {
     gv_view_t view;
@@ -45,7 +77,9 @@
 static void
 free_rcu(struct rcu_head *head)
 {
+    ORDER_AFTER(&grace);
     free_view(caa_container_of(head, box_t, rcu));
+    ORDER_BEFORE(&grace);
 }
 
 /* Makes the holder of views, with an empty view published. */
@@ -68,6 +102,7 @@
         return;
     }
     rcu_barrier();
+    ORDER_AFTER(&grace);
     free_view(vs->current);
     GvStr_Free(&vs->self);
     GvStr_Free(&vs->dc);
@@ -147,8 +182,10 @@
     }
     fill_members(vs, v, l);
     box_t *old = vs->current;
+    ORDER_BEFORE(b);
     rcu_assign_pointer(vs->current, b);
     GvTargets_SetJoined(vs->targets, v->joined);
+    ORDER_BEFORE(&grace);
     call_rcu(&old->rcu, free_rcu);
 }
 
@@ -157,13 +194,16 @@
 GvView_Acquire(gv_views_t *vs)
 {
     rcu_read_lock();
-    return &rcu_dereference(vs->current)->view;
+    box_t *b = rcu_dereference(vs->current);
+    ORDER_AFTER(b);
+    return &b->view;
 }
 
 /* Ends the use of the view that Acquire returned. */
 void
 GvView_Release(void)
 {
+    ORDER_BEFORE(&grace);
     rcu_read_unlock();
 }
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -6,13 +6,18 @@
 file of the same name), and Python programs tests/proc_*.py, which drive real
 processes and take the build directory as their argument.
 
+Every sanitizer report of a process that a test starts fails the test, also
+when the process is killed later or its exit status is not looked at.
+
 Tests listed in KNOWN-RED.txt (lines "NAME: ...") are run and printed but do
 not fail the run.
 """
 import argparse
+import os
 import pathlib
 import subprocess
 import sys
+import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_S = 300
@@ -26,16 +31,36 @@
             if ":" in line and not line.startswith((" ", "#"))}
 
 
-def run(cmd, text=None):
+def sanitizer_env(reports):
+    """Environment that makes the sanitizers of this process's descendants
+    write each report to a file of its own in that directory."""
+    env = dict(os.environ)
+    for name in ("ASAN_OPTIONS", "TSAN_OPTIONS", "UBSAN_OPTIONS"):
+        env[name] = f"{env.get(name, '')}:log_path={reports}/report".strip(":")
+    return env
+
+
+def run_plain(cmd, text, env):
     try:
         done = subprocess.run(cmd, input=text, capture_output=True, text=True,
-                              timeout=TIMEOUT_S, cwd=ROOT, check=False)
+                              timeout=TIMEOUT_S, cwd=ROOT, env=env,
+                              check=False)
     except subprocess.TimeoutExpired as late:
         out = late.stdout or b""
         return 1, out.decode(errors="replace") + "\ntest timed out\n"
     return done.returncode, done.stdout + done.stderr
 
 
+def run(cmd, text=None):
+    with tempfile.TemporaryDirectory(prefix="gv-reports-") as reports:
+        code, out = run_plain(cmd, text, sanitizer_env(reports))
+        found = sorted(pathlib.Path(reports).iterdir())
+        for path in found:
+            out += f"\n--- sanitizer {path.name}\n" \
+                   + path.read_text(errors="replace")[:4000]
+        return (code or 1 if found else code), out
+
+
 def run_script(build, script):
     code, out = run([str(build / "tests" / "script")], script.read_text())
     expected = script.with_suffix(".expected")
