--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -11,7 +11,7 @@
 import time
 
 import history
-from harness import free_ports, wait_until
+from harness import check_end, free_ports, wait_until
 
 SERVICE = """kind: service
 service: {0}
@@ -61,6 +61,7 @@
         self.services = services
         self.min_hosts, self.max_out = min_hosts, max_out
         self.procs = {}
+        self.ended = []  # names and exit statuses of processes that crashed
         ports = iter(free_ports(
             2 + dcs * (2 * entries + hosts * len(services))))
 
@@ -96,6 +97,7 @@
 
     def __exit__(self, kind, value, trace):
         if kind is not None:
+            print(f"{kind.__name__}: {value}")
             for log in sorted(pathlib.Path(self.dir.name).glob("*.log")):
                 print(f"--- {log.name}\n{log.read_text()[-1500:]}")
         self.stop()
@@ -193,8 +195,12 @@
         return http_call(self.hosts[host][2], method, path)
 
     def kill(self, name):
-        self.procs[name].kill()
-        self.procs[name].wait()
+        proc = self.procs[name]
+        if proc.poll() is not None:
+            self.ended.append((name, proc.returncode))
+        proc.kill()
+        proc.wait()
+        del self.procs[name]
 
     def signal(self, name, number):
         self.procs[name].send_signal(number)
@@ -208,13 +214,23 @@
         return [run for run in out if run.tag != "ping"]
 
     def stop(self):
-        for proc in self.procs.values():
+        """Kills what still runs; a process that ended otherwise than by the
+        test fails it, as does a sanitizer report."""
+        for name, proc in self.procs.items():
             if proc.poll() is None:
                 proc.send_signal(signal.SIGCONT)
                 proc.kill()
+            else:
+                self.ended.append((name, proc.returncode))
         for proc in self.procs.values():
             proc.wait()
+        logs = {log.stem: log.read_text(errors="replace")
+                for log in sorted(pathlib.Path(self.dir.name).glob("*.log"))}
         self.dir.cleanup()
+        for name, code in self.ended:
+            check_end(name, code or "a status of 0", logs[name])
+        for name, text in logs.items():
+            check_end(name, None, text)
 
 
 class Callers:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -2,6 +2,7 @@
 children, HTTP calls, and the part of msgpack that the platform speaks."""
 import http.client
 import pathlib
+import re
 import socket
 import struct
 import subprocess
@@ -9,6 +10,14 @@
 import unittest
 
 
+def check_end(name, code, text):
+    """Fails when a process crashed or its output holds a sanitizer report.
+    code: exit status, or None when the test killed it."""
+    found = re.search(r"^.*(Sanitizer: |: runtime error: ).*", text, re.M)
+    assert not found, f"{name}: {found.group()}\n{text[found.start():][:4000]}"
+    assert not code, f"{name} ended with {code}: {text[-1500:]}"
+
+
 def free_ports(count):
     """Returns ports that were free a moment ago, all different."""
     socks = [socket.socket() for _ in range(count)]
@@ -99,8 +108,10 @@
             proc.kill()
             _, err = proc.communicate()
             raise AssertionError(f"{name}: no end after SIGTERM") from None
-        if err:
-            print(f"{name}: {err.decode(errors='replace')}", end="")
+        text = err.decode(errors="replace")
+        if text:
+            print(f"{name}: {text}", end="")
+        check_end(name, None, text)
         return proc.returncode
 
     def stop_all(self):
