Bound a planned stop without the platform or a peer

Cause: the stop waited for the log reader, the appender and the prober one after the other, each up to a time-out of a silent platform; for one probe of each target in doubt and one call for each claim held; and for `leave` by the wall clock, so that a step of the clock stretched it. No bound was stated.

Ruled out: giving up the wait for requests in progress. They end at their deadlines, and a planned stop interrupts none.

Change: the three modules get a Halt that lets their threads end at the same time; loops over doubts and claims end at the stop; the wait for `leave` uses the monotonic clock; GV_STOP_MS (25 s after the last request) and its parts are in limits.h.

--- a/src/appender.c
+++ b/src/appender.c
@@ -400,15 +400,23 @@
     return GV_OK;
 }
 
-/* Stops the thread, ends all items and releases a. Waits for an append in
-   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+/* Lets the thread end; does not wait. To be called before Stop when the
+   threads of several modules are to end at the same time. */
 void
-GvAppender_Stop(gv_appender_t *a)
+GvAppender_Halt(gv_appender_t *a)
 {
     pthread_mutex_lock(&a->lock);
     a->stopping = true;
     pthread_cond_broadcast(&a->change);
     pthread_mutex_unlock(&a->lock);
+}
+
+/* Stops the thread, ends all items and releases a. Waits for an append in
+   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+void
+GvAppender_Stop(gv_appender_t *a)
+{
+    GvAppender_Halt(a);
     pthread_join(a->thread, NULL);
     GArray *results = new_results();
     expire(a, G_MAXINT64, results);
--- a/src/appender.h
+++ b/src/appender.h
@@ -19,6 +19,8 @@
 typedef void (*gv_append_done_t)(void *user, int err, const gv_verdict_t *v);
 
 int GvAppender_Start(const gv_appender_opts_t *o, gv_appender_t **out);
+/* Lets the thread end without waiting for it. */
+void GvAppender_Halt(gv_appender_t *a);
 void GvAppender_Stop(gv_appender_t *a);
 /* Queues one record of that kind with an already packed payload. done may be
    NULL. Returns 0 or GV_EFULL. */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -14,6 +14,7 @@
 #include "log.h"
 #include "maintain.h"
 #include "prober.h"
+#include "sync.h"
 
 GV_GAUGE(offset_gauge, "ledger_offset", "Next log offset to apply");
 GV_GAUGE(joined_gauge, "joined", "1 once the own join has been applied");
@@ -25,9 +26,8 @@
 #define START_PEER_MS 3000
 /* Disconnected callers are looked for at every fourth tick, and so are slots
    to borrow or to return. */
-#define SLOW_TICKS    4
-#define STOP_POLL_MS  20
-#define STOP_REPLY_MS 2000
+#define SLOW_TICKS   4
+#define STOP_POLL_MS 20
 
 /* Tells whether a planned stop is in progress. */
 bool
@@ -435,11 +435,28 @@
     }
 }
 
+/* Lets the threads that wait for the platform end at the same time, so that
+   a silent platform delays the stop by one time-out and not by one each. */
+static void
+halt_threads(gv_kernel_t *k)
+{
+    if (k->reader != NULL) {
+        GvLogReader_Halt(k->reader);
+    }
+    if (k->appender != NULL) {
+        GvAppender_Halt(k->appender);
+    }
+    if (k->prober != NULL) {
+        GvProber_Halt(k->prober);
+    }
+}
+
 /* Stops the threads that call others before those that are called. */
 static void
 free_kernel(gv_kernel_t *k)
 {
     struct gv_kernel_private_s *p = k->private;
+    halt_threads(k);
     stop_threads(p);
     GvFront_Stop(k->front);
     GvMaintain_Stop(k->maintain);
@@ -488,7 +505,7 @@
     *conf = (gv_nodeconf_t){0};
     k->private = g_new0(struct gv_kernel_private_s, 1);
     pthread_mutex_init(&k->private->lock, NULL);
-    pthread_cond_init(&k->private->wake, NULL);
+    GvSync_InitCond(&k->private->wake);
     int rc = start_all(k);
     if (rc != GV_OK) {
         free_kernel(k);
@@ -512,7 +529,7 @@
     }
     /* Responses on their way out; a caller that stalls does not hold up the
        stop for long. */
-    int64_t end = GvClock_MonoMs() + STOP_REPLY_MS;
+    int64_t end = GvClock_MonoMs() + GV_STOP_REPLY_MS;
     while (GvFront_Open(k->front) > 0 && GvClock_MonoMs() < end) {
         pause_ms(STOP_POLL_MS);
     }
--- a/src/kernel_member.c
+++ b/src/kernel_member.c
@@ -3,15 +3,14 @@
 #include "clock.h"
 #include "error.h"
 #include "kernel_private.h"
+#include "limits.h"
 #include "log.h"
+#include "sync.h"
 
 /* A join whose fate is unknown is repeated after this time; a second one
    that arrives is rejected by the ledger and harmless. */
 #define JOIN_RETRY_MS   1000
 #define JOIN_TIMEOUT_MS 10000
-#define LEAVE_WAIT_MS   5000
-/* Without a platform the append cannot succeed soon. */
-#define LEAVE_OUTAGE_MS 1000
 
 /* Sets the incarnation: the wall-clock time, raised above the one that the
    ledger knows for this name. */
@@ -109,16 +108,12 @@
         submit_member(k, GV_MEMBER_LEAVE, on_leave) != GV_OK) {
         return;
     }
-    struct timespec end;
-    clock_gettime(CLOCK_REALTIME, &end);
-    end.tv_sec +=
-        (GvLogReader_PlatformOk(k->reader) ? LEAVE_WAIT_MS : LEAVE_OUTAGE_MS) /
-        1000;
+    int64_t wait_ms =
+        GvLogReader_PlatformOk(k->reader) ? GV_LEAVE_MS : GV_LEAVE_OUTAGE_MS;
+    int64_t end_us = GvClock_MonoUs() + wait_ms * 1000;
     pthread_mutex_lock(&k->private->lock);
-    int rc = 0;
-    while (!k->private->leave_done && rc == 0) {
-        rc =
-            pthread_cond_timedwait(&k->private->wake, &k->private->lock, &end);
+    while (!k->private->leave_done &&
+           GvSync_WaitUntil(&k->private->wake, &k->private->lock, end_us)) {
     }
     pthread_mutex_unlock(&k->private->lock);
 }
--- a/src/kernel_peer.c
+++ b/src/kernel_peer.c
@@ -177,7 +177,8 @@
 {
     GArray *doubts = g_array_new(FALSE, FALSE, sizeof(gv_doubt_t));
     GvTargets_TakeDoubts(k->targets, doubts);
-    for (guint i = 0; i < doubts->len; i++) {
+    for (guint i = 0;
+         i < doubts->len && !atomic_load(&k->private->threads_stop); i++) {
         const gv_doubt_t *d = &g_array_index(doubts, gv_doubt_t, i);
         gv_health_report_t r;
         if (GvProber_Probe(GvStr_C(d->addr), GV_PROBE_TIMEOUT_MS, &r) ==
--- a/src/limits.h
+++ b/src/limits.h
@@ -139,6 +139,17 @@
 #define GV_WORKERS_MAX        512
 #define GV_WORKER_STACK_BYTES (256 * 1024)
 
+/* Planned stop. After the last request and exchange have ended, a stop takes
+   at most GV_STOP_MS: GV_STOP_REPLY_MS for responses on their way out,
+   GV_LEAVE_MS for the append of `leave`, and the end of a log read in
+   progress, which connects and reads for up to GV_LOG_POLL_MS plus
+   GV_PLATFORM_TIMEOUT_MS each; the other threads end in that time too. */
+#define GV_STOP_MS       25000
+#define GV_STOP_REPLY_MS 2000
+#define GV_LEAVE_MS      5000
+/* Without a platform the append cannot succeed soon. */
+#define GV_LEAVE_OUTAGE_MS 1000
+
 /* HTTP client: a server that closes idle connections does so after some
    seconds; a younger connection is rarely closed while a request is on its
    way. */
--- a/src/logreader.c
+++ b/src/logreader.c
@@ -285,15 +285,23 @@
     return GV_OK;
 }
 
-/* Stops the thread and releases r. Waits for a read in progress, at most
-   GV_LOG_POLL_MS plus GV_PLATFORM_TIMEOUT_MS. */
+/* Lets the thread end; does not wait. To be called before Stop when the
+   threads of several modules are to end at the same time. */
 void
-GvLogReader_Stop(gv_logreader_t *r)
+GvLogReader_Halt(gv_logreader_t *r)
 {
     pthread_mutex_lock(&r->lock);
     r->stopping = true;
     pthread_cond_broadcast(&r->change);
     pthread_mutex_unlock(&r->lock);
+}
+
+/* Stops the thread and releases r. Waits for a read in progress, at most
+   GV_LOG_POLL_MS plus GV_PLATFORM_TIMEOUT_MS. */
+void
+GvLogReader_Stop(gv_logreader_t *r)
+{
+    GvLogReader_Halt(r);
     pthread_join(r->thread, NULL);
     free_reader(r);
 }
--- a/src/logreader.h
+++ b/src/logreader.h
@@ -29,6 +29,8 @@
 } gv_retained_t;
 
 int GvLogReader_Start(const gv_logreader_opts_t *o, gv_logreader_t **out);
+/* Lets the thread end without waiting for it. */
+void GvLogReader_Halt(gv_logreader_t *r);
 void GvLogReader_Stop(gv_logreader_t *r);
 bool GvLogReader_PlatformOk(gv_logreader_t *r);
 /* Log head seen at the last successful read. */
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -163,11 +163,12 @@
 
 /* Reads the log to its head and tells whether the claim is still held with
    the same fence and is stopping. A holder that was paused learns here that
-   another has taken over. */
+   another has taken over. A planned stop begins no further platform call. */
 static bool
 recheck(gv_maintain_t *m, const gv_hold_t *d)
 {
-    if (GvLogReader_SyncToHead(m->k->reader, SYNC_MS) != GV_OK) {
+    if (GvLogReader_SyncToHead(m->k->reader, SYNC_MS) != GV_OK ||
+        GvKernel_Stopping(m->k)) {
         return false;
     }
     const gv_ledger_t *l = GvReplica_Lock(m->k->replica);
@@ -306,7 +307,8 @@
     gpointer value;
     g_hash_table_iter_init(&it, m->holds);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        for (int i = 0; i < STEPS_MAX && run_step(m, value, now_ms, out);
+        for (int i = 0; i < STEPS_MAX && !GvKernel_Stopping(m->k) &&
+                        run_step(m, value, now_ms, out);
              i++) {
         }
     }
--- a/src/prober.c
+++ b/src/prober.c
@@ -312,16 +312,24 @@
     return GV_OK;
 }
 
-/* Stops the threads and releases p. Waits for probes and a list read in
-   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+/* Lets the threads end; does not wait. To be called before Stop when the
+   threads of several modules are to end at the same time. */
 void
-GvProber_Stop(gv_prober_t *p)
+GvProber_Halt(gv_prober_t *p)
 {
     pthread_mutex_lock(&p->lock);
     p->stopping = true;
     pthread_cond_broadcast(&p->change);
     pthread_cond_broadcast(&p->work);
     pthread_mutex_unlock(&p->lock);
+}
+
+/* Stops the threads and releases p. Waits for probes and a list read in
+   progress, at most GV_PLATFORM_TIMEOUT_MS. */
+void
+GvProber_Stop(gv_prober_t *p)
+{
+    GvProber_Halt(p);
     for (int i = 0; i < p->n_threads; i++) {
         pthread_join(i < GV_PROBE_THREADS    ? p->workers[i]
                      : i == GV_PROBE_THREADS ? p->prober
--- a/src/prober.h
+++ b/src/prober.h
@@ -32,6 +32,8 @@
 } gv_probe_target_t;
 
 int GvProber_Start(const gv_prober_opts_t *o, gv_prober_t **out);
+/* Lets the threads end without waiting for them. */
+void GvProber_Halt(gv_prober_t *p);
 void GvProber_Stop(gv_prober_t *p);
 /* Replaces the targets of this data centre. */
 void GvProber_SetTargets(gv_prober_t *p, const gv_probe_target_t *targets,
--- /dev/null
+++ b/tests/proc_stop.py
@@ -0,0 +1,78 @@
+#!/usr/bin/env python3
+"""Planned stops of an entry host while others are gone: each must end within
+GV_STOP_MS after the last request, with exit status 0."""
+import pathlib
+import re
+import signal
+import sys
+import time
+
+import harness
+from harness import call, wait_until
+from proc_path import Path
+
+LIMITS = pathlib.Path(__file__).resolve().parent.parent / "src" / "limits.h"
+STOP_S = int(re.search(r"#define GV_STOP_MS\s+(\d+)",
+                       LIMITS.read_text()).group(1)) / 1000
+
+
+class Stops(Path):
+    def freeze(self, name):
+        """Pauses a process: its connections stay open and go silent."""
+        proc = self.procs.children[name]
+        proc.send_signal(signal.SIGSTOP)
+        self.addCleanup(proc.send_signal, signal.SIGCONT)
+
+    def stop_in_time(self, name):
+        begin = time.monotonic()
+        self.assertEqual(self.procs.stop(name, STOP_S), 0)
+        print(f"stopped in {time.monotonic() - begin:.1f} s")
+
+    def test_platform_silent(self):
+        """Guards against a stop that waits for each thread's call to a silent
+        platform in turn, or that cuts off a run meanwhile."""
+        run, out = self.background(self.e1, "POST",
+                                   "/svc/routing/a?run_ms=1000", b"x")
+        wait_until(self.runs, 5, "request has started")
+        self.freeze("platform")
+        self.procs.children["e1"].terminate()
+        run.join()
+        self.assertEqual((out[0].status, out[0].text), (200, "ok x"))
+        self.stop_in_time("e1")
+
+    def test_platform_gone(self):
+        """Guards against a stop that waits for a `leave` that cannot be
+        appended."""
+        platform = self.procs.children.pop("platform")
+        platform.kill()
+        platform.communicate()
+        self.stop_in_time("e1")
+        self.stop_in_time("e2")
+
+    def test_peer_silent(self):
+        """Guards against a stop that waits for a peer's result beyond the
+        caller's deadline."""
+        ticket = call(self.e2, "POST", "/v1/tickets").text.strip()
+        self.freeze("e2")
+        run, out = self.background(self.e1, "POST", "/svc/routing/a", b"x", {
+            "Gv-Ticket": ticket, "Gv-Deadline-Ms": "2000"})
+        wait_until(lambda: self.status(self.e1)["in_progress"] == 1, 5,
+                   "request is at the peer")
+        self.procs.children["e1"].terminate()
+        run.join()
+        self.assertEqual(out[0].headers["Gv-Outcome"], "unknown")
+        self.stop_in_time("e1")
+
+    def test_all_silent(self):
+        """Guards against a log reader that takes records from a silent peer
+        and keeps the stop waiting."""
+        self.freeze("platform")
+        self.freeze("e2")
+        wait_until(lambda: "platform_ok" not in self.status(self.e1) or
+                   not self.status(self.e1)["platform_ok"], 15,
+                   "the platform's silence is noticed")
+        self.stop_in_time("e1")
+
+
+if __name__ == "__main__":
+    harness.main(__name__, sys.argv)
