Start the stand-ins' servers under the lock

Cause: a stand-in's server thread runs before GvServer_Start returns, so that a request for a fault could read the server's pointer and its lock while the main thread still wrote them; for another target of the same process it could also be NULL. ThreadSanitizer reported it in proc_path (set_faults).

Change: the main thread holds the lock of the target or the platform while it starts the server; the handlers read the pointer under, or after, that lock. A fault for a target that is not served yet gets 400.

--- a/src/standin_platform.c
+++ b/src/standin_platform.c
@@ -496,7 +496,11 @@
 {
     gv_server_t *extra = NULL;
     p->has_control = control != NULL;
-    if (listen_on(p, addr, &p->main) != GV_OK) {
+    /* Requests read p->main once they have held the lock. */
+    pthread_mutex_lock(&p->lock);
+    int err = listen_on(p, addr, &p->main);
+    pthread_mutex_unlock(&p->lock);
+    if (err != GV_OK) {
         return 1;
     }
     if (listen_on(p, control, &extra) != GV_OK) {
--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -331,6 +331,10 @@
     pthread_mutex_lock(&t->lock);
     faults_t f = t->faults;
     const char *bad = parse_faults(rq, &f);
+    gv_server_t *server = t->server;
+    if (bad == NULL && server == NULL) {
+        bad = "the target is not served yet";
+    }
     if (bad == NULL) {
         if (f.silent && !t->faults.silent) {
             t->silent_us = GvClock_MonoUs();
@@ -343,7 +347,7 @@
         GvServed_ReplyText(rq, 400, "invalid fault: %s\n", bad);
         return;
     }
-    int err = GvServer_Refuse(t->server, f.refuse);
+    int err = GvServer_Refuse(server, f.refuse);
     GvServed_ReplyText(rq, err == GV_OK ? 200 : 500, "%s\n", Gv_StrError(err));
 }
 
@@ -440,12 +444,15 @@
     return GV_OK;
 }
 
-/* Begins to serve a target. */
+/* Begins to serve a target. Under the lock, because requests of this and of
+   the other targets read the server while this thread stores it. */
 static int
 start_target(target_t *t)
 {
     gv_server_opts_t o = {t->addr, connections, GV_BODY_MAX_BYTES, handle, t};
+    pthread_mutex_lock(&t->lock);
     int err = GvServer_Start(&o, &t->server);
+    pthread_mutex_unlock(&t->lock);
     if (err != GV_OK) {
         g_printerr("standin-target: %s: %s\n", t->addr, Gv_StrError(err));
     }
