Keep a test's own output visible next to sanitizer reports

Cause: in the first TSan run of proc_path many reports pushed the output of the test itself out of the part that is printed.

Change: run.py prints the beginning of the first two reports and their number; any report still fails the test.

--- a/tests/run.py
+++ b/tests/run.py
@@ -55,9 +55,10 @@
     with tempfile.TemporaryDirectory(prefix="gv-reports-") as reports:
         code, out = run_plain(cmd, text, sanitizer_env(reports))
         found = sorted(pathlib.Path(reports).iterdir())
-        for path in found:
-            out += f"\n--- sanitizer {path.name}\n" \
-                   + path.read_text(errors="replace")[:4000]
+        # Two are enough to begin with, and leave the test's own output visible.
+        for path in found[:2]:
+            out += f"\n--- sanitizer {path.name} of {len(found)}\n" \
+                   + path.read_text(errors="replace")[:2000]
         return (code or 1 if found else code), out
 
 
