--- a/src/yaml_read.c
+++ b/src/yaml_read.c
@@ -175,6 +175,10 @@
         GvYaml_Map(y, v, path, f->fields, f->n_fields, to);
         return;
     case GV_FIELD_LIST:
+        if (v->type == YAML_SCALAR_NODE && v->data.scalar.length == 0 &&
+            v->data.scalar.style == YAML_PLAIN_SCALAR_STYLE) {
+            return; /* a key without a value is an empty list */
+        }
         if (v->type != YAML_SEQUENCE_NODE) {
             GvYaml_Problem(y, v, path, "expected a list");
             return;
