--- a/tests/fuzz_ledger.h
+++ b/tests/fuzz_ledger.h
@@ -6,6 +6,7 @@
 
 #include "error.h"
 #include "ledger.h"
+#include "support.h"
 
 /* Helpers of the fuzz targets of the ledger. */
 
@@ -39,6 +40,15 @@
     return v;
 }
 
+/* Applies a payload, which must be accepted, and makes it ready for the
+   next. */
+static inline void
+put_accepted(gv_ledger_t *l, const char *kind, msgpack_sbuffer *payload)
+{
+    g_assert_cmpint(put(l, kind, payload).kind, ==, GV_VERDICT_ACCEPTED);
+    msgpack_sbuffer_init(payload);
+}
+
 static const char *const kinds[] = {"settings", "host", "member", "claim",
                                     "confirm",  "act",  "done",   "takeover",
                                     "wave",     "key",  "nothing"};
@@ -52,19 +62,8 @@
                                  "{kind: pool, pool: q}\n---\n"
                                  "{kind: service, service: s, pool: p}\n")};
     gv_str_t e1 = GV_STR("e1");
-    gv_lhost_t h = {.name = GV_STR("c"),
-                    .dc = GV_STR("k1"),
-                    .rack = GV_STR("r3"),
-                    .addr = GV_STR("127.0.0.1:9001"),
-                    .pool = GV_STR("p"),
-                    .boot = GV_STR("b1"),
-                    .slots = 8};
-    gv_member_t m = {e1,
-                     GV_STR("k1"),
-                     GV_STR("127.0.0.1:7001"),
-                     GV_STR("127.0.0.1:8001"),
-                     11,
-                     0};
+    gv_lhost_t h = HOST("c", "r3");
+    gv_member_t m = MEMBER(e1, GV_STR("k1"), 11);
     gv_key_item_t key = {GV_STR("s"), GV_STR("k"), 60000};
     msgpack_sbuffer_init(out);
     switch (kind) {
@@ -109,43 +108,27 @@
 {
     gv_ledger_t *l = GvLedger_New();
     msgpack_sbuffer sb;
-    gv_lhost_t h = {.name = GV_STR("a"),
-                    .dc = GV_STR("k1"),
-                    .rack = GV_STR("r1"),
-                    .addr = GV_STR("127.0.0.1:9001"),
-                    .pool = GV_STR("p"),
-                    .boot = GV_STR("b1"),
-                    .slots = 8};
+    gv_lhost_t h = HOST("a", "r1");
     gv_document_t doc = {GV_STR("a.yaml"),
                          GV_STR("{kind: pool, pool: p, max_out: 2}\n---\n"
                                 "{kind: pool, pool: q}\n")};
-    gv_member_t m = {GV_STR("e1"),
-                     GV_STR("k1"),
-                     GV_STR("127.0.0.1:7001"),
-                     GV_STR("127.0.0.1:8001"),
-                     10,
-                     0};
+    gv_member_t m = MEMBER(GV_STR("e1"), GV_STR("k1"), 10);
     msgpack_sbuffer_init(&sb);
     GvLedger_PackSettings(&sb, 0, &doc, 1);
-    g_assert_cmpint(put(l, "settings", &sb).kind, ==, GV_VERDICT_ACCEPTED);
-    msgpack_sbuffer_init(&sb);
+    put_accepted(l, "settings", &sb);
     GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
-    g_assert_cmpint(put(l, "member", &sb).kind, ==, GV_VERDICT_ACCEPTED);
-    msgpack_sbuffer_init(&sb);
+    put_accepted(l, "member", &sb);
     GvLedger_PackHost(&sb, &h);
-    g_assert_cmpint(put(l, "host", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    put_accepted(l, "host", &sb);
     h.name = GV_STR("b");
     h.rack = GV_STR("r2");
-    msgpack_sbuffer_init(&sb);
     GvLedger_PackHost(&sb, &h);
-    g_assert_cmpint(put(l, "host", &sb).kind, ==, GV_VERDICT_ACCEPTED);
-    msgpack_sbuffer_init(&sb);
+    put_accepted(l, "host", &sb);
     GvLedger_PackWave(&sb, GV_STR("w"), GV_STR("p"), 1, GV_WAVE_START);
-    g_assert_cmpint(put(l, "wave", &sb).kind, ==, GV_VERDICT_ACCEPTED);
-    msgpack_sbuffer_init(&sb);
+    put_accepted(l, "wave", &sb);
     GvLedger_PackClaim(&sb, GV_STR("a"), GV_CLAIM_MAINTENANCE, GV_STR("w"),
                        GV_STR(""), GV_STR("e1"), 10);
-    g_assert_cmpint(put(l, "claim", &sb).kind, ==, GV_VERDICT_ACCEPTED);
+    put_accepted(l, "claim", &sb);
     return l;
 }
 
--- a/tests/script.h
+++ b/tests/script.h
@@ -13,12 +13,20 @@
 /* The ledger that the ledger verbs build; NULL before the first record. */
 const struct gv_ledger_s *GvScript_Ledger(void);
 
-#define GV_VERB(name_, fn)                                                    \
-    static gv_verb_t fn##_verb = {.name = name_, .run = fn};                  \
-    __attribute__((constructor)) static void fn##_register(void)              \
+/* Adds one more name for the verb function fn. */
+#define GV_VERB_NAME(name_, id_, fn)                                          \
+    static gv_verb_t id_##_verb = {.name = name_, .run = fn};                 \
+    __attribute__((constructor)) static void id_##_register(void)             \
     {                                                                         \
-        GvScript_Add(&fn##_verb);                                             \
+        GvScript_Add(&id_##_verb);                                            \
     }                                                                         \
     struct gv_verb_s
 
+/* Begins the definition of a verb's function, with argc and argv. */
+#define GV_VERB(name_, fn)                                                    \
+    static void fn(int argc, char **argv);                                    \
+    GV_VERB_NAME(name_, fn, fn);                                              \
+    static void fn(int argc __attribute__((unused)),                          \
+                   char **argv __attribute__((unused)))
+
 #endif
--- a/tests/script_health.c
+++ b/tests/script_health.c
@@ -26,21 +26,16 @@
 }
 
 /* health.new */
-static void
-run_new(int argc, char **argv)
+GV_VERB("health.new", run_new)
 {
-    (void)argc;
-    (void)argv;
     if (table != NULL) {
         GvHealth_Free(table);
     }
     table = GvHealth_New(on_changed, NULL);
 }
-GV_VERB("health.new", run_new);
 
 /* health.list VERSION HOST BOOT STATE ... */
-static void
-run_list(int argc, char **argv)
+GV_VERB("health.list", run_list)
 {
     gv_listed_host_t hosts[8] = {0};
     gv_hostlist_t list = {(uint64_t)atoi(argv[1]), hosts, (argc - 2) / 3};
@@ -54,24 +49,18 @@
     }
     printf("list %s\n", GvHealth_OnList(table, &list) ? "taken" : "ignored");
 }
-GV_VERB("health.list", run_list);
 
 /* health.probe HOST fail | health.probe HOST REPORT */
-static void
-run_probe(int argc, char **argv)
+GV_VERB("health.probe", run_probe)
 {
-    (void)argc;
     gv_health_report_t r;
     int err = GvHealth_ParseReport(GvStr_C(argv[2]), &r);
     GvHealth_OnProbe(table, GvStr_C(argv[1]), err == 0 ? &r : NULL);
 }
-GV_VERB("health.probe", run_probe);
 
 /* health.peer FROM INCARNATION SEEN HOST BOOT HEALTHY LEAVING */
-static void
-run_peer(int argc, char **argv)
+GV_VERB("health.peer", run_peer)
 {
-    (void)argc;
     gv_health_t h = {.host = GvStr_C(argv[4]),
                      .boot = GvStr_C(argv[5]),
                      .healthy = atoi(argv[6]) != 0,
@@ -79,13 +68,10 @@
                      .seen = (uint64_t)atoi(argv[3])};
     GvHealth_OnPeer(table, GvStr_C(argv[1]), (uint64_t)atoi(argv[2]), &h);
 }
-GV_VERB("health.peer", run_peer);
 
 /* health.show HOST */
-static void
-run_show(int argc, char **argv)
+GV_VERB("health.show", run_show)
 {
-    (void)argc;
     gv_health_view_t v;
     if (GvHealth_Get(table, GvStr_C(argv[1]), &v)) {
         print_view("now", &v);
@@ -94,11 +80,9 @@
         printf("unknown %s\n", argv[1]);
     }
 }
-GV_VERB("health.show", run_show);
 
 /* health.keep HOST ... */
-static void
-run_keep(int argc, char **argv)
+GV_VERB("health.keep", run_keep)
 {
     gv_str_t hosts[8] = {0};
     for (int i = 1; i < argc; i++) {
@@ -106,13 +90,10 @@
     }
     GvHealth_Keep(table, hosts, argc - 1);
 }
-GV_VERB("health.keep", run_keep);
 
 /* health.first-hand SINCE */
-static void
-run_first_hand(int argc, char **argv)
+GV_VERB("health.first-hand", run_first_hand)
 {
-    (void)argc;
     GArray *out = g_array_new(FALSE, FALSE, sizeof(gv_health_t));
     GvHealth_FirstHand(table, (uint64_t)atoi(argv[1]), out);
     printf("first-hand");
@@ -124,11 +105,9 @@
     printf("\n");
     g_array_free(out, TRUE);
 }
-GV_VERB("health.first-hand", run_first_hand);
 
 /* health.share HOSTS MEMBER ...: how many of the hosts each member probes. */
-static void
-run_share(int argc, char **argv)
+GV_VERB("health.share", run_share)
 {
     gv_str_t members[8] = {0};
     int counts[8] = {0};
@@ -154,4 +133,3 @@
     }
     printf("\n");
 }
-GV_VERB("health.share", run_share);
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -19,6 +19,7 @@
 static gv_ledger_t *ledger;
 static GArray *entries; /* logged_t */
 static GHashTable *sequences;
+static msgpack_sbuffer payload; /* of the record that a verb appends */
 static int64_t now_ms = 1000000;
 static int64_t created_ms = -1; /* of the next record; -1: now */
 static int64_t expires_ms = -1;
@@ -56,8 +57,9 @@
            v.reason[0] == '\0' ? "" : ": ", v.reason);
 }
 
+/* Appends a record with the packed payload and empties it. */
 static void
-submit(const char *kind, msgpack_sbuffer *payload)
+submit(const char *kind)
 {
     msgpack_sbuffer sb;
     char id[96];
@@ -79,10 +81,10 @@
     created_ms = -1;
     expires_ms = -1;
     msgpack_sbuffer_init(&sb);
-    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
+    GvRecord_Pack(&sb, &r, GvStr_N(payload.data, payload.size));
     append(GvStr_N(sb.data, sb.size));
     msgpack_sbuffer_destroy(&sb);
-    msgpack_sbuffer_destroy(payload);
+    msgpack_sbuffer_clear(&payload);
 }
 
 const gv_ledger_t *
@@ -92,48 +94,41 @@
 }
 
 /* as ORIGIN INCARNATION: sender of the records that follow. */
-static void
-verb_as(int argc, char **argv)
+GV_VERB("as", verb_as)
 {
     g_strlcpy(origin, arg(argc, argv, 1).p, sizeof origin);
     incarnation = num(argc, argv, 2);
 }
 
 /* wait MS: moves the append time, possibly back. */
-static void
-verb_wait(int argc, char **argv)
+GV_VERB("wait", verb_wait)
 {
     now_ms += g_ascii_strtoll(arg(argc, argv, 1).p, NULL, 10);
 }
 
 /* times CREATED EXPIRES: of the next record, relative to now. */
-static void
-verb_times(int argc, char **argv)
+GV_VERB("times", verb_times)
 {
     created_ms = now_ms + g_ascii_strtoll(arg(argc, argv, 1).p, NULL, 10);
     expires_ms = now_ms + g_ascii_strtoll(arg(argc, argv, 2).p, NULL, 10);
 }
 
 /* settings BASE YAML...: one document for each argument. */
-static void
-verb_settings(int argc, char **argv)
+GV_VERB("settings", verb_settings)
 {
-    msgpack_sbuffer sb;
     gv_document_t docs[16] = {0};
-    msgpack_sbuffer_init(&sb);
     for (int i = 2; i < argc; i++) {
         docs[i - 2].file = GV_STR("a.yaml");
         docs[i - 2].text = GvStr_C(argv[i]);
     }
-    GvLedger_PackSettings(&sb, num(argc, argv, 1), docs, MAX(argc - 2, 0));
-    submit("settings", &sb);
+    GvLedger_PackSettings(&payload, num(argc, argv, 1), docs,
+                          MAX(argc - 2, 0));
+    submit("settings");
 }
 
 /* host NAME DC RACK POOL BOOT STATE */
-static void
-verb_host(int argc, char **argv)
+GV_VERB("host", verb_host)
 {
-    msgpack_sbuffer sb;
     gv_str_t state = arg(argc, argv, 6);
     gv_lhost_t h = {.name = arg(argc, argv, 1),
                     .dc = arg(argc, argv, 2),
@@ -145,44 +140,37 @@
                     .state = state.p[0] == 'f'   ? GV_HOST_FAILED
                              : state.p[0] == 'g' ? GV_HOST_GONE
                                                  : GV_HOST_UP};
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackHost(&sb, &h);
-    submit("host", &sb);
+    GvLedger_PackHost(&payload, &h);
+    submit("host");
 }
 
 /* member join|leave|removed NAME DC INCARNATION */
-static void
-verb_member(int argc, char **argv)
+GV_VERB("member", verb_member)
 {
-    msgpack_sbuffer sb;
     char change = arg(argc, argv, 1).p[0];
     gv_member_t m = {.name = arg(argc, argv, 2),
                      .dc = arg(argc, argv, 3),
                      .incarnation = num(argc, argv, 4),
                      .peer_addr = GV_STR("127.0.0.1:7001"),
                      .http_addr = GV_STR("127.0.0.1:8001")};
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackMember(&sb, &m,
+    GvLedger_PackMember(&payload, &m,
                         change == 'j'   ? GV_MEMBER_JOIN
                         : change == 'l' ? GV_MEMBER_LEAVE
                                         : GV_MEMBER_REMOVED);
-    submit("member", &sb);
+    submit("member");
 }
 
 /* claim HOST maintenance|move|drain WAVE-OR-POOL; the sender holds it. */
-static void
-verb_claim(int argc, char **argv)
+GV_VERB("claim", verb_claim)
 {
-    msgpack_sbuffer sb;
     gv_str_t kind = arg(argc, argv, 2);
     gv_str_t to = arg(argc, argv, 3);
     gv_claim_kind_t k = kind.p[0] == 'd'   ? GV_CLAIM_DRAIN
                         : kind.p[1] == 'o' ? GV_CLAIM_MOVE
                                            : GV_CLAIM_MAINTENANCE;
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackClaim(&sb, arg(argc, argv, 1), k, to, to, GvStr_C(origin),
-                       incarnation);
-    submit("claim", &sb);
+    GvLedger_PackClaim(&payload, arg(argc, argv, 1), k, to, to,
+                       GvStr_C(origin), incarnation);
+    submit("claim");
 }
 
 /* Returns the claim offset named by an argument; "-": the current one. */
@@ -197,119 +185,97 @@
 }
 
 /* confirm|act|takeover HOST CLAIM, by the sender. */
-static void
-verb_step(int argc, char **argv)
+GV_VERB("confirm", verb_step)
 {
-    msgpack_sbuffer sb;
     uint64_t claim = claim_of(argc, argv);
     gv_str_t host = arg(argc, argv, 1);
-    msgpack_sbuffer_init(&sb);
     if (argv[0][0] == 'c') {
-        GvLedger_PackConfirm(&sb, host, claim, GvStr_C(origin), incarnation);
+        GvLedger_PackConfirm(&payload, host, claim, GvStr_C(origin),
+                             incarnation);
     }
     else if (argv[0][0] == 'a') {
-        GvLedger_PackAct(&sb, host, claim, GvStr_C(origin), incarnation);
+        GvLedger_PackAct(&payload, host, claim, GvStr_C(origin), incarnation);
     }
     else {
-        GvLedger_PackTakeover(&sb, host, claim, GvStr_C(origin), incarnation);
+        GvLedger_PackTakeover(&payload, host, claim, GvStr_C(origin),
+                              incarnation);
     }
-    submit(argv[0], &sb);
+    submit(argv[0]);
 }
 
 /* done HOST CLAIM healthy|failed|cancelled */
-static void
-verb_done(int argc, char **argv)
+GV_VERB("done", verb_done)
 {
-    msgpack_sbuffer sb;
     char result = arg(argc, argv, 3).p[0];
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackDone(&sb, arg(argc, argv, 1), claim_of(argc, argv),
+    GvLedger_PackDone(&payload, arg(argc, argv, 1), claim_of(argc, argv),
                       result == 'h'   ? GV_DONE_HEALTHY
                       : result == 'f' ? GV_DONE_FAILED
                                       : GV_DONE_CANCELLED);
-    submit("done", &sb);
+    submit("done");
 }
 
 /* wave start|stop|resume NAME POOL WIDTH */
-static void
-verb_wave(int argc, char **argv)
+GV_VERB("wave", verb_wave)
 {
-    msgpack_sbuffer sb;
     gv_str_t change = arg(argc, argv, 1);
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackWave(&sb, arg(argc, argv, 2), arg(argc, argv, 3),
+    GvLedger_PackWave(&payload, arg(argc, argv, 2), arg(argc, argv, 3),
                       (int)num(argc, argv, 4),
-                      change.p[0] == 'r'   ? GV_WAVE_RESUME
-                      : change.p[2] == 'o' ? GV_WAVE_STOP
-                                           : GV_WAVE_START);
-    submit("wave", &sb);
+                      strcmp(change.p, "resume") == 0 ? GV_WAVE_RESUME
+                      : strcmp(change.p, "stop") == 0 ? GV_WAVE_STOP
+                                                      : GV_WAVE_START);
+    submit("wave");
 }
 
 /* key SERVICE KEY MS...: keys that expire MS from now. */
-static void
-verb_key(int argc, char **argv)
+GV_VERB("key", verb_key)
 {
-    msgpack_sbuffer sb;
     gv_key_item_t items[8];
     int n = 0;
-    msgpack_sbuffer_init(&sb);
     for (int i = 1; i + 2 < argc && n < 8; i += 3) {
         items[n++] =
             (gv_key_item_t){GvStr_C(argv[i]), GvStr_C(argv[i + 1]),
                             now_ms + g_ascii_strtoll(argv[i + 2], NULL, 10)};
     }
-    GvLedger_PackKeys(&sb, items, n, GvStr_C(origin), incarnation);
-    submit("key", &sb);
+    GvLedger_PackKeys(&payload, items, n, GvStr_C(origin), incarnation);
+    submit("key");
 }
 
 /* checkpoint: of the present state. */
-static void
-verb_checkpoint(int argc, char **argv)
+GV_VERB("checkpoint", verb_checkpoint)
 {
-    msgpack_sbuffer sb;
-    (void)argc;
-    (void)argv;
-    msgpack_sbuffer_init(&sb);
-    GvLedger_PackCheckpoint(&sb, ledger);
-    submit("checkpoint", &sb);
+    GvLedger_PackCheckpoint(&payload, ledger);
+    submit("checkpoint");
 }
 
 /* repeat [BACK]: appends an earlier record again, unchanged. */
-static void
-verb_repeat(int argc, char **argv)
+GV_VERB("repeat", verb_repeat)
 {
     unsigned back = argc > 1 ? (unsigned)num(argc, argv, 1) : 1;
     append(g_array_index(entries, logged_t, entries->len - back).bytes);
 }
 
 /* raw HEX appends bytes; payload KIND HEX wraps them in an envelope. */
-static void
-verb_raw(int argc, char **argv)
+GV_VERB("raw", verb_raw)
 {
-    msgpack_sbuffer sb;
-    msgpack_sbuffer_init(&sb);
     const char *hex = argv[argc - 1];
     for (size_t i = 0; i + 1 < strlen(hex); i += 2) {
         char byte = (char)(g_ascii_xdigit_value(hex[i]) * 16 +
                            g_ascii_xdigit_value(hex[i + 1]));
-        msgpack_sbuffer_write(&sb, &byte, 1);
+        msgpack_sbuffer_write(&payload, &byte, 1);
     }
     if (argv[0][0] == 'p') {
-        submit(argv[1], &sb);
+        submit(argv[1]);
         return;
     }
-    append(GvStr_N(sb.data, sb.size));
-    msgpack_sbuffer_destroy(&sb);
+    append(GvStr_N(payload.data, payload.size));
+    msgpack_sbuffer_clear(&payload);
 }
 
 /* reload: replaces the ledger by its own saved and loaded state. */
-static void
-verb_reload(int argc, char **argv)
+GV_VERB("reload", verb_reload)
 {
     msgpack_sbuffer sb;
     gv_ledger_t *l;
-    (void)argc;
-    (void)argv;
     msgpack_sbuffer_init(&sb);
     GvLedger_Save(ledger, &sb);
     int err = GvLedger_Load(GvStr_N(sb.data, sb.size), &l);
@@ -327,13 +293,10 @@
 
 /* continue: starts a reader from the last checkpoint, applies what follows
    it and compares the digests. */
-static void
-verb_continue(int argc, char **argv)
+GV_VERB("continue", verb_continue)
 {
     gv_ledger_t *l = NULL;
     gv_verdict_t v;
-    (void)argc;
-    (void)argv;
     for (unsigned i = entries->len; i-- > 0 && l == NULL;) {
         GvLedger_LoadCheckpoint(g_array_index(entries, logged_t, i).bytes, &l);
     }
@@ -374,8 +337,7 @@
 }
 
 /* show HOST... | show wave NAME | show version | show key SERVICE KEY */
-static void
-verb_show(int argc, char **argv)
+GV_VERB("show", verb_show)
 {
     static const char *const states[] = {"running", "halted", "done"};
     gv_str_t what = arg(argc, argv, 1);
@@ -399,34 +361,6 @@
         }
     }
 }
-
-GV_VERB("as", verb_as);
-GV_VERB("wait", verb_wait);
-GV_VERB("times", verb_times);
-GV_VERB("settings", verb_settings);
-GV_VERB("host", verb_host);
-GV_VERB("member", verb_member);
-GV_VERB("claim", verb_claim);
-GV_VERB("done", verb_done);
-GV_VERB("wave", verb_wave);
-GV_VERB("key", verb_key);
-GV_VERB("checkpoint", verb_checkpoint);
-GV_VERB("repeat", verb_repeat);
-GV_VERB("reload", verb_reload);
-GV_VERB("continue", verb_continue);
-GV_VERB("show", verb_show);
-
-/* Verbs that share one function. */
-static gv_verb_t shared[] = {{.name = "confirm", .run = verb_step},
-                             {.name = "act", .run = verb_step},
-                             {.name = "takeover", .run = verb_step},
-                             {.name = "raw", .run = verb_raw},
-                             {.name = "payload", .run = verb_raw}};
-
-__attribute__((constructor)) static void
-register_shared(void)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(shared); i++) {
-        GvScript_Add(&shared[i]);
-    }
-}
+GV_VERB_NAME("act", verb_act, verb_step);
+GV_VERB_NAME("takeover", verb_takeover, verb_step);
+GV_VERB_NAME("payload", verb_payload, verb_raw);
--- a/tests/script_maintain.c
+++ b/tests/script_maintain.c
@@ -26,8 +26,7 @@
 
 /* step PHASE [probes=N running=N (no report without it) waived_ms=N limit=N
    drained=1 rebooted=1 reboot_ms=N new_boot=1 leaving=1 readied=1] */
-static void
-verb_step(int argc, char **argv)
+GV_VERB("step", verb_step)
 {
     static const char *const names[] = {"wait",    "probe",  "act",
                                         "drain",   "reboot", "ready",
@@ -55,12 +54,10 @@
     }
     printf("-> %s\n", names[GvMaintain_NextStep(&f)]);
 }
-GV_VERB("step", verb_step);
 
 /* report KNOWN LISTED HEALTH MS: KNOWN is none, up, failed or stopping, with
    its boot after a comma; LISTED is none, live, leaving or gone, likewise. */
-static void
-verb_report(int argc, char **argv)
+GV_VERB("report", verb_report)
 {
     static const char *const names[] = {"none", "add",    "change",
                                         "gone", "failed", "up"};
@@ -89,4 +86,3 @@
     g_strfreev(known);
     g_strfreev(listed);
 }
-GV_VERB("report", verb_report);
--- a/tests/script_once.c
+++ b/tests/script_once.c
@@ -22,19 +22,15 @@
 }
 
 /* once NAME INCARNATION: replaces the table. */
-static void
-verb_once(int argc, char **argv)
+GV_VERB("once", verb_once)
 {
-    (void)argc;
     GvOnce_Free(once);
     once = GvOnce_New(GvStr_C(argv[1]), strtoull(argv[2], NULL, 10));
 }
 
 /* once-issue SEQUENCE NOW TTL */
-static void
-verb_issue(int argc, char **argv)
+GV_VERB("once-issue", verb_issue)
 {
-    (void)argc;
     gv_ticket_t t;
     char text[GV_TICKET_TEXT_BYTES];
     int err = GvOnce_Issue(once, strtoull(argv[1], NULL, 10), atoll(argv[2]),
@@ -47,10 +43,8 @@
 }
 
 /* once-fill COUNT NOW TTL: issues until the table is full. */
-static void
-verb_fill(int argc, char **argv)
+GV_VERB("once-fill", verb_fill)
 {
-    (void)argc;
     gv_ticket_t t;
     int n = 0;
     while (n < atoi(argv[1]) &&
@@ -75,10 +69,8 @@
 }
 
 /* once-ticket TICKET NOW WAITER */
-static void
-verb_ticket(int argc, char **argv)
+GV_VERB("once-ticket", verb_ticket)
 {
-    (void)argc;
     gv_ticket_t t;
     if (GvTicket_Parse(GvStr_C(argv[1]), &t) != GV_OK) {
         printf("malformed");
@@ -90,20 +82,16 @@
 }
 
 /* once-key ID EXPIRES NOW WAITER */
-static void
-verb_key(int argc, char **argv)
+GV_VERB("once-key", verb_key)
 {
-    (void)argc;
     print_result(GvOnce_BeginKey(once, GvStr_C(argv[1]), atoll(argv[2]),
                                  atoll(argv[3]),
                                  GINT_TO_POINTER(atoi(argv[4]))));
 }
 
 /* once-finish ID OUTCOME STATUS BODY-BYTES NOW: prints the waiters. */
-static void
-verb_finish(int argc, char **argv)
+GV_VERB("once-finish", verb_finish)
 {
-    (void)argc;
     int n;
     gv_answer_t a = {.status = atoi(argv[3])};
     if (GvOutcome_Parse(GvStr_C(argv[2]), &a.outcome) != GV_OK) {
@@ -123,10 +111,8 @@
 }
 
 /* once-leave ID WAITER */
-static void
-verb_leave(int argc, char **argv)
+GV_VERB("once-leave", verb_leave)
 {
-    (void)argc;
     printf("%s", GvOnce_RemoveWaiter(once, GvStr_C(argv[1]),
                                      GINT_TO_POINTER(atoi(argv[2]))) >= 0
                      ? "left"
@@ -135,20 +121,9 @@
 }
 
 /* once-sweep NOW */
-static void
-verb_sweep(int argc, char **argv)
+GV_VERB("once-sweep", verb_sweep)
 {
-    (void)argc;
     int n = GvOnce_Sweep(once, atoll(argv[1]));
     printf("forgot %d, %d entries", n, GvOnce_Count(once));
     end_line();
 }
-
-GV_VERB("once", verb_once);
-GV_VERB("once-issue", verb_issue);
-GV_VERB("once-fill", verb_fill);
-GV_VERB("once-ticket", verb_ticket);
-GV_VERB("once-key", verb_key);
-GV_VERB("once-finish", verb_finish);
-GV_VERB("once-leave", verb_leave);
-GV_VERB("once-sweep", verb_sweep);
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -37,8 +37,7 @@
 }
 
 /* estimate SHORT_MS MAX_KINDS */
-static void
-run_estimate(int argc, char **argv)
+GV_VERB("estimate", run_estimate)
 {
     g_assert(argc == 3);
     if (estimate != NULL) {
@@ -47,44 +46,36 @@
     gv_estimate_opts_t o = {atoi(argv[1]), atoi(argv[2])};
     estimate = GvEstimate_New(&o);
 }
-GV_VERB("estimate", run_estimate);
 
 /* learn WORK RUN_MS [TIMES] */
-static void
-run_learn(int argc, char **argv)
+GV_VERB("learn", run_learn)
 {
     for (int i = argc > 3 ? atoi(argv[3]) : 1; i > 0; i--) {
         GvEstimate_Learn(estimate, GvStr_C(argv[1]), atof(argv[2]));
     }
 }
-GV_VERB("learn", run_learn);
 
 /* running WORK ELAPSED_MS */
-static void
-run_running(int argc, char **argv)
+GV_VERB("running", run_running)
 {
     g_assert(argc == 3);
     bool changed =
         GvEstimate_StillRunning(estimate, GvStr_C(argv[1]), atof(argv[2]));
     printf("%s %s\n", argv[1], changed ? "became long" : "unchanged");
 }
-GV_VERB("running", run_running);
 
 /* expect WORK: prints the expected run time and class. */
-static void
-run_expect(int argc, char **argv)
+GV_VERB("expect", run_expect)
 {
     g_assert(argc == 2);
     gv_str_t work = GvStr_C(argv[1]);
     printf("%s %.0f ms %s\n", argv[1], GvEstimate_RunMs(estimate, work),
            GvEstimate_IsLong(estimate, work) ? "long" : "short");
 }
-GV_VERB("expect", run_expect);
 
 /* place POLICY RANDOM TURN USABLE/BUSY[/FLAGS] ...; flags: e ejected, a tried
    before, s slow, r refused. */
-static void
-run_place(int argc, char **argv)
+GV_VERB("place", run_place)
 {
     gv_place_policy_t *p = (gv_place_policy_t *)GvRegistry_Find(
         GV_PLUGIN_PLACE, GvStr_C(argv[1]));
@@ -102,11 +93,9 @@
     printf("%s: %d\n", argv[1],
            p->choose(c, n, (uint32_t)atoi(argv[2]), (uint64_t)atoi(argv[3])));
 }
-GV_VERB("place", run_place);
 
 /* share SLOTS HOST ENTRY ...: shares of all entry hosts, and their sum. */
-static void
-run_share(int argc, char **argv)
+GV_VERB("share", run_share)
 {
     gv_str_t entries[16];
     int n = 0;
@@ -122,12 +111,10 @@
     }
     printf("sum %d\n", sum);
 }
-GV_VERB("share", run_share);
 
 /* slots SHARE | lend COUNT BUSY QUEUED NOW LEASE | borrow COUNT UNTIL |
    returned COUNT | usable NOW */
-static void
-run_slots(int argc, char **argv)
+GV_VERB("slots", run_slots)
 {
     int v[6] = {0};
     for (int i = 1; i < argc && i < 6; i++) {
@@ -150,34 +137,23 @@
         printf("usable %d\n", GvSlots_Usable(&slots, v[1]));
     }
 }
-GV_VERB("slots", run_slots);
-static gv_verb_t more_verbs[] = {{"lend", run_slots, NULL},
-                                 {"borrow", run_slots, NULL},
-                                 {"returned", run_slots, NULL},
-                                 {"usable", run_slots, NULL}};
-__attribute__((constructor)) static void
-add_more_verbs(void)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(more_verbs); i++) {
-        GvScript_Add(&more_verbs[i]);
-    }
-}
+GV_VERB_NAME("lend", run_lend, run_slots);
+GV_VERB_NAME("borrow", run_borrow, run_slots);
+GV_VERB_NAME("returned", run_returned, run_slots);
+GV_VERB_NAME("usable", run_usable, run_slots);
 
 /* budget PERCENT [REQUESTS]: a new budget that has seen so many requests. */
-static void
-run_budget(int argc, char **argv)
+GV_VERB("budget", run_budget)
 {
     budget = (gv_retry_budget_t){.percent = atoi(argv[1])};
     for (int i = argc > 2 ? atoi(argv[2]) : 0; i > 0; i--) {
         GvRetry_Request(&budget);
     }
 }
-GV_VERB("budget", run_budget);
 
 /* retry POLICY ATTEMPT idempotent|once ATTEMPTS HOSTS_FAILED LEFT_MS TIMES:
    how often the decision is to repeat. */
-static void
-run_retry(int argc, char **argv)
+GV_VERB("retry", run_retry)
 {
     g_assert(argc == 8);
     gv_retry_policy_t *p = (gv_retry_policy_t *)GvRegistry_Find(
@@ -195,11 +171,9 @@
     printf("%s %s: no %d, again %d, requeue %d\n", argv[1], argv[2], count[0],
            count[1], count[2]);
 }
-GV_VERB("retry", run_retry);
 
 /* eject may|not NOW ATTEMPT ... | eject bound */
-static void
-run_eject(int argc, char **argv)
+GV_VERB("eject", run_eject)
 {
     if (strcmp(argv[1], "bound") == 0) {
         for (int n = 1; n <= 6; n++) {
@@ -219,22 +193,18 @@
         }
     }
 }
-GV_VERB("eject", run_eject);
 
 /* trial NOW ...: whether a trial request may go at each time. */
-static void
-run_trial(int argc, char **argv)
+GV_VERB("trial", run_trial)
 {
     for (int i = 1; i < argc; i++) {
         printf("trial at %s: %s\n", argv[i],
                GvEject_Trial(&eject, atoi(argv[i])) ? "yes" : "no");
     }
 }
-GV_VERB("trial", run_trial);
 
 /* burn OBJECTIVE | burn GOOD BAD AT_MS | burn report AT_MS */
-static void
-run_burn(int argc, char **argv)
+GV_VERB("burn", run_burn)
 {
     if (argc == 2) {
         GvBurn_Free(burn);
@@ -254,12 +224,10 @@
         }
     }
 }
-GV_VERB("burn", run_burn);
 
 /* pool NAME HOSTS MIN BUSY PEAK LAST_MOVE [spare | WAITING BUFFER]: adds or
    replaces a pool of 8-slot hosts; all share the one spare pool. */
-static void
-run_pool(int argc, char **argv)
+GV_VERB("pool", run_pool)
 {
     g_assert(argc >= 8);
     if (settings == NULL) {
@@ -284,11 +252,9 @@
         .min_hosts = atoi(argv[3]),
         .last_move_ms = atoi(argv[6])};
 }
-GV_VERB("pool", run_pool);
 
 /* move POLICY NOW: the proposed move. */
-static void
-run_move(int argc, char **argv)
+GV_VERB("move", run_move)
 {
     g_assert(argc == 3);
     gv_reserve_policy_t *p = (gv_reserve_policy_t *)GvRegistry_Find(
@@ -301,11 +267,9 @@
     printf("%s: %s to %s\n", argv[1], settings[m.from].name.p,
            settings[m.to].name.p);
 }
-GV_VERB("move", run_move);
 
 /* plan POLICY WAVE PEAK_SLOTS: the hosts to claim next. */
-static void
-run_plan(int argc, char **argv)
+GV_VERB("plan", run_plan)
 {
     g_assert(argc == 4);
     const gv_ledger_t *l = GvScript_Ledger();
@@ -320,4 +284,3 @@
     }
     printf("%s\n", n == 0 ? " none" : "");
 }
-GV_VERB("plan", run_plan);
--- a/tests/script_policy_queue.c
+++ b/tests/script_policy_queue.c
@@ -83,8 +83,7 @@
 }
 
 /* queue POLICY [max= urgent= long=] [TEAM:QUOTA ...] */
-static void
-run_queue(int argc, char **argv)
+GV_VERB("queue", run_queue)
 {
     if (queue != NULL) {
         policy->destroy(queue);
@@ -105,28 +104,23 @@
     n_feeds = 0;
     most_long = 0;
 }
-GV_VERB("queue", run_queue);
 
 /* configure [max= urgent= long=] [TEAM:QUOTA ...] */
-static void
-run_configure(int argc, char **argv)
+GV_VERB("configure", run_configure)
 {
     read_opts(argc, argv);
     policy->configure(queue, &opts);
     free_opts();
 }
-GV_VERB("configure", run_configure);
 
 /* load SLOTS BUSY MEAN_MS */
-static void
-run_load(int argc, char **argv)
+GV_VERB("load", run_load)
 {
     g_assert(argc == 4);
     load.slots = atoi(argv[1]);
     load.busy = atoi(argv[2]);
     load.mean_run_ms = atof(argv[3]);
 }
-GV_VERB("load", run_load);
 
 static int *
 stat_of(const job_t *j)
@@ -170,8 +164,7 @@
 }
 
 /* push NAME TEAM short|long|urgent RUN_MS DEADLINE_MS */
-static void
-run_push(int argc, char **argv)
+GV_VERB("push", run_push)
 {
     static const char *const kinds[] = {"queued", "full", "too late"};
     g_assert(argc == 6);
@@ -187,7 +180,6 @@
     }
     printf("\n");
 }
-GV_VERB("push", run_push);
 
 static void
 transfer(job_t *j, GPtrArray *from, GPtrArray *to)
@@ -219,15 +211,11 @@
 }
 
 /* pop: starts the next item; prints its name or "none". */
-static void
-run_pop(int argc, char **argv)
+GV_VERB("pop", run_pop)
 {
-    (void)argc;
-    (void)argv;
     job_t *j = pop();
     printf("start %s\n", j == NULL ? "none" : j->name);
 }
-GV_VERB("pop", run_pop);
 
 static job_t *
 find(GPtrArray *list, const char *name)
@@ -242,8 +230,7 @@
 }
 
 /* cancel NAME: removes a waiting item. */
-static void
-run_cancel(int argc, char **argv)
+GV_VERB("cancel", run_cancel)
 {
     g_assert(argc == 2);
     job_t *j = find(waiting, argv[1]);
@@ -251,11 +238,9 @@
     g_ptr_array_remove(waiting, j);
     printf("cancelled %s, %d waiting\n", argv[1], policy->length(queue));
 }
-GV_VERB("cancel", run_cancel);
 
 /* requeue NAME: a started item was refused by its target. */
-static void
-run_requeue(int argc, char **argv)
+GV_VERB("requeue", run_requeue)
 {
     g_assert(argc == 2);
     job_t *j = find(running, argv[1]);
@@ -264,7 +249,6 @@
     load.busy_long -= j->counted_long;
     policy->requeue(queue, &j->it, now_ms);
 }
-GV_VERB("requeue", run_requeue);
 
 static void
 expire(bool print)
@@ -282,8 +266,7 @@
 
 /* feed CLASS TEAM RUN_MS EVERY_MS DEADLINE_MS [real=]: a stream of arrivals
    for `run`; real is the actual run time when it differs. */
-static void
-run_feed(int argc, char **argv)
+GV_VERB("feed", run_feed)
 {
     g_assert(argc >= 6 && n_feeds < MAX_FEEDS);
     feed_t *f = &feeds[n_feeds++];
@@ -294,7 +277,6 @@
     f->every_ms = atoi(argv[4]);
     f->deadline_ms = atoi(argv[5]);
 }
-GV_VERB("feed", run_feed);
 
 static void
 finish(void)
@@ -318,8 +300,7 @@
 }
 
 /* run MS: advances time; feeds arrive, work starts and ends. */
-static void
-run_run(int argc, char **argv)
+GV_VERB("run", run_run)
 {
     g_assert(argc == 2);
     int64_t end = now_ms + atoi(argv[1]);
@@ -337,7 +318,6 @@
         }
     }
 }
-GV_VERB("run", run_run);
 
 static int
 by_name(const void *a, const void *b)
@@ -346,11 +326,8 @@
 }
 
 /* stats: per team and class, started, worst wait and not run. */
-static void
-run_stats(int argc, char **argv)
+GV_VERB("stats", run_stats)
 {
-    (void)argc;
-    (void)argv;
     guint n;
     gpointer *keys = g_hash_table_get_keys_as_array(stats, &n);
     qsort(keys, n, sizeof *keys, by_name);
@@ -362,4 +339,3 @@
     printf("long at once: %d of %d slots\n", most_long, load.slots);
     g_free((void *)keys);
 }
-GV_VERB("stats", run_stats);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -6,6 +6,7 @@
 #include "outcome.h"
 #include "pack.h"
 #include "str.h"
+#include "support.h"
 
 /* A name with a separator in it would make tickets ambiguous. */
 static void
@@ -51,12 +52,6 @@
     g_assert_cmpint(GvOutcome_Parse(GV_STR("maybe"), &o), ==, GV_EINVAL);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/base/names", test_names);
-    g_test_add_func("/base/unpack-errors", test_unpack_errors);
-    g_test_add_func("/base/outcomes", test_outcomes);
-    return g_test_run();
-}
+TEST_MAIN({"/base/names", test_names},
+          {"/base/unpack-errors", test_unpack_errors},
+          {"/base/outcomes", test_outcomes})
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1,52 +1,13 @@
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include "clock.h"
-#include "error.h"
+#include "fake_log.h"
 #include "forward.h"
-#include "httpserver.h"
 #include "logreader.h"
-#include "logstore.h"
 #include "ticket.h"
 
-/* The platform's log in this process. */
-static pthread_mutex_t log_mu = PTHREAD_MUTEX_INITIALIZER;
-static gv_logstore_t *log_store;
-static char platform[32]; /* its address */
-static gv_server_t *server;
-
-static void
-handle(void *user, gv_served_t *rq)
-{
-    (void)user;
-    msgpack_sbuffer sb;
-    uint64_t from = 0;
-    pthread_mutex_lock(&log_mu);
-    if (strcmp(GvServed_Path(rq), "/log/append") == 0) {
-        msgpack_unpacked un;
-        g_assert_cmpint(GvUnpack_Root(&un, GvServed_Body(rq)), ==, GV_OK);
-        uint64_t first =
-            GvLogStore_AppendBatch(log_store, &un.data, GvClock_WallMs());
-        GvLogStore_PackAppended(first, un.data.via.array.size, &sb);
-        msgpack_unpacked_destroy(&un);
-    }
-    else {
-        msgpack_sbuffer_init(&sb);
-        GvServed_QueryNumber(rq, "from", INT64_MAX, &from);
-        GvLogStore_PackPage(log_store, from, 99, GV_LOG_PAGE_BYTES, &sb);
-    }
-    bool empty = from >= GvLogStore_Next(log_store);
-    pthread_mutex_unlock(&log_mu);
-    GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
-    msgpack_sbuffer_destroy(&sb);
-    g_usleep(empty ? 5000 : 0);
-}
+static fake_t platform;
 
 typedef enum { RUN, NOT_RUN, HOLD, QUEUE, SPILL } run_mode_t;
 
@@ -137,9 +98,10 @@
     n->views = GvViews_New(GvStr_C(name), GvStr_C(dc), n->targets);
     GvViews_SetIncarnation(n->views, incarnation);
     n->requests = GvRequests_New(1000);
-    gv_appender_opts_t ao = {GvStr_C(platform), GvStr_C(name), incarnation};
+    gv_appender_opts_t ao = {GvStr_C(platform.addr), GvStr_C(name),
+                             incarnation};
     g_assert_cmpint(GvAppender_Start(&ao, &n->appender), ==, GV_OK);
-    gv_logreader_opts_t ro = {.platform_addr = GvStr_C(platform),
+    gv_logreader_opts_t ro = {.platform_addr = GvStr_C(platform.addr),
                               .replica = n->replica,
                               .on_verdict = on_verdict,
                               .on_batch = on_batch,
@@ -163,8 +125,7 @@
         .user = n};
     g_assert_cmpint(GvPeers_Start(&po, &n->peers), ==, GV_OK);
     GvForward_SetPeers(n->forward, n->peers);
-    gv_member_t m = {GvStr_C(name),         GvStr_C(dc), GV_STR("127.0.0.1:1"),
-                     GV_STR("127.0.0.1:2"), incarnation, 0};
+    gv_member_t m = MEMBER(GvStr_C(name), GvStr_C(dc), incarnation);
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
@@ -244,10 +205,7 @@
 static void
 finish(sub_t *s, gv_outcome_t outcome, const char *body)
 {
-    for (int i = 0; g_atomic_int_get(&s->done) == 0; i++) {
-        g_assert_cmpint(i, <, 10000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(g_atomic_int_get(&s->done) != 0, 10000);
     g_assert_cmpint(s->done, ==, 1);
     g_assert_cmpint(s->outcome, ==, outcome);
     if (body != NULL) {
@@ -360,7 +318,7 @@
 {
     sub_t s[80];
     reset(RUN, RUN, RUN);
-    uint64_t before = GvLogStore_Next(log_store);
+    uint64_t before = GvLogStore_Next(platform.log);
     for (int i = 0; i < 80; i++) {
         char key[16];
         g_snprintf(key, sizeof key, "k%d", i / 2);
@@ -371,14 +329,14 @@
         g_assert_cmpstr(s[i].body, ==, s[i - i % 2].body);
     }
     g_assert_cmpint(a.started + b.started, ==, 40);
-    g_assert_cmpint(GvLogStore_Next(log_store) - before, <, 40);
+    g_assert_cmpint(GvLogStore_Next(platform.log) - before, <, 40);
     /* The log is down: nothing is known about a new key. */
-    GvServer_Refuse(server, true);
+    GvServer_Refuse(platform.server, true);
     begin(&a, "", "k0", &s[0]);
     finish(&s[0], GV_OUTCOME_RUN, NULL);
     begin(&a, "", "new", &s[0]);
     finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
-    GvServer_Refuse(server, false);
+    GvServer_Refuse(platform.server, false);
     g_assert_cmpint(a.started + b.started, ==, 40);
 }
 
@@ -414,10 +372,7 @@
     gv_request_t *run = wait_held(&c);
     GvRequest_Cancel(s.rq, "left");
     finish(&s, GV_OUTCOME_UNKNOWN, "");
-    for (int i = 0; !GvRequest_Ended(run) && i < 5000; i++) {
-        g_usleep(1000);
-    }
-    g_assert_true(GvRequest_Ended(run));
+    WAIT_FOR(GvRequest_Ended(run), 5000);
     GvRequest_Unref(run);
     /* The last free slot of the heartbeat; then none is left to spill to. */
     begin(&a, "", "", &s);
@@ -439,27 +394,12 @@
     GvRequest_Unref(run);
 }
 
-static void
-choose_port(void)
-{
-    struct sockaddr_in in = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof in;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, len), ==, 0);
-    getsockname(fd, (struct sockaddr *)&in, &len);
-    close(fd);
-    g_snprintf(platform, sizeof platform, "127.0.0.1:%d", ntohs(in.sin_port));
-}
-
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    log_store = GvLogStore_New(0, 0);
-    choose_port();
-    gv_server_opts_t o = {platform, 16, 4 * GV_RECORD_MAX_BYTES, handle, NULL};
-    g_assert_cmpint(GvServer_Start(&o, &server), ==, GV_OK);
+    fake_start(&platform, 0);
+    platform.page = 99;
     start(&a, "a", "k1", 1);
     start(&b, "b", "k1", 1);
     start(&c, "c", "k2", 1);
@@ -476,7 +416,6 @@
     stop(&a);
     stop(&b);
     stop(&c);
-    GvServer_Stop(server);
-    GvLogStore_Free(log_store);
+    fake_stop(&platform);
     return failed;
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,15 +1,12 @@
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "clock.h"
 #include "error.h"
 #include "httpclient.h"
+#include "support.h"
 
 /* A server that answers each request with the next step of a script. */
 typedef struct {
@@ -23,6 +20,8 @@
     int n_steps;
     int fd;
     char addr[32];
+    gv_http_client_t *client;
+    bool sent; /* told by the last exchange */
     pthread_t thread;
     atomic_int requests;
     atomic_int connections;
@@ -97,17 +96,12 @@
 static void
 start(server_t *s, const step_t *steps, int n)
 {
-    struct sockaddr_in sin = {.sin_family = AF_INET,
-                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof sin;
     memset(s, 0, sizeof *s);
     s->steps = steps;
     s->n_steps = n;
-    s->fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(s->fd, (struct sockaddr *)&sin, sizeof sin), ==, 0);
+    s->client = GvHttp_New();
+    s->fd = bind_loopback(s->addr, sizeof s->addr);
     g_assert_cmpint(listen(s->fd, 8), ==, 0);
-    getsockname(s->fd, (struct sockaddr *)&sin, &len);
-    g_snprintf(s->addr, sizeof s->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
     g_assert_cmpint(pthread_create(&s->thread, NULL, serve, s), ==, 0);
 }
 
@@ -118,21 +112,31 @@
     shutdown(s->fd, SHUT_RDWR);
     pthread_join(s->thread, NULL);
     close(s->fd);
+    s->fd = -1;
+}
+
+static void
+finish(server_t *s)
+{
+    GvHttp_Free(s->client);
+    if (s->fd >= 0) {
+        stop(s);
+    }
 }
 
 /* Makes one exchange; the answer is released at once. */
 static int
-call(gv_http_client_t *c, const char *addr, const char *method, bool *sent)
+call(server_t *s, const char *method)
 {
-    gv_http_request_t rq = {.addr = GvStr_C(addr),
+    gv_http_request_t rq = {.addr = GvStr_C(s->addr),
                             .method = GvStr_C(method),
                             .path = GV_STR("/x"),
                             .idempotent = strcmp(method, "GET") == 0,
                             .timeout_ms = 1000,
                             .max_body = 100};
     gv_http_answer_t a;
-    int err = GvHttp_Do(c, &rq, &a);
-    *sent = a.sent;
+    int err = GvHttp_Do(s->client, &rq, &a);
+    s->sent = a.sent;
     int res = err == GV_OK ? a.status : err;
     GvHttp_ClearAnswer(&a);
     return res;
@@ -150,18 +154,15 @@
     const char *const methods[] = {"POST", "GET"};
     for (int i = 0; i < 2; i++) {
         server_t s;
-        bool sent;
         start(&s, steps, 3);
-        gv_http_client_t *c = GvHttp_New();
-        g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, 200);
+        g_assert_cmpint(call(&s, "GET"), ==, 200);
         int want = i == 0 ? GV_ECONN : 200;
-        g_assert_cmpint(call(c, s.addr, methods[i], &sent), ==, want);
-        g_assert_true(sent);
+        g_assert_cmpint(call(&s, methods[i]), ==, want);
+        g_assert_true(s.sent);
         g_assert_cmpint(atomic_load(&s.requests), ==, i == 0 ? 2 : 3);
         /* The POST used a connection of its own, the GET both. */
         g_assert_cmpint(atomic_load(&s.connections), ==, 2);
-        GvHttp_Free(c);
-        stop(&s);
+        finish(&s);
     }
 }
 
@@ -174,18 +175,16 @@
     const char *const methods[] = {"POST", "GET"};
     for (int i = 0; i < 2; i++) {
         server_t s;
-        bool sent;
         start(&s, steps, 1);
-        gv_http_client_t *c = GvHttp_New();
-        g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, 200);
-        g_assert_true(sent);
+        g_assert_cmpint(call(&s, "GET"), ==, 200);
+        g_assert_true(s.sent);
         stop(&s);
         /* The kept connection is closed and new ones are refused. */
-        g_assert_cmpint(call(c, s.addr, methods[i], &sent), ==, GV_ECONN);
-        g_assert_cmpint(sent, ==, i == 1);
-        g_assert_cmpint(call(c, s.addr, methods[i], &sent), ==, GV_ECONN);
-        g_assert_false(sent);
-        GvHttp_Free(c);
+        g_assert_cmpint(call(&s, methods[i]), ==, GV_ECONN);
+        g_assert_cmpint(s.sent, ==, i == 1);
+        g_assert_cmpint(call(&s, methods[i]), ==, GV_ECONN);
+        g_assert_false(s.sent);
+        finish(&s);
     }
 }
 
@@ -214,17 +213,14 @@
     const int want[] = {GV_ECONN,   GV_EINVAL, GV_ECONN, GV_ECONN,
                         GV_ETOOBIG, GV_ECONN,  200};
     server_t s;
-    bool sent;
     start(&s, steps, G_N_ELEMENTS(steps));
-    gv_http_client_t *c = GvHttp_New();
     for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
         g_test_message("answer %zu", i);
-        g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, want[i]);
-        g_assert_true(sent);
+        g_assert_cmpint(call(&s, "GET"), ==, want[i]);
+        g_assert_true(s.sent);
     }
     g_assert_cmpint(atomic_load(&s.requests), ==, G_N_ELEMENTS(steps));
-    GvHttp_Free(c);
-    stop(&s);
+    finish(&s);
 }
 
 /* Guards against waits without an end: a silent server, and one whose answer
@@ -240,15 +236,12 @@
     const step_t *const scripts[] = {silent, slow};
     for (int i = 0; i < 2; i++) {
         server_t s;
-        bool sent;
         start(&s, scripts[i], 1);
-        gv_http_client_t *c = GvHttp_New();
         int64_t start_ms = GvClock_MonoMs();
-        g_assert_cmpint(call(c, s.addr, "POST", &sent), ==, GV_ETIMEDOUT);
-        g_assert_true(sent);
+        g_assert_cmpint(call(&s, "POST"), ==, GV_ETIMEDOUT);
+        g_assert_true(s.sent);
         g_assert_cmpint(GvClock_MonoMs() - start_ms, <, 2000);
-        GvHttp_Free(c);
-        stop(&s);
+        finish(&s);
     }
 }
 
@@ -260,17 +253,14 @@
                                    {.send = {OK_ANSWER}},
                                    {.send = {OK_ANSWER}, .close = true}};
     server_t s;
-    bool sent;
     start(&s, steps, 3);
-    gv_http_client_t *c = GvHttp_New();
-    g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, 200);
-    g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, 200);
+    g_assert_cmpint(call(&s, "GET"), ==, 200);
+    g_assert_cmpint(call(&s, "GET"), ==, 200);
     g_assert_cmpint(atomic_load(&s.connections), ==, 1);
     g_usleep(2100000);
-    g_assert_cmpint(call(c, s.addr, "GET", &sent), ==, 200);
+    g_assert_cmpint(call(&s, "GET"), ==, 200);
     g_assert_cmpint(atomic_load(&s.connections), ==, 2);
-    GvHttp_Free(c);
-    stop(&s);
+    finish(&s);
 }
 
 /* Guards against input that would change the structure of a request. */
@@ -309,15 +299,7 @@
     GvHttp_Free(c);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/http/no-resend", test_no_resend);
-    g_test_add_func("/http/sent", test_sent);
-    g_test_add_func("/http/bad-answers", test_bad_answers);
-    g_test_add_func("/http/deadline", test_deadline);
-    g_test_add_func("/http/idle", test_idle);
-    g_test_add_func("/http/invalid", test_invalid);
-    return g_test_run();
-}
+TEST_MAIN({"/http/no-resend", test_no_resend}, {"/http/sent", test_sent},
+          {"/http/bad-answers", test_bad_answers},
+          {"/http/deadline", test_deadline}, {"/http/idle", test_idle},
+          {"/http/invalid", test_invalid})
--- a/tests/test_ledger_size.c
+++ b/tests/test_ledger_size.c
@@ -3,6 +3,7 @@
 
 #include "error.h"
 #include "ledger.h"
+#include "support.h"
 
 #define TARGET_HOSTS 5800
 #define TARGET_POOLS 32
@@ -129,12 +130,9 @@
         char name[24], dc[24];
         snprintf(name, sizeof name, "entry%d", i);
         snprintf(dc, sizeof dc, "dc%d", i % TARGET_DCS);
-        gv_member_t m = {GvStr_C(name),
-                         GvStr_C(dc),
-                         GV_STR("10.101.102.103:7001"),
-                         GV_STR("10.101.102.103:8001"),
-                         INCARNATION,
-                         0};
+        gv_member_t m = MEMBER(GvStr_C(name), GvStr_C(dc), INCARNATION);
+        m.peer_addr = GV_STR("10.101.102.103:7001");
+        m.http_addr = GV_STR("10.101.102.103:8001");
         GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
         g_assert_cmpint(put(l, "member", &sb).kind, ==, GV_VERDICT_ACCEPTED);
     }
@@ -158,10 +156,4 @@
     GvLedger_Free(l);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/ledger/size", test_size);
-    return g_test_run();
-}
+TEST_MAIN({"/ledger/size", test_size})
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -5,6 +5,7 @@
 #include "frame.h"
 #include "limits.h"
 #include "message.h"
+#include "support.h"
 
 static gv_load_t loads[] = {{GV_STR("routing"), 1, 2, 3, 4},
                             {GV_STR("dispatch"), 0, 0, 8, 0}};
@@ -185,14 +186,7 @@
                     GV_ETOOBIG);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/message/round-trip", test_round_trip);
-    g_test_add_func("/message/truncated", test_truncated);
-    g_test_add_func("/message/wrong-types", test_wrong_types);
-    g_test_add_func("/message/ranges", test_ranges);
-    g_test_add_func("/frame", test_frames);
-    return g_test_run();
-}
+TEST_MAIN({"/message/round-trip", test_round_trip},
+          {"/message/truncated", test_truncated},
+          {"/message/wrong-types", test_wrong_types},
+          {"/message/ranges", test_ranges}, {"/frame", test_frames})
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,14 +1,11 @@
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "clock.h"
 #include "error.h"
 #include "frame.h"
 #include "peer.h"
+#include "support.h"
 
 #define MANY 100
 
@@ -130,24 +127,17 @@
 static void
 wait_int(const gint *v, gint want)
 {
-    for (int i = 0; g_atomic_int_get(v) < want; i++) {
-        g_assert_cmpint(i, <, 10000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(g_atomic_int_get(v) >= want, 10000);
 }
 
 /* A peer of which the test plays the part on a bare socket. */
 static int
-raw_listen(char *addr, size_t n)
+raw_listen(node_t *n)
 {
-    struct sockaddr_in in = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof in;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&in, len), ==, 0);
+    char addr[32];
+    int fd = bind_loopback(addr, sizeof addr);
     g_assert_cmpint(listen(fd, 8), ==, 0);
-    getsockname(fd, (struct sockaddr *)&in, &len);
-    g_snprintf(addr, n, "127.0.0.1:%d", ntohs(in.sin_port));
+    set_peer(n, "raw", addr);
     return fd;
 }
 
@@ -324,20 +314,17 @@
 {
     node_t a;
     call_t c[3];
-    char addr[32];
     uint64_t number;
     start(&a, "a", 1);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_ENOENT);
-    int listener = raw_listen(addr, sizeof addr);
+    int listener = raw_listen(&a);
     close(listener);
-    set_peer(&a, "raw", addr);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_OK);
     wait_int(&c[0].called, 1);
     g_assert_cmpint(c[0].err, ==, GV_EREFUSED);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_ECONN);
     g_assert_false(GvPeers_Alive(a.ps, GV_STR("raw"), NULL));
-    listener = raw_listen(addr, sizeof addr);
-    set_peer(&a, "raw", addr);
+    listener = raw_listen(&a);
     g_assert_cmpint(call(&a, "raw", &c[0], 5000, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
     g_assert_cmpint(raw_read(fd, &number), ==, GV_MSG_EXECUTE);
@@ -371,11 +358,9 @@
 {
     node_t a;
     call_t c;
-    char addr[32];
     uint64_t number;
     start(&a, "a", 1);
-    int listener = raw_listen(addr, sizeof addr);
-    set_peer(&a, "raw", addr);
+    int listener = raw_listen(&a);
     g_assert_cmpint(call(&a, "raw", &c, 9000, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
     int64_t begin = GvClock_MonoMs();
@@ -401,12 +386,10 @@
 {
     node_t a;
     call_t c;
-    char addr[32];
     uint64_t first;
     uint64_t number;
     start(&a, "a", 1);
-    int listener = raw_listen(addr, sizeof addr);
-    set_peer(&a, "raw", addr);
+    int listener = raw_listen(&a);
     g_assert_cmpint(call(&a, "raw", &c, 200, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
     g_assert_cmpint(raw_read(fd, &first), ==, GV_MSG_EXECUTE);
@@ -490,15 +473,7 @@
     stop(&a);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/peer/crossed", test_crossed);
-    g_test_add_func("/peer/broken", test_broken);
-    g_test_add_func("/peer/silent", test_silent);
-    g_test_add_func("/peer/late", test_late);
-    g_test_add_func("/peer/incarnation", test_incarnation);
-    g_test_add_func("/peer/malformed", test_malformed);
-    return g_test_run();
-}
+TEST_MAIN({"/peer/crossed", test_crossed}, {"/peer/broken", test_broken},
+          {"/peer/silent", test_silent}, {"/peer/late", test_late},
+          {"/peer/incarnation", test_incarnation},
+          {"/peer/malformed", test_malformed})
--- a/tests/test_peer_services.c
+++ b/tests/test_peer_services.c
@@ -6,6 +6,7 @@
 #include "ledgersync.h"
 #include "lending.h"
 #include "limits.h"
+#include "support.h"
 
 /* One entry host with the ledger exchange and the lending of slots. */
 typedef struct {
@@ -117,10 +118,7 @@
     GvReplica_Unlock(from->replica);
     gint before = g_atomic_int_get(&to->messages);
     g_assert_cmpint(GvPeers_Send(from->peers, GvStr_C(to->name), &m), ==, 0);
-    for (int i = 0; g_atomic_int_get(&to->messages) == before; i++) {
-        g_assert_cmpint(i, <, 5000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(g_atomic_int_get(&to->messages) != before, 5000);
 }
 
 static void
@@ -225,13 +223,7 @@
                              "availability: {objective_percent: 99, "
                              "min_hosts: 1}\n")},
         {GV_STR("g"), GV_STR("kind: pool\npool: p\nmax_out: 1\n")}};
-    gv_lhost_t h = {.name = GV_STR("h1"),
-                    .dc = GV_STR("k1"),
-                    .rack = GV_STR("r1"),
-                    .addr = GV_STR("127.0.0.1:9"),
-                    .pool = GV_STR("p"),
-                    .boot = GV_STR("b1"),
-                    .slots = 8};
+    gv_lhost_t h = HOST("h1", "r1");
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackSettings(&sb, 0, docs, 2);
@@ -239,12 +231,7 @@
     GvLedger_PackHost(&sb, &h);
     apply_record(n, "host", &sb);
     for (int i = 0; i < 2; i++) {
-        gv_member_t m = {GvStr_C(i == 0 ? "a" : "b"),
-                         GV_STR("k1"),
-                         GV_STR("127.0.0.1:1"),
-                         GV_STR("127.0.0.1:2"),
-                         1,
-                         0};
+        gv_member_t m = MEMBER(GvStr_C(i == 0 ? "a" : "b"), GV_STR("k1"), 1);
         GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
         apply_record(n, "member", &sb);
     }
@@ -268,12 +255,9 @@
 static void
 wait_usable(node_t *a, int ua, node_t *b, int ub)
 {
-    for (int i = 0; usable(a, GvClock_MonoMs()) != ua ||
-                    usable(b, GvClock_MonoMs()) != ub;
-         i++) {
-        g_assert_cmpint(i, <, 5000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(usable(a, GvClock_MonoMs()) == ua &&
+                 usable(b, GvClock_MonoMs()) == ub,
+             5000);
 }
 
 /* Slots that are used at both ends, lent although they are needed, not given
@@ -323,11 +307,4 @@
     stop(&b);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/ledgersync", test_ledger);
-    g_test_add_func("/lending", test_lending);
-    return g_test_run();
-}
+TEST_MAIN({"/ledgersync", test_ledger}, {"/lending", test_lending})
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,125 +1,13 @@
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "appender.h"
 #include "checkpointer.h"
-#include "clock.h"
-#include "error.h"
-#include "httpserver.h"
-#include "limits.h"
+#include "fake_log.h"
 #include "logreader.h"
-#include "logstore.h"
 #include "platform.h"
 
-/* The platform's log in this process, with switchable faults. */
-typedef struct {
-    pthread_mutex_t lock;
-    gv_logstore_t *log;
-    int appends;
-    int lose;        /* appends whose answer gets lost */
-    int duplicate;   /* appends delivered twice */
-    int status;      /* answered to everything unless 0 */
-    gv_str_t canned; /* answered to everything unless empty */
-    char addr[32];
-    gv_server_t *server;
-} fake_t;
-
-static void
-fake_append(fake_t *f, gv_served_t *rq)
-{
-    msgpack_unpacked un;
-    msgpack_sbuffer sb;
-    g_assert_cmpint(GvUnpack_Root(&un, GvServed_Body(rq)), ==, GV_OK);
-    f->appends++;
-    uint64_t first =
-        GvLogStore_AppendBatch(f->log, &un.data, GvClock_WallMs());
-    if (f->duplicate > 0) {
-        f->duplicate--;
-        GvLogStore_AppendBatch(f->log, &un.data, GvClock_WallMs());
-    }
-    GvLogStore_PackAppended(first, un.data.via.array.size, &sb);
-    msgpack_unpacked_destroy(&un);
-    if (f->lose > 0) {
-        f->lose--;
-    }
-    else {
-        GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
-    }
-    msgpack_sbuffer_destroy(&sb);
-}
-
-static void
-fake_handle(void *user, gv_served_t *rq)
-{
-    fake_t *f = user;
-    uint64_t from = 0;
-    pthread_mutex_lock(&f->lock);
-    if (f->status != 0) {
-        GvServed_ReplyText(rq, f->status, "x");
-    }
-    else if (f->canned.n > 0) {
-        GvServed_Reply(rq, 200, "", f->canned);
-    }
-    else if (strcmp(GvServed_Path(rq), "/log/append") == 0) {
-        fake_append(f, rq);
-    }
-    else {
-        msgpack_sbuffer sb;
-        msgpack_sbuffer_init(&sb);
-        GvServed_QueryNumber(rq, "from", INT64_MAX, &from);
-        GvLogStore_Expire(f->log, GvClock_WallMs());
-        GvLogStore_PackPage(f->log, from, 3, GV_LOG_PAGE_BYTES, &sb);
-        GvServed_Reply(rq, 200, "", GvStr_N(sb.data, sb.size));
-        msgpack_sbuffer_destroy(&sb);
-    }
-    bool empty = from >= GvLogStore_Next(f->log);
-    pthread_mutex_unlock(&f->lock);
-    g_usleep(empty ? 10000 : 0);
-}
-
-static void
-fake_start(fake_t *f, uint64_t retention)
-{
-    struct sockaddr_in sin = {.sin_family = AF_INET,
-                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof sin;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    memset(f, 0, sizeof *f);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&sin, sizeof sin), ==, 0);
-    getsockname(fd, (struct sockaddr *)&sin, &len);
-    close(fd);
-    g_snprintf(f->addr, sizeof f->addr, "127.0.0.1:%d", ntohs(sin.sin_port));
-    pthread_mutex_init(&f->lock, NULL);
-    f->log = GvLogStore_New(retention, 0);
-    gv_server_opts_t o = {f->addr, 16, 4 * GV_RECORD_MAX_BYTES, fake_handle,
-                          f};
-    g_assert_cmpint(GvServer_Start(&o, &f->server), ==, GV_OK);
-}
-
-static void
-fake_stop(fake_t *f)
-{
-    GvServer_Stop(f->server);
-    GvLogStore_Free(f->log);
-    pthread_mutex_destroy(&f->lock);
-}
-
-/* Sets what everything is answered with. */
-static void
-fake_answer(fake_t *f, int status, gv_str_t canned)
-{
-    pthread_mutex_lock(&f->lock);
-    f->status = status;
-    f->canned = canned;
-    pthread_mutex_unlock(&f->lock);
-}
-
 /* Replica, log reader and appender of one entry host. */
 typedef struct {
     gv_replica_t *replica;
@@ -212,12 +100,7 @@
 static void
 submit(node_t *n, const char *name, int timeout_ms, result_t *r)
 {
-    gv_member_t m = {GvStr_C(name),
-                     GV_STR("k1"),
-                     GV_STR("127.0.0.1:1"),
-                     GV_STR("127.0.0.1:2"),
-                     5,
-                     0};
+    gv_member_t m = MEMBER(GvStr_C(name), GV_STR("k1"), 5);
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
@@ -231,12 +114,18 @@
 static void
 wait_calls(result_t *r, int calls)
 {
-    for (int i = 0; i < 1500 && atomic_load(&r->calls) < calls; i++) {
-        g_usleep(10000);
-    }
+    WAIT_FOR(atomic_load(&r->calls) >= calls, 15000);
     g_assert_cmpint(atomic_load(&r->calls), ==, calls);
 }
 
+/* Submits the join of a member and waits for the verdict. */
+static void
+submit_wait(node_t *n, const char *name, result_t *r, int calls)
+{
+    submit(n, name, 10000, r);
+    wait_calls(r, calls);
+}
+
 /* Guards against a malformed answer that is taken for a valid one, and
    against a status that hides whether the call took effect. */
 static void
@@ -297,11 +186,9 @@
     f.lose = 2;
     f.duplicate = 1;
     node_start(&n, &f, "e1");
-    submit(&n, "m1", 10000, &r);
-    wait_calls(&r, 1);
+    submit_wait(&n, "m1", &r, 1);
     g_assert_cmpint(atomic_load(&r.verdict), ==, GV_VERDICT_ACCEPTED);
-    submit(&n, "m1", 10000, &r);
-    wait_calls(&r, 2);
+    submit_wait(&n, "m1", &r, 2);
     g_assert_cmpint(atomic_load(&r.verdict), ==, GV_VERDICT_REJECTED);
     const gv_ledger_t *l = GvReplica_Lock(n.replica);
     g_assert_cmpint((int)GvLedger_Members(l)->len, ==, 1);
@@ -331,9 +218,7 @@
     g_assert_cmpint(atomic_load(&never.err), ==, GV_EREFUSED);
     /* The outstanding batch is still repeated and takes effect. */
     fake_answer(&f, 0, GV_STR(""));
-    for (int i = 0; i < 1000 && next_of(n.replica) == 0; i++) {
-        g_usleep(10000);
-    }
+    WAIT_FOR(next_of(n.replica) > 0, 10000);
     g_assert_cmpint((int)next_of(n.replica), ==, 1);
     GvServer_Refuse(f.server, true);
     result_t refused = {0};
@@ -358,8 +243,7 @@
     for (int i = 0; i < 10; i++) {
         char name[8];
         g_snprintf(name, sizeof name, "m%d", i);
-        submit(&a, name, 10000, &r);
-        wait_calls(&r, i + 1);
+        submit_wait(&a, name, &r, i + 1);
     }
     /* Offsets 2 to 9 are retained: nothing to start from but the peer. */
     node_start(&b, &f, "e2");
@@ -375,11 +259,8 @@
                       10000, on_done, &r);
     msgpack_sbuffer_destroy(&sb);
     wait_calls(&r, 11);
-    submit(&a, "m10", 10000, &r);
-    wait_calls(&r, 12);
-    for (int i = 0; i < 1000 && next_of(b.replica) < 12; i++) {
-        g_usleep(10000);
-    }
+    submit_wait(&a, "m10", &r, 12);
+    WAIT_FOR(next_of(b.replica) >= 12, 10000);
     g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
     g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 5000), ==, GV_OK);
     node_stop(&b);
@@ -398,14 +279,11 @@
     result_t r = {0};
     fake_start(&f, 0);
     node_start(&a, &f, "e1");
-    submit(&a, "m1", 10000, &r);
-    wait_calls(&r, 1);
+    submit_wait(&a, "m1", &r, 1);
     fake_answer(&f, 503, GV_STR(""));
     node_start(&b, &f, "e2");
     b.peer = a.replica;
-    for (int i = 0; i < 1000 && next_of(b.replica) < 1; i++) {
-        g_usleep(10000);
-    }
+    WAIT_FOR(next_of(b.replica) >= 1, 10000);
     g_assert_cmpint(digest(a.replica), ==, digest(b.replica));
     g_assert_cmpint(GvLogReader_SyncToHead(b.reader, 1000), ==, GV_ECONN);
     pthread_mutex_lock(&f.lock);
@@ -434,8 +312,7 @@
     GvLogStore_Free(f.log);
     f.log = GvLogStore_New(0, 60000);
     node_start(&n, &f, "e1");
-    submit(&n, "m1", 10000, &r);
-    wait_calls(&r, 1);
+    submit_wait(&n, "m1", &r, 1);
     g_assert_cmpint(GvLogReader_SyncToHead(n.reader, 5000), ==, GV_OK);
     gv_checkpointer_t *c = GvCheckpointer_New(n.replica, n.reader, n.appender);
     GvCheckpointer_Tick(c, 1000);
@@ -444,9 +321,7 @@
     g_usleep(200000);
     g_assert_cmpint((int)next_of(n.replica), ==, 1);
     GvCheckpointer_Tick(c, 30001 + GV_CHECKPOINT_DELAY_MS);
-    for (int i = 0; i < 1000 && next_of(n.replica) < 2; i++) {
-        g_usleep(10000);
-    }
+    WAIT_FOR(next_of(n.replica) >= 2, 10000);
     g_assert_cmpint((int)GvLedger_Covered(GvReplica_Lock(n.replica)), ==, 1);
     GvReplica_Unlock(n.replica);
     GvCheckpointer_Tick(c, 40000);
@@ -514,17 +389,11 @@
     g_assert_false(GvCheckpoint_IsDue(110, 90, 0, &tiny));
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/platform/client", test_client);
-    g_test_add_func("/platform/append-once", test_append_once);
-    g_test_add_func("/platform/append-fate", test_append_fate);
-    g_test_add_func("/platform/checkpoint", test_checkpoint);
-    g_test_add_func("/platform/never-back", test_never_back);
-    g_test_add_func("/platform/checkpointer", test_checkpointer);
-    g_test_add_func("/platform/ring", test_ring);
-    g_test_add_func("/platform/checkpoint-due", test_due);
-    return g_test_run();
-}
+TEST_MAIN({"/platform/client", test_client},
+          {"/platform/append-once", test_append_once},
+          {"/platform/append-fate", test_append_fate},
+          {"/platform/checkpoint", test_checkpoint},
+          {"/platform/never-back", test_never_back},
+          {"/platform/checkpointer", test_checkpointer},
+          {"/platform/ring", test_ring},
+          {"/platform/checkpoint-due", test_due})
--- a/tests/test_prober.c
+++ b/tests/test_prober.c
@@ -9,6 +9,7 @@
 #include "httpserver.h"
 #include "limits.h"
 #include "prober.h"
+#include "support.h"
 
 #define TARGETS 12
 
@@ -154,10 +155,4 @@
     GvHostTable_Free(hosts);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/prober/shares-and-states", test_prober);
-    return g_test_run();
-}
+TEST_MAIN({"/prober/shares-and-states", test_prober})
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -2,6 +2,7 @@
 
 #include "error.h"
 #include "request.h"
+#include "support.h"
 
 typedef struct {
     int done;
@@ -121,12 +122,6 @@
     GvRequests_Free(t);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/request/ends_once", test_ends_once);
-    g_test_add_func("/request/deadline_outcomes", test_deadline_outcomes);
-    g_test_add_func("/request/bound_and_order", test_bound_and_order);
-    return g_test_run();
-}
+TEST_MAIN({"/request/ends_once", test_ends_once},
+          {"/request/deadline_outcomes", test_deadline_outcomes},
+          {"/request/bound_and_order", test_bound_and_order})
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -5,6 +5,7 @@
 #include "limits.h"
 #include "nodeconf.h"
 #include "settings.h"
+#include "support.h"
 
 /* Compares all problems, one "file:line: field: text" a line. */
 static void
@@ -221,14 +222,7 @@
     g_ptr_array_unref(ps);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/settings/all-problems", test_all_problems);
-    g_test_add_func("/settings/link", test_link);
-    g_test_add_func("/settings/values", test_values);
-    g_test_add_func("/settings/bounds", test_bounds);
-    g_test_add_func("/settings/nodeconf", test_nodeconf);
-    return g_test_run();
-}
+TEST_MAIN({"/settings/all-problems", test_all_problems},
+          {"/settings/link", test_link}, {"/settings/values", test_values},
+          {"/settings/bounds", test_bounds},
+          {"/settings/nodeconf", test_nodeconf})
