--- a/tests/fuzz_ledger.h
+++ b/tests/fuzz_ledger.h
@@ -10,32 +10,17 @@
 
 /* Helpers of the fuzz targets of the ledger. */
 
-/* Wraps a packed payload in an envelope; frees the payload. */
-static inline void
-wrap(msgpack_sbuffer *out, const char *kind, uint64_t seq,
-     msgpack_sbuffer *payload)
-{
-    gv_record_t r = {.kind = GvStr_C(kind),
-                     .origin = GV_STR("e1"),
-                     .incarnation = 10,
-                     .sequence = seq,
-                     .created_ms = 1000,
-                     .expires_ms = 9000};
-    msgpack_sbuffer_init(out);
-    GvRecord_Pack(out, &r, GvStr_N(payload->data, payload->size));
-    msgpack_sbuffer_destroy(payload);
-}
-
-/* Applies a payload as the next record of the ledger. */
+/* Applies a payload as the next record of the ledger; frees the payload. */
 static inline gv_verdict_t
 put(gv_ledger_t *l, const char *kind, msgpack_sbuffer *payload)
 {
     gv_verdict_t v;
     msgpack_sbuffer sb;
-    wrap(&sb, kind, GvLedger_Next(l) + 1, payload);
-    g_assert_cmpint(GvLedger_Apply(l, GvLedger_Next(l), 1000,
-                                   GvStr_N(sb.data, sb.size), &v),
-                    ==, GV_OK);
+    pack_record(&sb, kind, GV_STR("e1"), 10, GvLedger_Next(l) + 1, 1000,
+                payload);
+    msgpack_sbuffer_destroy(payload);
+    ASSERT_OK(GvLedger_Apply(l, GvLedger_Next(l), 1000,
+                             GvStr_N(sb.data, sb.size), &v));
     msgpack_sbuffer_destroy(&sb);
     return v;
 }
@@ -150,8 +135,7 @@
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_Save(l, &sb);
-    g_assert_cmpint(GvLedger_Load(GvStr_N(sb.data, sb.size), &copy), ==,
-                    GV_OK);
+    ASSERT_OK(GvLedger_Load(GvStr_N(sb.data, sb.size), &copy));
     g_assert_cmpuint(GvLedger_Digest(copy), ==, GvLedger_Digest(l));
     msgpack_sbuffer_destroy(&sb);
     return copy;
--- a/tests/script.c
+++ b/tests/script.c
@@ -14,6 +14,31 @@
     verbs = v;
 }
 
+/* Returns the value of the word "name=value", or the one given. */
+const char *
+GvScript_Option(int argc, char **argv, const char *name, const char *otherwise)
+{
+    size_t n = strlen(name);
+    for (int i = 1; i < argc; i++) {
+        if (strncmp(argv[i], name, n) == 0 && argv[i][n] == '=') {
+            return argv[i] + n + 1;
+        }
+    }
+    return otherwise;
+}
+
+/* Returns the position of a word in a NULL-terminated list. */
+int
+GvScript_Index(const char *word, const char *const *names)
+{
+    int i = 0;
+    while (names[i] != NULL && strcmp(names[i], word) != 0) {
+        i++;
+    }
+    g_assert_cmpstr(names[i], ==, word);
+    return i;
+}
+
 /* Runs one line. Lines that are empty or start with '#' are skipped; the
    words follow shell quoting. Returns -1 for an unknown verb. */
 static int
--- a/tests/script.h
+++ b/tests/script.h
@@ -10,6 +10,12 @@
 } gv_verb_t;
 
 void GvScript_Add(gv_verb_t *v);
+const char *GvScript_Option(int argc, char **argv, const char *name,
+                            const char *otherwise);
+int GvScript_Index(const char *word, const char *const *names);
+/* The position of a word in a list of names; it must be there. */
+#define INDEX(word_, ...)                                                     \
+    GvScript_Index(word_, (const char *const[]){__VA_ARGS__, NULL})
 /* The ledger that the ledger verbs build; NULL before the first record. */
 const struct gv_ledger_s *GvScript_Ledger(void);
 
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -129,7 +129,6 @@
 /* host NAME DC RACK POOL BOOT STATE */
 GV_VERB("host", verb_host)
 {
-    gv_str_t state = arg(argc, argv, 6);
     gv_lhost_t h = {.name = arg(argc, argv, 1),
                     .dc = arg(argc, argv, 2),
                     .rack = arg(argc, argv, 3),
@@ -137,9 +136,8 @@
                     .pool = arg(argc, argv, 4),
                     .boot = arg(argc, argv, 5),
                     .slots = 8,
-                    .state = state.p[0] == 'f'   ? GV_HOST_FAILED
-                             : state.p[0] == 'g' ? GV_HOST_GONE
-                                                 : GV_HOST_UP};
+                    .state = (gv_host_state_t)INDEX(arg(argc, argv, 6).p, "up",
+                                                    "failed", "gone")};
     GvLedger_PackHost(&payload, &h);
     submit("host");
 }
@@ -147,29 +145,25 @@
 /* member join|leave|removed NAME DC INCARNATION */
 GV_VERB("member", verb_member)
 {
-    char change = arg(argc, argv, 1).p[0];
     gv_member_t m = {.name = arg(argc, argv, 2),
                      .dc = arg(argc, argv, 3),
                      .incarnation = num(argc, argv, 4),
                      .peer_addr = GV_STR("127.0.0.1:7001"),
                      .http_addr = GV_STR("127.0.0.1:8001")};
-    GvLedger_PackMember(&payload, &m,
-                        change == 'j'   ? GV_MEMBER_JOIN
-                        : change == 'l' ? GV_MEMBER_LEAVE
-                                        : GV_MEMBER_REMOVED);
+    GvLedger_PackMember(
+        &payload, &m,
+        (gv_member_change_t)INDEX(argv[1], "join", "leave", "removed"));
     submit("member");
 }
 
 /* claim HOST maintenance|move|drain WAVE-OR-POOL; the sender holds it. */
 GV_VERB("claim", verb_claim)
 {
-    gv_str_t kind = arg(argc, argv, 2);
     gv_str_t to = arg(argc, argv, 3);
-    gv_claim_kind_t k = kind.p[0] == 'd'   ? GV_CLAIM_DRAIN
-                        : kind.p[1] == 'o' ? GV_CLAIM_MOVE
-                                           : GV_CLAIM_MAINTENANCE;
-    GvLedger_PackClaim(&payload, arg(argc, argv, 1), k, to, to,
-                       GvStr_C(origin), incarnation);
+    GvLedger_PackClaim(
+        &payload, arg(argc, argv, 1),
+        (gv_claim_kind_t)INDEX(argv[2], "maintenance", "move", "drain"), to,
+        to, GvStr_C(origin), incarnation);
     submit("claim");
 }
 
@@ -206,23 +200,19 @@
 /* done HOST CLAIM healthy|failed|cancelled */
 GV_VERB("done", verb_done)
 {
-    char result = arg(argc, argv, 3).p[0];
-    GvLedger_PackDone(&payload, arg(argc, argv, 1), claim_of(argc, argv),
-                      result == 'h'   ? GV_DONE_HEALTHY
-                      : result == 'f' ? GV_DONE_FAILED
-                                      : GV_DONE_CANCELLED);
+    GvLedger_PackDone(
+        &payload, arg(argc, argv, 1), claim_of(argc, argv),
+        (gv_done_t)INDEX(argv[3], "healthy", "failed", "cancelled"));
     submit("done");
 }
 
 /* wave start|stop|resume NAME POOL WIDTH */
 GV_VERB("wave", verb_wave)
 {
-    gv_str_t change = arg(argc, argv, 1);
-    GvLedger_PackWave(&payload, arg(argc, argv, 2), arg(argc, argv, 3),
-                      (int)num(argc, argv, 4),
-                      strcmp(change.p, "resume") == 0 ? GV_WAVE_RESUME
-                      : strcmp(change.p, "stop") == 0 ? GV_WAVE_STOP
-                                                      : GV_WAVE_START);
+    GvLedger_PackWave(
+        &payload, arg(argc, argv, 2), arg(argc, argv, 3),
+        (int)num(argc, argv, 4),
+        (gv_wave_change_t)INDEX(argv[1], "start", "stop", "resume"));
     submit("wave");
 }
 
--- a/tests/script_maintain.c
+++ b/tests/script_maintain.c
@@ -5,23 +5,10 @@
 #include "maintain_plan.h"
 #include "script.h"
 
-/* Reads "name=value" words; returns the value or fallback. */
-static const char *
-word(int argc, char **argv, const char *name, const char *fallback)
-{
-    size_t n = strlen(name);
-    for (int i = 1; i < argc; i++) {
-        if (strncmp(argv[i], name, n) == 0 && argv[i][n] == '=') {
-            return argv[i] + n + 1;
-        }
-    }
-    return fallback;
-}
-
 static long
 number(int argc, char **argv, const char *name)
 {
-    return strtol(word(argc, argv, name, "0"), NULL, 10);
+    return strtol(GvScript_Option(argc, argv, name, "0"), NULL, 10);
 }
 
 /* step PHASE [probes=N running=N (no report without it) waived_ms=N limit=N
@@ -31,12 +18,11 @@
     static const char *const names[] = {"wait",    "probe",  "act",
                                         "drain",   "reboot", "ready",
                                         "healthy", "failed"};
-    const char *running = word(argc, argv, "running", NULL);
+    const char *running = GvScript_Option(argc, argv, "running", NULL);
     gv_claim_facts_t f = {
-        .phase = strcmp(argv[1], "granted") == 0 ? GV_PHASE_GRANTED
-                 : strcmp(argv[1], "clear") == 0 ? GV_PHASE_CLEAR
-                                                 : GV_PHASE_STOPPING,
-        .waived = word(argc, argv, "waived_ms", NULL) != NULL,
+        .phase =
+            (gv_claim_phase_t)INDEX(argv[1], "granted", "clear", "stopping"),
+        .waived = GvScript_Option(argc, argv, "waived_ms", NULL) != NULL,
         .waived_ms = number(argc, argv, "waived_ms"),
         .run_limit_ms = number(argc, argv, "limit"),
         .probes = (int)number(argc, argv, "probes"),
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -23,17 +23,11 @@
 static gv_pool_t *settings; /* eight */
 static int n_pools;
 
-static const char *const attempts[] = {"ok",     "refused", "unreachable",
-                                       "failed", "lost",    "silent"};
-
 static gv_attempt_t
 attempt_of(const char *name)
 {
-    int i = 0;
-    while (strcmp(attempts[i], name) != 0) {
-        i++;
-    }
-    return (gv_attempt_t)i;
+    return (gv_attempt_t)INDEX(name, "ok", "refused", "unreachable", "failed",
+                               "lost", "silent");
 }
 
 /* estimate SHORT_MS MAX_KINDS */
--- a/tests/script_policy_queue.c
+++ b/tests/script_policy_queue.c
@@ -47,13 +47,8 @@
 static int
 option(int argc, char **argv, const char *name, int otherwise)
 {
-    for (int i = 1; i < argc; i++) {
-        size_t n = strlen(name);
-        if (strncmp(argv[i], name, n) == 0 && argv[i][n] == '=') {
-            return atoi(argv[i] + n + 1);
-        }
-    }
-    return otherwise;
+    const char *value = GvScript_Option(argc, argv, name, NULL);
+    return value == NULL ? otherwise : atoi(value);
 }
 
 static void
--- a/tests/support.h
+++ b/tests/support.h
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "record.h"
+
 /* Helpers that several test programs share. */
 
 /* Waits at most ms milliseconds for a condition, which must then hold. */
@@ -18,6 +20,8 @@
         g_assert_true(cond_);                                                 \
     } while (0)
 
+#define ASSERT_OK(call_) g_assert_cmpint((call_), ==, 0)
+
 /* A member with addresses at which nothing listens. */
 #define MEMBER(name_, dc_, incarnation_)                                      \
     ((gv_member_t){.name = (name_),                                           \
@@ -36,22 +40,41 @@
                   .boot = GV_STR("b1"),                                       \
                   .slots = 8})
 
-/* Defines main, which runs the tests given as {"/path", function}. */
-typedef struct {
+typedef struct test_case_s {
     const char *path;
     void (*run)(void);
+    struct test_case_s *next;
 } test_case_t;
 
-#define TEST_MAIN(...)                                                        \
+static test_case_t *all_tests;
+__attribute__((unused)) static test_case_t **last_test = &all_tests;
+
+/* Begins the definition of a test; TEST_MAIN runs all in their order. */
+#define TEST(path_, fn)                                                       \
+    static void fn(void);                                                     \
+    __attribute__((constructor)) static void fn##_add(void)                   \
+    {                                                                         \
+        static test_case_t this_test = {.path = path_, .run = fn};            \
+        *last_test = &this_test;                                              \
+        last_test = &this_test.next;                                          \
+    }                                                                         \
+    static void fn(void)
+
+#define TEST_MAIN                                                             \
     int main(int argc, char **argv)                                           \
     {                                                                         \
-        static const test_case_t cases[] = {__VA_ARGS__};                     \
-        g_test_init(&argc, &argv, NULL);                                      \
-        for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                    \
-            g_test_add_func(cases[i].path, cases[i].run);                     \
-        }                                                                     \
-        return g_test_run();                                                  \
+        return run_tests(&argc, &argv);                                       \
+    }
+
+static inline int
+run_tests(int *argc, char ***argv)
+{
+    g_test_init(argc, argv, NULL);
+    for (test_case_t *t = all_tests; t != NULL; t = t->next) {
+        g_test_add_func(t->path, t->run);
     }
+    return g_test_run();
+}
 
 /* Binds a TCP socket to a free loopback port and writes its address. */
 static inline int
@@ -67,4 +90,22 @@
     return fd;
 }
 
+/* Packs a record of which a test sets only these fields; empties the
+   payload. */
+static inline void
+pack_record(msgpack_sbuffer *out, const char *kind, gv_str_t origin,
+            uint64_t incarnation, uint64_t sequence, int64_t created_ms,
+            msgpack_sbuffer *payload)
+{
+    gv_record_t r = {.kind = GvStr_C(kind),
+                     .origin = origin,
+                     .incarnation = incarnation,
+                     .sequence = sequence,
+                     .created_ms = created_ms,
+                     .expires_ms = created_ms + 60000};
+    msgpack_sbuffer_init(out);
+    GvRecord_Pack(out, &r, GvStr_N(payload->data, payload->size));
+    msgpack_sbuffer_clear(payload);
+}
+
 #endif
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -9,8 +9,7 @@
 #include "support.h"
 
 /* A name with a separator in it would make tickets ambiguous. */
-static void
-test_names(void)
+TEST("/base/names", test_names)
 {
     g_assert_true(GvStr_IsName(GV_STR("parish-desk")));
     g_assert_false(GvStr_IsName(GV_STR("")));
@@ -19,8 +18,7 @@
 }
 
 /* A wrong type in a message must end in one error, not in a crash. */
-static void
-test_unpack_errors(void)
+TEST("/base/unpack-errors", test_unpack_errors)
 {
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
@@ -43,8 +41,7 @@
     msgpack_sbuffer_destroy(&sb);
 }
 
-static void
-test_outcomes(void)
+TEST("/base/outcomes", test_outcomes)
 {
     gv_outcome_t o;
     g_assert_cmpint(GvOutcome_Parse(GV_STR("not-run"), &o), ==, GV_OK);
@@ -52,6 +49,4 @@
     g_assert_cmpint(GvOutcome_Parse(GV_STR("maybe"), &o), ==, GV_EINVAL);
 }
 
-TEST_MAIN({"/base/names", test_names},
-          {"/base/unpack-errors", test_unpack_errors},
-          {"/base/outcomes", test_outcomes})
+TEST_MAIN
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -214,6 +214,15 @@
     GvRequest_Unref(s->rq);
 }
 
+/* Submits and waits for the answer. */
+static void
+run(node_t *n, const char *ticket, const char *key, sub_t *s,
+    gv_outcome_t outcome, const char *body)
+{
+    begin(n, ticket, key, s);
+    finish(s, outcome, body);
+}
+
 static gv_request_t *
 wait_held(node_t *n)
 {
@@ -238,8 +247,7 @@
 
 /* A ticket that runs twice, or a repeat that does not get the same response,
    here or through another entry host; also when the first caller leaves. */
-static void
-test_ticket(void)
+TEST("/forward/ticket", test_ticket)
 {
     char t[GV_TICKET_TEXT_BYTES];
     sub_t s[4];
@@ -248,50 +256,41 @@
     begin(&a, t, "", &s[0]);
     begin(&a, t, "", &s[1]);
     begin(&b, t, "", &s[2]);
-    gv_request_t *run = wait_held(&a);
+    gv_request_t *held = wait_held(&a);
     g_usleep(100000);
     GvRequest_Cancel(s[0].rq, "left");
     finish(&s[0], GV_OUTCOME_UNKNOWN, "");
-    end_run(&a, run);
-    GvRequest_Unref(run);
+    end_run(&a, held);
+    GvRequest_Unref(held);
     finish(&s[1], GV_OUTCOME_RUN, "run 1 at a");
     finish(&s[2], GV_OUTCOME_RUN, "run 1 at a");
-    begin(&b, t, "", &s[3]);
-    finish(&s[3], GV_OUTCOME_RUN, "run 1 at a");
+    run(&b, t, "", &s[3], GV_OUTCOME_RUN, "run 1 at a");
     g_assert_cmpint(a.started, ==, 1);
     g_assert_cmpint(b.started, ==, 0);
 }
 
 /* Outcomes that claim too much: not-run for a ticket that may have run, or a
    ticket that stays blocked after a run that was refused. */
-static void
-test_ticket_outcomes(void)
+TEST("/forward/ticket-outcomes", test_ticket_outcomes)
 {
     char t[GV_TICKET_TEXT_BYTES];
     sub_t s;
     reset(NOT_RUN, RUN, RUN);
     g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
-    begin(&b, t, "", &s);
-    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
+    run(&b, t, "", &s, GV_OUTCOME_NOT_RUN, NULL);
     g_assert_cmpint(s.status, ==, 503);
     reset(RUN, RUN, RUN);
-    begin(&b, t, "", &s);
-    finish(&s, GV_OUTCOME_RUN, "run 1 at a");
-    begin(&a, "x", "", &s);
-    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
-    begin(&b, "a.1.999999.1", "", &s);
-    finish(&s, GV_OUTCOME_NOT_RUN, NULL);
-    begin(&b, "a.2.1.1", "", &s);
-    finish(&s, GV_OUTCOME_UNKNOWN, NULL);
-    begin(&b, "gone.1.1.1", "", &s);
-    finish(&s, GV_OUTCOME_UNKNOWN, NULL);
+    run(&b, t, "", &s, GV_OUTCOME_RUN, "run 1 at a");
+    run(&a, "x", "", &s, GV_OUTCOME_NOT_RUN, NULL);
+    run(&b, "a.1.999999.1", "", &s, GV_OUTCOME_NOT_RUN, NULL);
+    run(&b, "a.2.1.1", "", &s, GV_OUTCOME_UNKNOWN, NULL);
+    run(&b, "gone.1.1.1", "", &s, GV_OUTCOME_UNKNOWN, NULL);
     g_assert_cmpint(a.started, ==, 1);
 }
 
 /* A run that goes on, or blocks its ticket, although its last caller left
    before it was started. */
-static void
-test_ticket_cancel(void)
+TEST("/forward/ticket-cancel", test_ticket_cancel)
 {
     char t[GV_TICKET_TEXT_BYTES];
     sub_t s[2];
@@ -299,22 +298,20 @@
     g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
     begin(&a, t, "", &s[0]);
     begin(&a, t, "", &s[1]);
-    gv_request_t *run = wait_held(&a);
+    gv_request_t *held = wait_held(&a);
     GvRequest_Cancel(s[0].rq, "left");
-    g_assert_false(GvRequest_Ended(run));
+    g_assert_false(GvRequest_Ended(held));
     GvRequest_Cancel(s[1].rq, "left");
-    g_assert_true(GvRequest_Ended(run));
-    GvRequest_Unref(run);
+    g_assert_true(GvRequest_Ended(held));
+    GvRequest_Unref(held);
     finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
     finish(&s[1], GV_OUTCOME_UNKNOWN, NULL);
     reset(RUN, RUN, RUN);
-    begin(&a, t, "", &s[0]);
-    finish(&s[0], GV_OUTCOME_RUN, "run 1 at a");
+    run(&a, t, "", &s[0], GV_OUTCOME_RUN, "run 1 at a");
 }
 
 /* A key that is run by two entry hosts, and claims that are not batched. */
-static void
-test_keys(void)
+TEST("/forward/keys", test_keys)
 {
     sub_t s[80];
     reset(RUN, RUN, RUN);
@@ -332,10 +329,8 @@
     g_assert_cmpint(GvLogStore_Next(platform.log) - before, <, 40);
     /* The log is down: nothing is known about a new key. */
     GvServer_Refuse(platform.server, true);
-    begin(&a, "", "k0", &s[0]);
-    finish(&s[0], GV_OUTCOME_RUN, NULL);
-    begin(&a, "", "new", &s[0]);
-    finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
+    run(&a, "", "k0", &s[0], GV_OUTCOME_RUN, NULL);
+    run(&a, "", "new", &s[0], GV_OUTCOME_UNKNOWN, NULL);
     GvServer_Refuse(platform.server, false);
     g_assert_cmpint(a.started + b.started, ==, 40);
 }
@@ -354,50 +349,45 @@
 
 /* A spilled request that runs at both ends, or that is retried although it may
    have run, or whose cancellation does not reach the peer. */
-static void
-test_spill(void)
+TEST("/forward/spill", test_spill)
 {
     sub_t s;
     beat(&c, &a, 4);
     reset(SPILL, RUN, RUN);
-    begin(&a, "", "", &s);
-    finish(&s, GV_OUTCOME_RUN, "run 1 at c");
+    run(&a, "", "", &s, GV_OUTCOME_RUN, "run 1 at c");
     g_assert_cmpint(a.started, ==, 0);
     reset(SPILL, RUN, NOT_RUN);
-    begin(&a, "", "", &s);
-    finish(&s, GV_OUTCOME_RUN, "run 1 at a");
+    run(&a, "", "", &s, GV_OUTCOME_RUN, "run 1 at a");
     g_assert_cmpint(c.started, ==, 0);
     reset(SPILL, RUN, HOLD);
     begin(&a, "", "", &s);
-    gv_request_t *run = wait_held(&c);
+    gv_request_t *held = wait_held(&c);
     GvRequest_Cancel(s.rq, "left");
     finish(&s, GV_OUTCOME_UNKNOWN, "");
-    WAIT_FOR(GvRequest_Ended(run), 5000);
-    GvRequest_Unref(run);
+    WAIT_FOR(GvRequest_Ended(held), 5000);
+    GvRequest_Unref(held);
     /* The last free slot of the heartbeat; then none is left to spill to. */
     begin(&a, "", "", &s);
-    run = wait_held(&c);
+    held = wait_held(&c);
     sub_t here;
-    begin(&a, "", "", &here);
-    finish(&here, GV_OUTCOME_RUN, "run 1 at a");
+    run(&a, "", "", &here, GV_OUTCOME_RUN, "run 1 at a");
     /* The peer goes away after it has started the run. */
-    end_run(&c, run);
-    GvRequest_Unref(run);
+    end_run(&c, held);
+    GvRequest_Unref(held);
     finish(&s, GV_OUTCOME_RUN, "run 2 at c");
     beat(&c, &a, 1);
     begin(&a, "", "", &s);
-    run = wait_held(&c);
+    held = wait_held(&c);
     GvPeers_Stop(c.peers);
     finish(&s, GV_OUTCOME_UNKNOWN, "");
     g_assert_cmpint(a.started, ==, 1);
-    end_run(&c, run);
-    GvRequest_Unref(run);
+    end_run(&c, held);
+    GvRequest_Unref(held);
 }
 
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
     fake_start(&platform, 0);
     platform.page = 99;
     start(&a, "a", "k1", 1);
@@ -407,12 +397,7 @@
     for (int i = 0; i < 9; i++) {
         meet(all[i / 3], all[i % 3]);
     }
-    g_test_add_func("/forward/ticket", test_ticket);
-    g_test_add_func("/forward/ticket-outcomes", test_ticket_outcomes);
-    g_test_add_func("/forward/ticket-cancel", test_ticket_cancel);
-    g_test_add_func("/forward/keys", test_keys);
-    g_test_add_func("/forward/spill", test_spill);
-    int failed = g_test_run();
+    int failed = run_tests(&argc, &argv);
     stop(&a);
     stop(&b);
     stop(&c);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -145,8 +145,7 @@
 /* Guards against neon's resend of a non-idempotent request whose kept
    connection proves closed: the request would run twice. An idempotent one is
    resent. */
-static void
-test_no_resend(void)
+TEST("/http/no-resend", test_no_resend)
 {
     static const step_t steps[] = {{.send = {OK_ANSWER}},
                                    {.close = true},
@@ -168,8 +167,7 @@
 
 /* Guards against "not-run" for a request that may have run, and against
    "unknown" for one that certainly did not. */
-static void
-test_sent(void)
+TEST("/http/sent", test_sent)
 {
     static const step_t steps[] = {{.send = {OK_ANSWER}, .close = true}};
     const char *const methods[] = {"POST", "GET"};
@@ -190,8 +188,7 @@
 
 /* Guards against passing on an answer that was cut or has no stated end, and
    against reading the rest of a refused answer as the next one. */
-static void
-test_bad_answers(void)
+TEST("/http/bad-answers", test_bad_answers)
 {
     static const step_t steps[] = {
         {.send = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut"},
@@ -225,8 +222,7 @@
 
 /* Guards against waits without an end: a silent server, and one whose answer
    comes in parts that each arrive in time. */
-static void
-test_deadline(void)
+TEST("/http/deadline", test_deadline)
 {
     static const step_t silent[] = {{.silent = true}};
     static const step_t slow[] = {
@@ -246,8 +242,7 @@
 }
 
 /* Guards against reuse of a connection that the server may be closing. */
-static void
-test_idle(void)
+TEST("/http/idle", test_idle)
 {
     static const step_t steps[] = {{.send = {OK_ANSWER}},
                                    {.send = {OK_ANSWER}},
@@ -264,8 +259,7 @@
 }
 
 /* Guards against input that would change the structure of a request. */
-static void
-test_invalid(void)
+TEST("/http/invalid", test_invalid)
 {
     static const struct {
         const char *addr;
@@ -299,7 +293,4 @@
     GvHttp_Free(c);
 }
 
-TEST_MAIN({"/http/no-resend", test_no_resend}, {"/http/sent", test_sent},
-          {"/http/bad-answers", test_bad_answers},
-          {"/http/deadline", test_deadline}, {"/http/idle", test_idle},
-          {"/http/invalid", test_invalid})
+TEST_MAIN
--- a/tests/test_ledger_size.c
+++ b/tests/test_ledger_size.c
@@ -26,20 +26,11 @@
 {
     gv_verdict_t v;
     msgpack_sbuffer sb;
-    gv_record_t r = {.kind = GvStr_C(kind),
-                     .origin = GV_STR("entry1"),
-                     .incarnation = INCARNATION,
-                     .sequence = ++sequence,
-                     .created_ms = now_ms,
-                     .expires_ms = now_ms + 60000};
-    msgpack_sbuffer_init(&sb);
-    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
-    g_assert_cmpint(GvLedger_Apply(l, GvLedger_Next(l), now_ms,
-                                   GvStr_N(sb.data, sb.size), &v),
-                    ==, GV_OK);
+    pack_record(&sb, kind, GV_STR("entry1"), INCARNATION, ++sequence, now_ms,
+                payload);
+    ASSERT_OK(GvLedger_Apply(l, GvLedger_Next(l), now_ms,
+                             GvStr_N(sb.data, sb.size), &v));
     msgpack_sbuffer_destroy(&sb);
-    msgpack_sbuffer_destroy(payload);
-    msgpack_sbuffer_init(payload);
     return v;
 }
 
@@ -101,12 +92,11 @@
 check_checkpoint(gv_ledger_t *l, msgpack_sbuffer *sb)
 {
     gv_ledger_t *copy;
-    msgpack_sbuffer_init(sb);
+    msgpack_sbuffer_clear(sb);
     GvLedger_Save(l, sb);
     g_test_message("state of %u hosts: %zu bytes", GvLedger_Hosts(l)->len,
                    sb->size);
-    g_assert_cmpint(GvLedger_Load(GvStr_N(sb->data, sb->size), &copy), ==,
-                    GV_OK);
+    ASSERT_OK(GvLedger_Load(GvStr_N(sb->data, sb->size), &copy));
     g_assert_cmpuint(GvLedger_Digest(copy), ==, GvLedger_Digest(l));
     GvLedger_Free(copy);
     msgpack_sbuffer_clear(sb);
@@ -118,8 +108,7 @@
 /* Guards against a state of the target size, or any state that the ledger
    accepts, that no longer fits in a checkpoint record: every entry host that
    starts later would be without a ledger. */
-static void
-test_size(void)
+TEST("/ledger/size", test_size)
 {
     msgpack_sbuffer sb;
     gv_ledger_t *l = GvLedger_New();
@@ -156,4 +145,4 @@
     GvLedger_Free(l);
 }
 
-TEST_MAIN({"/ledger/size", test_size})
+TEST_MAIN
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -59,8 +59,7 @@
 }
 
 /* A field that is packed and read in a different order, or not at all. */
-static void
-test_round_trip(void)
+TEST("/message/round-trip", test_round_trip)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(samples); i++) {
         msgpack_sbuffer a;
@@ -77,8 +76,7 @@
 }
 
 /* A read past the end of a message, or a partial one that is accepted. */
-static void
-test_truncated(void)
+TEST("/message/truncated", test_truncated)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(samples); i++) {
         msgpack_sbuffer a;
@@ -106,8 +104,7 @@
 }
 
 /* A field of another type that is accepted, or crashes the reader. */
-static void
-test_wrong_types(void)
+TEST("/message/wrong-types", test_wrong_types)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(samples); i++) {
         msgpack_sbuffer a;
@@ -116,8 +113,7 @@
         int replaced = 0;
         for (int k = 0;; k++) {
             msgpack_unpacked un;
-            g_assert_cmpint(GvUnpack_Root(&un, GvStr_N(a.data, a.size)), ==,
-                            GV_OK);
+            ASSERT_OK(GvUnpack_Root(&un, GvStr_N(a.data, a.size)));
             int nth = k;
             replace(&un.data, &nth);
             if (nth >= 0) {
@@ -140,8 +136,7 @@
 }
 
 /* A value out of range that a later conversion or allocation would trust. */
-static void
-test_ranges(void)
+TEST("/message/ranges", test_ranges)
 {
     gv_message_t bad[] = {samples[2], samples[3], samples[3],
                           samples[8], samples[0], samples[0]};
@@ -163,8 +158,7 @@
 }
 
 /* Frames that are split wrongly, and a limit that is checked too late. */
-static void
-test_frames(void)
+TEST("/frame", test_frames)
 {
     GByteArray *buf = g_byte_array_new();
     gv_str_t body;
@@ -186,7 +180,4 @@
                     GV_ETOOBIG);
 }
 
-TEST_MAIN({"/message/round-trip", test_round_trip},
-          {"/message/truncated", test_truncated},
-          {"/message/wrong-types", test_wrong_types},
-          {"/message/ranges", test_ranges}, {"/frame", test_frames})
+TEST_MAIN
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -124,12 +124,6 @@
     return err;
 }
 
-static void
-wait_int(const gint *v, gint want)
-{
-    WAIT_FOR(g_atomic_int_get(v) >= want, 10000);
-}
-
 /* A peer of which the test plays the part on a bare socket. */
 static int
 raw_listen(node_t *n)
@@ -174,7 +168,8 @@
     raw_send(fd, &m);
 }
 
-/* Reads one frame. Returns its kind and number, or 0 at the end. */
+/* Reads one frame. Returns its kind, or 0 at the end, and its number unless
+   NULL. */
 static int
 raw_read(int fd, uint64_t *number)
 {
@@ -190,7 +185,9 @@
     gv_message_t m;
     g_assert_cmpint(GvMessage_Unpack(body, &un, &m), ==, GV_OK);
     int kind = m.kind;
-    *number = m.number;
+    if (number != NULL) {
+        *number = m.number;
+    }
     GvMessage_Clear(&m);
     msgpack_unpacked_destroy(&un);
     return kind;
@@ -211,17 +208,15 @@
 static int
 raw_accept(int listener, uint64_t incarnation)
 {
-    uint64_t number;
     int fd = accept(listener, NULL, NULL);
-    g_assert_cmpint(raw_read(fd, &number), ==, GV_MSG_HELLO);
+    g_assert_cmpint(raw_read(fd, NULL), ==, GV_MSG_HELLO);
     raw_hello(fd, incarnation);
     return fd;
 }
 
 /* An answer that reaches another call, or a call that is lost, when both
    sides use the same numbers and open the link at the same time. */
-static void
-test_crossed(void)
+TEST("/peer/crossed", test_crossed)
 {
     for (int round = 0; round < 3; round++) {
         node_t a;
@@ -240,8 +235,8 @@
             g_assert_cmpint(call(&b, "a", &cb[i], 5000, 0), ==, GV_OK);
         }
         for (int i = 0; i < MANY; i++) {
-            wait_int(&ca[i].called, 1);
-            wait_int(&cb[i].called, 1);
+            WAIT_FOR(g_atomic_int_get(&ca[i].called) >= 1, 10000);
+            WAIT_FOR(g_atomic_int_get(&cb[i].called) >= 1, 10000);
             g_assert_cmpint(ca[i].err, ==, GV_OK);
             g_assert_cmpint(cb[i].err, ==, GV_OK);
             g_assert_cmpstr(ca[i].got, ==, ca[i].want);
@@ -288,7 +283,7 @@
     int sent = 0;
     for (guint i = 0; i < calls->len; i++) {
         const call_t *c = g_ptr_array_index(calls, i);
-        wait_int(&c->called, 1);
+        WAIT_FOR(g_atomic_int_get(&c->called) >= 1, 10000);
         sent += c->err == GV_ECONN;
         g_assert_cmpint(c->err, ==, (int)i < sent ? GV_ECONN : GV_EREFUSED);
     }
@@ -309,27 +304,25 @@
 
 /* A call reported as possibly sent although nobody listens, or the other way
    round: a request whose bytes left is reported as certainly not sent. */
-static void
-test_broken(void)
+TEST("/peer/broken", test_broken)
 {
     node_t a;
     call_t c[3];
-    uint64_t number;
     start(&a, "a", 1);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_ENOENT);
     int listener = raw_listen(&a);
     close(listener);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_OK);
-    wait_int(&c[0].called, 1);
+    WAIT_FOR(g_atomic_int_get(&c[0].called) >= 1, 10000);
     g_assert_cmpint(c[0].err, ==, GV_EREFUSED);
     g_assert_cmpint(call(&a, "raw", &c[0], 1000, 0), ==, GV_ECONN);
     g_assert_false(GvPeers_Alive(a.ps, GV_STR("raw"), NULL));
     listener = raw_listen(&a);
     g_assert_cmpint(call(&a, "raw", &c[0], 5000, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
-    g_assert_cmpint(raw_read(fd, &number), ==, GV_MSG_EXECUTE);
+    g_assert_cmpint(raw_read(fd, NULL), ==, GV_MSG_EXECUTE);
     close(fd);
-    wait_int(&c[0].called, 1);
+    WAIT_FOR(g_atomic_int_get(&c[0].called) >= 1, 10000);
     g_assert_cmpint(c[0].err, ==, GV_ECONN);
     /* It reconnects by itself. With nobody reading, the first calls fill the
        socket's buffers and the last ones stay queued. */
@@ -353,25 +346,23 @@
 }
 
 /* A connection that goes silent and keeps its calls waiting for ever. */
-static void
-test_silent(void)
+TEST("/peer/silent", test_silent)
 {
     node_t a;
     call_t c;
-    uint64_t number;
     start(&a, "a", 1);
     int listener = raw_listen(&a);
     g_assert_cmpint(call(&a, "raw", &c, 9000, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
     int64_t begin = GvClock_MonoMs();
-    wait_int(&c.called, 1);
+    WAIT_FOR(g_atomic_int_get(&c.called) >= 1, 10000);
     int64_t took = GvClock_MonoMs() - begin;
     g_assert_cmpint(c.err, ==, GV_ECONN);
     g_assert_cmpint(took, >=, GV_PEER_DEAD_MS - 100);
     g_assert_cmpint(took, <, GV_PEER_DEAD_MS + 2000);
     int again = raw_accept(listener, 1);
     g_assert_cmpint(call(&a, "raw", &c, 9000, 0), ==, GV_OK);
-    g_assert_cmpint(raw_next(again, &number), ==, GV_MSG_EXECUTE);
+    g_assert_cmpint(raw_next(again, NULL), ==, GV_MSG_EXECUTE);
     stop(&a);
     g_assert_cmpint(c.called, ==, 1);
     g_assert_cmpint(c.err, ==, GV_ECONN);
@@ -381,8 +372,7 @@
 }
 
 /* Late, mismatched and unexpected answers that end a call. */
-static void
-test_late(void)
+TEST("/peer/late", test_late)
 {
     node_t a;
     call_t c;
@@ -393,7 +383,7 @@
     g_assert_cmpint(call(&a, "raw", &c, 200, 0), ==, GV_OK);
     int fd = raw_accept(listener, 1);
     g_assert_cmpint(raw_read(fd, &first), ==, GV_MSG_EXECUTE);
-    wait_int(&c.called, 1);
+    WAIT_FOR(g_atomic_int_get(&c.called) >= 1, 10000);
     g_assert_cmpint(c.err, ==, GV_ETIMEDOUT);
     g_assert_cmpint(call(&a, "raw", &c, 5000, 0), ==, GV_OK);
     g_assert_cmpint(raw_next(fd, &number), ==, GV_MSG_EXECUTE);
@@ -408,7 +398,7 @@
     m = (gv_message_t){.kind = GV_MSG_RESULT, .number = number};
     m.u.result.body = GV_STR("right");
     raw_send(fd, &m);
-    wait_int(&c.called, 1);
+    WAIT_FOR(g_atomic_int_get(&c.called) >= 1, 10000);
     g_assert_cmpint(c.err, ==, GV_OK);
     g_assert_cmpstr(c.got, ==, "right");
     stop(&a);
@@ -418,30 +408,28 @@
 
 /* A call that waits for an answer of an earlier incarnation, and messages of
    that one that are still accepted. */
-static void
-test_incarnation(void)
+TEST("/peer/incarnation", test_incarnation)
 {
     node_t a;
     call_t c;
-    uint64_t number;
     gv_message_t cancel = {.kind = GV_MSG_CANCEL, .number = 1};
     start(&a, "a", 1);
     int old = raw_connect(&a);
     raw_hello(old, 5);
     raw_send(old, &cancel);
-    wait_int(&a.messages, 1);
+    WAIT_FOR(g_atomic_int_get(&a.messages) >= 1, 10000);
     g_assert_cmpint(call(&a, "raw", &c, 5000, 0), ==, GV_OK);
-    g_assert_cmpint(raw_next(old, &number), ==, GV_MSG_EXECUTE);
+    g_assert_cmpint(raw_next(old, NULL), ==, GV_MSG_EXECUTE);
     int fresh = raw_connect(&a);
     raw_hello(fresh, 6);
-    wait_int(&c.called, 1);
+    WAIT_FOR(g_atomic_int_get(&c.called) >= 1, 10000);
     g_assert_cmpint(c.err, ==, GV_ECONN);
-    g_assert_cmpint(raw_next(old, &number), ==, 0);
+    g_assert_cmpint(raw_next(old, NULL), ==, 0);
     int stale = raw_connect(&a);
     raw_hello(stale, 5);
-    g_assert_cmpint(raw_next(stale, &number), ==, 0);
+    g_assert_cmpint(raw_next(stale, NULL), ==, 0);
     g_assert_cmpint(call(&a, "raw", &c, 5000, 0), ==, GV_OK);
-    g_assert_cmpint(raw_next(fresh, &number), ==, GV_MSG_EXECUTE);
+    g_assert_cmpint(raw_next(fresh, NULL), ==, GV_MSG_EXECUTE);
     close(old);
     close(fresh);
     close(stale);
@@ -449,14 +437,12 @@
 }
 
 /* Malformed input that is skipped or handled instead of ending the link. */
-static void
-test_malformed(void)
+TEST("/peer/malformed", test_malformed)
 {
     static const gv_str_t bad[] = {
         GV_STR("\0\0\0\0"), GV_STR("\0\x20\0\1"), GV_STR("\0\0\0\1\xc1"),
         GV_STR("\0\0\0\6\x95\1\5\1\0\x90\0\0\0\1\xc1")};
     node_t a;
-    uint64_t number;
     start(&a, "a", 1);
     for (size_t i = 0; i < G_N_ELEMENTS(bad) * 2; i++) {
         int fd = raw_connect(&a);
@@ -465,7 +451,7 @@
         }
         gv_str_t s = bad[i / 2];
         g_assert_cmpint(send(fd, s.p, s.n, MSG_NOSIGNAL), ==, s.n);
-        g_assert_cmpint(raw_next(fd, &number), ==, 0);
+        g_assert_cmpint(raw_next(fd, NULL), ==, 0);
         close(fd);
     }
     /* Only the CANCEL in the last entry was valid, and only after HELLO. */
@@ -473,7 +459,4 @@
     stop(&a);
 }
 
-TEST_MAIN({"/peer/crossed", test_crossed}, {"/peer/broken", test_broken},
-          {"/peer/silent", test_silent}, {"/peer/late", test_late},
-          {"/peer/incarnation", test_incarnation},
-          {"/peer/malformed", test_malformed})
+TEST_MAIN
--- a/tests/test_peer_services.c
+++ b/tests/test_peer_services.c
@@ -152,8 +152,7 @@
 
 /* An entry host that starts from another data centre's ledger, does not
    advance, takes an older ledger, or ends with another state. */
-static void
-test_ledger(void)
+TEST("/ledgersync", test_ledger)
 {
     node_t a;
     node_t b;
@@ -200,18 +199,10 @@
 apply_record(node_t *n, const char *kind, msgpack_sbuffer *payload)
 {
     static uint64_t sequence;
-    gv_record_t r = {.kind = GvStr_C(kind),
-                     .origin = GV_STR("op"),
-                     .incarnation = 1,
-                     .sequence = ++sequence,
-                     .created_ms = 1000,
-                     .expires_ms = 2000};
     msgpack_sbuffer sb;
-    msgpack_sbuffer_init(&sb);
-    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
+    pack_record(&sb, kind, GV_STR("op"), 1, ++sequence, 1000, payload);
     apply(n, GvStr_N(sb.data, sb.size));
     msgpack_sbuffer_destroy(&sb);
-    msgpack_sbuffer_clear(payload);
 }
 
 /* A pool with one host of 8 slots and the members a and b. */
@@ -262,8 +253,7 @@
 
 /* Slots that are used at both ends, lent although they are needed, not given
    back, or kept after the end of the loan. */
-static void
-test_lending(void)
+TEST("/lending", test_lending)
 {
     node_t a;
     node_t b;
@@ -277,9 +267,8 @@
     wait_usable(&a, 4, &b, 4);
     gv_target_t *t = GvTargets_Find(a.targets, GV_STR("h1"));
     for (int i = 0; i < 4; i++) {
-        g_assert_cmpint(GvTarget_Begin(t, GV_STR("p"), GvClock_MonoMs(), addr,
-                                       sizeof addr),
-                        ==, GV_OK);
+        ASSERT_OK(GvTarget_Begin(t, GV_STR("p"), GvClock_MonoMs(), addr,
+                                 sizeof addr));
     }
     beat(&b, &a, 4);
     g_atomic_int_set(&a.queued, 3);
@@ -307,4 +296,4 @@
     stop(&b);
 }
 
-TEST_MAIN({"/ledgersync", test_ledger}, {"/lending", test_lending})
+TEST_MAIN
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -104,10 +104,9 @@
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
-    g_assert_cmpint(GvAppender_Submit(n->appender, "member",
-                                      GvStr_N(sb.data, sb.size), timeout_ms,
-                                      on_done, r),
-                    ==, GV_OK);
+    ASSERT_OK(GvAppender_Submit(n->appender, "member",
+                                GvStr_N(sb.data, sb.size), timeout_ms, on_done,
+                                r));
     msgpack_sbuffer_destroy(&sb);
 }
 
@@ -128,8 +127,7 @@
 
 /* Guards against a malformed answer that is taken for a valid one, and
    against a status that hides whether the call took effect. */
-static void
-test_client(void)
+TEST("/platform/client", test_client)
 {
     fake_t f;
     fake_start(&f, 0);
@@ -176,8 +174,7 @@
 
 /* Guards against a record that counts twice, or against two calls of done(),
    when an answer is lost or an append is delivered twice. */
-static void
-test_append_once(void)
+TEST("/platform/append-once", test_append_once)
 {
     fake_t f;
     node_t n;
@@ -199,8 +196,7 @@
 
 /* Guards against a wrong fate: "never sent" only for records that cannot be
    in the log, "unknown" for those that may be. */
-static void
-test_append_fate(void)
+TEST("/platform/append-fate", test_append_fate)
 {
     fake_t f;
     node_t n;
@@ -231,8 +227,7 @@
 
 /* Guards against a host that starts late and misses what is no longer
    retained, and against one that guesses when no checkpoint is left. */
-static void
-test_checkpoint(void)
+TEST("/platform/checkpoint", test_checkpoint)
 {
     fake_t f;
     node_t a;
@@ -270,8 +265,7 @@
 
 /* Guards against settings and claims that revert: an outage, a peer and a log
    that lost its records must not lower the applied offset. */
-static void
-test_never_back(void)
+TEST("/platform/never-back", test_never_back)
 {
     fake_t f;
     node_t a;
@@ -302,8 +296,7 @@
 
 /* Guards against a quiet log whose checkpoint is never renewed, and against a
    second checkpoint right after another one. */
-static void
-test_checkpointer(void)
+TEST("/platform/checkpointer", test_checkpointer)
 {
     fake_t f;
     node_t n;
@@ -334,8 +327,7 @@
 }
 
 /* Guards against raw records that a peer would apply at wrong offsets. */
-static void
-test_ring(void)
+TEST("/platform/ring", test_ring)
 {
     gv_replica_t *r = GvReplica_New();
     gv_verdict_t v;
@@ -371,8 +363,7 @@
 
 /* Guards against a log whose last checkpoint expires, and against checkpoints
    that are written all the time. */
-static void
-test_due(void)
+TEST("/platform/checkpoint-due", test_due)
 {
     gv_retained_t all = {0, 2000, 0};
     gv_retained_t timed = {0, 10, 40000};
@@ -389,11 +380,4 @@
     g_assert_false(GvCheckpoint_IsDue(110, 90, 0, &tiny));
 }
 
-TEST_MAIN({"/platform/client", test_client},
-          {"/platform/append-once", test_append_once},
-          {"/platform/append-fate", test_append_fate},
-          {"/platform/checkpoint", test_checkpoint},
-          {"/platform/never-back", test_never_back},
-          {"/platform/checkpointer", test_checkpointer},
-          {"/platform/ring", test_ring},
-          {"/platform/checkpoint-due", test_due})
+TEST_MAIN
--- a/tests/test_prober.c
+++ b/tests/test_prober.c
@@ -78,33 +78,25 @@
 static void
 wait_told(int i, int want)
 {
-    for (int n = 0; n < 1000 && atomic_load(&told[i]) != want; n++) {
-        g_usleep(10000);
-    }
-    g_assert_cmpint(atomic_load(&told[i]), ==, want);
+    WAIT_FOR(atomic_load(&told[i]) == want, 10000);
 }
 
 static void
 start_servers(void)
 {
-    int port = 20000 + g_random_int_range(0, 10000);
     for (int i = 0; i <= TARGETS; i++) {
-        int err = GV_EIO;
-        while (err != GV_OK) {
-            g_snprintf(addrs[i], sizeof addrs[i], "127.0.0.1:%d", port++);
-            gv_server_opts_t o = {addrs[i], 16, 1000,
-                                  i == TARGETS ? serve_list : serve_target,
-                                  GINT_TO_POINTER(i)};
-            err = GvServer_Start(&o, &servers[i]);
-        }
+        close(bind_loopback(addrs[i], sizeof addrs[i]));
+        gv_server_opts_t o = {addrs[i], 16, 1000,
+                              i == TARGETS ? serve_list : serve_target,
+                              GINT_TO_POINTER(i)};
+        g_assert_cmpint(GvServer_Start(&o, &servers[i]), ==, GV_OK);
     }
 }
 
 /* Guards against targets that nobody or everybody probes, a leaving target
    that stays unnoticed, silent targets that hold up the others, and a list
    that is delivered twice. */
-static void
-test_prober(void)
+TEST("/prober/shares-and-states", test_prober)
 {
     char names[TARGETS][8];
     gv_probe_target_t targets[TARGETS];
@@ -140,10 +132,7 @@
         wait_told(i, LEAVING);
     }
     g_assert_cmpint(GvClock_MonoMs() - start_ms, <, 2 * GV_PROBE_INTERVAL_MS);
-    for (int n = 0; n < 1000 && atomic_load(&lists) < 2; n++) {
-        g_usleep(10000);
-    }
-    g_assert_cmpint(atomic_load(&lists), >, 1);
+    WAIT_FOR(atomic_load(&lists) > 1, 10000);
     g_assert_cmpint(atomic_load(&taken), ==, 1);
     for (int i = 0; i < TARGETS; i++) {
         atomic_store(&silent[i], false);
@@ -155,4 +144,4 @@
     GvHostTable_Free(hosts);
 }
 
-TEST_MAIN({"/prober/shares-and-states", test_prober})
+TEST_MAIN
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -43,8 +43,7 @@
 }
 
 /* Guards against a second answer to one request. */
-static void
-test_ends_once(void)
+TEST("/request/ends_once", test_ends_once)
 {
     seen_t s = {0};
     gv_requests_t *t = GvRequests_New(8);
@@ -87,8 +86,7 @@
 }
 
 /* Guards against not-run for a request of which a byte may have left. */
-static void
-test_deadline_outcomes(void)
+TEST("/request/deadline_outcomes", test_deadline_outcomes)
 {
     g_assert_cmpint(outcome_after(false, false, false), ==,
                     GV_OUTCOME_NOT_RUN);
@@ -99,8 +97,7 @@
 
 /* Guards against a table without a bound, and against deadlines that are
    served out of order. */
-static void
-test_bound_and_order(void)
+TEST("/request/bound_and_order", test_bound_and_order)
 {
     seen_t s[40] = {0};
     gv_requests_t *t = GvRequests_New(40);
@@ -122,6 +119,4 @@
     GvRequests_Free(t);
 }
 
-TEST_MAIN({"/request/ends_once", test_ends_once},
-          {"/request/deadline_outcomes", test_deadline_outcomes},
-          {"/request/bound_and_order", test_bound_and_order})
+TEST_MAIN
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -23,8 +23,7 @@
 
 /* Guards against a report that stops at the first problem of a file, or names
    the wrong line. */
-static void
-test_all_problems(void)
+TEST("/settings/all-problems", test_all_problems)
 {
     gv_problems_t *ps = GvProblems_New();
     gv_settings_t *s = GvSettings_New();
@@ -82,8 +81,7 @@
 }
 
 /* Guards against documents that are valid alone and contradict each other. */
-static void
-test_link(void)
+TEST("/settings/link", test_link)
 {
     gv_problems_t *ps = GvProblems_New();
     gv_settings_t *s = GvSettings_New();
@@ -110,22 +108,19 @@
 
 /* Guards against values lost between the file and the struct, and against a
    request counted as safe to repeat because its path begins alike. */
-static void
-test_values(void)
+TEST("/settings/values", test_values)
 {
     gv_settings_t *s = GvSettings_New();
-    g_assert_cmpint(
-        GvSettings_AddDocument(
-            s, "a.yaml",
-            GV_STR("{kind: service, service: s, pool: p,\n"
-                   " availability: {objective_percent: 99.5, min_hosts: 6},\n"
-                   " teams: [{name: t, quota: 7}],\n"
-                   " idempotent: {methods: [GET], paths: [/quote]}}\n---\n"
-                   "{kind: pool, pool: p, max_out: 3, spare: q,\n"
-                   " reserve: {weight_waiting: 3}}\n---\n"
-                   "{kind: pool, pool: q, is_spare: true}\n"),
-            NULL),
-        ==, GV_OK);
+    ASSERT_OK(GvSettings_AddDocument(
+        s, "a.yaml",
+        GV_STR("{kind: service, service: s, pool: p,\n"
+               " availability: {objective_percent: 99.5, min_hosts: 6},\n"
+               " teams: [{name: t, quota: 7}],\n"
+               " idempotent: {methods: [GET], paths: [/quote]}}\n---\n"
+               "{kind: pool, pool: p, max_out: 3, spare: q,\n"
+               " reserve: {weight_waiting: 3}}\n---\n"
+               "{kind: pool, pool: q, is_spare: true}\n"),
+        NULL));
     g_assert_cmpint(GvSettings_Link(s, NULL), ==, GV_OK);
     const gv_service_t *sv = GvSettings_Service(s, GV_STR("s"));
     const gv_pool_t *p = GvSettings_Pool(s, GV_STR("p"));
@@ -148,10 +143,16 @@
     GvSettings_Unref(s);
 }
 
+static void
+assert_invalid(gv_settings_t *s, const GString *text, gv_problems_t *ps)
+{
+    gv_str_t all = GvStr_N(text->str, text->len);
+    g_assert_cmpint(GvSettings_AddDocument(s, "a", all, ps), ==, GV_EINVAL);
+}
+
 /* Guards against a list of problems without a bound, and against unbounded
    reading of a broken or deeply nested file. */
-static void
-test_bounds(void)
+TEST("/settings/bounds", test_bounds)
 {
     gv_problems_t *ps = GvProblems_New();
     gv_settings_t *s = GvSettings_New();
@@ -159,29 +160,22 @@
     for (int i = 0; i < 2 * GV_SETTINGS_MAX_ERRORS; i++) {
         g_string_append_printf(text, "f%d: 1\n", i);
     }
-    g_assert_cmpint(
-        GvSettings_AddDocument(s, "a", GvStr_N(text->str, text->len), ps), ==,
-        GV_EINVAL);
+    assert_invalid(s, text, ps);
     g_assert_cmpint(ps->len, ==, GV_SETTINGS_MAX_ERRORS);
     g_string_assign(text, "kind: ");
     for (int i = 0; i < 20000; i++) {
         g_string_append_c(text, '[');
     }
-    g_assert_cmpint(
-        GvSettings_AddDocument(s, "a", GvStr_N(text->str, text->len), NULL),
-        ==, GV_EINVAL);
+    assert_invalid(s, text, NULL);
     g_string_set_size(text, GV_SETTINGS_MAX_BYTES + 1);
-    g_assert_cmpint(
-        GvSettings_AddDocument(s, "a", GvStr_N(text->str, text->len), NULL),
-        ==, GV_EINVAL);
+    assert_invalid(s, text, NULL);
     g_string_free(text, TRUE);
     g_ptr_array_unref(ps);
     GvSettings_Unref(s);
 }
 
 /* Guards against a daemon that starts with a file it has only half read. */
-static void
-test_nodeconf(void)
+TEST("/settings/nodeconf", test_nodeconf)
 {
     gv_problems_t *ps = GvProblems_New();
     gv_nodeconf_t c;
@@ -190,8 +184,7 @@
                         "platform: 127.0.0.1:6001\nworkers: 8\npeers:\n"
                         "  - {name: e2, data_centre: k1, region: r, peer: "
                         "127.0.0.1:7002}\n";
-    g_assert_cmpint(GvNodeConf_Parse("n.yaml", GvStr_C(valid), &c, ps), ==,
-                    GV_OK);
+    ASSERT_OK(GvNodeConf_Parse("n.yaml", GvStr_C(valid), &c, ps));
     g_assert_cmpstr(c.name.p, ==, "e1");
     g_assert_cmpint(c.workers, ==, 8);
     g_assert_cmpint(c.n_peers, ==, 1);
@@ -222,7 +215,4 @@
     g_ptr_array_unref(ps);
 }
 
-TEST_MAIN({"/settings/all-problems", test_all_problems},
-          {"/settings/link", test_link}, {"/settings/values", test_values},
-          {"/settings/bounds", test_bounds},
-          {"/settings/nodeconf", test_nodeconf})
+TEST_MAIN
