--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,8 +17,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
-from cluster import Cluster, http_call  # noqa: E402
-from harness import wait_until  # noqa: E402
+from cluster import Cluster  # noqa: E402
+from harness import call, wait_until  # noqa: E402
 
 TICKS = os.sysconf("SC_CLK_TCK")
 ROWS = []
@@ -109,7 +109,7 @@
     with Cluster(build, entries=entries, hosts=dc_hosts // 2) as c:
         for i in range(all_hosts - dc_hosts):
             dc = f"other{i % 16}"
-            assert http_call(c.platform, "POST", (
+            assert call(c.platform, "POST", (
                 f"/hosts/set?host=x{i}&dc={dc}&rack={dc}-{i // 64}"
                 f"&addr=127.0.0.1:9&slots=8&pool=plan&state=live"))
         time.sleep(8)
@@ -148,7 +148,7 @@
 
 
 def offset(c, entry):
-    text = c.entry(entry, "GET", "/metrics")[2]
+    text = c.entry(entry, "GET", "/metrics").text
     for line in text.split("\n"):
         if line.startswith("gypsumvalve_ledger_offset "):
             return int(line.split()[1])
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,6 +1,6 @@
 """A small cluster of real processes for the fault tests: one platform
 stand-in, one target stand-in for each data centre, and entry hosts."""
-import http.client
+import collections
 import os
 import pathlib
 import random
@@ -11,7 +11,7 @@
 import time
 
 import history
-from harness import free_ports, wait_until
+from harness import call, free_ports, serves, wait_until, write_node
 
 SERVICE = """kind: service
 service: {0}
@@ -33,21 +33,6 @@
 """
 
 
-def http_call(addr, method, path, headers=None, body=None, timeout=5.0):
-    """Returns (status, headers, body text), or None when the connection
-    broke before a whole answer."""
-    conn = http.client.HTTPConnection(addr, timeout=timeout)
-    try:
-        conn.request(method, path, body, headers or {})
-        answer = conn.getresponse()
-        text = answer.read().decode(errors="replace")
-        return answer.status, dict(answer.getheaders()), text
-    except (OSError, http.client.HTTPException):
-        return None
-    finally:
-        conn.close()
-
-
 class Cluster:
     """Data centres dc1..; entry hosts e1.. spread over them in order; hosts
     SERVICE-DC-N, four to a rack. Ends all of its processes on exit."""
@@ -109,7 +94,7 @@
     def start(self):
         self.spawn("platform", ["standin-platform", "--listen", self.platform,
                                 "--control", self.control, *self.platform_args])
-        wait_until(lambda: http_call(self.platform, "GET", "/hosts"), 10,
+        wait_until(lambda: call(self.platform, "GET", "/hosts"), 10,
                    "platform answers")
         racks = {}
         for name, (dc, pool, addr) in self.hosts.items():
@@ -134,32 +119,23 @@
         dc, pool, addr = self.hosts[name]
         query = f"host={name}&dc={dc}&addr={addr}&slots=8&pool={pool}" \
                 f"&state={state}" + (f"&rack={rack}" if rack else "")
-        assert http_call(self.platform, "POST",
-                         f"/hosts/set?{query}")[0] == 200
+        assert serves(call(self.platform, "POST", f"/hosts/set?{query}"))
 
     def start_entry(self, name):
-        dc, addr, peer = self.entries[name]
-        lines = [f"name: {name}", f"data_centre: {dc}", "region: r1",
-                 f"http: {addr}", f"peer: {peer}",
-                 f"platform: {self.platform_via.get(name, self.platform)}",
-                 "workers: 32", "peers:"]
-        for other, (odc, _, opeer) in self.entries.items():
-            if other != name:
-                via = self.peer_via.get((name, other), opeer)
-                lines.append(f"  - {{name: {other}, data_centre: {odc}, "
-                             f"region: r1, peer: '{via}'}}")
         path = pathlib.Path(self.dir.name) / f"{name}.yaml"
-        path.write_text("\n".join(lines) + "\n")
+        write_node(path, name, self.entries,
+                   self.platform_via.get(name, self.platform), 32,
+                   self.peer_via)
         self.spawn(name, ["gventryd", "--config", str(path)])
 
     def wait_entry(self, name):
-        wait_until(lambda: (self.entry(name, "GET", "/healthz") or [0])[0]
-                   == 200, 15, f"{name} healthy")
+        wait_until(lambda: serves(self.entry(name, "GET", "/healthz")), 15,
+                   f"{name} healthy")
 
     def wait_serving(self, name):
         for service in self.services:
-            wait_until(lambda s=service: (self.entry(
-                name, "GET", f"/svc/{s}/ping?tag=ping") or [0])[0] == 200, 20,
+            wait_until(lambda s=service: serves(self.entry(
+                name, "GET", f"/svc/{s}/ping?tag=ping")), 20,
                 f"{name} serves {service}")
 
     def settings(self):
@@ -171,8 +147,7 @@
         root = pathlib.Path(self.dir.name) / "settings"
         root.mkdir(exist_ok=True)
         (root / "gypsumvalve.yaml").write_text(text or self.settings())
-        done = self.operator("publish", str(root))
-        assert done.returncode == 0, done.stdout + done.stderr
+        self.operate("publish", str(root))
 
     def operator(self, *args, timeout=30):
         env = dict(os.environ, GYPSUMVALVE_PLATFORM=self.platform,
@@ -181,16 +156,21 @@
                               env=env, capture_output=True, text=True,
                               timeout=timeout, check=False)
 
+    def operate(self, *args):
+        """Runs an operator command that must succeed."""
+        done = self.operator(*args)
+        assert done.returncode == 0, done.stdout + done.stderr
+
     def entry(self, name, method, path, headers=None, body=None, timeout=5.0):
-        return http_call(self.entries[name][1], method, path, headers, body,
-                         timeout)
+        return call(self.entries[name][1], method, path, body, headers,
+                    timeout)
 
     def fault(self, **values):
         query = "&".join(f"{k}={v}" for k, v in values.items())
-        assert http_call(self.control, "POST", f"/faults?{query}")[0] == 200
+        assert serves(call(self.control, "POST", f"/faults?{query}"))
 
     def target(self, host, method, path):
-        return http_call(self.hosts[host][2], method, path)
+        return call(self.hosts[host][2], method, path, timeout=5.0)
 
     def kill(self, name):
         self.procs[name].kill()
@@ -204,16 +184,13 @@
         for host in self.hosts:
             answer = self.target(host, "GET", "/history")
             assert answer, f"no history from {host}"
-            out += history.parse_history(answer[2])
+            out += history.parse_history(answer.text)
         return [run for run in out if run.tag != "ping"]
 
     def stop(self):
-        for proc in self.procs.values():
-            if proc.poll() is None:
-                proc.send_signal(signal.SIGCONT)
-                proc.kill()
-        for proc in self.procs.values():
-            proc.wait()
+        for name in self.procs:
+            self.signal(name, signal.SIGCONT)
+            self.kill(name)
         self.dir.cleanup()
 
 
@@ -263,33 +240,33 @@
             else:
                 ticket = self.cluster.entry(rng.choice(entries), "POST",
                                             "/v1/tickets", timeout=2)
-                if not ticket or ticket[0] != 200:
+                if not serves(ticket):
                     return
-                headers["Gv-Ticket"] = ticket[2].strip()
+                headers["Gv-Ticket"] = ticket.text.strip()
         path = f"/svc/{self.service}/work?tag={tag}" \
                f"&run_ms={rng.randint(1, 2 * self.run_ms)}"
         body = "" if idempotent else f"body of {tag}"
         for attempt in range(3):
             answer = self.cluster.entry(rng.choice(entries), method, path,
                                         headers, body, timeout=4)
-            call = history.Call(tag, idempotent, body, "")
+            told = history.Call(tag, idempotent, body, "")
             if answer:
-                call.status, call.answer = answer[0], answer[2]
-                call.outcome = answer[1].get("Gv-Outcome", "missing")
+                told.status, told.answer = answer.status, answer.text
+                told.outcome = answer.headers.get("Gv-Outcome", "missing")
             with self.lock:
-                self.calls.append(call)
-            if call.outcome == "run" or self.halt.is_set():
+                self.calls.append(told)
+            if told.outcome == "run" or self.halt.is_set():
                 return
             time.sleep(0.05 * (attempt + 1))
 
     def verdict(self, least_run):
-        """Runs the checker; also demands that enough requests ran, so that a
-        cluster that refuses everything does not pass."""
+        """Ends the callers and runs the checker; also demands that enough
+        requests ran, so that a cluster that refuses everything does not
+        pass."""
+        self.__exit__()
         bad = history.check(self.calls, self.cluster.runs())
-        counts = {}
-        for call in self.calls:
-            name = call.outcome or "broken"
-            counts[name] = counts.get(name, 0) + 1
-        print(f"  seed {self.seed}: {counts}")
+        counts = collections.Counter(told.outcome or "broken"
+                                     for told in self.calls)
+        print(f"  seed {self.seed}: {dict(counts)}")
         assert not bad, "\n".join(bad[:10])
-        assert counts.get("run", 0) >= least_run, "too few requests ran"
+        assert counts["run"] >= least_run, "too few requests ran"
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -5,7 +5,9 @@
 import socket
 import struct
 import subprocess
+import threading
 import time
+import typing
 import unittest
 
 
@@ -50,9 +52,10 @@
     wait_until(connects, seconds, f"{addr} accepts connections")
 
 
-class Answer:
-    def __init__(self, status, headers, body):
-        self.status, self.headers, self.body = status, headers, body
+class Answer(typing.NamedTuple):
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
 
     @property
     def text(self):
@@ -73,6 +76,33 @@
         conn.close()
 
 
+def serves(answer):
+    """Whether an Answer came and has status 200."""
+    return answer is not None and answer.status == 200
+
+
+def run_threads(target, items):
+    """Calls target with each item on a thread of its own; waits for all."""
+    threads = [threading.Thread(target=target, args=(i,)) for i in items]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def write_node(path, name, entries, platform, workers, via=None):
+    """Writes an entry host's own file. entries: name -> (data centre, HTTP
+    address, peer address); via: peers reached at another address."""
+    dc, addr, peer = entries[name]
+    lines = [f"name: {name}", f"data_centre: {dc}", "region: r1",
+             f"http: {addr}", f"peer: {peer}", f"platform: {platform}",
+             f"workers: {workers}", "peers:"]
+    lines += [f"  - {{name: {other}, data_centre: {odc}, region: r1, "
+              f"peer: '{(via or {}).get((name, other), opeer)}'}}"
+              for other, (odc, _, opeer) in entries.items() if other != name]
+    pathlib.Path(path).write_text("\n".join(lines) + "\n")
+
+
 class Processes:
     """Children of one test. Ends exactly these, by SIGTERM, then SIGKILL."""
 
@@ -80,9 +110,9 @@
         self.build = pathlib.Path(build)
         self.children = {}
 
-    def start(self, name, program, *args, addr=None):
+    def start(self, name, program, *args, addr=None, env=None):
         proc = subprocess.Popen([str(self.build / program), *map(str, args)],
-                                stderr=subprocess.PIPE)
+                                stderr=subprocess.PIPE, env=env)
         self.children[name] = proc
         if addr:
             wait_port(addr)
@@ -118,6 +148,15 @@
         self.procs = Processes(self.build)
         self.addCleanup(self.procs.stop_all)
 
+    def background(self, *args, **kwargs):
+        """Makes a call on a thread; returns (thread, list of its answer)."""
+        out = []
+        thread = threading.Thread(
+            target=lambda: out.append(call(*args, **kwargs)))
+        thread.start()
+        self.addCleanup(thread.join)
+        return thread, out
+
 
 def main(module, argv):
     """Runs the tests of a module: [BUILD [NAMES...]]."""
--- a/tests/history.py
+++ b/tests/history.py
@@ -17,7 +17,6 @@
     outcome: str  # "run", "not-run", "unknown"; "" when the connection broke
     status: int = 0
     answer: str = ""
-    last: bool = True  # no later submission of this tag was made
 
 
 @dataclasses.dataclass
--- a/tests/ledger_lib.py
+++ b/tests/ledger_lib.py
@@ -72,6 +72,25 @@
 ACCEPTED, REJECTED, DUPLICATE, EXPIRED, MALFORMED = range(5)
 
 
+STEP = (None, [PTR, Str, U64, Str, U64])
+SIGNATURES = {
+    "Ledger_New": (PTR, []), "Ledger_Free": (None, [PTR]),
+    "Ledger_Apply": (INT, [PTR, U64, I64, Str, PTR]),
+    "Ledger_Digest": (U64, [PTR]), "Ledger_Next": (U64, [PTR]),
+    "Ledger_SettingsVersion": (U64, [PTR]),
+    "Ledger_Save": (None, [PTR, PTR]), "Ledger_Load": (INT, [Str, PTR]),
+    "Ledger_Hosts": (ctypes.POINTER(Names), [PTR]),
+    "Record_Pack": (None, [PTR, PTR, Str]),
+    "Ledger_PackSettings": (None, [PTR, U64, PTR, INT]),
+    "Ledger_PackHost": (None, [PTR, PTR]),
+    "Ledger_PackMember": (None, [PTR, PTR, INT]),
+    "Ledger_PackClaim": (None, [PTR, Str, INT, Str, Str, Str, U64]),
+    "Ledger_PackConfirm": STEP, "Ledger_PackAct": STEP,
+    "Ledger_PackTakeover": STEP, "Ledger_PackCheckpoint": (None, [PTR, PTR]),
+    "Ledger_PackDone": (None, [PTR, Str, U64, INT]),
+    "Ledger_PackWave": (None, [PTR, Str, Str, INT, INT])}
+
+
 def load(build):
     """Loads the library. With the address sanitizer, Python restarts itself
     with the sanitizer's runtime preloaded. The thread sanitizer's runtime
@@ -88,29 +107,9 @@
                    ASAN_OPTIONS="detect_leaks=0")
         os.execve(sys.executable, [sys.executable] + sys.argv, env)
     lib = ctypes.CDLL(path)
-    lib.GvLedger_New.restype = PTR
-    lib.GvLedger_Free.argtypes = [PTR]
-    lib.GvLedger_Apply.argtypes = [PTR, U64, I64, Str, PTR]
-    lib.GvLedger_Digest.argtypes = [PTR]
-    for name in ("Digest", "Next", "SettingsVersion"):
-        call = getattr(lib, "GvLedger_" + name)
-        call.argtypes = [PTR]
-        call.restype = U64
-    lib.GvLedger_Save.argtypes = [PTR, PTR]
-    lib.GvLedger_Load.argtypes = [Str, PTR]
-    lib.GvLedger_Hosts.argtypes = [PTR]
-    lib.GvLedger_Hosts.restype = ctypes.POINTER(Names)
-    lib.GvRecord_Pack.argtypes = [PTR, PTR, Str]
-    lib.GvLedger_PackSettings.argtypes = [PTR, U64, PTR, INT]
-    lib.GvLedger_PackHost.argtypes = [PTR, PTR]
-    lib.GvLedger_PackMember.argtypes = [PTR, PTR, INT]
-    lib.GvLedger_PackClaim.argtypes = [PTR, Str, INT, Str, Str, Str, U64]
-    for name in ("Confirm", "Act", "Takeover"):
-        getattr(lib, "GvLedger_Pack" + name).argtypes = [PTR, Str, U64, Str,
-                                                         U64]
-    lib.GvLedger_PackCheckpoint.argtypes = [PTR, PTR]
-    lib.GvLedger_PackDone.argtypes = [PTR, Str, U64, INT]
-    lib.GvLedger_PackWave.argtypes = [PTR, Str, Str, INT, INT]
+    for name, (result, args) in SIGNATURES.items():
+        call = getattr(lib, "Gv" + name)
+        call.restype, call.argtypes = result, args
     return lib
 
 
@@ -183,3 +182,19 @@
     libc.free.argtypes = [PTR]
     libc.free(buf.data)
     return raw
+
+
+def record(lib, kind, origin, incarnation, sequence, ms, payload):
+    """Returns a record that expires after a minute."""
+    r = Record(s(kind), s(origin), incarnation, sequence, ms, ms + 60000, None)
+    return pack(lib, lib.GvRecord_Pack, ctypes.byref(r), s(payload))
+
+
+def host(name, dc, rack, pool, boot, state=0):
+    return Host(s(name), s(dc), s(rack), s("127.0.0.1:9001"), s(pool), s(boot),
+                8, state)
+
+
+def member(name, dc, incarnation):
+    return Member(s(name), s(dc), s("127.0.0.1:71"), s("127.0.0.1:81"),
+                  incarnation)
--- a/tests/proc_checker.py
+++ b/tests/proc_checker.py
@@ -7,11 +7,8 @@
 START = "start {0} POST /plan {1} 5\n"
 
 
-def expect(name, found, want):
-    if bool(found) != want:
-        print(f"{name}: found {found}, expected violation: {want}")
-        return 1
-    return 0
+def call(outcome="run", answer="ok b", idempotent=False, status=200):
+    return Call("t1", idempotent, "b", outcome, status, answer)
 
 
 def main():
@@ -21,28 +18,26 @@
     crossed = parse_history(START.format("a1", "t1") + START.format("a1", "t1")
                             + "finish a1\n")
     cut = parse_history(START.format("a1", "t1") + "cut a1\n")
-    run = Call("t1", False, "b", "run", 200, "ok b")
-    bad = 0
-    bad += expect("clean", check([run], once), False)
-    bad += expect("twice", check([run], twice), True)
-    bad += expect("same attempt twice", check([run], crossed), True)
-    bad += expect("idempotent twice", check(
-        [Call("t1", True, "b", "run", 200, "ok b")], twice), False)
-    bad += expect("false not-run", check(
-        [Call("t1", True, "b", "not-run", 503)], once), True)
-    bad += expect("not-run, then run", check(
-        [Call("t1", False, "b", "not-run", 503), run], once), False)
-    bad += expect("false run", check([run], []), True)
-    bad += expect("another's answer", check(
-        [Call("t1", False, "b", "run", 200, "ok c")], once), True)
-    bad += expect("cut answer", check(
-        [Call("t1", False, "b", "run", 200, "ok")], once), True)
-    bad += expect("cut off", check(
-        [Call("t1", False, "b", "unknown", 504)], cut), True)
-    bad += expect("open set", check(
-        [Call("t1", False, "b", "perhaps", 200)], []), True)
-    bad += expect("nobody sent it", unlisted([], once), True)
-    return 1 if bad else 0
+    cases = [  # name, what callers were told, runs, whether it is a violation
+        ("clean", [call()], once, False),
+        ("twice", [call()], twice, True),
+        ("same attempt twice", [call()], crossed, True),
+        ("idempotent twice", [call(idempotent=True)], twice, False),
+        ("false not-run", [call("not-run", "", True, 503)], once, True),
+        ("not-run, then run", [call("not-run", "", status=503), call()], once,
+         False),
+        ("false run", [call()], [], True),
+        ("another's answer", [call(answer="ok c")], once, True),
+        ("cut answer", [call(answer="ok")], once, True),
+        ("cut off", [call("unknown", "", status=504)], cut, True),
+        ("open set", [call("perhaps", "")], [], True)]
+    found = [(name, check(calls, runs), want)
+             for name, calls, runs, want in cases]
+    found.append(("nobody sent it", unlisted([], once), True))
+    wrong = [case for case in found if bool(case[1]) != case[2]]
+    for name, bad, want in wrong:
+        print(f"{name}: found {bad}, expected violation: {want}")
+    return 1 if wrong else 0
 
 
 if __name__ == "__main__":
--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -5,11 +5,10 @@
 import json
 import signal
 import sys
-import threading
 import time
 
 from cluster import Callers, Cluster
-from harness import wait_until
+from harness import run_threads, wait_until
 from relay import Relay
 
 
@@ -24,7 +23,6 @@
             c.start_entry("e1")
             c.wait_entry("e1")
         time.sleep(1)
-        callers.__exit__()
         callers.verdict(least_run=50)
 
 
@@ -37,7 +35,6 @@
         time.sleep(4)
         c.signal("e2", signal.SIGCONT)
         time.sleep(2)
-        callers.__exit__()
         callers.verdict(least_run=50)
 
 
@@ -78,12 +75,7 @@
         def move(pool):
             done.append(c.operator("move", "plan-dc1-1", "--to", pool))
 
-        threads = [threading.Thread(target=move, args=(p,))
-                   for p in ("spare", "extra")]
-        for t in threads:
-            t.start()
-        for t in threads:
-            t.join()
+        run_threads(move, ("spare", "extra"))
         codes = sorted(d.returncode for d in done)
         assert codes == [0, 4], [d.stdout + d.stderr for d in done]
         won = [d for d in done if d.returncode == 0][0].args[-1]
@@ -96,17 +88,14 @@
     also with an entry host that is paused during it."""
     with Cluster(build, hosts=3) as c, Callers(c, seed=15,
                                                run_ms=700) as callers:
-        started = c.operator("wave", "start", "w1", "--pool", "plan",
-                             "--width", "2")
-        assert started.returncode == 0, started.stdout + started.stderr
+        c.operate("wave", "start", "w1", "--pool", "plan", "--width", "2")
         time.sleep(1)
         c.signal("e2", signal.SIGSTOP)
         time.sleep(2)
         c.signal("e2", signal.SIGCONT)
         wait_until(lambda: "done" in c.operator(
             "wave", "status", "w1").stdout, 60, "wave done")
-        callers.__exit__()
-        boots = [c.target(h, "GET", "/health")[2] for h in c.hosts]
+        boots = [c.target(h, "GET", "/health").text for h in c.hosts]
         assert boots
         callers.verdict(least_run=100)
 
@@ -120,20 +109,19 @@
         c.fault(outage="refuse")
         c.target("plan-dc1-1", "POST", "/control/leave")
         time.sleep(5)
-        before = c.target("plan-dc1-1", "GET", "/history")[2].count("start ")
-        refused = refusals(c, "plan-dc1-1")
+        before = events(c, "plan-dc1-1", "start ")
+        refused = events(c, "plan-dc1-1", "refuse ")
         time.sleep(3)
-        after = c.target("plan-dc1-1", "GET", "/history")[2].count("start ")
+        after = events(c, "plan-dc1-1", "start ")
         assert after == before, f"{after - before} started while leaving"
-        assert refusals(c, "plan-dc1-1") == refused, \
+        assert events(c, "plan-dc1-1", "refuse ") == refused, \
             "work is still offered to a leaving target"
-        callers.__exit__()
         callers.verdict(least_run=100)
 
 
-def refusals(c, host):
-    """Counts requests that the leaving target refused."""
-    return c.target(host, "GET", "/history")[2].count("refuse ")
+def events(c, host, kind):
+    """Counts the events of one kind in a target's history."""
+    return c.target(host, "GET", "/history").text.count(kind)
 
 
 def failing_target(build):
@@ -172,7 +160,7 @@
                 r.cut = True
             time.sleep(3)
             for name in ("e1", "e2"):
-                status = c.entry(name, "GET", "/svc/plan/quote?tag=ping")[0]
+                status = c.entry(name, "GET", "/svc/plan/quote?tag=ping").status
                 assert status == 200, f"{name} cut off: {status}"
             time.sleep(3)
             for r in relays:
@@ -188,7 +176,7 @@
 
 def version(c, entry):
     answer = c.entry(entry, "GET", "/v1/status")
-    return json.loads(answer[2])["settings_version"] if answer else -1
+    return json.loads(answer.text)["settings_version"] if answer else -1
 
 
 def rolling_restarts(build):
@@ -198,8 +186,7 @@
                  platform_args=("--retention-ms", "12000")) as c:
         before = version(c, "e1")
         for command in ("drain", "undrain"):
-            done = c.operator(command, "spare-dc1-1")
-            assert done.returncode == 0, done.stdout + done.stderr
+            c.operate(command, "spare-dc1-1")
         time.sleep(14)  # every record up to here has been dropped
         for name in c.entries:
             c.signal(name, signal.SIGTERM)
@@ -219,7 +206,6 @@
             time.sleep(1)
             c.target("plan-dc1-2", "POST", "/control/fault?reset=1")
         time.sleep(1)
-        callers.__exit__()
         callers.verdict(least_run=100)
 
 
--- a/tests/proc_ledger_state.py
+++ b/tests/proc_ledger_state.py
@@ -153,7 +153,8 @@
         return (h["wave_done"] != w["offset"] and out < w["width"] and
                 (w["healthy"] > 0 or out == 0))
 
-    def claim(self, offset, name, kind, to, holder, inc):
+    def claim(self, offset, name, kind, wave, pool, holder, inc):
+        to = wave if kind == MAINTENANCE else pool
         if kind == MAINTENANCE and self.members.get(holder) != inc:
             return False
         if not self.may_claim(name, kind, to):
@@ -173,7 +174,7 @@
         c = h["claim"] if h else None
         return (h, c) if c and c["offset"] == offset else (None, None)
 
-    def confirm(self, name, offset, entry, inc):
+    def confirm(self, _, name, offset, entry, inc):
         h, c = self.current(name, offset)
         if (not c or self.members.get(entry) != inc or
                 entry not in c["waiting"]):
@@ -181,7 +182,7 @@
         self.confirmed(h, entry)
         return True
 
-    def act(self, name, offset, entry, inc):
+    def act(self, _, name, offset, entry, inc):
         _, c = self.current(name, offset)
         if (not c or c["kind"] != MAINTENANCE or c["phase"] != CLEAR or
                 (c["holder"], c["inc"]) != (entry, inc) or
@@ -264,10 +265,8 @@
         model's."""
         before = self.ledger.hosts()
         self.seq[sender] = self.seq.get(sender, 0) + 1
-        record = gv.Record(gv.s(kind), gv.s(sender[0]), sender[1],
-                           self.seq[sender], self.ms, self.ms + 60000, None)
-        raw = gv.pack(LIB, LIB.GvRecord_Pack, ctypes.byref(record),
-                      gv.s(gv.pack(LIB, call, *args)))
+        raw = gv.record(LIB, kind, *sender, self.seq[sender], self.ms,
+                        gv.pack(LIB, call, *args))
         offset = self.ledger.next()
         v = self.submit(raw)
         self.log.append(raw)
@@ -308,16 +307,20 @@
             assert len({x["dc"] for x in pool if x["claim"] and
                         x["claim"]["kind"] == MAINTENANCE}) == 1
 
+    def send_plain(self, kind, *args):
+        """Sends a record whose payload and model take the same arguments."""
+        self.send(kind, lambda at: getattr(self.model, kind)(at, *args),
+                  getattr(LIB, "GvLedger_Pack" + kind.title()),
+                  *(gv.s(a) if isinstance(a, str) else a for a in args))
+
     def send_host(self, name, pool, boot, state):
         dc, rack = RACKS[name]
-        h = gv.Host(gv.s(name), gv.s(dc), gv.s(rack), gv.s("127.0.0.1:9001"),
-                    gv.s(pool), gv.s(boot), 8, state)
+        h = gv.host(name, dc, rack, pool, boot, state)
         self.send("host", lambda _: self.model.host(name, pool, boot, state),
                   LIB.GvLedger_PackHost, ctypes.byref(h))
 
     def send_member(self, name, inc, change):
-        m = gv.Member(gv.s(name), gv.s(ENTRY_DC[name]), gv.s("127.0.0.1:71"),
-                      gv.s("127.0.0.1:81"), inc)
+        m = gv.member(name, ENTRY_DC[name], inc)
         self.send("member", lambda _: self.model.member(name, inc, change),
                   LIB.GvLedger_PackMember, ctypes.byref(m), change)
 
@@ -364,12 +367,8 @@
         self.send_member(entry, known + step + (change == JOIN), change)
 
     def send_claim(self, name, kind, wave, pool, entry):
-        to = wave if kind == MAINTENANCE else pool
-        inc = self.inc(entry)
-        self.send("claim", lambda at: self.model.claim(at, name, kind, to,
-                                                       entry, inc),
-                  LIB.GvLedger_PackClaim, gv.s(name), kind, gv.s(wave),
-                  gv.s(pool), gv.s(entry), inc)
+        self.send_plain("claim", name, kind, wave, pool, entry,
+                        self.inc(entry))
 
     @rule(name=HOSTS, kind=st.sampled_from([MAINTENANCE, MOVE, DRAIN]),
           wave=WAVES, pool=POOLS, entry=ENTRIES)
@@ -391,16 +390,6 @@
         claim = self.model.hosts.get(name, {}).get("claim") or {}
         return name, claim.get("offset", 3)
 
-    def send_confirm(self, name, offset, entry, inc):
-        self.send("confirm",
-                  lambda _: self.model.confirm(name, offset, entry, inc),
-                  LIB.GvLedger_PackConfirm, gv.s(name), offset, gv.s(entry),
-                  inc)
-
-    def send_act(self, name, offset, entry, inc):
-        self.send("act", lambda _: self.model.act(name, offset, entry, inc),
-                  LIB.GvLedger_PackAct, gv.s(name), offset, gv.s(entry), inc)
-
     def send_done(self, name, offset, result, entry, inc):
         self.send("done", lambda _: self.model.done(name, offset, result,
                                                     (entry, inc)),
@@ -411,8 +400,8 @@
           lag=st.sampled_from([0, 0, 0, 1]))
     def confirm(self, pick, entry, old, lag):
         name, offset = self.claimed(pick)
-        self.send_confirm(name, offset - (old and pick == 7), entry,
-                          self.inc(entry, lag))
+        self.send_plain("confirm", name, offset - (old and pick == 7), entry,
+                        self.inc(entry, lag))
 
     @precondition(lambda self: any(h["claim"]
                                    for h in self.model.hosts.values()))
@@ -425,9 +414,10 @@
         c = self.model.hosts[name]["claim"]
         if c["waiting"]:
             for entry in list(c["waiting"]):
-                self.send_confirm(name, offset, entry, self.inc(entry))
+                self.send_plain("confirm", name, offset, entry,
+                                self.inc(entry))
         elif c["kind"] == MAINTENANCE and c["phase"] == CLEAR:
-            self.send_act(name, offset, c["holder"], c["inc"])
+            self.send_plain("act", name, offset, c["holder"], c["inc"])
         else:
             self.send_done(name, offset, result, c["holder"], c["inc"])
 
@@ -443,22 +433,13 @@
             entry, inc = c["holder"], c["inc"]
         if what == "done":
             self.send_done(name, offset, result, entry, inc)
-        elif what == "act":
-            self.send_act(name, offset, entry, inc)
         else:
-            self.send("takeover",
-                      lambda at: self.model.takeover(at, name, offset, entry,
-                                                     inc),
-                      LIB.GvLedger_PackTakeover, gv.s(name), offset,
-                      gv.s(entry), inc)
+            self.send_plain(what, name, offset, entry, inc)
 
     @rule(name=WAVES, pool=POOLS, width=st.integers(1, 3),
           change=st.sampled_from([START, START, STOP, RESUME, RESUME]))
     def wave(self, name, pool, width, change):
-        self.send("wave", lambda at: self.model.wave(at, name, pool, width,
-                                                     change),
-                  LIB.GvLedger_PackWave, gv.s(name), gv.s(pool), width,
-                  change)
+        self.send_plain("wave", name, pool, width, change)
 
     @rule(back=st.integers(0, 30))
     def repeat(self, back):
--- a/tests/proc_maintain.py
+++ b/tests/proc_maintain.py
@@ -37,10 +37,9 @@
         return next(t for t in self.status(self.e1)["targets"]
                     if t["host"] == host)
 
-    def done(self, before):
-        rows = self.status(self.e2)["targets"]
+    def done(self, before, entry=None):
         return all(r["boot"] != before[r["host"]] and not r["closed"]
-                   for r in rows)
+                   for r in self.status(entry or self.e2)["targets"])
 
 
 class Waves(Maintain):
@@ -48,9 +47,7 @@
         """Guards against a wave that cuts a run, stops serving, stops both
         hosts at once, or does not end."""
         before = self.boots()
-        run, out = self.background(self.e1, "POST",
-                                   "/svc/routing/a?run_ms=2500", b"long")
-        wait_until(self.runs, 5, "request has started")
+        run, out = self.begin(2500, b"long")
         self.append("wave", ["w1", "routing", 2, 0])
         bad = []
 
@@ -73,21 +70,15 @@
     def test_takeover(self):
         """Guards against a claim that stays when its holder leaves."""
         before = self.boots()
-        run, _ = self.background(self.e1, "POST",
-                                 "/svc/routing/a?run_ms=3000", b"")
-        wait_until(self.runs, 5, "request has started")
+        run, _ = self.begin(3000)
         self.append("wave", ["w1", "routing", 1, 0])
-        holder = wait_until(lambda: [c["holder"] for c in self.claims()], 20,
-                            "a claim is held")[0]
+        holder = wait_until(lambda: [
+            c["holder"] for c in self.status(self.e2)["claims"]], 20,
+            "a claim is held")[0]
         self.assertEqual(self.procs.stop(holder), 0)
         run.join()
         rest = self.e2 if holder == "e1" else self.e1
-        wait_until(lambda: all(
-            r["boot"] != before[r["host"]] and not r["closed"]
-            for r in self.status(rest)["targets"]), 60, "the wave ends")
-
-    def claims(self):
-        return self.status(self.e2)["claims"]
+        wait_until(lambda: self.done(before, rest), 60, "the wave ends")
 
 
 class Moves(Maintain):
@@ -96,9 +87,7 @@
     def test_move(self):
         """Guards against a host that works for two pools, or that never
         arrives in its new one."""
-        run, out = self.background(self.e1, "POST",
-                                   "/svc/routing/a?run_ms=1500", b"x")
-        wait_until(self.runs, 5, "request has started")
+        run, out = self.begin(1500, b"x")
         busy = next(t["host"] for t in self.status(self.e1)["targets"]
                     if t["busy"] == 1)
         self.append("claim", [busy, 1, "", "spare", "test", 1])
@@ -134,7 +123,7 @@
         proc = self.procs.children.pop("e2")
         proc.kill()
         proc.communicate()
-        self.list_host("e2", self.entries["e2"][0], "gone", 0, "")
+        self.list_host("e2", self.entries["e2"][1], "gone", 0, "")
         wait_until(lambda: [m["name"] for m in
                             self.status(self.e1)["members"]] == ["e1"], 20,
                    "e2 is removed")
--- a/tests/proc_operator.py
+++ b/tests/proc_operator.py
@@ -4,19 +4,19 @@
 an answer is lost or the platform is down, a publish that drops or overwrites
 another team's settings, commands that fail once the start of the log is no
 longer retained, and a wrong exit code."""
+import contextlib
 import ctypes
-import http.client
 import http.server
 import json
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
 
+import harness
 import ledger_lib as gv
 
 BUILD = pathlib.Path(sys.argv[1])
@@ -27,46 +27,26 @@
 OK, USAGE, INVALID, REJECTED, UNREACHABLE, UNKNOWN = 0, 2, 3, 4, 5, 6
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
 class Platform:
     def __init__(self, *args):
-        self.addr = "127.0.0.1:%d" % free_port()
+        self.addr = harness.free_addr()
         env = {k: v for k, v in os.environ.items() if k != "LD_PRELOAD"}
         self.env = dict(env, GYPSUMVALVE_PLATFORM=self.addr)
         self.env.pop("GYPSUMVALVE_ENTRY", None)
-        self.proc = subprocess.Popen([str(BUILD / "standin-platform"),
-                                      "--listen", self.addr, *args], env=env)
+        self.procs = harness.Processes(BUILD)
+        self.procs.start("platform", "standin-platform", "--listen", self.addr,
+                         *args, addr=self.addr, env=env)
         self.seq, self.raws = 0, []
-        self.wait()
-
-    def wait(self):
-        for _ in range(100):
-            try:
-                self.call("GET", "/hosts")
-                return
-            except OSError:
-                time.sleep(0.05)
-        raise AssertionError("the stand-in did not start")
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc):
-        self.proc.kill()
-        self.proc.wait()
+        self.procs.stop_all()
 
     def call(self, method, path, body=None):
-        conn = http.client.HTTPConnection(self.addr, timeout=10)
-        conn.request(method, path, body)
-        answer = conn.getresponse()
-        answer.read()
-        conn.close()
-        assert answer.status == 200, (path, answer.status)
+        answer = harness.call(self.addr, method, path, body)
+        assert harness.serves(answer), (path, answer)
 
     def run(self, *args, code=OK, **env):
         done = subprocess.run([str(BUILD / "gypsumvalve"), *args],
@@ -78,22 +58,16 @@
     def append(self, kind, call, *args):
         """Appends a record as an entry host would."""
         self.seq += 1
-        now = int(time.time() * 1000)
-        r = gv.Record(gv.s(kind), gv.s("e1"), 10, self.seq, now, now + 60000,
-                      None)
-        raw = gv.pack(LIB, LIB.GvRecord_Pack, ctypes.byref(r),
-                      gv.s(gv.pack(LIB, call, *args)))
+        raw = gv.record(LIB, kind, "e1", 10, self.seq, int(time.time() * 1000),
+                        gv.pack(LIB, call, *args))
         self.raws.append(raw)
-        head = b"\xc6" + len(raw).to_bytes(4, "big")
-        self.call("POST", "/log/append", b"\x91" + head + raw)
+        self.call("POST", "/log/append", harness.pack([raw]))
 
     def add_hosts(self):
-        m = gv.Member(gv.s("e1"), gv.s("k1"), gv.s("127.0.0.1:71"),
-                      gv.s("127.0.0.1:81"), 10)
+        m = gv.member("e1", "k1", 10)
         self.append("member", LIB.GvLedger_PackMember, ctypes.byref(m), 0)
         for i in range(4):
-            h = gv.Host(gv.s("h%d" % i), gv.s("k1"), gv.s("r%d" % i),
-                        gv.s("127.0.0.1:9001"), gv.s("p"), gv.s("b1"), 8, 0)
+            h = gv.host("h%d" % i, "k1", "r%d" % i, "p", "b1")
             self.append("host", LIB.GvLedger_PackHost, ctypes.byref(h))
 
     def status(self):
@@ -143,11 +117,7 @@
                               timeout=60, check=False)
         codes.append((done.returncode, done.stderr))
 
-    threads = [threading.Thread(target=one, args=(i,)) for i in range(4)]
-    for t in threads:
-        t.start()
-    for t in threads:
-        t.join()
+    harness.run_threads(one, range(4))
     assert any(c == OK for c, _ in codes), codes
     assert all(c == OK or (c == REJECTED and "base version" in e)
                for c, e in codes), codes
@@ -208,8 +178,7 @@
             p.append("checkpoint", LIB.GvLedger_PackCheckpoint, ledger.handle)
         ledger.close()
         for i in range(4):
-            h = gv.Host(gv.s("h0"), gv.s("k1"), gv.s("r0"),
-                        gv.s("127.0.0.1:9001"), gv.s("p"), gv.s("b%d" % i), 8)
+            h = gv.host("h0", "k1", "r0", "p", "b%d" % i)
             p.append("host", LIB.GvLedger_PackHost, ctypes.byref(h))
         if with_checkpoint:
             p.run("drain", "h0")
@@ -219,14 +188,8 @@
             assert "no checkpoint" in out, out
 
 
-class Entry(http.server.BaseHTTPRequestHandler):
-    pages = {"/v1/status": {"name": "e1", "services": [{"service": "s",
-                                                        "queued": 3}]},
-             "/v1/burn": {"services": [{"service": "s", "windows": [
-                 {"window_s": 60, "burn": 1.5}]}]}}
-
-    def do_GET(self):
-        body = json.dumps(self.pages[self.path]).encode()
+class Handler(http.server.BaseHTTPRequestHandler):
+    def reply(self, body):
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -236,53 +199,58 @@
         pass
 
 
-def entry_pages(p):
-    server = http.server.HTTPServer(("127.0.0.1", 0), Entry)
+@contextlib.contextmanager
+def served(handler):
+    """Serves on a free port meanwhile; gives the address."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    addr = "127.0.0.1:%d" % server.server_port
-    assert "service=s queued=3" in p.run("status", "--entry", addr)
-    assert "window_s=60 burn=1.500" in p.run("burn", "s", "--entry", addr)
-    p.run("burn", "t", GYPSUMVALVE_ENTRY=addr, code=USAGE)
-    # This entry host's page has no waves: they are read from the log.
-    assert "name=w" in p.run("wave", "status", "--entry", addr)
+    yield "127.0.0.1:%d" % server.server_port
     server.shutdown()
     server.server_close()
+
+
+class Entry(Handler):
+    pages = {"/v1/status": {"name": "e1", "services": [{"service": "s",
+                                                        "queued": 3}]},
+             "/v1/burn": {"services": [{"service": "s", "windows": [
+                 {"window_s": 60, "burn": 1.5}]}]}}
+
+    def do_GET(self):
+        self.reply(json.dumps(self.pages[self.path]).encode())
+
+
+def entry_pages(p):
+    with served(Entry) as addr:
+        assert "service=s queued=3" in p.run("status", "--entry", addr)
+        assert "window_s=60 burn=1.500" in p.run("burn", "s", "--entry", addr)
+        p.run("burn", "t", GYPSUMVALVE_ENTRY=addr, code=USAGE)
+        # This entry host's page has no waves: they are read from the log.
+        assert "name=w" in p.run("wave", "status", "--entry", addr)
     assert "offset" in p.run("status", "--entry", addr)
     p.run("burn", "--entry", addr, "--timeout", "1", code=UNREACHABLE)
     p.run("burn", code=USAGE)
 
 
-class Mute(http.server.BaseHTTPRequestHandler):
+class Mute(Handler):
     """A platform whose log stays empty and whose append answers get lost."""
     bodies = []
 
     def do_GET(self):
-        page = bytes.fromhex("940000cd03e890")
-        self.send_response(200)
-        self.send_header("Content-Length", str(len(page)))
-        self.end_headers()
-        self.wfile.write(page)
+        self.reply(bytes.fromhex("940000cd03e890"))
 
     def do_POST(self):
         size = int(self.headers["Content-Length"])
         self.bodies.append(self.rfile.read(size))
         self.close_connection = True
 
-    def log_message(self, *args):
-        pass
-
 
 def lost_answers(p):
     """Without a verdict the fate is unknown; only the same record is sent."""
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Mute)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    addr = "127.0.0.1:%d" % server.server_port
-    out = p.run("drain", "h0", "--platform", addr, "--timeout", "2", "--json",
-                code=UNKNOWN)
+    with served(Mute) as addr:
+        out = p.run("drain", "h0", "--platform", addr, "--timeout", "2",
+                    "--json", code=UNKNOWN)
     assert json.loads(out)["result"] == "unknown", out
     assert len(Mute.bodies) > 1 and len(set(Mute.bodies)) == 1, Mute.bodies
-    server.shutdown()
-    server.server_close()
 
 
 def main():
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -5,7 +5,6 @@
 import socket
 import sys
 import tempfile
-import threading
 import time
 
 import harness
@@ -39,6 +38,8 @@
     def setUp(self):
         super().setUp()
         self.sequence = 0
+        self.dir = tempfile.TemporaryDirectory()
+        self.addCleanup(self.dir.cleanup)
         self.platform = harness.free_addr()
         self.procs.start("platform", "standin-platform", "--listen",
                          self.platform, addr=self.platform)
@@ -47,14 +48,14 @@
             "targets", "standin-target", "--slots", self.slots,
             *(f"--target={n}={a}" for n, a in self.targets.items()),
             addr=self.targets["t2"])
-        self.entries = {f"e{i}": (harness.free_addr(), harness.free_addr())
-                        for i in (1, 2)}
+        self.entries = {name: ("k1", harness.free_addr(), harness.free_addr())
+                        for name in ("e1", "e2")}
         self.addCleanup(self.stop_entries)
         for name in self.entries:
             self.start_entry(name)
         self.publish()
-        self.e1, self.e2 = (http for http, _ in self.entries.values())
-        for http, _ in self.entries.values():
+        self.e1, self.e2 = (http for _, http, _ in self.entries.values())
+        for http in (self.e1, self.e2):
             wait_until(lambda a=http: self.usable(a) == self.slots, 15,
                        f"{http} has its share of the slots")
 
@@ -65,22 +66,10 @@
                 self.assertEqual(self.procs.stop(name), 0)
 
     def start_entry(self, name):
-        http, peer = self.entries[name]
-        with open(f"{self.tmp()}/{name}.yaml", "w", encoding="utf-8") as f:
-            f.write(f"name: {name}\ndata_centre: k1\nregion: r1\n"
-                    f"http: {http}\npeer: {peer}\n"
-                    f"platform: {self.platform}\nworkers: 8\npeers:\n")
-            for other, (_, addr) in self.entries.items():
-                if other != name:
-                    f.write(f"  - {{name: {other}, data_centre: k1, "
-                            f"region: r1, peer: {addr}}}\n")
-        self.procs.start(name, "gventryd", "--config", f.name, addr=http)
-
-    def tmp(self):
-        if not hasattr(self, "dir"):
-            self.dir = tempfile.TemporaryDirectory()
-            self.addCleanup(self.dir.cleanup)
-        return self.dir.name
+        path = f"{self.dir.name}/{name}.yaml"
+        harness.write_node(path, name, self.entries, self.platform, 8)
+        self.procs.start(name, "gventryd", "--config", path,
+                         addr=self.entries[name][1])
 
     def append(self, kind, payload):
         self.sequence += 1
@@ -118,14 +107,12 @@
     def outcome(self, answer):
         return answer.status, answer.headers["Gv-Outcome"]
 
-    def background(self, *args, **kwargs):
-        """Makes a call on a thread; returns (thread, list of its answer)."""
-        out = []
-        thread = threading.Thread(
-            target=lambda: out.append(call(*args, **kwargs)))
-        thread.start()
-        self.addCleanup(thread.join)
-        return thread, out
+    def begin(self, run_ms, body=b""):
+        """Makes a call through e1 that runs for run_ms and has started."""
+        made = self.background(
+            self.e1, "POST", f"/svc/routing/a?run_ms={run_ms}", body)
+        wait_until(self.runs, 5, "request has started")
+        return made
 
     def fill(self, addr, run_ms=1500):
         """Takes every slot of the entry host by long runs."""
@@ -136,13 +123,18 @@
                    "slots are taken")
         return calls
 
+    def fill_all(self):
+        self.fill(self.e1)
+        self.fill(self.e2)
+
 
 class Answers(Path):
     def test_own_answers(self):
         """Guards against answers that reach another caller."""
         errors = []
 
-        def caller(addr, n):
+        def caller(own):
+            addr, n = own
             for i in range(20):
                 body = f"{n}-{i}"
                 a = call(addr, "POST", "/svc/routing/a?run_ms=3", body)
@@ -151,12 +143,8 @@
                 if not a or self.outcome(a) != (200, "run") or \
                         a.text != f"ok {body}":
                     errors.append((body, a and (a.status, a.text)))
-        threads = [threading.Thread(target=caller, args=(a, f"{a}{n}"))
-                   for a in (self.e1, self.e2) for n in range(4)]
-        for t in threads:
-            t.start()
-        for t in threads:
-            t.join()
+        harness.run_threads(caller, [(a, f"{a}{n}") for n in range(4)
+                                     for a in (self.e1, self.e2)])
         self.assertEqual(errors, [])
         self.assertGreater(len(self.runs()), 80)
 
@@ -211,8 +199,7 @@
     def test_deadline_while_queued(self):
         """Guards against a queued request that ends as unknown or runs after
         its deadline."""
-        self.fill(self.e1)
-        self.fill(self.e2)
+        self.fill_all()
         before = len(self.runs())
         a = call(self.e1, "POST", "/svc/routing/late", b"",
                  {"Gv-Deadline-Ms": "300"})
@@ -223,8 +210,7 @@
     def test_full_queue(self):
         """Guards against a queue without a bound, and against a refusal
         because of load without Retry-After."""
-        self.fill(self.e1)
-        self.fill(self.e2)
+        self.fill_all()
         calls = [self.background(self.e1, "POST", "/svc/routing/q", b"",
                                  {"Gv-Deadline-Ms": "15000"})
                  for _ in range(30)]
@@ -266,8 +252,7 @@
 
     def test_caller_gone_while_queued(self):
         """Guards against work that starts for a caller who has left."""
-        self.fill(self.e1)
-        self.fill(self.e2)
+        self.fill_all()
         host, port = self.e1.split(":")
         with socket.create_connection((host, int(port))) as s:
             s.sendall(b"POST /svc/routing/gone HTTP/1.1\r\nHost: x\r\n"
@@ -299,7 +284,6 @@
         call(t1, "POST", "/control/fault?fail_all=1")
         got = set()
         for _ in range(10):
-            before = len(self.runs())
             a = call(self.e1, "GET", "/svc/routing/a")
             self.assertEqual(self.outcome(a), (200, "run"))
             before = len(self.runs())
@@ -314,9 +298,7 @@
     def test_cut_after_start(self):
         """Guards against a run lost after its start that is reported as
         not-run or repeated."""
-        cut, out = self.background(self.e1, "POST",
-                                   "/svc/routing/a?run_ms=1000", b"")
-        wait_until(self.runs, 5, "request has started")
+        cut, out = self.begin(1000)
         for addr in self.targets.values():
             call(addr, "POST", "/control/reboot")
         cut.join()
@@ -342,9 +324,9 @@
         """Guards against an entry host that sends to targets, or refuses
         work, when it starts while the log cannot be read."""
         call(self.platform, "POST", "/faults?outage=503")
-        self.entries["e3"] = (harness.free_addr(), harness.free_addr())
+        e3 = harness.free_addr()
+        self.entries["e3"] = ("k1", e3, harness.free_addr())
         self.start_entry("e3")
-        e3 = self.entries["e3"][0]
         status = wait_until(lambda: [s for s in [self.status(e3)]
                                      if s["services"]], 10, "ledger of a peer")
         self.assertFalse(status[0]["joined"])
@@ -362,9 +344,7 @@
     def test_graceful_stop(self):
         """Guards against a planned stop that interrupts a run, accepts new
         work, or leaves without appending `leave`."""
-        run, out = self.background(self.e1, "POST",
-                                   "/svc/routing/a?run_ms=1500", b"body")
-        wait_until(self.runs, 5, "request has started")
+        run, out = self.begin(1500, b"body")
         self.procs.children["e1"].terminate()
         wait_until(lambda: call(self.e1, "GET", "/healthz").status == 503, 2,
                    "health turns 503")
@@ -381,7 +361,7 @@
     def test_reload(self):
         """Guards against an invalid node file that ends the daemon or
         replaces the settings in force."""
-        path = f"{self.tmp()}/e1.yaml"
+        path = f"{self.dir.name}/e1.yaml"
         with open(path, encoding="utf-8") as f:
             good = f.read()
         for text in ("name: [", good.replace("data_centre: k1", "", 1),
--- a/tests/proc_platform.py
+++ b/tests/proc_platform.py
@@ -204,11 +204,9 @@
         boot = self.hosts()[1][0][7]
         self.assertIn(f"boot={boot} ", call(self.target, "GET",
                                             "/health").text)
-        answers = []
-        runner = threading.Thread(target=lambda: answers.append(call(
+        runner, answers = self.background(
             self.target, "POST", "/x?run_ms=9000", b"",
-            {"Gv-Attempt-Id": "a1", "X-Tag": "t"})))
-        runner.start()
+            {"Gv-Attempt-Id": "a1", "X-Tag": "t"})
         harness.wait_until(lambda: "start a1" in call(
             self.target, "GET", "/history").text, 5, "request starts")
         self.assertEqual(self.host_op("reboot", "h1", 1), 200)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,5 +1,6 @@
 """A TCP relay in the test process. Cut: new connections are refused and open
 ones go silent for good, as when a device between two ends loses its state."""
+import contextlib
 import socket
 import threading
 
@@ -50,10 +51,8 @@
                 continue
             if not data:
                 for s in (a, b):
-                    try:
+                    with contextlib.suppress(OSError):
                         s.shutdown(socket.SHUT_RDWR)
-                    except OSError:
-                        pass
                 return
             try:
                 b.sendall(data)
