--- a/tests/test_ledger_size.c
+++ b/tests/test_ledger_size.c
@@ -3,6 +3,7 @@
 
 #include "error.h"
 #include "ledger.h"
+#include "support.h"
 
 #define TARGET_HOSTS 5800
 #define TARGET_POOLS 32
@@ -25,20 +26,11 @@
 {
     gv_verdict_t v;
     msgpack_sbuffer sb;
-    gv_record_t r = {.kind = GvStr_C(kind),
-                     .origin = GV_STR("entry1"),
-                     .incarnation = INCARNATION,
-                     .sequence = ++sequence,
-                     .created_ms = now_ms,
-                     .expires_ms = now_ms + 60000};
-    msgpack_sbuffer_init(&sb);
-    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
-    g_assert_cmpint(GvLedger_Apply(l, GvLedger_Next(l), now_ms,
-                                   GvStr_N(sb.data, sb.size), &v),
-                    ==, GV_OK);
+    pack_record(&sb, kind, GV_STR("entry1"), INCARNATION, ++sequence, now_ms,
+                payload);
+    ASSERT_OK(GvLedger_Apply(l, GvLedger_Next(l), now_ms,
+                             GvStr_N(sb.data, sb.size), &v));
     msgpack_sbuffer_destroy(&sb);
-    msgpack_sbuffer_destroy(payload);
-    msgpack_sbuffer_init(payload);
     return v;
 }
 
@@ -100,12 +92,11 @@
 check_checkpoint(gv_ledger_t *l, msgpack_sbuffer *sb)
 {
     gv_ledger_t *copy;
-    msgpack_sbuffer_init(sb);
+    msgpack_sbuffer_clear(sb);
     GvLedger_Save(l, sb);
     g_test_message("state of %u hosts: %zu bytes", GvLedger_Hosts(l)->len,
                    sb->size);
-    g_assert_cmpint(GvLedger_Load(GvStr_N(sb->data, sb->size), &copy), ==,
-                    GV_OK);
+    ASSERT_OK(GvLedger_Load(GvStr_N(sb->data, sb->size), &copy));
     g_assert_cmpuint(GvLedger_Digest(copy), ==, GvLedger_Digest(l));
     GvLedger_Free(copy);
     msgpack_sbuffer_clear(sb);
@@ -117,8 +108,7 @@
 /* Guards against a state of the target size, or any state that the ledger
    accepts, that no longer fits in a checkpoint record: every entry host that
    starts later would be without a ledger. */
-static void
-test_size(void)
+TEST("/ledger/size", test_size)
 {
     msgpack_sbuffer sb;
     gv_ledger_t *l = GvLedger_New();
@@ -129,12 +119,9 @@
         char name[24], dc[24];
         snprintf(name, sizeof name, "entry%d", i);
         snprintf(dc, sizeof dc, "dc%d", i % TARGET_DCS);
-        gv_member_t m = {GvStr_C(name),
-                         GvStr_C(dc),
-                         GV_STR("10.101.102.103:7001"),
-                         GV_STR("10.101.102.103:8001"),
-                         INCARNATION,
-                         0};
+        gv_member_t m = MEMBER(GvStr_C(name), GvStr_C(dc), INCARNATION);
+        m.peer_addr = GV_STR("10.101.102.103:7001");
+        m.http_addr = GV_STR("10.101.102.103:8001");
         GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
         g_assert_cmpint(put(l, "member", &sb).kind, ==, GV_VERDICT_ACCEPTED);
     }
@@ -158,10 +145,4 @@
     GvLedger_Free(l);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/ledger/size", test_size);
-    return g_test_run();
-}
+TEST_MAIN
--- a/tests/test_peer_services.c
+++ b/tests/test_peer_services.c
@@ -6,6 +6,7 @@
 #include "ledgersync.h"
 #include "lending.h"
 #include "limits.h"
+#include "support.h"
 
 /* One entry host with the ledger exchange and the lending of slots. */
 typedef struct {
@@ -117,10 +118,7 @@
     GvReplica_Unlock(from->replica);
     gint before = g_atomic_int_get(&to->messages);
     g_assert_cmpint(GvPeers_Send(from->peers, GvStr_C(to->name), &m), ==, 0);
-    for (int i = 0; g_atomic_int_get(&to->messages) == before; i++) {
-        g_assert_cmpint(i, <, 5000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(g_atomic_int_get(&to->messages) != before, 5000);
 }
 
 static void
@@ -154,8 +152,7 @@
 
 /* An entry host that starts from another data centre's ledger, does not
    advance, takes an older ledger, or ends with another state. */
-static void
-test_ledger(void)
+TEST("/ledgersync", test_ledger)
 {
     node_t a;
     node_t b;
@@ -202,18 +199,10 @@
 apply_record(node_t *n, const char *kind, msgpack_sbuffer *payload)
 {
     static uint64_t sequence;
-    gv_record_t r = {.kind = GvStr_C(kind),
-                     .origin = GV_STR("op"),
-                     .incarnation = 1,
-                     .sequence = ++sequence,
-                     .created_ms = 1000,
-                     .expires_ms = 2000};
     msgpack_sbuffer sb;
-    msgpack_sbuffer_init(&sb);
-    GvRecord_Pack(&sb, &r, GvStr_N(payload->data, payload->size));
+    pack_record(&sb, kind, GV_STR("op"), 1, ++sequence, 1000, payload);
     apply(n, GvStr_N(sb.data, sb.size));
     msgpack_sbuffer_destroy(&sb);
-    msgpack_sbuffer_clear(payload);
 }
 
 /* A pool with one host of 8 slots and the members a and b. */
@@ -225,13 +214,7 @@
                              "availability: {objective_percent: 99, "
                              "min_hosts: 1}\n")},
         {GV_STR("g"), GV_STR("kind: pool\npool: p\nmax_out: 1\n")}};
-    gv_lhost_t h = {.name = GV_STR("h1"),
-                    .dc = GV_STR("k1"),
-                    .rack = GV_STR("r1"),
-                    .addr = GV_STR("127.0.0.1:9"),
-                    .pool = GV_STR("p"),
-                    .boot = GV_STR("b1"),
-                    .slots = 8};
+    gv_lhost_t h = HOST("h1", "r1");
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackSettings(&sb, 0, docs, 2);
@@ -239,12 +222,7 @@
     GvLedger_PackHost(&sb, &h);
     apply_record(n, "host", &sb);
     for (int i = 0; i < 2; i++) {
-        gv_member_t m = {GvStr_C(i == 0 ? "a" : "b"),
-                         GV_STR("k1"),
-                         GV_STR("127.0.0.1:1"),
-                         GV_STR("127.0.0.1:2"),
-                         1,
-                         0};
+        gv_member_t m = MEMBER(GvStr_C(i == 0 ? "a" : "b"), GV_STR("k1"), 1);
         GvLedger_PackMember(&sb, &m, GV_MEMBER_JOIN);
         apply_record(n, "member", &sb);
     }
@@ -268,18 +246,14 @@
 static void
 wait_usable(node_t *a, int ua, node_t *b, int ub)
 {
-    for (int i = 0; usable(a, GvClock_MonoMs()) != ua ||
-                    usable(b, GvClock_MonoMs()) != ub;
-         i++) {
-        g_assert_cmpint(i, <, 5000);
-        g_usleep(1000);
-    }
+    WAIT_FOR(usable(a, GvClock_MonoMs()) == ua &&
+                 usable(b, GvClock_MonoMs()) == ub,
+             5000);
 }
 
 /* Slots that are used at both ends, lent although they are needed, not given
    back, or kept after the end of the loan. */
-static void
-test_lending(void)
+TEST("/lending", test_lending)
 {
     node_t a;
     node_t b;
@@ -293,9 +267,8 @@
     wait_usable(&a, 4, &b, 4);
     gv_target_t *t = GvTargets_Find(a.targets, GV_STR("h1"));
     for (int i = 0; i < 4; i++) {
-        g_assert_cmpint(GvTarget_Begin(t, GV_STR("p"), GvClock_MonoMs(), addr,
-                                       sizeof addr),
-                        ==, GV_OK);
+        ASSERT_OK(GvTarget_Begin(t, GV_STR("p"), GvClock_MonoMs(), addr,
+                                 sizeof addr));
     }
     beat(&b, &a, 4);
     g_atomic_int_set(&a.queued, 3);
@@ -323,11 +296,4 @@
     stop(&b);
 }
 
-int
-main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/ledgersync", test_ledger);
-    g_test_add_func("/lending", test_lending);
-    return g_test_run();
-}
+TEST_MAIN
