Keep the boot that a stop has to change in the ledger; add wave fault tests

Scenario holder_paused showed that a host which nobody had rebooted was reported healthy: the ledger held the boot of a list entry older than the target's process, so the entry host that took the claim over saw another boot and believed the reboot to be over. The holder now probes before `act` and first records the boot that it sees.

The new boot and the end of the claim were two records; a takeover between them rebooted the host a second time. `done` now carries the new boot.

--- a/src/ledger.h
+++ b/src/ledger.h
@@ -170,6 +170,9 @@
                       gv_str_t holder, uint64_t incarnation);
 void GvLedger_PackDone(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
                        gv_done_t result);
+/* A healthy end together with the boot that the host has come back with. */
+void GvLedger_PackHealthy(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
+                          gv_str_t boot);
 void GvLedger_PackTakeover(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
                            gv_str_t holder, uint64_t incarnation);
 typedef enum { GV_WAVE_START, GV_WAVE_STOP, GV_WAVE_RESUME } gv_wave_change_t;
--- a/src/ledger_claim.c
+++ b/src/ledger_claim.c
@@ -72,6 +72,21 @@
     GvPack_Int(&pk, result);
 }
 
+/* Packs a healthy end with the host's new boot: [host, claim offset, result,
+   boot]. */
+void
+GvLedger_PackHealthy(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
+                     gv_str_t boot)
+{
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, 4);
+    GvPack_Str(&pk, host);
+    GvPack_Uint(&pk, claim);
+    GvPack_Int(&pk, GV_DONE_HEALTHY);
+    GvPack_Str(&pk, boot);
+}
+
 /* Releases a host from its claim. */
 void
 GvLedger_EndClaim(gv_ledger_t *l, gv_lhost_t *h)
--- a/src/ledger_done.c
+++ b/src/ledger_done.c
@@ -1,11 +1,18 @@
 #include "error.h"
 #include "ledger_state.h"
 
-/* Marks the host maintained in its wave and releases it. */
+/* Marks the host maintained in its wave, with its new boot unless that is
+   empty, and releases it. */
 static void
-finish_healthy(gv_ledger_t *l, gv_lhost_t *h)
+finish_healthy(gv_ledger_t *l, gv_lhost_t *h, gv_str_t boot)
 {
     gv_wave_t *w = GvTable_Find(&l->waves, h->claim->wave);
+    if (boot.n > 0) {
+        GvLedger_Count(l, h, -1);
+        GvStr_Free(&h->boot);
+        h->boot = GvStr_Dup(boot);
+        GvLedger_Count(l, h, 1);
+    }
     if (w != NULL) {
         w->healthy++;
         GvLedger_Count(l, h, -1);
@@ -61,8 +68,10 @@
     gv_str_t host = GvUnpack_Str(&u);
     uint64_t claim = GvUnpack_Uint(&u);
     uint64_t result = GvUnpack_Uint(&u);
+    gv_str_t boot = GvUnpack_More(&u) ? GvUnpack_Str(&u) : GV_STR("");
     (void)offset;
-    if (u.err != GV_OK || !GvStr_IsName(host) || result > GV_DONE_CANCELLED) {
+    if (u.err != GV_OK || !GvStr_IsName(host) || result > GV_DONE_CANCELLED ||
+        !GvLedger_IsBoot(boot)) {
         return GV_EINVAL;
     }
     gv_lhost_t *h = GvTable_Find(&l->hosts, host);
@@ -74,9 +83,12 @@
     if (err != GV_OK) {
         return err;
     }
+    if (!GvLedger_HasRoom(l, boot.n)) {
+        return GvLedger_Refuse(reason, n, "the state is full");
+    }
     switch ((gv_done_t)result) {
     case GV_DONE_HEALTHY:
-        finish_healthy(l, h);
+        finish_healthy(l, h, boot);
         break;
     case GV_DONE_FAILED:
         finish_failed(l, h);
--- a/src/ledger_host.c
+++ b/src/ledger_host.c
@@ -24,8 +24,8 @@
 
 /* Tells whether a boot identifier has only printable characters. A saved
    state with any other would not load again. */
-static bool
-is_boot(gv_str_t s)
+bool
+GvLedger_IsBoot(gv_str_t s)
 {
     for (size_t i = 0; i < s.n; i++) {
         if (!g_ascii_isgraph(s.p[i])) {
@@ -50,7 +50,7 @@
     h->boot = GvUnpack_Str(&u);
     uint64_t state = GvUnpack_Uint(&u);
     if (u.err != GV_OK || !GvStr_IsName(h->name) || state > GV_HOST_GONE ||
-        !is_boot(h->boot)) {
+        !GvLedger_IsBoot(h->boot)) {
         return GV_EINVAL;
     }
     h->slots = (int)MIN(slots, GV_SLOTS_MAX + 1);
--- a/src/ledger_state.h
+++ b/src/ledger_state.h
@@ -118,6 +118,9 @@
 gv_settings_t *GvLedger_ParseDocuments(const GPtrArray *docs,
                                        gv_problems_t *ps);
 
+/* ledger_host.c */
+bool GvLedger_IsBoot(gv_str_t s);
+
 /* ledger_claim.c */
 void GvLedger_EndClaim(gv_ledger_t *l, gv_lhost_t *h);
 void GvLedger_Waive(gv_ledger_t *l, gv_str_t entry);
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -234,27 +234,20 @@
     }
 }
 
-/* Wants the record of the new boot, then the end of the claim; the order of
-   an origin's records is kept. */
+/* Wants the end of the claim. One record carries the result and the new boot:
+   a takeover between two records would reboot the host a second time. */
 static void
-want_done(gv_maintain_t *m, const gv_hold_t *d, gv_done_t result,
-          GPtrArray *out)
+want_done(const gv_hold_t *d, gv_done_t result, GPtrArray *out)
 {
     msgpack_sbuffer sb;
-    const gv_ledger_t *l = GvReplica_Lock(m->k->replica);
-    const gv_lhost_t *h = GvLedger_Host(l, GvStr_C(d->host));
-    if (h != NULL && result == GV_DONE_HEALTHY &&
-        !GvStr_Equal(h->boot, GvStr_C(d->new_boot))) {
-        gv_lhost_t c = *h;
-        c.boot = GvStr_C(d->new_boot);
-        msgpack_sbuffer_init(&sb);
-        GvLedger_PackHost(&sb, &c);
-        GvMaintain_Want(out, "host", sb, "host %s boot %s", d->host,
-                        d->new_boot);
-    }
-    GvReplica_Unlock(m->k->replica);
     msgpack_sbuffer_init(&sb);
-    GvLedger_PackDone(&sb, GvStr_C(d->host), d->claim, result);
+    if (result == GV_DONE_HEALTHY) {
+        GvLedger_PackHealthy(&sb, GvStr_C(d->host), d->claim,
+                             GvStr_C(d->new_boot));
+    }
+    else {
+        GvLedger_PackDone(&sb, GvStr_C(d->host), d->claim, result);
+    }
     GvMaintain_Want(out, "done", sb, "done %s %" PRIu64, d->host, d->claim);
 }
 
@@ -271,10 +264,37 @@
     }
 }
 
-/* Wants the record after which the host may be stopped. */
+/* Wants the boot of the last probe in the ledger. Returns true when it is not
+   there yet. */
+static bool
+want_boot(gv_maintain_t *m, const gv_hold_t *d, GPtrArray *out)
+{
+    const gv_ledger_t *l = GvReplica_Lock(m->k->replica);
+    const gv_lhost_t *h = GvLedger_Host(l, GvStr_C(d->host));
+    bool differs = h != NULL && !GvStr_Equal(h->boot, GvStr_C(d->boot));
+    if (differs) {
+        msgpack_sbuffer sb;
+        gv_lhost_t c = *h;
+        c.boot = GvStr_C(d->boot);
+        msgpack_sbuffer_init(&sb);
+        GvLedger_PackHost(&sb, &c);
+        GvMaintain_Want(out, "host", sb, "host %s boot %s", d->host, d->boot);
+    }
+    GvReplica_Unlock(m->k->replica);
+    return differs;
+}
+
+/* Wants the record after which the host may be stopped. The ledger has to
+   hold the boot that is to change: with another one, a holder that takes over
+   would believe the reboot to be over. */
 static void
-want_act(gv_maintain_t *m, const gv_hold_t *d, GPtrArray *out)
+want_act(gv_maintain_t *m, gv_hold_t *d, GPtrArray *out)
 {
+    d->own_probe = false;
+    probe(d);
+    if (d->own_probe && want_boot(m, d, out)) {
+        return;
+    }
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
     GvLedger_PackAct(&sb, GvStr_C(d->host), d->claim, m->k->conf.name,
@@ -306,11 +326,11 @@
         f->readied = host_op(m, d, GV_HOSTOP_READY);
         return f->readied;
     case GV_STEP_DONE_HEALTHY:
-        want_done(m, d, GV_DONE_HEALTHY, out);
+        want_done(d, GV_DONE_HEALTHY, out);
         f->probes = 0; /* a fresh probe before any repetition */
         return false;
     case GV_STEP_DONE_FAILED:
-        want_done(m, d, GV_DONE_FAILED, out);
+        want_done(d, GV_DONE_FAILED, out);
         return false;
     }
     return false;
--- /dev/null
+++ b/tests/proc_wave_faults.py
@@ -0,0 +1,222 @@
+"""Maintenance waves and moves over real processes under faults: holders that
+are killed or paused, targets that fail, operators that race, and load that
+moves a spare host in. The history of every request is checked."""
+import contextlib
+import json
+import signal
+import sys
+import threading
+import time
+
+from cluster import Callers, Cluster
+from harness import wait_until
+from relay import Relay
+
+
+def status(c, entry):
+    answer = c.entry(entry, "GET", "/v1/status")
+    return json.loads(answer[2]) if answer and answer[0] == 200 else None
+
+
+def claim(c, entry, phase=None):
+    """Returns the first maintenance claim, in that phase if one is given."""
+    for row in (status(c, entry) or {"claims": []})["claims"]:
+        if row["kind"] == "maintenance" and phase in (None, row["phase"]):
+            return row
+    return None
+
+
+def wave(c, entry, name="w1"):
+    rows = (status(c, entry) or {"waves": []})["waves"]
+    return next((w for w in rows if w["name"] == name), {"state": ""})
+
+
+def boot(c, host):
+    answer = c.target(host, "GET", "/health")
+    if not answer or answer[0] != 200:
+        return ""
+    return dict(f.split("=") for f in answer[2].split())["boot"]
+
+
+def start(c, name="w1", width=2):
+    done = c.operator("wave", "start", name, "--pool", "plan", "--width",
+                      str(width))
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+def in_service(c, entry):
+    rows = status(c, entry)["targets"]
+    return sum(r["pool"] == "plan" and not r["closed"] for r in rows)
+
+
+def wait_kept(c, check, seconds, what):
+    """Waits, and fails when fewer than min_hosts are in service meanwhile."""
+    def kept():
+        serving = in_service(c, "e1")
+        assert serving >= c.min_hosts, f"only {serving} hosts in service"
+        return check()
+    return wait_until(kept, seconds, what)
+
+
+def race(c, *commands):
+    done = []
+    threads = [threading.Thread(
+        target=lambda a=a: done.append(c.operator(*a))) for a in commands]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    codes = sorted(d.returncode for d in done)
+    assert codes == [0, 4], [d.stdout + d.stderr for d in done]
+
+
+def holder_killed(build):
+    """Guards against a wave that never ends after the holder of a claim is
+    killed, and against a stop that cuts a run which the holder left."""
+    with Cluster(build, hosts=2) as c, Callers(c, seed=21,
+                                               run_ms=500) as callers:
+        time.sleep(1)
+        start(c)
+        held = wait_until(lambda: claim(c, "e1"), 10, "a claim")
+        c.kill(held["holder"])
+        c.start_entry(held["holder"])
+        wait_until(lambda: wave(c, "e2")["state"] == "done", 30, "wave ends")
+        callers.__exit__()
+        callers.verdict(least_run=50)
+
+
+def holder_paused(build):
+    """Guards against a holder that was paused after `act`, wrongly removed
+    and replaced, and reboots the host again when it resumes."""
+    with contextlib.ExitStack() as stack:
+        c = Cluster(build, entries=3, hosts=2)
+        relays = {name: Relay(c.platform) for name in c.entries}
+        for name, relay in relays.items():
+            stack.callback(relay.stop)
+            c.platform_via[name] = relay.addr
+        stack.enter_context(c)
+        old = {h: boot(c, h) for h in c.hosts}
+        # Runs at the targets that no entry host knows delay the reboot.
+        for host in ("plan-dc1-1", "plan-dc1-2"):
+            threading.Thread(target=c.target, args=(
+                host, "POST", "/svc/plan/x?tag=direct&run_ms=4500")).start()
+        start(c, width=1)
+        held = wait_until(lambda: claim(c, "e1", "stopping"), 4, "act")
+        host, holder = held["host"], held["holder"]
+        c.signal(holder, signal.SIGSTOP)
+        assert boot(c, host) == old[host], "paused too late"
+        done = c.operator("entry", "remove", holder)
+        assert done.returncode == 0, done.stdout + done.stderr
+        other = next(e for e in c.entries if e != holder)
+        wait_until(lambda: boot(c, host) not in ("", old[host]) and all(
+            r["host"] != host for r in status(c, other)["claims"]), 15,
+            "host is back in service")
+        back = boot(c, host)
+        # The holder reads the log late, but its calls get through.
+        relays[holder].silence()
+        with Callers(c, seed=22, run_ms=500) as callers:
+            time.sleep(0.5)
+            c.signal(holder, signal.SIGCONT)
+            end = time.monotonic() + 5
+            while time.monotonic() < end:
+                assert boot(c, host) == back, "rebooted again"
+                time.sleep(0.05)
+        wait_until(lambda: wave(c, other)["state"] == "done", 15, "wave ends")
+        assert boot(c, host) == back, "rebooted again"
+        callers.verdict(least_run=30)
+
+
+def target_lost(build):
+    """Guards against a wave that goes on after a target has not come back
+    from its reboot, and against one that can't be resumed."""
+    with Cluster(build, hosts=3, min_hosts=2, reboot_ms=2500) as c:
+        start(c)
+        host = wait_until(lambda: claim(c, "e1", "stopping"), 10, "act")["host"]
+        wait_kept(c, lambda: not boot(c, host), 10, "host reboots")
+        c.target(host, "POST", "/control/fault?freeze=1")
+        end = time.monotonic() + 4
+        wait_kept(c, lambda: time.monotonic() > end, 5, "reboot time is over")
+        assert len(status(c, "e1")["claims"]) == 1, "the wave went on"
+        c.set_host(host, state="gone")
+        wait_kept(c, lambda: wave(c, "e1")["state"] == "halted", 10, "halt")
+        c.target(host, "POST", "/control/fault?reset=1")
+        c.set_host(host, rack="dc1-r9")
+        wait_kept(c, lambda: in_service(c, "e1") == 3, 10, "host is back")
+        assert c.operator("wave", "resume", "w1").returncode == 0
+        wait_kept(c, lambda: wave(c, "e1")["state"] == "done", 30, "wave ends")
+
+
+def target_fails(build):
+    """Guards against a wave that goes on after a target under claim failed,
+    or that lets the pool fall below min_hosts."""
+    with Cluster(build, hosts=3, min_hosts=2) as c:
+        c.publish(c.settings().replace("max_ms: 8000", "max_ms: 20000"))
+        # Runs on all hosts delay the confirmations past the failure report.
+        threads = [threading.Thread(target=c.entry, args=(
+            f"e{i % 2 + 1}", "GET", "/svc/plan/x?tag=long&run_ms=13000",
+            {"Gv-Deadline-Ms": "15000"}, None, 20)) for i in range(12)]
+        for t in threads:
+            t.start()
+        time.sleep(0.5)
+        start(c)
+        host = wait_until(lambda: claim(c, "e1", "granted"), 5, "claim")["host"]
+        c.target(host, "POST", "/control/fault?freeze=1")
+        wait_kept(c, lambda: wave(c, "e1")["state"] == "halted", 12, "halt")
+        c.target(host, "POST", "/control/fault?reset=1")
+        for t in threads:
+            t.join()
+        assert c.operator("wave", "resume", "w1").returncode == 0
+        wait_kept(c, lambda: wave(c, "e1")["state"] == "done", 20, "wave ends")
+        assert not any(run.cut for run in c.runs()), "a request was cut"
+
+
+def waves_race(build):
+    """Guards against two waves on one pool, and against two operators who are
+    both told that their change of a wave is in force."""
+    with Cluster(build) as c:
+        race(c, ["wave", "start", "w1", "--pool", "plan", "--width", "1"],
+             ["wave", "start", "w2", "--pool", "plan", "--width", "1"])
+        name = status(c, "e1")["waves"][0]["name"]
+        race(c, ["wave", "stop", name], ["wave", "resume", name])
+        assert wave(c, "e1", name)["state"] == "done"
+        start(c, "w3")
+        race(c, ["wave", "stop", "w3"], ["wave", "stop", "w3"])
+
+
+def spare_moves(build):
+    """Guards against load that gets no spare host, and against a move that
+    cuts a request."""
+    with Cluster(build, hosts=3) as c:
+        docs = c.settings().split("---\n")
+        docs[1] += "spare: spare\n"
+        docs[3] += "is_spare: true\n"
+        c.publish("---\n".join(docs))
+        with Callers(c, seed=24, threads=40, run_ms=250) as callers:
+            wait_until(lambda: in_service(c, "e1") > 3, 15, "a host moves in")
+            time.sleep(1)
+        callers.verdict(least_run=100)
+
+
+SCENARIOS = [holder_killed, holder_paused, target_lost, target_fails,
+             waves_race, spare_moves]
+
+
+def main():
+    build, only = sys.argv[1], sys.argv[2:]
+    failed = 0
+    for scenario in SCENARIOS:
+        if only and scenario.__name__ not in only:
+            continue
+        began = time.monotonic()
+        try:
+            scenario(build)
+        except AssertionError as wrong:
+            failed += 1
+            print(f"FAILED {scenario.__name__}: {wrong}", flush=True)
+        print(f"{scenario.__name__}: {time.monotonic() - began:.1f} s",
+              flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -216,17 +216,23 @@
     submit(argv[0], &sb);
 }
 
-/* done HOST CLAIM healthy|failed|cancelled */
+/* done HOST CLAIM healthy|failed|cancelled [BOOT] */
 static void
 verb_done(int argc, char **argv)
 {
     msgpack_sbuffer sb;
     char result = arg(argc, argv, 3).p[0];
     msgpack_sbuffer_init(&sb);
-    GvLedger_PackDone(&sb, arg(argc, argv, 1), claim_of(argc, argv),
-                      result == 'h'   ? GV_DONE_HEALTHY
-                      : result == 'f' ? GV_DONE_FAILED
-                                      : GV_DONE_CANCELLED);
+    if (argc > 4) {
+        GvLedger_PackHealthy(&sb, arg(argc, argv, 1), claim_of(argc, argv),
+                             arg(argc, argv, 4));
+    }
+    else {
+        GvLedger_PackDone(&sb, arg(argc, argv, 1), claim_of(argc, argv),
+                          result == 'h'   ? GV_DONE_HEALTHY
+                          : result == 'f' ? GV_DONE_FAILED
+                                          : GV_DONE_CANCELLED);
+    }
     submit("done", &sb);
 }
 
