--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -197,12 +197,19 @@
     submit(argv[0]);
 }
 
-/* done HOST CLAIM healthy|failed|cancelled */
+/* done HOST CLAIM healthy|failed|cancelled [BOOT] */
 GV_VERB("done", verb_done)
 {
-    GvLedger_PackDone(
-        &payload, arg(argc, argv, 1), claim_of(argc, argv),
-        (gv_done_t)INDEX(argv[3], "healthy", "failed", "cancelled"));
+    gv_str_t host = arg(argc, argv, 1);
+    gv_done_t result =
+        (gv_done_t)INDEX(argv[3], "healthy", "failed", "cancelled");
+    if (argc > 4) {
+        GvLedger_PackHealthy(&payload, host, claim_of(argc, argv),
+                             arg(argc, argv, 4));
+    }
+    else {
+        GvLedger_PackDone(&payload, host, claim_of(argc, argv), result);
+    }
     submit("done");
 }
 
