Refuse new requests at the front while stopping; end waiting ones before MHD

Cause: requests with a ticket or key went around the dispatcher's refusal, so one could still be suspended when the server was stopped, and libmicrohttpd ended the process: 'MHD_stop_daemon() called while we have suspended connections'. Ruled out: a request that ended without resuming its connection, since on_done resumes in every case. Change: the front refuses from the start of the stop, and cancels what still waits before it stops the server. After: holder_paused, proc_path and proc_stop pass.

--- a/src/front.c
+++ b/src/front.c
@@ -117,6 +117,9 @@
     gv_front_t *f = call->front;
     gv_request_opts_t o;
     char reason[160];
+    if (atomic_load(&f->refuse)) {
+        return reply_refusal(call, 503, "entry host is stopping");
+    }
     int status;
     if (GvFront_ReadRequest(call, method, &o, &status, reason,
                             sizeof reason) != GV_OK) {
@@ -275,6 +278,38 @@
     return GV_OK;
 }
 
+/* From now on new requests are refused as not-run. */
+void
+GvFront_Refuse(gv_front_t *f)
+{
+    atomic_store(&f->refuse, true);
+}
+
+/* Ends every request that a caller still waits for: MHD must not be stopped
+   with suspended connections. */
+static void
+cancel_waiting(gv_front_t *f)
+{
+    pthread_mutex_lock(&f->lock);
+    GList *callers = g_hash_table_get_values(f->waiting);
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(gint64));
+    for (GList *l = callers; l != NULL; l = l->next) {
+        const gv_caller_t *c = l->data;
+        g_array_append_val(ids, c->id);
+    }
+    pthread_mutex_unlock(&f->lock);
+    g_list_free(callers);
+    for (guint i = 0; i < ids->len; i++) {
+        gint64 id = g_array_index(ids, gint64, i);
+        gv_request_t *rq = GvRequest_Find(f->o.requests, (uint64_t)id);
+        if (rq != NULL) {
+            GvRequest_Cancel(rq, "entry host has stopped");
+            GvRequest_Unref(rq);
+        }
+    }
+    g_array_free(ids, TRUE);
+}
+
 /* Stops the server and frees it. */
 void
 GvFront_Stop(gv_front_t *f)
@@ -282,7 +317,9 @@
     if (f == NULL) {
         return;
     }
+    GvFront_Refuse(f);
     if (f->mhd != NULL) {
+        cancel_waiting(f);
         MHD_stop_daemon(f->mhd);
     }
     g_hash_table_destroy(f->waiting);
--- a/src/front.h
+++ b/src/front.h
@@ -27,6 +27,8 @@
 /* Stops listening; every request must have ended. */
 void GvFront_Stop(gv_front_t *f);
 /* HTTP exchanges with callers that are not complete. */
+/* From now on new requests are refused as not-run. */
+void GvFront_Refuse(gv_front_t *f);
 int GvFront_Open(gv_front_t *f);
 /* Cancels requests whose caller has disconnected; for the timer. */
 void GvFront_CheckCallers(gv_front_t *f);
--- a/src/front_private.h
+++ b/src/front_private.h
@@ -14,6 +14,7 @@
     atomic_int open;
     pthread_mutex_t lock;
     GHashTable *waiting; /* request id -> socket, both in gv_caller_t */
+    atomic_bool refuse;  /* the daemon is stopping */
 };
 
 /* One HTTP exchange with a caller. */
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -562,6 +562,7 @@
 {
     atomic_store(&k->private->stopping, true);
     GvLog_Write(GV_LOG_INFO, "stopping");
+    GvFront_Refuse(k->front);
     GvDispatch_Refuse(k->dispatch);
     wait_idle(k);
     GvKernel_Leave(k);
