Run requests of up to 1.8 s during the wave, so that its mutant cuts some off

Cause: with runs of up to 1 s the mutant confirm-only-when-idle passed wave_under_load (123 requests, no violation): they end before the reboot. Its earlier 'caught' came from too few requests, not from a cut. After: the mutant fails with 'planned stop cut off', and the unchanged code runs 124 requests without a violation, seed 15. The bound of 100 requests stays.

--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -87,7 +87,7 @@
     """Guards against a maintenance wave that cuts off a request in progress,
     also with an entry host that is paused during it."""
     with Cluster(build, hosts=3) as c, \
-            Callers(c, seed=15, threads=24, run_ms=500) as callers:
+            Callers(c, seed=15, threads=24, run_ms=900) as callers:
         c.operate("wave", "start", "w1", "--pool", "plan", "--width", "2")
         time.sleep(1)
         c.signal("e2", signal.SIGSTOP)
