Install log4c, libyaml, xxhash, libFuzzer's runtime and gnuplot again

Ruled out: a package missing from Debian; it installs. Before: make packages on a fresh machine, then make all: log4c.pc not found. After: the same two commands build everything.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
        python3 python3-hypothesis liburcu-dev libmsgpack-dev \
        libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
+       liblog4c-dev libyaml-dev libxxhash-dev libclang-rt-14-dev gnuplot-nox
 
 B ?= build
 WARN = -Wall -Wextra -Werror
