Halt the wave instead of stopping a target that gives no report

Cause: after the last confirmation the holder appended act also for a target that gave no report, and the ledger accepted act in a halted or ended wave, so a target that froze under its claim was drained and rebooted; a claim granted before the halt kept its host out until the wave went on. Ruled out: the prober reports such a host as failed after 5 s, but by then act had been accepted and reports about a stopping host come from its holder only. Change: the target has to report before act; act is rejected unless the wave runs; the holder cancels claims without act when the wave is halted or ended. The wait for the longest deadline of a silent target falls away, since a silent target is not stopped any more. Conclusion: a failure inside a wave stops it also before act.

--- a/src/ledger_claim.c
+++ b/src/ledger_claim.c
@@ -289,6 +289,11 @@
                                    ? "confirmations are outstanding"
                                    : "the host is already being stopped");
     }
+    const gv_wave_t *w = GvTable_Find(&l->waves, c->wave);
+    if (w == NULL || w->state != GV_WAVE_RUNNING) {
+        return GvLedger_Refuse(reason, n, "wave %.*s is not running",
+                               GV_STR_ARG(c->wave));
+    }
     if (!GvStr_Equal(c->holder, s.name) ||
         c->holder_incarnation != s.incarnation ||
         !GvLedger_IsCurrent(l, s.name, s.incarnation)) {
--- a/src/maintain_hold.c
+++ b/src/maintain_hold.c
@@ -82,21 +82,6 @@
     }
 }
 
-/* Longest deadline of the services on the pool, plus a grace time. */
-static int64_t
-run_limit(const gv_ledger_t *l, gv_str_t pool)
-{
-    gv_settings_t *s = GvLedger_Settings(l);
-    int64_t ms = 0;
-    for (int i = 0; i < GvSettings_ServiceCount(s); i++) {
-        const gv_service_t *sv = GvSettings_ServiceAt(s, i);
-        if (GvStr_Equal(sv->pool, pool)) {
-            ms = MAX(ms, sv->deadline_max_ms);
-        }
-    }
-    return ms + GV_ABANDON_GRACE_MS;
-}
-
 /* Copies s, cut to n - 1 bytes and terminated. */
 static void
 copy_str(char *to, size_t n, gv_str_t s)
@@ -127,17 +112,14 @@
     }
     copy_str(d->addr, sizeof d->addr, h->addr);
     d->seen = true;
-    if (h->claim->waived && d->waived_at_ms == 0) {
-        d->waived_at_ms = now_ms;
-    }
     gv_claim_facts_t *f = &d->facts;
+    const gv_wave_t *wave = GvLedger_Wave(l, h->claim->wave);
     if (f->phase != h->claim->phase) {
         f->probes = 0;
     }
     f->phase = h->claim->phase;
     f->waived = h->claim->waived;
-    f->run_limit_ms = run_limit(l, h->pool);
-    f->waived_ms = d->waived_at_ms != 0 ? now_ms - d->waived_at_ms : 0;
+    f->wave_runs = wave != NULL && wave->state == GV_WAVE_RUNNING;
     f->reboot_ms = f->rebooted ? now_ms - d->rebooted_at_ms : 0;
 }
 
@@ -293,7 +275,7 @@
 {
     d->own_probe = false;
     probe(d);
-    if (d->own_probe && want_boot(m, d, out)) {
+    if (!d->own_probe || want_boot(m, d, out)) {
         return;
     }
     msgpack_sbuffer sb;
@@ -333,6 +315,9 @@
     case GV_STEP_DONE_FAILED:
         want_done(d, GV_DONE_FAILED, out);
         return false;
+    case GV_STEP_DONE_CANCELLED:
+        want_done(d, GV_DONE_CANCELLED, out);
+        return false;
     }
     return false;
 }
--- a/src/maintain_plan.c
+++ b/src/maintain_plan.c
@@ -14,17 +14,14 @@
     return f->probes > 0 && f->reported && f->running == 0;
 }
 
-/* Before `act`: with a waived confirmation an absent entry host may have left
-   a run at the target. */
+/* Before `act` the target has to report: one that is silent may have failed,
+   which halts the wave, and its boot has to be known. With a waived
+   confirmation an absent entry host may have left a run at the target. */
 static gv_step_t
 before_act(const gv_claim_facts_t *f)
 {
-    if (!f->waived || is_idle(f)) {
-        return GV_STEP_ACT;
-    }
-    bool over = f->probes >= SILENT_PROBES && !f->reported &&
-                f->waived_ms >= f->run_limit_ms;
-    return over ? GV_STEP_ACT : GV_STEP_PROBE;
+    bool ready = f->waived ? is_idle(f) : f->probes > 0 && f->reported;
+    return ready ? GV_STEP_ACT : GV_STEP_PROBE;
 }
 
 /* Between `act` and the reboot. The probe after the drain is the last look
@@ -56,6 +53,9 @@
 gv_step_t
 GvMaintain_NextStep(const gv_claim_facts_t *f)
 {
+    if (f->phase != GV_PHASE_STOPPING && !f->wave_runs) {
+        return GV_STEP_DONE_CANCELLED;
+    }
     switch (f->phase) {
     case GV_PHASE_GRANTED:
         return GV_STEP_WAIT;
--- a/src/maintain_plan.h
+++ b/src/maintain_plan.h
@@ -18,21 +18,21 @@
     GV_STEP_REBOOT,
     GV_STEP_READY,
     GV_STEP_DONE_HEALTHY,
-    GV_STEP_DONE_FAILED
+    GV_STEP_DONE_FAILED,
+    GV_STEP_DONE_CANCELLED
 } gv_step_t;
 
 /* What the holder of a maintenance claim knows. Probes count from the last
    change of the step; one before a platform call says nothing after it. */
 typedef struct {
     gv_claim_phase_t phase;
-    bool waived;          /* a confirmation was waived by absence */
-    int64_t waived_ms;    /* since this process applied the waiver */
-    int64_t run_limit_ms; /* longest deadline of the pool, plus grace */
-    int probes;           /* fresh probes so far */
-    bool reported;        /* the last probe got a report */
-    int running;          /* in that report */
-    bool new_boot;        /* another boot than before the stop */
-    bool leaving;         /* in the last report */
+    bool wave_runs; /* neither halted nor ended */
+    bool waived;    /* a confirmation was waived by absence */
+    int probes;     /* fresh probes so far */
+    bool reported;  /* the last probe got a report */
+    int running;    /* in that report */
+    bool new_boot;  /* another boot than before the stop */
+    bool leaving;   /* in the last report */
     bool drained;
     bool rebooted;     /* the reboot was asked for */
     int64_t reboot_ms; /* since then */
--- a/src/maintain_private.h
+++ b/src/maintain_private.h
@@ -27,7 +27,6 @@
     uint64_t fence;
     bool seen;      /* still held at the last look */
     bool own_probe; /* boot comes from a probe before the stop */
-    int64_t waived_at_ms;
     int64_t rebooted_at_ms;
     char new_boot[GV_NAME_MAX_BYTES + 1];
     gv_claim_facts_t facts;
--- a/tests/proc_ledger_state.py
+++ b/tests/proc_ledger_state.py
@@ -185,6 +185,7 @@
     def act(self, _, name, offset, entry, inc):
         _, c = self.current(name, offset)
         if (not c or c["kind"] != MAINTENANCE or c["phase"] != CLEAR or
+                self.waves[c["wave"]]["state"] != RUNNING or
                 (c["holder"], c["inc"]) != (entry, inc) or
                 self.members.get(entry) != inc):
             return False
--- a/tests/proc_wave_faults.py
+++ b/tests/proc_wave_faults.py
@@ -163,6 +163,7 @@
         host = wait_until(lambda: claim(c, "e1", "granted"), 5, "claim")["host"]
         c.target(host, "POST", "/control/fault?freeze=1")
         wait_kept(c, lambda: wave(c, "e1")["state"] == "halted", 12, "halt")
+        wait_kept(c, lambda: not claim(c, "e1"), 5, "claim is cancelled")
         c.target(host, "POST", "/control/fault?reset=1")
         for t in threads:
             t.join()
@@ -171,6 +172,22 @@
         assert not any(run.cut for run in c.runs()), "a request was cut"
 
 
+def target_frozen(build):
+    """Guards against the stop of a target that froze before `act`: the wave
+    has to halt instead."""
+    with Cluster(build, hosts=2) as c:
+        c.signal("e2", signal.SIGSTOP)
+        start(c)
+        held = wait_until(lambda: claim(c, "e1"), 10, "a claim")
+        old = boot(c, held["host"])
+        c.target(held["host"], "POST", "/control/fault?freeze=1")
+        c.signal("e2", signal.SIGCONT)
+        wait_until(lambda: wave(c, "e1")["state"] == "halted", 15, "halt")
+        wait_until(lambda: not claim(c, "e1"), 5, "claim is cancelled")
+        c.target(held["host"], "POST", "/control/fault?reset=1")
+        assert boot(c, held["host"]) == old, "stopped a failed target"
+
+
 def waves_race(build):
     """Guards against two waves on one pool, and against two operators who are
     both told that their change of a wave is in force."""
@@ -199,7 +216,7 @@
 
 
 SCENARIOS = [holder_killed, holder_paused, target_lost, target_fails,
-             waves_race, spare_moves]
+             target_frozen, waves_race, spare_moves]
 
 
 def main():
--- a/tests/script_maintain.c
+++ b/tests/script_maintain.c
@@ -11,20 +11,19 @@
     return strtol(GvScript_Option(argc, argv, name, "0"), NULL, 10);
 }
 
-/* step PHASE [probes=N running=N (no report without it) waived_ms=N limit=N
+/* step PHASE [probes=N running=N (no report without it) halted=1 waived=1
    drained=1 rebooted=1 reboot_ms=N new_boot=1 leaving=1 readied=1] */
 GV_VERB("step", verb_step)
 {
     static const char *const names[] = {"wait",    "probe",  "act",
                                         "drain",   "reboot", "ready",
-                                        "healthy", "failed"};
+                                        "healthy", "failed", "cancelled"};
     const char *running = GvScript_Option(argc, argv, "running", NULL);
     gv_claim_facts_t f = {
         .phase =
             (gv_claim_phase_t)INDEX(argv[1], "granted", "clear", "stopping"),
-        .waived = GvScript_Option(argc, argv, "waived_ms", NULL) != NULL,
-        .waived_ms = number(argc, argv, "waived_ms"),
-        .run_limit_ms = number(argc, argv, "limit"),
+        .wave_runs = number(argc, argv, "halted") == 0,
+        .waived = number(argc, argv, "waived") == 1,
         .probes = (int)number(argc, argv, "probes"),
         .reported = running != NULL,
         .running = (int)number(argc, argv, "running"),
