--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
          outcome.h pack.h placement.h queue.h record.h registry.h reserve.h \
          retry.h settings.h slots.h str.h ticket.h wave.h
 
-.PHONY: all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
+.PHONY: fuzzers all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
 
 packages:
@@ -87,7 +87,8 @@
 	python3 tests/mutants.py
 
 check: packages
-	@$(MAKE) --no-print-directory all $(TESTS)
+	@$(MAKE) --no-print-directory -j8 all $(TESTS)
+	@$(MAKE) --no-print-directory -j8 fuzzers $(FUZZ_ARGS)
 	@python3 tests/run.py --build $(B)
 
 lint: packages
@@ -125,10 +126,13 @@
 # that of the first target that fails.
 FUZZERS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/fuzz_*.c))
 FUZZ_RUNS ?= 20000
+FUZZ_ARGS = B=build/fuzz CC=clang CFLAGS='-O1 -g' \
+            SAN='-fsanitize=fuzzer-no-link,address,undefined \
+            -fno-sanitize-recover=undefined'
 fuzz: packages
-	@$(MAKE) --no-print-directory fuzz-run B=build/fuzz CC=clang \
-	    CFLAGS='-O1 -g' SAN='-fsanitize=fuzzer-no-link,address,undefined \
-	    -fno-sanitize-recover=undefined'
+	@$(MAKE) --no-print-directory fuzz-run $(FUZZ_ARGS)
+
+fuzzers: $(FUZZERS)
 
 fuzz-run: $(FUZZERS)
 	@for f in $(FUZZERS); do echo "$$f: $(FUZZ_RUNS) runs"; \
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Runs every test and closes with the line "N passed, N failed".
 
-Three kinds: GLib test programs (build/tests/test_*), scripted runs
+Four kinds: GLib test programs (build/tests/test_*), scripted runs
 (tests/*.script fed to build/tests/script, output compared with the .expected
-file of the same name), and Python programs tests/proc_*.py, which drive real
-processes and take the build directory as their argument.
+file of the same name), short runs of the fuzz targets (build/fuzz/tests), and
+Python programs tests/proc_*.py, which drive real processes and take the build
+directory as their argument.
 
 Every sanitizer report of a process that a test starts fails the test, also
 when the process is killed later or its exit status is not looked at.
@@ -21,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_S = 300
+FUZZ_RUNS = 2000  # "make fuzz" runs more
 
 
 def known_red():
@@ -77,6 +79,11 @@
             yield prog.name, lambda p=prog: run([str(p)])
     for script in sorted((ROOT / "tests").glob("*.script")):
         yield script.stem, lambda s=script: run_script(build, s)
+    for prog in sorted((ROOT / "build" / "fuzz" / "tests").glob("fuzz_*")):
+        if prog.suffix == "":
+            yield prog.name, lambda p=prog: run(
+                [str(p), "-seed=1", f"-runs={FUZZ_RUNS}", "-max_len=4096",
+                 "-timeout=10", f"-artifact_prefix={p.parent}/"])
     for prog in sorted((ROOT / "tests").glob("proc_*.py")):
         yield prog.stem, lambda p=prog: run(
             ["/usr/bin/python3", str(p), str(build)])
