--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -37,13 +37,12 @@
 def reason(text):
     """Returns the line of a failed test's output that tells why, so that a
     mutant caught for another reason than its own is seen."""
-    marks = ("FAILED", "Error:", "ERROR:", "not ok", "FAIL", "-", "+")
-    lines = [line for line in text.split("\n") if line.strip()]
-    for mark in marks:
+    lines = [line.strip() for line in text.split("\n") if line.strip()]
+    for mark in ("FAILED", "Error:", "ERROR:", "+", "-", "FAIL"):
         for line in lines:
-            if line.strip().startswith(mark) or (
+            if (line.startswith(mark) and line[:3] not in ("+++", "---")) or (
                     mark.endswith(":") and mark in line):
-                return line.strip()[:160]
+                return line[:160]
     return lines[-1][:160] if lines else "no output"
 
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -14,6 +14,7 @@
 not fail the run.
 """
 import argparse
+import difflib
 import os
 import pathlib
 import subprocess
@@ -70,7 +71,9 @@
     want = expected.read_text() if expected.exists() else ""
     if code == 0 and out == want:
         return 0, out
-    return code or 1, f"exit {code}\n--- expected\n{want}--- got\n{out}"
+    diff = difflib.unified_diff(want.split("\n"), out.split("\n"), "expected",
+                                "got", n=2, lineterm="")
+    return code or 1, f"exit {code}\n" + "\n".join(diff)
 
 
 def tests(build):
