Let callers go on until enough requests ran in the wave scenarios

Cause: holder_paused and holder_killed ended their callers before the verdict, so the number of requests that ran depended on the machine's speed.

--- a/tests/proc_wave_faults.py
+++ b/tests/proc_wave_faults.py
@@ -81,7 +81,6 @@
         c.kill(held["holder"])
         c.start_entry(held["holder"])
         wait_until(lambda: wave(c, "e2")["state"] == "done", 30, "wave ends")
-        callers.__exit__()
         callers.verdict(least_run=50)
 
 
@@ -122,9 +121,10 @@
             assert boot(c, host) == back, "rebooted again"
             c.start_entry(holder)
             c.wait_entry(holder)
-        wait_until(lambda: wave(c, other)["state"] == "done", 15, "wave ends")
-        assert boot(c, host) == back, "rebooted again"
-        callers.verdict(least_run=30)
+            wait_until(lambda: wave(c, other)["state"] == "done", 15,
+                       "wave ends")
+            assert boot(c, host) == back, "rebooted again"
+            callers.verdict(least_run=30)
 
 
 def target_lost(build):
