Check in make lint that each mutant's code is still there

Cause: a change of the code left two mutants without a place to apply, which showed only when they were run. Before: boot-before-act: code found 0 times.

--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,7 @@
 	printf '%s\n' $(wildcard src/*.c) $(TESTSRC) $(wildcard bench/*.c) | \
 	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) \
 	    2>/dev/null' lint
+	python3 tests/mutants.py --check
 
 format:
 	clang-format -i $(wildcard src/*.[ch]) $(TESTSRC) $(wildcard bench/*.[ch])
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -3,7 +3,8 @@
 
 Each mutant copies the tree, replaces one piece of code, builds, and runs the
 named tests, which must fail. Usage: tests/mutants.py [NAME...]; `make
-mutants` runs all of them. Takes about half a minute for each.
+mutants` runs all of them. Takes about half a minute for each. With --check it
+only looks for the code to replace, which `make lint` does.
 """
 import pathlib
 import shutil
@@ -46,17 +47,26 @@
     return lines[-1][:160] if lines else "no output"
 
 
+def misfit(m):
+    """Returns what is wrong with the code that a mutant replaces, or ""."""
+    for name, old, _ in m["edits"]:
+        count = (ROOT / name).read_text().count(old)
+        if count != 1:
+            return f"code found {count} times in {name}"
+    return ""
+
+
 def run_mutant(m):
     """Returns "caught" and why, "MISSED", or why the mutant could not be
     tried."""
+    if misfit(m):
+        return misfit(m)
     tree = WORK / m["name"]
     shutil.rmtree(tree, ignore_errors=True)
     shutil.copytree(ROOT, tree, ignore=shutil.ignore_patterns(
         "build", ".git", "__pycache__", ".hypothesis"))
     for name, old, new in m["edits"]:
         text = (tree / name).read_text()
-        if text.count(old) != 1:
-            return f"code found {text.count(old)} times in {name}"
         (tree / name).write_text(text.replace(old, new))
     built = subprocess.run(
         ["make", "-s", "-j4", "all", "tests", "WARN="], cwd=tree,
@@ -80,6 +90,10 @@
 
 
 def main():
+    if sys.argv[1:] == ["--check"]:
+        found = [f"{m['name']}: {misfit(m)}" for m in load() if misfit(m)]
+        print("\n".join(found), end="\n" if found else "")
+        return 1 if found else 0
     missed = 0
     for m in load():
         if sys.argv[1:] and m["name"] not in sys.argv[1:]:
