Keep data centres cut off when entry hosts dial again

Cause: entry hosts dial the addresses of the member records, which override those of the node file. The relays of the partition scenario stand only at the addresses of the node file, so the link between the data centres came back past them when it was dialled again.

Ruled out: that the relays let data through after the cut. The log of an entry host shows "link lost" and, 0.15 s later, "link up" with the peer that was cut off.

Change: tests/cuts.py puts a relay on each path and has the relay to the platform replace the addresses in member records. The partition scenario uses it.

Conclusion: the partition scenario now keeps the cut until it heals; the product needed no change for it.

--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -1,15 +1,14 @@
 """Runs real processes under faults and checks the history of every request:
 at most once, own and whole answers, true outcomes, no planned stop that cuts
 off a request. Each scenario has its seed."""
-import contextlib
 import json
 import signal
 import sys
 import time
 
 from cluster import Callers, Cluster
+from cuts import Cuts
 from harness import run_threads, wait_until
-from relay import Relay
 
 
 def entry_killed(build):
@@ -140,33 +139,17 @@
     """Guards against a data centre that stops serving when it is cut off from
     the platform and from the other data centre, and against settings that do
     not arrive after the cut."""
-    with contextlib.ExitStack() as stack:
-        c = Cluster(build, dcs=2, hosts=2)
-        relays = []
-
-        def relay(addr):
-            relays.append(Relay(addr))
-            stack.callback(relays[-1].stop)
-            return relays[-1].addr
-
-        for near, (dc, _, _) in c.entries.items():
-            if dc == "dc1":
-                c.platform_via[near] = relay(c.platform)
-            for far, (other, _, peer) in c.entries.items():
-                if dc != other:
-                    c.peer_via[near, far] = relay(peer)
-        stack.enter_context(c)
+    with Cuts(build, dcs=2, hosts=2) as cuts:
+        c = cuts.c
         with Callers(c, seed=19) as callers:
             time.sleep(1)
-            for r in relays:
-                r.cut = True
+            cuts.cut("dc1")
             time.sleep(3)
             for name in ("e1", "e2"):
                 status = c.entry(name, "GET", "/svc/plan/quote?tag=ping").status
                 assert status == 200, f"{name} cut off: {status}"
             time.sleep(3)
-            for r in relays:
-                r.cut = False
+            cuts.heal()
             time.sleep(1)
         callers.verdict(least_run=100)
         c.publish(c.settings().replace("max_requests: 200",
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -6,9 +6,13 @@
 
 
 class Relay:
-    """Forwards 127.0.0.1:PORT to an address until stopped."""
+    """Forwards 127.0.0.1:PORT to an address until stopped. replaced: addresses
+    in the answers and what stands for them, of the same length."""
 
-    def __init__(self, to_addr):
+    def __init__(self, to_addr, replaced=None):
+        self.replaced = {a.encode(): b.encode()
+                         for a, b in (replaced or {}).items()}
+        assert all(len(a) == len(b) for a, b in self.replaced.items())
         host, port = to_addr.rsplit(":", 1)
         self.to_addr = (host, int(port))
         self.cut = False
@@ -32,7 +36,7 @@
                 near.close()
                 continue
             # A pair is silenced for good when the relay is cut meanwhile.
-            pair = {"silent": False}
+            pair = {"silent": False, "far": far}
             self.sockets.append((near, far, pair))
             for a, b in ((near, far), (far, near)):
                 threading.Thread(target=self.pump, args=(a, b, pair),
@@ -54,6 +58,9 @@
                     with contextlib.suppress(OSError):
                         s.shutdown(socket.SHUT_RDWR)
                 return
+            if a is pair["far"]:
+                for old, new in self.replaced.items():
+                    data = data.replace(old, new)
             try:
                 b.sendall(data)
             except OSError:
