Let a wave go on while its first data centre is cut off

Cause: every entry host planned the whole wave and then kept the hosts of its own data centre. The plan takes hosts in name order and one data centre at a time, so it named only hosts of the first data centre, and nobody else proposed a claim while that one could not reach the platform.

Ruled out: the ledger's guards. No claim was in the ledger, so they would have granted one in the second data centre.

Change: an entry host plans for its own data centre only and waits GV_WAVE_TURN_MS without progress for each data centre before it. The first is the one where the wave had its last claim, so that a wave does not alternate. The data-centre guard of the ledger is unchanged and decides a race. The new tests/proc_cuts.py has a scenario for each row of the operators' table that no test covered; this is the scenario wave_goes_on.

--- a/bench/bench_wave.c
+++ b/bench/bench_wave.c
@@ -181,7 +181,8 @@
 {
     const gv_lhost_t *out[OUT_MAX];
     char names[OUT_MAX][24];
-    int n = s->policy->plan(s->feed.ledger, w, &s->flow.demand, out, OUT_MAX);
+    int n = s->policy->plan(s->feed.ledger, w, &s->flow.demand, GV_STR(""),
+                            out, OUT_MAX);
     for (int i = 0; i < n; i++) {
         g_strlcpy(names[i], out[i]->name.p, sizeof names[i]);
         host_of(s, out[i])->until_s =
--- a/src/limits.h
+++ b/src/limits.h
@@ -133,6 +133,10 @@
 /* Maintenance: an entry host that ranks behind another for a task waits this
    long for each rank, which is longer than an append takes to be read. */
 #define GV_RANK_STEP_MS 1500
+/* A wave that could go on but has made no progress for this time goes on in
+   the next data centre. Longer than GV_MAINTAIN_APPEND_MS, so that the first
+   one can repeat a lost append. */
+#define GV_WAVE_TURN_MS 6000
 /* An append by the maintenance thread is not repeated before this time. */
 #define GV_MAINTAIN_APPEND_MS 5000
 /* Longer than a probe interval, so that one lost probe changes nothing. */
--- a/src/maintain.c
+++ b/src/maintain.c
@@ -38,11 +38,10 @@
     g_ptr_array_add(out, i);
 }
 
-/* Tells whether it is this entry host's turn: every rank waits a step longer
-   than the one before, so that usually the first alone appends. A task that
-   is not wanted for a while starts again. */
-bool
-GvMaintain_IsDue(gv_maintain_t *m, const char *key, int64_t now_ms)
+/* Notes that a task is wanted and returns since when, in ms. A task that is
+   not wanted for a while starts again. */
+int64_t
+GvMaintain_WantedMs(gv_maintain_t *m, const char *key, int64_t now_ms)
 {
     wanted_t *w = g_hash_table_lookup(m->due, key);
     if (w == NULL) {
@@ -51,6 +50,15 @@
         g_hash_table_insert(m->due, g_strdup(key), w);
     }
     w->last_ms = now_ms;
+    return now_ms - w->first_ms;
+}
+
+/* Tells whether it is this entry host's turn: every rank waits a step longer
+   than the one before, so that usually the first alone appends. */
+bool
+GvMaintain_IsDue(gv_maintain_t *m, const char *key, int64_t now_ms)
+{
+    int64_t wanted_ms = GvMaintain_WantedMs(m, key, now_ms);
     gv_str_t *names = g_new0(gv_str_t, m->others->len + 1);
     for (guint i = 0; i < m->others->len; i++) {
         names[i] = GvStr_C(m->others->pdata[i]);
@@ -58,7 +66,7 @@
     int rank =
         GvMaintain_Rank(key, m->k->conf.name, names, (int)m->others->len);
     g_free(names);
-    return now_ms - w->first_ms >= (int64_t)rank * GV_RANK_STEP_MS;
+    return wanted_ms >= (int64_t)rank * GV_RANK_STEP_MS;
 }
 
 /* Forgets a task that was not wanted in the last rounds. */
--- a/src/maintain_private.h
+++ b/src/maintain_private.h
@@ -38,6 +38,8 @@
     double queued;
     int64_t last_move_ms;
     int moves; /* move claims to or from the pool at the last look */
+    /* Where a host of the pool was last seen under a maintenance claim. */
+    char wave_dc[GV_NAME_MAX_BYTES + 1];
 } gv_pool_demand_t;
 
 struct gv_maintain_s {
@@ -63,6 +65,8 @@
 void GvMaintain_Want(GPtrArray *out, const char *kind, msgpack_sbuffer sb,
                      const char *key_format, ...)
     __attribute__((format(printf, 4, 5)));
+/* Returns for how long the intention has been wanted, in ms. */
+int64_t GvMaintain_WantedMs(gv_maintain_t *m, const char *key, int64_t now_ms);
 /* Tells whether it is this entry host's turn for the intention: at once for
    the first in rank, later for the others. */
 bool GvMaintain_IsDue(gv_maintain_t *m, const char *key, int64_t now_ms);
--- a/src/maintain_wave.c
+++ b/src/maintain_wave.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "maintain_private.h"
+#include "wave_plan.h"
 
 /* Claims that one round proposes, at most. */
 #define CLAIMS_MAX 16
@@ -69,11 +70,11 @@
     pthread_mutex_unlock(&m->lock);
 }
 
-/* Follows the moves to and from the pool; the last one is over when none is
-   in progress any more. */
+/* Follows the claims of the pool: the data centre under maintenance, and the
+   moves; the last one is over when none is in progress any more. */
 static void
-note_moves(gv_pool_demand_t *d, const gv_ledger_t *l, gv_str_t pool,
-           int64_t now_ms)
+note_claims(gv_pool_demand_t *d, const gv_ledger_t *l, gv_str_t pool,
+            int64_t now_ms)
 {
     const GPtrArray *hosts = GvLedger_Hosts(l);
     int moves = 0;
@@ -82,6 +83,10 @@
         moves += h->claim != NULL && h->claim->kind == GV_CLAIM_MOVE &&
                  (GvStr_Equal(h->pool, pool) ||
                   GvStr_Equal(h->claim->to_pool, pool));
+        if (h->claim != NULL && h->claim->kind == GV_CLAIM_MAINTENANCE &&
+            GvStr_Equal(h->pool, pool)) {
+            g_strlcpy(d->wave_dc, h->dc.p, sizeof d->wave_dc);
+        }
     }
     if (moves > 0 || d->moves > 0) {
         d->last_move_ms = now_ms;
@@ -110,7 +115,7 @@
         d->busy_slots += (now_slots - d->busy_slots) * MIN(dt / 10e3, 1);
         d->peak_slots -= d->peak_slots * MIN(dt / 120e3, 1);
         d->peak_slots = MAX(d->peak_slots, now_slots);
-        note_moves(d, l, pool, now_ms);
+        note_claims(d, l, pool, now_ms);
     }
 }
 
@@ -139,6 +144,22 @@
     GvMaintain_Want(out, "claim", sb, "%s", key);
 }
 
+/* Tells whether the wave may go on in the own data centre: at once if that is
+   the first with hosts to claim, else when it has stood still for a time, for
+   example because the first one is cut off. The ledger resolves a race. */
+static bool
+is_turn(gv_maintain_t *m, const gv_ledger_t *l, const gv_wave_t *w,
+        int64_t now_ms)
+{
+    char key[200];
+    g_snprintf(key, sizeof key, "turn of wave %.*s %" PRIu64 " after %d",
+               GV_STR_ARG(w->name), w->offset, w->healthy);
+    int64_t still_ms = GvMaintain_WantedMs(m, key, now_ms);
+    int turn = GvWave_Turn(l, w, m->k->conf.dc,
+                           GvStr_C(demand_of(m, w->pool)->wave_dc));
+    return still_ms >= (int64_t)turn * GV_WAVE_TURN_MS;
+}
+
 /* Wants claims for running waves on hosts of the own data centre, whose
    holder has to reach the target. */
 void
@@ -153,14 +174,17 @@
         }
         gv_demand_t d = demand(m, w->pool);
         const gv_lhost_t *hosts[CLAIMS_MAX];
-        int n = m->wave_policy->plan(l, w, &d, hosts, CLAIMS_MAX);
+        int n =
+            m->wave_policy->plan(l, w, &d, m->k->conf.dc, hosts, CLAIMS_MAX);
+        if (n == 0 || !is_turn(m, l, w, now_ms)) {
+            continue;
+        }
         for (int j = 0; j < n; j++) {
             char key[256];
             g_snprintf(key, sizeof key, "claim %.*s wave %.*s %" PRIu64,
                        GV_STR_ARG(hosts[j]->name), GV_STR_ARG(w->name),
                        w->offset);
-            if (GvStr_Equal(hosts[j]->dc, m->k->conf.dc) &&
-                GvMaintain_IsDue(m, key, now_ms)) {
+            if (GvMaintain_IsDue(m, key, now_ms)) {
                 want_claim(m, out, hosts[j]->name, GV_CLAIM_MAINTENANCE,
                            w->name, GV_STR(""), key);
             }
--- a/src/wave.h
+++ b/src/wave.h
@@ -14,13 +14,14 @@
     double wait_ms;    /* smoothed waiting time */
 } gv_demand_t;
 
-/* Plug-in: names up to max hosts of the wave to claim next. "adaptive" is
-   the default: one host first, then a width that follows demand and budget;
-   "fixed" (always the wave's width) and "one" are baselines. */
+/* Plug-in: names up to max hosts of the wave to claim next, only those of the
+   data centre `dc` unless it is empty. "adaptive" is the default: one host
+   first, then a width that follows demand and budget; "fixed" (always the
+   wave's width) and "one" are baselines. */
 typedef struct {
     gv_plugin_t plugin;
     int (*plan)(const gv_ledger_t *l, const gv_wave_t *w, const gv_demand_t *d,
-                const gv_lhost_t **out, int max);
+                gv_str_t dc, const gv_lhost_t **out, int max);
 } gv_wave_policy_t;
 
 #endif
--- a/src/wave_adaptive.c
+++ b/src/wave_adaptive.c
@@ -39,11 +39,11 @@
    width. */
 static int
 plan(const gv_ledger_t *l, const gv_wave_t *w, const gv_demand_t *d,
-     const gv_lhost_t **out, int max)
+     gv_str_t dc, const gv_lhost_t **out, int max)
 {
     gv_wave_count_t c = GvWave_Count(l, w);
     int width = MIN(free_hosts(&c, d), safe_hosts(&c));
-    return GvWave_Propose(l, w, &c, MIN(width, w->width), out, max);
+    return GvWave_Propose(l, w, &c, MIN(width, w->width), dc, out, max);
 }
 
 static gv_wave_policy_t adaptive = {.plugin = {.name = "adaptive"},
--- a/src/wave_plan.c
+++ b/src/wave_plan.c
@@ -77,12 +77,12 @@
 }
 
 /* Names hosts to claim next, so that at most `width` hosts are under a claim
-   of the wave. Returns how many; all claims can be granted together unless
-   the ledger changes. */
+   of the wave; of the data centre `dc` only, unless it is empty. Returns how
+   many; all claims can be granted together unless the ledger changes. */
 int
 GvWave_Propose(const gv_ledger_t *l, const gv_wave_t *w,
-               const gv_wave_count_t *c, int width, const gv_lhost_t **out,
-               int max)
+               const gv_wave_count_t *c, int width, gv_str_t dc,
+               const gv_lhost_t **out, int max)
 {
     if (w->state != GV_WAVE_RUNNING) {
         return 0;
@@ -97,7 +97,8 @@
     const GPtrArray *hosts = GvLedger_Hosts(l);
     for (guint i = 0; i < hosts->len && n < limit; i++) {
         const gv_lhost_t *h = hosts->pdata[i];
-        if (GvStr_Equal(h->pool, w->pool) && fits(h, out, n) &&
+        if (GvStr_Equal(h->pool, w->pool) &&
+            (dc.n == 0 || GvStr_Equal(h->dc, dc)) && fits(h, out, n) &&
             GvLedger_CanClaim(l, h->name, GV_CLAIM_MAINTENANCE, w->name,
                               GV_STR(""), reason, sizeof reason) == 0) {
             out[n++] = h;
@@ -105,3 +106,38 @@
     }
     return n;
 }
+
+/* Tells whether data centre a precedes b: `last` precedes all others, which
+   follow in name order. */
+static bool
+precedes(gv_str_t a, gv_str_t b, gv_str_t last)
+{
+    if (GvStr_Equal(a, b) || GvStr_Equal(b, last)) {
+        return false;
+    }
+    return GvStr_Equal(a, last) || GvStr_Compare(a, b) < 0;
+}
+
+/* Returns how many data centres that have a host to claim for the wave precede
+   dc. The first is `last`, where the wave had its last claim, so that a wave
+   stays in one data centre while that one makes progress. */
+int
+GvWave_Turn(const gv_ledger_t *l, const gv_wave_t *w, gv_str_t dc,
+            gv_str_t last)
+{
+    char reason[200];
+    GHashTable *before = g_hash_table_new(g_str_hash, g_str_equal);
+    const GPtrArray *hosts = GvLedger_Hosts(l);
+    for (guint i = 0; i < hosts->len; i++) {
+        const gv_lhost_t *h = hosts->pdata[i];
+        if (GvStr_Equal(h->pool, w->pool) && precedes(h->dc, dc, last) &&
+            !g_hash_table_contains(before, h->dc.p) &&
+            GvLedger_CanClaim(l, h->name, GV_CLAIM_MAINTENANCE, w->name,
+                              GV_STR(""), reason, sizeof reason) == 0) {
+            g_hash_table_add(before, (gpointer)h->dc.p);
+        }
+    }
+    int n = (int)g_hash_table_size(before);
+    g_hash_table_destroy(before);
+    return n;
+}
--- /dev/null
+++ b/tests/proc_cuts.py
@@ -0,0 +1,285 @@
+"""Data centres that are cut off, over real processes: one scenario for each
+row of the table "When something fails" in docs/OPERATORS.md that
+proc_faults.py does not cover."""
+import json
+import signal
+import sys
+import threading
+import time
+
+from cluster import Callers, Cluster
+from cuts import Cuts
+from harness import run_threads, serves, wait_until
+
+FORCE_S = 13  # bound for accepted settings to be in force everywhere
+LEAVE_S = 5  # "a few seconds" until a leaving target gets no new work
+
+
+def status(c, entry):
+    answer = c.entry(entry, "GET", "/v1/status")
+    return json.loads(answer.text) if serves(answer) else None
+
+
+def version(c, entry):
+    return (status(c, entry) or {"settings_version": -1})["settings_version"]
+
+
+def metric(c, entry, name):
+    text = c.entry(entry, "GET", "/metrics").text
+    return next(float(line.split()[-1]) for line in text.splitlines()
+                if line.startswith(f"gypsumvalve_{name} "))
+
+
+def starts(c, tag):
+    """Counts the starts of requests whose tag begins so, by data centre."""
+    found = dict.fromkeys(c.dcs, 0)
+    for host, (dc, _, _) in c.hosts.items():
+        for line in c.target(host, "GET", "/history").text.splitlines():
+            word = line.split()
+            found[dc] += word[0] == "start" and word[4].startswith(tag)
+    return found
+
+
+def post(c, entry, tag, run_ms=1, **headers):
+    """Submits one non-idempotent request and returns its outcome."""
+    headers = {k.replace("_", "-"): v for k, v in headers.items()}
+    answer = c.entry(entry, "POST", f"/svc/plan/x?tag={tag}&run_ms={run_ms}",
+                     {"Gv-Deadline-Ms": "8000", **headers}, "b", timeout=12)
+    return answer.headers.get("Gv-Outcome") if answer else "broken"
+
+
+def flood(c, entry, tag, count, run_ms=700):
+    """Submits requests at the same time; returns their outcomes."""
+    out = []
+    run_threads(lambda i: out.append(
+        post(c, entry, f"{tag}-{i}.", run_ms)), range(count))
+    return out
+
+
+def rows(c, entry, kind):
+    return (status(c, entry) or {kind: []})[kind]
+
+
+def alive(c, entry):
+    """Counts the other entry hosts that it has heartbeats of."""
+    return sum(m["alive"] for m in rows(c, entry, "members")
+               if m["name"] != entry)
+
+
+def wave(c, entry):
+    return next((w["state"] for w in rows(c, entry, "waves")), "")
+
+
+def rebooted(c, dc):
+    """Returns how many plan hosts of the data centre have a second boot."""
+    boots = [c.target(h, "GET", "/health") for h, (at, pool, _) in
+             c.hosts.items() if at == dc and pool == "plan"]
+    return sum(bool(b) and b.status == 200 and "-0 " not in b.text
+               for b in boots)
+
+
+def short_work(c):
+    """Counts the work of these tests as short, so that it may use all
+    slots."""
+    c.publish(c.settings().replace("short_ms: 300", "short_ms: 8000"))
+    for entry in c.entries:
+        wait_until(lambda e=entry: version(c, e) == version(c, "e1"),
+                   FORCE_S, "settings in force")
+
+
+def spill(build):
+    """Guards against a full pool that does not spill, against a spill that
+    hops twice, and against work that ends otherwise than told when the pool
+    is full during a cut."""
+    with Cuts(build, dcs=3, entries=1, hosts=1, services=("plan",),
+              min_hosts=0) as cuts:
+        c = cuts.c
+        short_work(c)
+        for n in range(4):
+            # Slots and queue of dc2 are full, usually before its next
+            # heartbeat tells dc1 of it. It has no reason to spill its own.
+            own = threading.Thread(target=flood, args=(c, "e2", f"own{n}", 16))
+            own.start()
+            wait_until(lambda: (status(c, "e2") or {"in_progress": 0})
+                       ["in_progress"] == 16, 10, "dc2 is full")
+            flood(c, "e1", f"far{n}", 26)
+            own.join()
+        far = starts(c, "far")
+        assert far["dc2"] + far["dc3"], f"no spill: {far}"
+        assert sum(far.values()) <= 4 * 26, f"a request ran twice: {far}"
+        assert metric(c, "e2", "spilled_total") == 0, "spilled a second time"
+        cuts.cut("dc1", platform=False)
+        wait_until(lambda: alive(c, "e1") == 0, 10, "dc1 sees the cut")
+        told = flood(c, "e1", "cut", 26)
+        cut = starts(c, "cut")
+        assert cut["dc2"] + cut["dc3"] == 0, f"{cut} across the cut"
+        assert 8 <= told.count("run") <= cut["dc1"] <= \
+            26 - told.count("not-run"), f"{cut}, told {told}"
+        cuts.heal()
+        wait_until(lambda: alive(c, "e1") == 2, 15, "dc1 sees its peers")
+        flood(c, "e1", "back", 26)
+        assert starts(c, "back")["dc1"] < 26, "no spill after the cut"
+
+
+def foreign_ticket(build):
+    """Guards against a ticket that runs twice, or is told not-run after it
+    ran, when it is presented on both sides of a cut."""
+    with Cuts(build, dcs=2, entries=1, hosts=1) as cuts:
+        c = cuts.c
+        used, fresh = (c.entry("e1", "POST", "/v1/tickets").text.strip()
+                       for _ in range(2))
+        cuts.cut("dc1")
+        assert post(c, "e1", "used", Gv_Ticket=used) == "run"
+        for ticket, tag in ((used, "used"), (fresh, "fresh")):
+            assert post(c, "e2", tag, Gv_Ticket=ticket) == "unknown"
+        assert sum(starts(c, "fresh").values()) == 0
+        cuts.heal()
+        for ticket, tag in ((used, "used"), (fresh, "fresh")):
+            wait_until(lambda t=ticket, g=tag: post(
+                c, "e2", g, Gv_Ticket=t) == "run", 15, f"{tag} is answered")
+            assert starts(c, tag) == {"dc1": 1, "dc2": 0}
+
+
+def outage(build):
+    """Guards against keys that run during an outage of the log without a
+    claim, against an operator who is told that a change is in force, and
+    against targets that an entry host uses before its own join."""
+    with Cluster(build) as c:
+        assert post(c, "e1", "old", Idempotency_Key="old") == "run"
+        before = version(c, "e1")
+        c.fault(outage="refuse")
+        # A claim that never reached the log leaves open whether an earlier
+        # submission ran, so "unknown" is the answer, not "not-run".
+        assert post(c, "e1", "new", Idempotency_Key="new") == "unknown"
+        assert sum(starts(c, "new").values()) == 0, "ran without a claim"
+        assert post(c, "e2", "old", Idempotency_Key="old") == "run"
+        for command in (("drain", "plan-dc1-1"),
+                        ("move", "plan-dc1-1", "--to", "spare"),
+                        ("wave", "start", "w1", "--pool", "plan", "--width",
+                         "1"), ("publish", f"{c.dir.name}/settings")):
+            done = c.operator(*command, "--timeout", "1")
+            assert done.returncode in (5, 6), f"{command}: {done}"
+        assert c.operator("status").returncode == 0, "status of an entry host"
+        c.kill("e2")
+        c.start_entry("e2")
+        c.wait_serving("e2")
+        assert post(c, "e2", "joining") == "run"
+        assert metric(c, "e2", "attempts_total") == 0, \
+            "sent to targets before its join was applied"
+        c.fault(reset=1)
+        wait_until(lambda: post(c, "e1", "new", Idempotency_Key="new") ==
+                   "run", 15, "the key runs after the outage")
+        for tag in ("old", "new", "joining"):
+            assert starts(c, tag) == {"dc1": 1}, tag
+        assert version(c, "e1") == before and not rows(c, "e1", "claims")
+        c.operate("drain", "plan-dc1-1")
+
+
+def cut_off_site(build):
+    """Guards against new work for a leaving target in a data centre without
+    platform and peers, and against settings published during the cut that
+    are late or lost after it."""
+    with Cuts(build, dcs=2, hosts=3) as cuts, \
+            Callers(cuts.c, seed=35) as callers:
+        c = cuts.c
+        cuts.cut("dc1")
+        old = version(c, "e1")
+        c.publish(c.settings().replace("max_requests: 200",
+                                       "max_requests: 201"))
+        wait_until(lambda: version(c, "e3") > old, FORCE_S, "in force in dc2")
+        c.target("plan-dc1-1", "POST", "/control/leave")
+        time.sleep(LEAVE_S)
+
+        def offered():
+            text = c.target("plan-dc1-1", "GET", "/history").text
+            return text.count("start ") + text.count("refuse ")
+
+        before = offered()
+        others = callers_run(callers)
+        wait_until(lambda: callers_run(callers) > others + 50, 30,
+                   "requests run during the cut")
+        assert offered() == before, "work is offered to a leaving target"
+        assert version(c, "e1") == version(c, "e2") == old
+        cuts.heal()
+        new = version(c, "e3")
+        wait_until(lambda: all(version(c, e) == new for e in c.entries),
+                   FORCE_S, "settings in force after the cut")
+        callers.verdict(least_run=100)
+
+
+def callers_run(callers):
+    return sum(told.outcome == "run" for told in list(callers.calls))
+
+
+def two_cuts(build):
+    """Guards against data centres that stop serving, or run work twice, when
+    two are cut off from all others and the platform at once."""
+    with Cuts(build, dcs=3, entries=1, hosts=2) as cuts, \
+            Callers(cuts.c, seed=37) as callers:
+        c = cuts.c
+        for dc in ("dc1", "dc2"):
+            cuts.cut(dc)
+        c.publish(c.settings().replace("max_requests: 200",
+                                       "max_requests: 202"))
+        for n, entry in enumerate(c.entries):
+            wait_until(lambda e=entry: post(c, e, "ping") == "run", 10,
+                       f"{entry} serves")
+        time.sleep(4)  # longer than GV_PEER_DEAD_MS
+        for entry in c.entries:
+            assert post(c, entry, "ping") == "run", f"{entry} cut off"
+        cuts.cut("dc1", off=False)
+        cuts.cut("dc2")
+        wait_until(lambda: version(c, "e1") == version(c, "e3"), FORCE_S,
+                   "settings in force in dc1")
+        assert version(c, "e2") < version(c, "e3")
+        cuts.heal()
+        wait_until(lambda: version(c, "e2") == version(c, "e3"), FORCE_S,
+                   "settings in force in dc2")
+        callers.verdict(least_run=100)
+
+
+def wave_goes_on(build):
+    """Guards against a wave that stands still while the first data centre is
+    cut off, and against claims in two data centres at once."""
+    with Cuts(build, dcs=2, hosts=2, services=("plan",)) as cuts, \
+            Callers(cuts.c, seed=39, threads=3) as callers:
+        c = cuts.c
+        cuts.cut("dc1")
+        c.operate("wave", "start", "w1", "--pool", "plan", "--width", "2")
+        wait_until(lambda: rebooted(c, "dc2") == 2, 40, "dc2 is maintained")
+        assert rebooted(c, "dc1") == 0
+        cuts.heal()
+
+        def done():
+            at = {r["host"].split("-")[1] for r in rows(c, "e3", "claims")}
+            assert len(at) < 2, "claims in two data centres"
+            return wave(c, "e3") == "done"
+
+        wait_until(done, 40, "wave ends after the cut")
+        assert rebooted(c, "dc1") == rebooted(c, "dc2") == 2
+        callers.verdict(least_run=50)
+
+
+SCENARIOS = [spill, foreign_ticket, outage, cut_off_site, two_cuts,
+             wave_goes_on]
+
+
+def main():
+    build, only = sys.argv[1], sys.argv[2:]
+    failed = 0
+    for scenario in SCENARIOS:
+        if only and scenario.__name__ not in only:
+            continue
+        began = time.monotonic()
+        try:
+            scenario(build)
+        except AssertionError as wrong:
+            failed += 1
+            print(f"FAILED {scenario.__name__}: {wrong}", flush=True)
+        print(f"{scenario.__name__}: {time.monotonic() - began:.1f} s",
+              flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -10,7 +10,7 @@
 #include "retry.h"
 #include "script.h"
 #include "slots.h"
-#include "wave.h"
+#include "wave_plan.h"
 
 /* Verbs for the other decision modules. */
 
@@ -262,19 +262,32 @@
            settings[m.to].name.p);
 }
 
-/* plan POLICY WAVE PEAK_SLOTS: the hosts to claim next. */
+/* plan POLICY WAVE PEAK_SLOTS [DC]: the hosts to claim next. */
 GV_VERB("plan", run_plan)
 {
-    g_assert(argc == 4);
+    g_assert(argc == 4 || argc == 5);
     const gv_ledger_t *l = GvScript_Ledger();
     gv_wave_policy_t *p =
         (gv_wave_policy_t *)GvRegistry_Find(GV_PLUGIN_WAVE, GvStr_C(argv[1]));
     gv_demand_t d = {.peak_slots = atof(argv[3])};
     const gv_lhost_t *out[8];
-    int n = p->plan(l, GvLedger_Wave(l, GvStr_C(argv[2])), &d, out, 8);
+    int n = p->plan(l, GvLedger_Wave(l, GvStr_C(argv[2])), &d,
+                    GvStr_C(argc == 5 ? argv[4] : ""), out, 8);
     printf("%s:", argv[1]);
     for (int i = 0; i < n; i++) {
         printf(" %s", out[i]->name.p);
     }
     printf("%s\n", n == 0 ? " none" : "");
 }
+
+/* turn WAVE DC LAST: how many data centres precede DC in the wave; LAST is
+   where it had its last claim, or "-". */
+GV_VERB("turn", run_turn)
+{
+    g_assert(argc == 4);
+    const gv_ledger_t *l = GvScript_Ledger();
+    gv_str_t last = GvStr_C(strcmp(argv[3], "-") == 0 ? "" : argv[3]);
+    printf("%s: %d\n", argv[2],
+           GvWave_Turn(l, GvLedger_Wave(l, GvStr_C(argv[1])), GvStr_C(argv[2]),
+                       last));
+}
