Make target_lost prove min_hosts in a wave

Cause: the mutant budget-in-a-wave was missed. All hosts of the scenario were in one rack, so the rack guard alone kept them in service, and the mutant left the limit of GvWave_Propose in place.

Ruled out: that the wave stays narrow for want of demand; no request runs in the scenario.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -36,11 +36,11 @@
 
 class Cluster:
     """Data centres dc1..; entry hosts e1.. spread over them in order; hosts
-    SERVICE-DC-N, four to a rack. Ends all of its processes on exit."""
+    SERVICE-DC-N, rack_hosts to a rack. Ends all of its processes on exit."""
 
     def __init__(self, build, dcs=1, entries=2, services=("plan", "spare"),
                  hosts=4, min_hosts=1, max_out=2, reboot_ms=300,
-                 platform_args=()):
+                 rack_hosts=4, platform_args=()):
         self.build = pathlib.Path(build)
         self.dir = tempfile.TemporaryDirectory(prefix="gv-test-")
         self.dcs = [f"dc{i + 1}" for i in range(dcs)]
@@ -66,7 +66,7 @@
                 for service in services:
                     name = f"{service}-{dc}-{n + 1}"
                     self.hosts[name] = (dc, service, addr())
-        self.reboot_ms = reboot_ms
+        self.reboot_ms, self.rack_hosts = reboot_ms, rack_hosts
         self.platform_args = platform_args
         # Addresses under which entry hosts reach platform and peers; a test
         # puts a relay in between by changing them before start.
@@ -103,7 +103,8 @@
         for name, (dc, pool, addr) in self.hosts.items():
             rack = racks.setdefault(dc, [])
             rack.append(name)
-            self.set_host(name, rack=f"{dc}-r{(len(rack) - 1) // 4}")
+            number = (len(rack) - 1) // self.rack_hosts
+            self.set_host(name, rack=f"{dc}-r{number}")
         for dc in self.dcs:
             args = ["standin-target", "--reboot-ms", str(self.reboot_ms)]
             for name, (at, _, addr) in self.hosts.items():
--- a/tests/proc_wave_faults.py
+++ b/tests/proc_wave_faults.py
@@ -129,8 +129,10 @@
 
 def target_lost(build):
     """Guards against a wave that goes on after a target has not come back
-    from its reboot, and against one that can't be resumed."""
-    with Cluster(build, hosts=3, min_hosts=2, reboot_ms=2500) as c:
+    from its reboot, against one that can't be resumed, and against one that
+    takes the pool below min_hosts when its racks would allow that."""
+    with Cluster(build, hosts=3, min_hosts=2, reboot_ms=2500,
+                 rack_hosts=1) as c:
         start(c)
         host = wait_until(lambda: claim(c, "e1", "stopping"), 10, "act")["host"]
         wait_kept(c, lambda: not boot(c, host), 10, "host reboots")
