Report the hosts of a lost data centre as gone

Cause: only the entry hosts of a data centre report its hosts. After a data centre is lost for good and its entry hosts are removed nobody reports them, so its hosts stay in the ledger, count as in service for min_hosts, and keep a claim and the wave from ending.

Ruled out: the removal of entry hosts itself; `entry remove` succeeded, and the platform listed all hosts as gone.

Change: entry hosts of the region report a host of another data centre that the platform lists as gone when no entry host of that data centre is a member. A data centre that is only cut off has members, so its hosts stay.

Before: /usr/bin/python3 tests/proc_cuts.py build lost_site: failed, "not within 15 s: claim has ended". After: passed twice, 5.5 s and 5.4 s.

Conclusion: the wave halts, can be resumed and ends in the other data centre.

--- a/src/maintain.c
+++ b/src/maintain.c
@@ -252,7 +252,8 @@
 }
 
 /* Keeps the part of the list that concerns this entry host: targets of its
-   data centre, and entry hosts, which have no slots. */
+   data centre, targets elsewhere that are gone, and entry hosts, which have no
+   slots. */
 void
 GvMaintain_OnList(gv_maintain_t *m, const gv_hostlist_t *list)
 {
@@ -260,7 +261,8 @@
     own.hosts = g_new0(gv_listed_host_t, list->n + 1);
     for (int i = 0; i < list->n; i++) {
         const gv_listed_host_t *h = &list->hosts[i];
-        if (h->slots > 0 && !GvStr_Equal(h->dc, m->k->conf.dc)) {
+        if (h->slots > 0 && h->state != GV_LISTED_GONE &&
+            !GvStr_Equal(h->dc, m->k->conf.dc)) {
             continue;
         }
         gv_listed_host_t *c = &own.hosts[own.n++];
--- a/src/maintain_hosts.c
+++ b/src/maintain_hosts.c
@@ -135,6 +135,45 @@
     }
 }
 
+/* Tells whether a peer of the node file is in that data centre and in the own
+   region. */
+static bool
+in_region(gv_maintain_t *m, gv_str_t dc)
+{
+    for (int i = 0; i < m->k->conf.n_peers; i++) {
+        const gv_peer_conf_t *p = &m->k->conf.peers[i];
+        if (GvStr_Equal(p->dc, dc) &&
+            GvStr_Equal(p->region, m->k->conf.region)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Wants a host of another data centre reported that the platform lists as
+   gone, when that data centre has no entry host left to report it. Only entry
+   hosts of the region take part. */
+static void
+report_lost(gv_maintain_t *m, const gv_ledger_t *l,
+            const gv_listed_host_t *listed, int64_t now_ms, GPtrArray *out)
+{
+    const gv_lhost_t *known = GvLedger_Host(l, listed->host);
+    if (known == NULL || listed->state != GV_LISTED_GONE ||
+        !in_region(m, known->dc)) {
+        return;
+    }
+    const GPtrArray *members = GvLedger_Members(l);
+    for (guint i = 0; i < members->len; i++) {
+        const gv_member_t *mem = members->pdata[i];
+        if (GvStr_Equal(mem->dc, known->dc)) {
+            return;
+        }
+    }
+    gv_lhost_t h = *known;
+    h.state = GV_HOST_GONE;
+    want_host(m, out, "lost", &h, now_ms);
+}
+
 /* Wants an entry host removed that the platform lists as gone. Only entry
    hosts of the region take part. */
 static void
@@ -164,7 +203,8 @@
 }
 
 /* Wants records for hosts of the own data centre about which the ledger, the
-   platform's list and the targets' health disagree. */
+   platform's list and the targets' health disagree, and for hosts of data
+   centres that are lost. */
 void
 GvMaintain_PlanHosts(gv_maintain_t *m, const gv_ledger_t *l, int64_t now_ms,
                      GPtrArray *out)
@@ -177,6 +217,10 @@
             remove_member(m, l, h, now_ms, out);
             continue;
         }
+        if (!GvStr_Equal(h->dc, m->k->conf.dc)) {
+            report_lost(m, l, h, now_ms, out);
+            continue;
+        }
         g_hash_table_insert(listed, (gpointer)h->host.p, (gpointer)h);
         if (GvLedger_Host(l, h->host) == NULL) {
             report(m, l, NULL, h, now_ms, out);
--- a/tests/proc_cuts.py
+++ b/tests/proc_cuts.py
@@ -260,8 +260,31 @@
         callers.verdict(least_run=50)
 
 
+def lost_site(build):
+    """Guards against a wave that can't go on after a data centre is lost for
+    good, its entry hosts are removed and its hosts are listed as gone."""
+    with Cuts(build, dcs=2, hosts=2, services=("plan",)) as cuts:
+        c = cuts.c
+        c.signal("e2", signal.SIGSTOP)  # its confirmation stays missing
+        c.operate("wave", "start", "w1", "--pool", "plan", "--width", "1")
+        wait_until(lambda: [r for r in rows(c, "e3", "claims")
+                            if r["host"].startswith("plan-dc1")], 15,
+                   "a claim in dc1")
+        for name in ("e1", "e2", "targets-dc1"):
+            c.kill(name)
+        for name in ("e1", "e2"):
+            c.operate("entry", "remove", name)
+        for host, (dc, _, _) in c.hosts.items():
+            if dc == "dc1":
+                c.set_host(host, state="gone")
+        wait_until(lambda: wave(c, "e3") == "halted", 15, "claim has ended")
+        c.operate("wave", "resume", "w1")
+        wait_until(lambda: wave(c, "e3") == "done", 40, "wave ends")
+        assert rebooted(c, "dc2") == 2
+
+
 SCENARIOS = [spill, foreign_ticket, outage, cut_off_site, two_cuts,
-             wave_goes_on]
+             wave_goes_on, lost_site]
 
 
 def main():
