--- a/tests/proc_cuts.py
+++ b/tests/proc_cuts.py
@@ -123,21 +123,25 @@
 
 def foreign_ticket(build):
     """Guards against a ticket that runs twice, or is told not-run after it
-    ran, when it is presented on both sides of a cut."""
+    ran, when it is presented on both sides of a cut, with and without the
+    platform."""
     with Cuts(build, dcs=2, entries=1, hosts=1) as cuts:
         c = cuts.c
-        used, fresh = (c.entry("e1", "POST", "/v1/tickets").text.strip()
-                       for _ in range(2))
-        cuts.cut("dc1")
-        assert post(c, "e1", "used", Gv_Ticket=used) == "run"
-        for ticket, tag in ((used, "used"), (fresh, "fresh")):
-            assert post(c, "e2", tag, Gv_Ticket=ticket) == "unknown"
-        assert sum(starts(c, "fresh").values()) == 0
-        cuts.heal()
-        for ticket, tag in ((used, "used"), (fresh, "fresh")):
-            wait_until(lambda t=ticket, g=tag: post(
-                c, "e2", g, Gv_Ticket=t) == "run", 15, f"{tag} is answered")
-            assert starts(c, tag) == {"dc1": 1, "dc2": 0}
+        for platform in (False, True):
+            tickets = {tag: c.entry("e1", "POST", "/v1/tickets").text.strip()
+                       for tag in (f"used-{platform}", f"fresh-{platform}")}
+            used, fresh = tickets
+            cuts.cut("dc1", platform=platform)
+            assert post(c, "e1", used, Gv_Ticket=tickets[used]) == "run"
+            for tag, ticket in tickets.items():
+                told = post(c, "e2", tag, Gv_Ticket=ticket)
+                assert told == "unknown", f"{tag}: {told}"
+            assert sum(starts(c, fresh).values()) == 0, f"{fresh} ran"
+            cuts.heal()
+            for tag, ticket in tickets.items():
+                wait_until(lambda t=ticket, g=tag: post(
+                    c, "e2", g, Gv_Ticket=t) == "run", 15, f"{tag} is run")
+                assert starts(c, tag) == {"dc1": 1, "dc2": 0}, tag
 
 
 def outage(build):
@@ -238,6 +242,22 @@
         callers.verdict(least_run=100)
 
 
+def without_log(build):
+    """Guards against a data centre that loses only the platform and then
+    misses settings that the other data centres have, or stops serving."""
+    with Cuts(build, dcs=2, entries=1, hosts=1) as cuts:
+        c = cuts.c
+        cuts.cut("dc1", peers=False)
+        assert post(c, "e1", "key", Idempotency_Key="key") == "unknown"
+        assert sum(starts(c, "key").values()) == 0, "ran without a claim"
+        old = version(c, "e1")
+        c.publish(c.settings().replace("max_requests: 200",
+                                       "max_requests: 203"))
+        wait_until(lambda: version(c, "e1") > old, FORCE_S,
+                   "settings in force by way of dc2")
+        assert post(c, "e1", "plain") == "run"
+
+
 def wave_goes_on(build):
     """Guards against a wave that stands still while the first data centre is
     cut off, and against claims in two data centres at once."""
@@ -260,6 +280,26 @@
         callers.verdict(least_run=50)
 
 
+def wave_waits(build):
+    """Guards against a second data centre that is maintained while one that
+    is cut off holds a claim and may be rebooting its host."""
+    with Cuts(build, dcs=2, hosts=1, services=("plan",)) as cuts:
+        c = cuts.c
+        c.signal("e2", signal.SIGSTOP)  # its confirmation stays missing
+        c.operate("wave", "start", "w1", "--pool", "plan", "--width", "2")
+        wait_until(lambda: rows(c, "e3", "claims"), 15, "a claim")
+        cuts.cut("dc1")
+        c.signal("e2", signal.SIGCONT)
+        end = time.monotonic() + 9  # longer than GV_WAVE_TURN_MS
+        while time.monotonic() < end:
+            held = [r["host"] for r in rows(c, "e3", "claims")]
+            assert held == ["plan-dc1-1"], f"claims on {held}"
+            time.sleep(0.1)
+        cuts.heal()
+        wait_until(lambda: wave(c, "e3") == "done", 40, "wave ends")
+        assert rebooted(c, "dc1") == rebooted(c, "dc2") == 1
+
+
 def lost_site(build):
     """Guards against a wave that can't go on after a data centre is lost for
     good, its entry hosts are removed and its hosts are listed as gone."""
@@ -284,7 +324,7 @@
 
 
 SCENARIOS = [spill, foreign_ticket, outage, cut_off_site, two_cuts,
-             wave_goes_on, lost_site]
+             without_log, wave_goes_on, wave_waits, lost_site]
 
 
 def main():
