Bound every HTTP exchange, its writes included, by its time-out

Cause: neon has no time-out for writes and restarts its time-out for reads with each byte. A peer that never reads held a worker, and with it the planned stop, without an end; one that sends its header a byte at a time held them as long as it liked.

Ruled out: SO_SNDTIMEO and TCP_USER_TIMEOUT alone, which do not bound a header of single bytes; neon's hooks and notifier, none of which gives the socket of a session (0.32.5: ne_sock_fd needs an ne_socket, which a session keeps to itself); the list of open descriptors, in which two connections to the same target that are made at the same time cannot be told apart.

Change: sockwatch shuts the socket down at the absolute bound of the exchange. It learns the socket from its own connect, which passes the call on to the C library. A cut exchange gives GV_ETIMEDOUT with sent set, so that a non-idempotent request stays unknown. mutants.py no longer gives unittest's closing line as the reason.

Conclusion: an exchange ends at its bound, plus the connect time-out of a resend on a new connection.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "error.h"
 #include "limits.h"
+#include "sockwatch.h"
 
 struct gv_http_client_s {
     ne_session *session; /* NULL before the first request */
@@ -19,6 +20,7 @@
     bool idempotent; /* of the exchange in progress */
     bool sent;       /* of the exchange in progress */
     int64_t used_ms; /* end of the last exchange */
+    gv_sockwatch_t watch;
 };
 
 /* Also sets SIGPIPE to be ignored. */
@@ -34,7 +36,9 @@
 {
     static pthread_once_t once = PTHREAD_ONCE_INIT;
     pthread_once(&once, init_neon);
-    return g_new0(gv_http_client_t, 1);
+    gv_http_client_t *c = g_new0(gv_http_client_t, 1);
+    c->watch.fd = -1;
+    return c;
 }
 
 /* Closes the connection and forgets the server. */
@@ -42,6 +46,8 @@
 drop_session(gv_http_client_t *c)
 {
     if (c->session != NULL) {
+        /* Closes the connection: on_status forgets its socket before. */
+        ne_close_connection(c->session);
         ne_set_notifier(c->session, NULL, NULL);
         ne_session_destroy(c->session);
         ne_iaddr_free(c->inet);
@@ -78,9 +84,11 @@
     case ne_status_connected:
         c->open = true;
         c->sent = true;
+        GvSockWatch_Connected(&c->watch);
         break;
     case ne_status_disconnected:
         c->open = false;
+        GvSockWatch_Closing(&c->watch);
         break;
     default:
         break;
@@ -313,11 +321,13 @@
     return err;
 }
 
-/* Makes one exchange. Returns 0 with the whole answer, GV_EINVAL for a
-   request that cannot be sent or an answer without a length, GV_ETOOBIG for
-   an answer over max_body, GV_ETIMEDOUT, or GV_ECONN, also for an answer cut
-   short. answer->sent is false only if no byte of the request can have
-   reached the server. The answer is empty unless the result is 0. */
+/* Makes one exchange. Its connection is cut when timeout_ms has passed, so
+   that neither a write nor an answer of single bytes lasts longer. Returns 0
+   with the whole answer, GV_EINVAL for a request that cannot be sent or an
+   answer without a length, GV_ETOOBIG for an answer over max_body,
+   GV_ETIMEDOUT, or GV_ECONN, also for an answer cut short. answer->sent is
+   false only if no byte of the request can have reached the server. The
+   answer is empty unless the result is 0. */
 int
 GvHttp_Do(gv_http_client_t *c, const gv_http_request_t *rq,
           gv_http_answer_t *answer)
@@ -337,7 +347,12 @@
     c->sent = c->open;
     answer->body = g_byte_array_new();
     ne_request *req = make_request(c, rq);
+    GvSockWatch_Begin(&c->watch, GvClock_MonoMs() + rq->timeout_ms);
     err = exchange(req, rq, answer);
+    if (GvSockWatch_End(&c->watch)) {
+        ne_close_connection(c->session);
+        err = err == GV_ECONN ? GV_ETIMEDOUT : err;
+    }
     if (err != GV_OK) {
         /* What is left of the answer must not be read as the next one. */
         ne_close_connection(c->session);
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -22,7 +22,7 @@
     int n_headers;
     gv_str_t body;
     bool idempotent; /* neon may resend on a kept connection only then */
-    int timeout_ms;  /* neon rounds up to whole seconds */
+    int timeout_ms;  /* of the exchange; a connect: in whole seconds */
     size_t max_body; /* answers over it give GV_ETOOBIG */
     /* Names of answer headers to keep, NULL-terminated; may be NULL. */
     const char *const *want;
--- /dev/null
+++ b/src/sockwatch.c
@@ -0,0 +1,148 @@
+#include "sockwatch.h"
+
+#include <dlfcn.h>
+#include <glib.h>
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include "clock.h"
+#include "sync.h"
+
+typedef int (*connect_t)(int fd, __CONST_SOCKADDR_ARG addr, socklen_t len);
+
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t wake;
+static GTree *watched; /* active gv_sockwatch_t, the earliest end first */
+static pthread_once_t connect_once = PTHREAD_ONCE_INIT;
+static connect_t next_connect;
+static __thread int last_fd = -1;
+
+static void
+find_connect(void)
+{
+    next_connect = (connect_t)dlsym(RTLD_NEXT, "connect");
+}
+
+/* Takes the place of the C library's connect in this program, notes the
+   socket for GvSockWatch_Connected and passes the call on. neon's public
+   functions give no access to the socket of a session. */
+int
+connect(int fd, __CONST_SOCKADDR_ARG addr, socklen_t len)
+{
+    pthread_once(&connect_once, find_connect);
+    last_fd = fd;
+    return next_connect(fd, addr, len);
+}
+
+static gint
+by_end(gconstpointer a, gconstpointer b, gpointer user)
+{
+    (void)user;
+    const gv_sockwatch_t *x = a;
+    const gv_sockwatch_t *y = b;
+    if (x->end_ms != y->end_ms) {
+        return x->end_ms < y->end_ms ? -1 : 1;
+    }
+    return (x > y) - (x < y);
+}
+
+/* Shuts the socket down: reads and writes in progress end at once. */
+static void
+cut(gv_sockwatch_t *w)
+{
+    if (w->expired && w->fd >= 0) {
+        shutdown(w->fd, SHUT_RDWR);
+    }
+}
+
+/* Waits for the earliest end and cuts what is over its time. */
+static void *
+watch(void *arg)
+{
+    (void)arg;
+    pthread_mutex_lock(&lock);
+    for (;;) {
+        GTreeNode *node = g_tree_node_first(watched);
+        if (node == NULL) {
+            pthread_cond_wait(&wake, &lock);
+            continue;
+        }
+        gv_sockwatch_t *w = g_tree_node_key(node);
+        if (w->end_ms > GvClock_MonoMs()) {
+            GvSync_WaitUntil(&wake, &lock, w->end_ms * 1000);
+            continue;
+        }
+        g_tree_remove(watched, w);
+        w->expired = true;
+        cut(w);
+    }
+    return NULL;
+}
+
+/* Starts the thread, which lasts as long as the process. */
+static void
+start(void)
+{
+    GvSync_InitCond(&wake);
+    watched = g_tree_new_full(by_end, NULL, NULL, NULL);
+    pthread_t thread;
+    int err = pthread_create(&thread, NULL, watch, NULL);
+    if (err != 0) {
+        g_error("cannot start the thread that bounds exchanges: %s",
+                g_strerror(err));
+    }
+    pthread_detach(thread);
+}
+
+/* Begins an exchange that may last until end_ms (GvClock_MonoMs). w keeps
+   the socket of an earlier exchange. */
+void
+GvSockWatch_Begin(gv_sockwatch_t *w, int64_t end_ms)
+{
+    pthread_once(&once, start);
+    pthread_mutex_lock(&lock);
+    w->end_ms = end_ms;
+    w->active = true;
+    w->expired = false;
+    g_tree_insert(watched, w, w);
+    if (g_tree_node_key(g_tree_node_first(watched)) == w) {
+        pthread_cond_signal(&wake);
+    }
+    pthread_mutex_unlock(&lock);
+}
+
+/* Ends the exchange. Returns whether its time was over, in which case its
+   socket may have been shut down. */
+bool
+GvSockWatch_End(gv_sockwatch_t *w)
+{
+    pthread_mutex_lock(&lock);
+    g_tree_remove(watched, w);
+    w->active = false;
+    bool expired = w->expired;
+    pthread_mutex_unlock(&lock);
+    return expired;
+}
+
+/* Sets the socket that this thread connected last, and shuts it down when
+   the time of the exchange is over. */
+void
+GvSockWatch_Connected(gv_sockwatch_t *w)
+{
+    pthread_mutex_lock(&lock);
+    w->fd = last_fd;
+    if (w->active) {
+        cut(w);
+    }
+    pthread_mutex_unlock(&lock);
+}
+
+/* Forgets the socket before it is closed: its number may be used again. */
+void
+GvSockWatch_Closing(gv_sockwatch_t *w)
+{
+    pthread_mutex_lock(&lock);
+    w->fd = -1;
+    pthread_mutex_unlock(&lock);
+}
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -38,7 +38,9 @@
     """Returns the line of a failed test's output that tells why, so that a
     mutant caught for another reason than its own is seen."""
     marks = ("FAILED", "Error:", "ERROR:", "not ok", "FAIL", "-", "+")
-    lines = [line for line in text.split("\n") if line.strip()]
+    # unittest's closing "FAILED (failures=1)" tells no reason.
+    lines = [line for line in text.split("\n")
+             if line.strip() and not line.startswith("FAILED (")]
     for mark in marks:
         for line in lines:
             if line.strip().startswith(mark) or (
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -4,12 +4,14 @@
 import pathlib
 import re
 import signal
+import socket
 import sys
+import threading
 import time
 
 import harness
 from harness import call, wait_until
-from proc_path import Path
+from proc_path import MAX_BODY, Path
 
 LIMITS = pathlib.Path(__file__).resolve().parent.parent / "src" / "limits.h"
 STOP_S = int(re.search(r"#define GV_STOP_MS\s+(\d+)",
@@ -63,6 +65,45 @@
         self.assertEqual(out[0].headers["Gv-Outcome"], "unknown")
         self.stop_in_time("e1")
 
+    def stall_targets(self):
+        """Moves all targets to an address that accepts connections, reads
+        their first bytes and no more; returns the list of these bytes."""
+        server = socket.create_server(("127.0.0.1", 0))
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        # With the segments of loopback the kernel would buffer a whole body.
+        server.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+        self.addCleanup(server.close)
+        seen = []
+
+        def accept():
+            while True:
+                try:
+                    conn = server.accept()[0]
+                except OSError:
+                    return
+                self.addCleanup(conn.close)
+                seen.append(conn.recv(9))
+        threading.Thread(target=accept, daemon=True).start()
+        addr = f"127.0.0.1:{server.getsockname()[1]}"
+        for name in self.targets:
+            self.append("host", [name, "k1", f"r-{name}", addr, self.slots,
+                                 "routing", f"{name}-0", 0])
+        wait_until(lambda: seen, 10, "the new address is probed")
+        return seen
+
+    def test_target_unread(self):
+        """Guards against a stop that waits for a write to a target that never
+        reads, and against not-run for such a request."""
+        seen = self.stall_targets()
+        run, out = self.background(
+            self.e1, "POST", "/svc/routing/a", b"x" * MAX_BODY,
+            {"Gv-Deadline-Ms": "2000"})
+        wait_until(lambda: b"POST /a H" in seen, 5, "request is at the target")
+        self.procs.children["e1"].terminate()
+        run.join()
+        self.assertEqual(self.outcome(out[0]), (504, "unknown"))
+        self.stop_in_time("e1")
+
     def test_all_silent(self):
         """Guards against a log reader that takes records from a silent peer
         and keeps the stop waiting."""
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -13,6 +13,7 @@
     const char *send[8]; /* parts, 300 ms apart */
     bool close;          /* close the connection afterwards */
     bool silent;         /* never answer */
+    int drips;           /* bytes sent after the parts, 300 ms apart */
 } step_t;
 
 typedef struct {
@@ -21,7 +22,9 @@
     int fd;
     char addr[32];
     gv_http_client_t *client;
-    bool sent; /* told by the last exchange */
+    size_t body;        /* bytes in each request */
+    atomic_bool unread; /* requests are not read for 5 s */
+    bool sent;          /* told by the last exchange */
     pthread_t thread;
     atomic_int requests;
     atomic_int connections;
@@ -57,7 +60,11 @@
 static void
 serve_connection(server_t *s, int fd)
 {
-    while (!atomic_load(&s->stopping) && read_request(fd)) {
+    bool unread = atomic_load(&s->unread);
+    for (int i = 0; unread && !atomic_load(&s->stopping) && i < 500; i++) {
+        g_usleep(10000);
+    }
+    while (!unread && !atomic_load(&s->stopping) && read_request(fd)) {
         int i = atomic_fetch_add(&s->requests, 1);
         if (i >= s->n_steps) {
             return;
@@ -67,6 +74,10 @@
             g_usleep(k == 0 ? 0 : 300000);
             send(fd, st->send[k], strlen(st->send[k]), MSG_NOSIGNAL);
         }
+        for (int k = 0; k < st->drips; k++) {
+            g_usleep(300000);
+            send(fd, "x", 1, MSG_NOSIGNAL);
+        }
         while (st->silent && !atomic_load(&s->stopping)) {
             g_usleep(10000);
         }
@@ -128,15 +139,18 @@
 static int
 call(server_t *s, const char *method)
 {
+    char *body = g_strnfill(s->body, 'x');
     gv_http_request_t rq = {.addr = GvStr_C(s->addr),
                             .method = GvStr_C(method),
                             .path = GV_STR("/x"),
+                            .body = GvStr_N(body, s->body),
                             .idempotent = strcmp(method, "GET") == 0,
                             .timeout_ms = 1000,
                             .max_body = 100};
     gv_http_answer_t a;
     int err = GvHttp_Do(s->client, &rq, &a);
     s->sent = a.sent;
+    g_free(body);
     int res = err == GV_OK ? a.status : err;
     GvHttp_ClearAnswer(&a);
     return res;
@@ -229,8 +243,11 @@
         {.send = {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", "a", "b",
                   "c", "d", "e", "f", "g"},
          .silent = true}};
-    const step_t *const scripts[] = {silent, slow};
-    for (int i = 0; i < 2; i++) {
+    /* Each byte restarts neon's time-out. */
+    static const step_t headers[] = {
+        {.send = {"HTTP/1.1 200 OK\r\nX-A: "}, .drips = 15}};
+    const step_t *const scripts[] = {silent, slow, headers};
+    for (int i = 0; i < 3; i++) {
         server_t s;
         start(&s, scripts[i], 1);
         int64_t start_ms = GvClock_MonoMs();
@@ -241,6 +258,24 @@
     }
 }
 
+/* Guards against a wait without an end in a write, for which neon has no
+   time-out: the server accepts the connection and reads nothing. */
+TEST("/http/unread", test_unread)
+{
+    const char *const methods[] = {"POST", "GET"};
+    for (int i = 0; i < 2; i++) {
+        server_t s;
+        start(&s, NULL, 0);
+        atomic_store(&s.unread, true);
+        s.body = 16 * 1024 * 1024; /* more than the kernel buffers */
+        int64_t start_ms = GvClock_MonoMs();
+        g_assert_cmpint(call(&s, methods[i]), ==, GV_ETIMEDOUT);
+        g_assert_true(s.sent);
+        g_assert_cmpint(GvClock_MonoMs() - start_ms, <, 3000);
+        finish(&s);
+    }
+}
+
 /* Guards against reuse of a connection that the server may be closing. */
 TEST("/http/idle", test_idle)
 {
