--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -9,6 +9,7 @@
 
 import harness
 from harness import call, pack, wait_until
+from relay import Relay
 
 SERVICE = """kind: service
 service: routing
@@ -110,7 +111,8 @@
     def begin(self, run_ms, body=b""):
         """Makes a call through e1 that runs for run_ms and has started."""
         made = self.background(
-            self.e1, "POST", f"/svc/routing/a?run_ms={run_ms}", body)
+            self.e1, "POST", f"/svc/routing/a?run_ms={run_ms}", body,
+            {"Gv-Deadline-Ms": "10000"})
         wait_until(self.runs, 5, "request has started")
         return made
 
@@ -319,6 +321,38 @@
         self.assertLess(time.monotonic() - begin, 6)
 
 
+class WrongAnswers(Path):
+    def edit_answers(self, edit):
+        """Puts relays with this edit between the entry hosts and targets."""
+        addrs = set()
+        for name, addr in self.targets.items():
+            relay = Relay(addr, edit)
+            self.addCleanup(relay.stop)
+            addrs.add(relay.addr)
+            self.append("host", [name, "k1", f"r-{name}", relay.addr,
+                                 self.slots, "routing", f"{name}-0", 0])
+        wait_until(lambda: addrs == {t["addr"] for t in
+                                     self.status(self.e1)["targets"]}, 5,
+                   "the new addresses are in force")
+
+    def test_earlier_answer(self):
+        """Guards against a target's repeated answer to an earlier request
+        that reaches the caller of a later one."""
+        first = []
+
+        def repeat(data):
+            if b"Gv-Attempt-Id" in data:
+                first.append(data)
+            return first[0] if b"Gv-Attempt-Id" in data else data
+        self.edit_answers(repeat)
+        a = call(self.e1, "POST", "/svc/routing/a", b"one")
+        self.assertEqual((self.outcome(a), a.text), ((200, "run"), "ok one"))
+        a = call(self.e1, "POST", "/svc/routing/a", b"two")
+        self.assertNotIn("one", a.text)
+        self.assertEqual(self.outcome(a), (502, "unknown"))
+        self.assertEqual(counters(self.e1)["responses_mismatched_total"], 1)
+
+
 class Outage(Path):
     def test_start_without_platform(self):
         """Guards against an entry host that sends to targets, or refuses
@@ -344,13 +378,15 @@
     def test_graceful_stop(self):
         """Guards against a planned stop that interrupts a run, accepts new
         work, or leaves without appending `leave`."""
-        run, out = self.begin(1500, b"body")
+        # Longer than a stop waits for responses that are on their way out.
+        run, out = self.begin(3500, b"body")
         self.procs.children["e1"].terminate()
         wait_until(lambda: call(self.e1, "GET", "/healthz").status == 503, 2,
                    "health turns 503")
         a = call(self.e1, "POST", "/svc/routing/new", b"")
         self.assertEqual(self.outcome(a), (503, "not-run"))
         run.join()
+        self.assertTrue(harness.serves(out[0]), "the run was cut off")
         self.assertEqual(out[0].text, "ok body")
         self.assertEqual(self.procs.stop("e1"), 0)
         wait_until(lambda: [m["name"] for m in
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -6,9 +6,11 @@
 
 
 class Relay:
-    """Forwards 127.0.0.1:PORT to an address until stopped."""
+    """Forwards 127.0.0.1:PORT to an address until stopped. edit changes what
+    comes back from there."""
 
-    def __init__(self, to_addr):
+    def __init__(self, to_addr, edit=lambda data: data):
+        self.edit = edit
         host, port = to_addr.rsplit(":", 1)
         self.to_addr = (host, int(port))
         self.cut = False
@@ -55,7 +57,8 @@
                         s.shutdown(socket.SHUT_RDWR)
                 return
             try:
-                b.sendall(data)
+                b.sendall(self.edit(data) if a.getpeername() == self.to_addr
+                          else data)
             except OSError:
                 return
 
