Answer EXECUTE while the entry host is starting

Cause: the peer links open before the parts that run requests exist, up to 3 s earlier when no ledger is to be had. An EXECUTE in that time was dropped, so that its sender waited for the deadline and had to call the request unknown.

Ruled out: links that open later, because the ledger comes through them; not-run for a ticket or key, which may have run in an earlier incarnation.

Change: until it is ready the kernel answers EXECUTE with not-run, and with unknown for a ticket or key. The test speaks frames; harness.py packs and unpacks bool for it.

Conclusion: the sender runs such a request elsewhere at once.

--- a/src/kernel_peer.c
+++ b/src/kernel_peer.c
@@ -13,6 +13,24 @@
    lost one left out and informs an entry host that has just started. */
 #define FULL_HEALTH_BEATS 10
 
+/* Answers a peer's request while the parts that would run it do not exist
+   yet, so that the peer can place it elsewhere at once. A ticket or key may
+   have run in an earlier incarnation. */
+static void
+refuse_execute(gv_kernel_t *k, gv_str_t from, const gv_message_t *m)
+{
+    gv_peers_t *peers = __atomic_load_n(&k->peers, __ATOMIC_ACQUIRE);
+    if (m->kind != GV_MSG_EXECUTE || peers == NULL) {
+        return;
+    }
+    gv_message_t r = {.kind = GV_MSG_RESULT, .number = m->number};
+    r.u.result = GvAnswer_Refuse(
+        m->u.execute.to_owner ? GV_OUTCOME_UNKNOWN : GV_OUTCOME_NOT_RUN, 503,
+        GV_HEARTBEAT_MS, "the entry host is starting");
+    (void)GvPeers_Send(peers, from, &r);
+    GvAnswer_Free(&r.u.result);
+}
+
 /* Hands a peer's message to the modules that know its kind. Runs on the peer
    thread; the parts are started one after another. */
 void
@@ -22,6 +40,7 @@
     gv_kernel_t *k = user;
     GvLedgerSync_OnMessage(k->ledgersync, from, m);
     if (!atomic_load(&k->private->ready)) {
+        refuse_execute(k, from, m);
         return;
     }
     GvForward_OnMessage(k->forward, from, m);
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -200,7 +200,9 @@
 
 
 def pack(value):
-    """Packs ints, str, bytes and lists."""
+    """Packs bool, ints, str, bytes and lists."""
+    if isinstance(value, bool):
+        return b"\xc3" if value else b"\xc2"
     if isinstance(value, bytes):
         return b"\xc6" + struct.pack(">I", len(value)) + value
     if isinstance(value, str):
@@ -228,6 +230,8 @@
     code, at = data[at], at + 1
     if code < 0x80 or code >= 0xe0:
         return (code if code < 0x80 else code - 256), at
+    if code in (0xc2, 0xc3):
+        return code == 0xc3, at
     if code in _NUMBERS:
         return _number(data, at, _NUMBERS[code])
     if code in _SIZES:
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -3,12 +3,13 @@
 processes, with the settings read from the log."""
 import json
 import socket
+import struct
 import sys
 import tempfile
 import time
 
 import harness
-from harness import call, pack, wait_until
+from harness import call, pack, unpack, wait_until
 from relay import Relay
 
 SERVICE = """kind: service
@@ -374,6 +375,45 @@
         wait_until(lambda: self.status(e3)["joined"], 20, "e3 joins")
 
 
+class Starting(harness.ProcessTest):
+    """An entry host that waits for the log, and then for a peer's ledger."""
+
+    def frame(self, kind, number, body):
+        data = pack([1, kind, number, 5000, body])
+        self.peer.sendall(struct.pack(">I", len(data)) + data)
+
+    def result(self):
+        """Reads up to the next RESULT; returns its number and outcome."""
+        while True:
+            head = self.input.read(4)
+            self.assertEqual(len(head), 4, "the link ended without a RESULT")
+            size, = struct.unpack(">I", head)
+            _, kind, number, _, body = unpack(self.input.read(size))
+            if kind == 4:
+                return number, body[0]
+
+    def test_execute(self):
+        """Guards against a request of another entry host that gets no answer
+        from one that has not yet started all its parts."""
+        entries = {"e1": ("k1", harness.free_addr(), harness.free_addr())}
+        with tempfile.TemporaryDirectory() as path:
+            harness.write_node(f"{path}/e1.yaml", "e1", entries,
+                               harness.free_addr(), 2)
+            self.procs.start("e1", "gventryd", "--config", f"{path}/e1.yaml",
+                             addr=entries["e1"][2])
+        host, port = entries["e1"][2].split(":")
+        self.peer = socket.create_connection((host, int(port)), 8)
+        self.addCleanup(self.peer.close)
+        self.input = self.peer.makefile("rb")
+        self.addCleanup(self.input.close)
+        self.frame(1, 0, ["e2", "k1", "r1", 7])
+        # A ticket may have run in an earlier incarnation.
+        for number, ticket, outcome in ((8, "", 0), (9, "e1.1.1.1", 2)):
+            self.frame(3, number, ["routing", "POST", "/a", "", "", "", False,
+                                   ticket != "", ticket, "", b""])
+            self.assertEqual(self.result(), (number, outcome))
+
+
 class Stops(Path):
     def test_graceful_stop(self):
         """Guards against a planned stop that interrupts a run, accepts new
