Tell not-run for a ticket or key that is cancelled in the queue

Cause: a submission with a ticket or key counts as an attempt from the moment it waits in the table of runs, so that its cancellation was always unknown, although the run had not left the queue.

Ruled out: not-run that leaves the ticket startable, because a later repeat would run after the caller was told not-run; a final not-run when the caller merely disconnects, because it was told nothing and has to be able to repeat.

Change: a cancellation by id ends the run, if it is idle and nobody else waits for it, and the end of the run answers the submission. The answer is marked final: the table keeps it for every repeat as it keeps the answer of a run. Cancelling the run itself by its id is final as well.

Before and after, build/tests/test_forward /forward/ticket-withdrawn: with the cancellation of the run off unknown for not-run, with the mark off a repeat ran; now not-run for the cancelled submission and for repeats here and through another entry host.

Conclusion: not-run where it is certain. A cancellation through another entry host stays unknown.

--- a/src/admin.c
+++ b/src/admin.c
@@ -237,7 +237,7 @@
     if (rq == NULL) {
         return answer(404, "text/plain", GV_STR("no such request\n"));
     }
-    bool done = GvRequest_Cancel(rq, "cancelled");
+    bool done = GvForward_Cancel(k->forward, rq, "cancelled");
     GvRequest_Unref(rq);
     return done ? answer(200, "text/plain", GV_STR("cancelled\n"))
                 : answer(404, "text/plain", GV_STR("no such request\n"));
--- a/src/forward.c
+++ b/src/forward.c
@@ -276,26 +276,38 @@
     }
 }
 
+/* Finds the shard and the id under which a request waits. The id is a view
+   of the request or of *owned, which the caller releases. Returns NULL when
+   the request has no valid ticket or key. */
+static gv_onceshard_t *
+find_shard(gv_forward_t *f, const gv_request_t *rq, gv_str_t *id,
+           gv_str_t *owned)
+{
+    gv_ticket_t t;
+    *owned = (gv_str_t){NULL, 0};
+    *id = rq->o.ticket;
+    if (id->n > 0) {
+        return GvTicket_Parse(*id, &t) == GV_OK ? shard_of_ticket(f, &t)
+                                                : NULL;
+    }
+    if (rq->o.key.n == 0) {
+        return NULL;
+    }
+    *id = *owned = key_id(rq);
+    return shard_of_key(f, *id);
+}
+
 /* Drops a request that has ended from the waiters of its run. A run that
    nobody waits for is cancelled if it has not been started; otherwise it goes
    on and its answer is kept. */
 static void
 on_waiter_ended(void *user, gv_request_t *rq)
 {
-    gv_forward_t *f = user;
-    gv_ticket_t t;
-    gv_str_t owned = {NULL, 0};
-    gv_str_t id = rq->o.ticket;
-    gv_onceshard_t *sh = NULL;
-    if (id.n > 0) {
-        if (GvTicket_Parse(id, &t) != GV_OK) {
-            return;
-        }
-        sh = shard_of_ticket(f, &t);
-    }
-    else {
-        id = owned = key_id(rq);
-        sh = shard_of_key(f, id);
+    gv_str_t owned;
+    gv_str_t id;
+    gv_onceshard_t *sh = find_shard(user, rq, &id, &owned);
+    if (sh == NULL) {
+        return;
     }
     pthread_mutex_lock(&sh->mu);
     int left = GvOnce_RemoveWaiter(sh->once, id, rq);
@@ -306,7 +318,8 @@
     pthread_mutex_unlock(&sh->mu);
     GvStr_Free(&owned);
     if (run != NULL) {
-        GvRequest_CancelIdle(run, "nobody waits for it");
+        /* The caller was not told, so that a repeat may run. */
+        GvRequest_CancelIdle(run, "nobody waits for it", false);
         GvRequest_Unref(run);
     }
     if (left >= 0) {
@@ -314,6 +327,36 @@
     }
 }
 
+/* Ends a request because its caller wants so: not-run if it has certainly not
+   run, which then holds for every repeat of its ticket or key, else unknown.
+   Returns false when it had already ended. */
+bool
+GvForward_Cancel(gv_forward_t *f, gv_request_t *rq, const char *reason)
+{
+    gv_str_t owned;
+    gv_str_t id;
+    gv_request_t *run = NULL;
+    gv_onceshard_t *sh = find_shard(f, rq, &id, &owned);
+    if (sh != NULL) {
+        pthread_mutex_lock(&sh->mu);
+        if (GvOnce_IsOnlyWaiter(sh->once, id, rq)) {
+            run = g_hash_table_lookup(sh->runs, &id);
+        }
+        if (run != NULL) {
+            GvRequest_Ref(run);
+        }
+        pthread_mutex_unlock(&sh->mu);
+    }
+    GvStr_Free(&owned);
+    bool done = false;
+    if (run != NULL) {
+        /* The end of the run answers the request. */
+        done = GvRequest_CancelIdle(run, reason, true);
+        GvRequest_Unref(run);
+    }
+    return done || GvRequest_Cancel(rq, reason);
+}
+
 /* Makes this module the holder and begins an attempt, so that the request
    does not end as not-run while a run of its ticket or key is possible.
    Returns false when it has ended. */
--- a/src/forward.h
+++ b/src/forward.h
@@ -42,6 +42,9 @@
 /* Runs a request from a caller: by its ticket, else by its key, else through
    submit. Ends the request in every case. No lock may be held. */
 void GvForward_Run(gv_forward_t *f, gv_request_t *rq);
+/* Ends a request at its caller's wish, as not-run for this and every repeat
+   of its ticket or key where that is certain. No lock may be held. */
+bool GvForward_Cancel(gv_forward_t *f, gv_request_t *rq, const char *reason);
 /* The spill hook of the dispatcher; user is the gv_forward_t. */
 bool GvForward_Spill(void *user, gv_request_t *rq);
 /* Handles EXECUTE, CANCEL and HEARTBEAT; other kinds are ignored. */
--- a/src/once.c
+++ b/src/once.c
@@ -217,6 +217,7 @@
     if (n > GV_ONCE_ANSWER_BYTES || o->kept + n > MAX_ANSWER_BYTES) {
         e->answer =
             GvAnswer_Refuse(a->outcome, 410, 0, "the response was not kept");
+        e->answer.final = a->final;
         return;
     }
     e->answer = GvAnswer_Copy(a);
@@ -225,7 +226,8 @@
 }
 
 /* Ends the run that Begin started. GV_OUTCOME_NOT_RUN makes the entry
-   startable again; every other outcome is final and its answer is kept.
+   startable again unless it is final; every other outcome is, and a final
+   answer is kept.
    Returns the waiters, of which *n_waiters; the caller frees the array with
    g_free. An id that is not running is ignored. */
 void **
@@ -238,7 +240,7 @@
     if (e == NULL || e->state != STATE_RUNNING) {
         return NULL;
     }
-    if (a->outcome == GV_OUTCOME_NOT_RUN) {
+    if (a->outcome == GV_OUTCOME_NOT_RUN && !a->final) {
         e->state = STATE_READY;
     }
     else {
@@ -254,6 +256,15 @@
     return w;
 }
 
+/* Tells whether this waiter, and no other, waits for a run. */
+bool
+GvOnce_IsOnlyWaiter(const gv_once_t *o, gv_str_t id, const void *waiter)
+{
+    const entry_t *e = g_hash_table_lookup(o->entries, &id);
+    return e != NULL && e->waiters != NULL && e->waiters->len == 1 &&
+           e->waiters->pdata[0] == waiter;
+}
+
 /* Drops a waiter whose caller left. Returns the number of waiters left, or
    GV_ENOENT when it was not waiting. */
 int
--- a/src/once.h
+++ b/src/once.h
@@ -1,6 +1,7 @@
 #ifndef GV_ONCE_H
 #define GV_ONCE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "outcome.h"
@@ -40,9 +41,12 @@
 gv_once_result_t GvOnce_BeginKey(gv_once_t *o, gv_str_t id, int64_t expires_ms,
                                  int64_t now_ms, void *waiter);
 /* Ends the run that Begin started. GV_OUTCOME_NOT_RUN makes the entry
-   startable again. Returns the waiters (g_free the array, not its items). */
+   startable again unless it is final. Returns the waiters (g_free the array,
+   not its items). */
 void **GvOnce_Finish(gv_once_t *o, gv_str_t id, const gv_answer_t *a,
                      int64_t now_ms, int *n_waiters);
+/* Tells whether this waiter, and no other, waits for a run. */
+bool GvOnce_IsOnlyWaiter(const gv_once_t *o, gv_str_t id, const void *waiter);
 /* Drops a waiter whose caller left. Returns the number of waiters left, or
    GV_ENOENT when it was not waiting. */
 int GvOnce_RemoveWaiter(gv_once_t *o, gv_str_t id, void *waiter);
--- a/src/outcome.h
+++ b/src/outcome.h
@@ -1,6 +1,7 @@
 #ifndef GV_OUTCOME_H
 #define GV_OUTCOME_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "str.h"
@@ -23,6 +24,9 @@
     gv_str_t reason;    /* one line for the caller when no body came */
     gv_str_t content_type;
     gv_str_t body;
+    /* A not-run that every repeat of the ticket or key gets, too. Not sent to
+       other entry hosts. */
+    bool final;
 } gv_answer_t;
 
 gv_answer_t GvAnswer_Refuse(gv_outcome_t o, int status, int retry_after_ms,
--- a/src/request.c
+++ b/src/request.c
@@ -267,21 +267,25 @@
 }
 
 /* Ends the request as not-run if no attempt is active and none may have run.
-   Returns whether it has ended it. No lock may be held. */
+   Returns whether it has ended it. With final its ticket or key never runs.
+   No lock may be held. */
 bool
-GvRequest_CancelIdle(gv_request_t *rq, const char *reason)
+GvRequest_CancelIdle(gv_request_t *rq, const char *reason, bool final)
 {
     gv_answer_t a = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 409, 0, reason);
+    a.final = final;
     return end_request(rq, &a, true);
 }
 
 /* Ends the request because nobody waits for it any more: unknown if it may
-   have run, else not-run. Returns false when it had already ended. */
+   have run, else not-run, which is final. Returns false when it had already
+   ended. */
 bool
 GvRequest_Cancel(gv_request_t *rq, const char *reason)
 {
     /* End turns not-run into unknown where that is due. */
     gv_answer_t a = GvAnswer_Refuse(GV_OUTCOME_NOT_RUN, 409, 0, reason);
+    a.final = true;
     return GvRequest_End(rq, &a);
 }
 
--- a/src/request.h
+++ b/src/request.h
@@ -96,11 +96,13 @@
    one may have run. Returns false when the request had already ended. No
    lock may be held. */
 bool GvRequest_End(gv_request_t *rq, gv_answer_t *a);
-/* Ends the request without a response: not-run or unknown by its state. */
+/* Ends the request without a response: not-run, finally, or unknown by its
+   state. */
 bool GvRequest_Cancel(gv_request_t *rq, const char *reason);
 /* Ends the request as not-run only if it has certainly not run: no attempt is
-   active and none may have run. Returns whether it has ended it. */
-bool GvRequest_CancelIdle(gv_request_t *rq, const char *reason);
+   active and none may have run. Returns whether it has ended it. With final
+   its ticket or key never runs. */
+bool GvRequest_CancelIdle(gv_request_t *rq, const char *reason, bool final);
 bool GvRequest_Ended(gv_request_t *rq);
 /* Makes another module the holder; false when the request has ended, in which
    case the new holder is not called. */
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -310,6 +310,40 @@
     run(&a, t, "", &s[0], GV_OUTCOME_RUN, "run 1 at a");
 }
 
+/* A ticket that its caller cancelled in the queue and that is told as unknown,
+   or that runs later; not-run for one that others wait for or that runs. */
+TEST("/forward/ticket-withdrawn", test_ticket_withdrawn)
+{
+    char t[GV_TICKET_TEXT_BYTES];
+    sub_t s[2];
+    reset(QUEUE, RUN, RUN);
+    g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
+    begin(&a, t, "", &s[0]);
+    begin(&a, t, "", &s[1]);
+    gv_request_t *held = wait_held(&a);
+    g_assert_true(GvForward_Cancel(a.forward, s[0].rq, "cancelled"));
+    finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
+    g_assert_false(GvRequest_Ended(held));
+    g_assert_true(GvForward_Cancel(a.forward, s[1].rq, "cancelled"));
+    finish(&s[1], GV_OUTCOME_NOT_RUN, NULL);
+    g_assert_true(GvRequest_Ended(held));
+    GvRequest_Unref(held);
+    reset(RUN, RUN, RUN);
+    run(&a, t, "", &s[0], GV_OUTCOME_NOT_RUN, NULL);
+    run(&b, t, "", &s[0], GV_OUTCOME_NOT_RUN, NULL);
+    g_assert_cmpint(s[0].status, ==, 409);
+    g_assert_cmpint(a.started, ==, 0);
+    reset(HOLD, RUN, RUN);
+    g_assert_cmpint(GvForward_Issue(a.forward, t, sizeof t), >, 0);
+    begin(&a, t, "", &s[0]);
+    held = wait_held(&a);
+    g_assert_true(GvForward_Cancel(a.forward, s[0].rq, "cancelled"));
+    finish(&s[0], GV_OUTCOME_UNKNOWN, NULL);
+    end_run(&a, held);
+    GvRequest_Unref(held);
+    run(&a, t, "", &s[0], GV_OUTCOME_RUN, "run 1 at a");
+}
+
 /* A key that is run by two entry hosts, and claims that are not batched. */
 TEST("/forward/keys", test_keys)
 {
