--- a/tests/run.py
+++ b/tests/run.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
 """Runs every test and closes with the line "N passed, N failed".
 
-Three kinds: GLib test programs (build/tests/test_*), scripted runs
+Four kinds: GLib test programs (build/tests/test_*), scripted runs
 (tests/*.script fed to build/tests/script, output compared with the .expected
-file of the same name), and Python programs tests/proc_*.py, which drive real
-processes and take the build directory as their argument.
+file of the same name), short runs of the fuzz targets (build/fuzz/tests), and
+Python programs tests/proc_*.py, which drive real processes and take the build
+directory as their argument.
 
 Every sanitizer report of a process that a test starts fails the test, also
 when the process is killed later or its exit status is not looked at.
@@ -13,6 +14,7 @@
 not fail the run.
 """
 import argparse
+import difflib
 import os
 import pathlib
 import subprocess
@@ -21,6 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_S = 300
+FUZZ_RUNS = 2000  # "make fuzz" runs more
 
 
 def known_red():
@@ -68,7 +71,9 @@
     want = expected.read_text() if expected.exists() else ""
     if code == 0 and out == want:
         return 0, out
-    return code or 1, f"exit {code}\n--- expected\n{want}--- got\n{out}"
+    diff = difflib.unified_diff(want.split("\n"), out.split("\n"), "expected",
+                                "got", n=2, lineterm="")
+    return code or 1, f"exit {code}\n" + "\n".join(diff)
 
 
 def tests(build):
@@ -77,6 +82,11 @@
             yield prog.name, lambda p=prog: run([str(p)])
     for script in sorted((ROOT / "tests").glob("*.script")):
         yield script.stem, lambda s=script: run_script(build, s)
+    for prog in sorted((ROOT / "build" / "fuzz" / "tests").glob("fuzz_*")):
+        if prog.suffix == "":
+            yield prog.name, lambda p=prog: run(
+                [str(p), "-seed=1", f"-runs={FUZZ_RUNS}", "-max_len=4096",
+                 "-timeout=10", f"-artifact_prefix={p.parent}/"])
     for prog in sorted((ROOT / "tests").glob("proc_*.py")):
         yield prog.stem, lambda p=prog: run(
             ["/usr/bin/python3", str(p), str(build)])
