--- a/tests/cuts.py
+++ b/tests/cuts.py
@@ -1,11 +1,20 @@
 """A cluster whose data centres can be cut off from each other and from the
 platform."""
 import contextlib
+import functools
 
 from cluster import Cluster
 from relay import Relay
 
 
+def replace_all(replaced, data):
+    """Replaces addresses in an answer by others of the same length."""
+    for old, new in replaced.items():
+        assert len(old) == len(new)
+        data = data.replace(old.encode(), new.encode())
+    return data
+
+
 class Cuts:
     """Puts a relay into each path from an entry host to the platform and to
     the entry hosts of other data centres. Entry hosts also dial the addresses
@@ -32,8 +41,9 @@
                 if dc != other:
                     c.peer_via[near, far] = self.relay(peer, dc, other)
                     replaced[peer] = c.peer_via[near, far]
-            c.platform_via[near] = self.relay(c.platform, dc, "platform",
-                                              replaced=replaced)
+            c.platform_via[near] = self.relay(
+                c.platform, dc, "platform",
+                edit=functools.partial(replace_all, replaced))
         self.stack.enter_context(c)
         return self
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -39,6 +39,8 @@
     """Returns the line of a failed test's output that tells why, so that a
     mutant caught for another reason than its own is seen."""
     lines = [line.strip() for line in text.split("\n") if line.strip()]
+    # unittest's closing "FAILED (failures=1)" tells no reason.
+    lines = [line for line in lines if not line.startswith("FAILED (")]
     for mark in ("FAILED", "Error:", "ERROR:", "+", "-", "FAIL"):
         for line in lines:
             if (line.startswith(mark) and line[:3] not in ("+++", "---")) or (
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -3,12 +3,14 @@
 processes, with the settings read from the log."""
 import json
 import socket
+import struct
 import sys
 import tempfile
 import time
 
 import harness
-from harness import call, pack, wait_until
+from harness import call, pack, unpack, wait_until
+from relay import Relay
 
 SERVICE = """kind: service
 service: routing
@@ -110,7 +112,8 @@
     def begin(self, run_ms, body=b""):
         """Makes a call through e1 that runs for run_ms and has started."""
         made = self.background(
-            self.e1, "POST", f"/svc/routing/a?run_ms={run_ms}", body)
+            self.e1, "POST", f"/svc/routing/a?run_ms={run_ms}", body,
+            {"Gv-Deadline-Ms": "10000"})
         wait_until(self.runs, 5, "request has started")
         return made
 
@@ -319,6 +322,38 @@
         self.assertLess(time.monotonic() - begin, 6)
 
 
+class WrongAnswers(Path):
+    def edit_answers(self, edit):
+        """Puts relays with this edit between the entry hosts and targets."""
+        addrs = set()
+        for name, addr in self.targets.items():
+            relay = Relay(addr, edit)
+            self.addCleanup(relay.stop)
+            addrs.add(relay.addr)
+            self.append("host", [name, "k1", f"r-{name}", relay.addr,
+                                 self.slots, "routing", f"{name}-0", 0])
+        wait_until(lambda: addrs == {t["addr"] for t in
+                                     self.status(self.e1)["targets"]}, 5,
+                   "the new addresses are in force")
+
+    def test_earlier_answer(self):
+        """Guards against a target's repeated answer to an earlier request
+        that reaches the caller of a later one."""
+        first = []
+
+        def repeat(data):
+            if b"Gv-Attempt-Id" in data:
+                first.append(data)
+            return first[0] if b"Gv-Attempt-Id" in data else data
+        self.edit_answers(repeat)
+        a = call(self.e1, "POST", "/svc/routing/a", b"one")
+        self.assertEqual((self.outcome(a), a.text), ((200, "run"), "ok one"))
+        a = call(self.e1, "POST", "/svc/routing/a", b"two")
+        self.assertNotIn("one", a.text)
+        self.assertEqual(self.outcome(a), (502, "unknown"))
+        self.assertEqual(counters(self.e1)["responses_mismatched_total"], 1)
+
+
 class Outage(Path):
     def test_start_without_platform(self):
         """Guards against an entry host that sends to targets, or refuses
@@ -340,17 +375,58 @@
         wait_until(lambda: self.status(e3)["joined"], 20, "e3 joins")
 
 
+class Starting(harness.ProcessTest):
+    """An entry host that waits for the log, and then for a peer's ledger."""
+
+    def frame(self, kind, number, body):
+        data = pack([1, kind, number, 5000, body])
+        self.peer.sendall(struct.pack(">I", len(data)) + data)
+
+    def result(self):
+        """Reads up to the next RESULT; returns its number and outcome."""
+        while True:
+            head = self.input.read(4)
+            self.assertEqual(len(head), 4, "the link ended without a RESULT")
+            size, = struct.unpack(">I", head)
+            _, kind, number, _, body = unpack(self.input.read(size))
+            if kind == 4:
+                return number, body[0]
+
+    def test_execute(self):
+        """Guards against a request of another entry host that gets no answer
+        from one that has not yet started all its parts."""
+        entries = {"e1": ("k1", harness.free_addr(), harness.free_addr())}
+        with tempfile.TemporaryDirectory() as path:
+            harness.write_node(f"{path}/e1.yaml", "e1", entries,
+                               harness.free_addr(), 2)
+            self.procs.start("e1", "gventryd", "--config", f"{path}/e1.yaml",
+                             addr=entries["e1"][2])
+        host, port = entries["e1"][2].split(":")
+        self.peer = socket.create_connection((host, int(port)), 8)
+        self.addCleanup(self.peer.close)
+        self.input = self.peer.makefile("rb")
+        self.addCleanup(self.input.close)
+        self.frame(1, 0, ["e2", "k1", "r1", 7])
+        # A ticket may have run in an earlier incarnation.
+        for number, ticket, outcome in ((8, "", 0), (9, "e1.1.1.1", 2)):
+            self.frame(3, number, ["routing", "POST", "/a", "", "", "", False,
+                                   ticket != "", ticket, "", b""])
+            self.assertEqual(self.result(), (number, outcome))
+
+
 class Stops(Path):
     def test_graceful_stop(self):
         """Guards against a planned stop that interrupts a run, accepts new
         work, or leaves without appending `leave`."""
-        run, out = self.begin(1500, b"body")
+        # Longer than a stop waits for responses that are on their way out.
+        run, out = self.begin(3500, b"body")
         self.procs.children["e1"].terminate()
         wait_until(lambda: call(self.e1, "GET", "/healthz").status == 503, 2,
                    "health turns 503")
         a = call(self.e1, "POST", "/svc/routing/new", b"")
         self.assertEqual(self.outcome(a), (503, "not-run"))
         run.join()
+        self.assertTrue(harness.serves(out[0]), "the run was cut off")
         self.assertEqual(out[0].text, "ok body")
         self.assertEqual(self.procs.stop("e1"), 0)
         wait_until(lambda: [m["name"] for m in
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -6,13 +6,11 @@
 
 
 class Relay:
-    """Forwards 127.0.0.1:PORT to an address until stopped. replaced: addresses
-    in the answers and what stands for them, of the same length."""
+    """Forwards 127.0.0.1:PORT to an address until stopped. edit changes what
+    comes back from there."""
 
-    def __init__(self, to_addr, replaced=None):
-        self.replaced = {a.encode(): b.encode()
-                         for a, b in (replaced or {}).items()}
-        assert all(len(a) == len(b) for a, b in self.replaced.items())
+    def __init__(self, to_addr, edit=lambda data: data):
+        self.edit = edit
         host, port = to_addr.rsplit(":", 1)
         self.to_addr = (host, int(port))
         self.cut = False
@@ -58,11 +56,8 @@
                     with contextlib.suppress(OSError):
                         s.shutdown(socket.SHUT_RDWR)
                 return
-            if a is pair["far"]:
-                for old, new in self.replaced.items():
-                    data = data.replace(old, new)
             try:
-                b.sendall(data)
+                b.sendall(self.edit(data) if a is pair["far"] else data)
             except OSError:
                 return
 
