Split the bench simulation into events, peers and the run

Change: the event heap moves to sim_events.c, lending and load between entry hosts to sim_peers.c, the shared types to sim_private.h.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -1,142 +1,28 @@
-#include "sim.h"
+#include "sim_private.h"
 
-#include <string.h>
-
-#include "estimate.h"
 #include "limits.h"
-#include "placement.h"
-#include "queue.h"
-#include "retry.h"
-#include "slots.h"
 
 enum {
-    MAX_ENTRIES = 4,
-    MAX_TARGETS = 16,
     SHORT_MS = 200,
     BAD_RUN_MS = 2, /* a worker that fails everything does so at once */
     FAULT_FROM_MS = 60000,
     FAULT_TO_MS = 120000
 };
 
-typedef enum { ARRIVE, FINISH, TICK, AGAIN } event_kind_t;
-
-struct entry_s;
-
-typedef struct {
-    gv_queue_item_t it; /* first */
-    gv_gen_job_t job;
-    struct entry_s *entry;
-    double arrived_ms;
-    double started_ms; /* of the current attempt */
-    double wait_ms;    /* until the first start, -1 before */
-    int target;
-    int attempts;
-    int hosts_failed;
-    unsigned tried; /* bit set of targets */
-    bool counted_long;
-    bool bad_last;
-    bool fails;      /* decided at the start */
-    gint running_at; /* index in entry->running */
-} req_t;
-
-typedef struct {
-    double at;
-    event_kind_t kind;
-    guint64 order;
-    req_t *req;
-} event_t;
-
-typedef struct entry_s {
-    gv_queue_t *queue;
-    gv_estimate_t *estimate;
-    gv_retry_budget_t budget;
-    gv_queue_load_t load;
-    GPtrArray *running;
-    int busy[MAX_TARGETS];
-    gv_slots_t slots[MAX_TARGETS];
-    gv_eject_t eject[MAX_TARGETS];
-    gv_candidate_t cand[MAX_TARGETS];
-    guint64 turn;
-} entry_t;
-
-typedef struct {
-    const gv_sim_opts_t *o;
-    gv_sim_result_t *r;
-    const gv_queue_policy_t *queue;
-    const gv_place_policy_t *place;
-    const gv_retry_policy_t *retry;
-    gv_gen_t gen;
-    GRand *rand;
-    GArray *heap; /* event_t */
-    guint64 order;
-    double now;
-    entry_t entries[MAX_ENTRIES];
-    int running[MAX_TARGETS];
-} sim_t;
-
 static bool
-before(const event_t *a, const event_t *b)
-{
-    return a->at < b->at || (a->at == b->at && a->order < b->order);
-}
-
-static void
-schedule(sim_t *s, double at, event_kind_t kind, req_t *req)
-{
-    event_t e = {at, kind, s->order++, req};
-    g_array_append_val(s->heap, e);
-    event_t *h = (event_t *)(void *)s->heap->data;
-    guint i = s->heap->len - 1;
-    while (i > 0 && before(&e, &h[(i - 1) / 2])) {
-        h[i] = h[(i - 1) / 2];
-        i = (i - 1) / 2;
-    }
-    h[i] = e;
-}
-
-static event_t
-next_event(sim_t *s)
-{
-    event_t *h = (event_t *)(void *)s->heap->data;
-    event_t top = h[0];
-    guint n = s->heap->len - 1;
-    event_t last = h[n];
-    g_array_set_size(s->heap, n);
-    guint i = 0;
-    for (;;) {
-        guint c = 2 * i + 1;
-        if (c >= n) {
-            break;
-        }
-        if (c + 1 < n && before(&h[c + 1], &h[c])) {
-            c++;
-        }
-        if (!before(&h[c], &last)) {
-            break;
-        }
-        h[i] = h[c];
-        i = c;
-    }
-    if (n > 0) {
-        h[i] = last;
-    }
-    return top;
-}
-
-static bool
-in_fault(const sim_t *s)
+in_fault(const gv_sim_t *s)
 {
     return s->now >= FAULT_FROM_MS && s->now < FAULT_TO_MS;
 }
 
 static gv_str_t
-work_of(const req_t *q)
+work_of(const gv_sim_req_t *q)
 {
     return GvStr_C(q->job.work);
 }
 
 static void
-close_request(sim_t *s, req_t *q, bool ok)
+close_request(gv_sim_t *s, gv_sim_req_t *q, bool ok)
 {
     gv_sim_result_t *r = s->r;
     bool in_time = ok && s->now <= q->arrived_ms + q->job.deadline_ms;
@@ -165,24 +51,7 @@
 }
 
 static void
-update_load(sim_t *s, entry_t *e)
-{
-    int slots = 0;
-    for (int t = 0; t < s->o->targets; t++) {
-        gv_candidate_t *c = &e->cand[t];
-        c->usable = s->o->no_shares
-                        ? GV_TARGET_SLOTS
-                        : GvSlots_Usable(&e->slots[t], (int64_t)s->now);
-        c->busy = e->busy[t];
-        c->ejected = e->eject[t].ejected;
-        slots += c->ejected ? 0 : c->usable;
-    }
-    e->load.slots = slots;
-    e->load.mean_run_ms = GvEstimate_MeanMs(e->estimate);
-}
-
-static void
-note_start(sim_t *s, req_t *q)
+note_start(gv_sim_t *s, gv_sim_req_t *q)
 {
     s->r->starts++;
     s->r->attempts_fault += in_fault(s);
@@ -201,7 +70,7 @@
 }
 
 static void
-start(sim_t *s, entry_t *e, req_t *q, int t)
+start(gv_sim_t *s, gv_sim_entry_t *e, gv_sim_req_t *q, int t)
 {
     q->target = t;
     q->started_ms = s->now;
@@ -221,11 +90,11 @@
     }
     q->fails = bad || down || q->job.never_runs;
     q->bad_last = bad;
-    schedule(s, s->now + (bad ? BAD_RUN_MS : run), FINISH, q);
+    GvSim_Schedule(s, s->now + (bad ? BAD_RUN_MS : run), GV_SIM_FINISH, q);
 }
 
 static int
-trial_target(sim_t *s, entry_t *e, const req_t *q)
+trial_target(gv_sim_t *s, gv_sim_entry_t *e, const gv_sim_req_t *q)
 {
     for (int t = 0; t < s->o->targets; t++) {
         if (e->eject[t].ejected && q->job.idempotent &&
@@ -237,7 +106,7 @@
 }
 
 static gv_retry_decision_t
-decide(sim_t *s, req_t *q, gv_attempt_t a)
+decide(gv_sim_t *s, gv_sim_req_t *q, gv_attempt_t a)
 {
     gv_retry_case_t c = {.attempt = a,
                          .idempotent = q->job.idempotent,
@@ -250,16 +119,16 @@
 
 /* Starts waiting work of an entry host while slots are free. */
 static void
-dispatch(sim_t *s, entry_t *e)
+dispatch(gv_sim_t *s, gv_sim_entry_t *e)
 {
     for (;;) {
-        update_load(s, e);
+        GvSim_UpdateLoad(s, e);
         gv_queue_item_t *it =
             s->queue->pop(e->queue, (int64_t)s->now, &e->load);
         if (it == NULL) {
             return;
         }
-        req_t *q = (req_t *)it;
+        gv_sim_req_t *q = (gv_sim_req_t *)it;
         for (int t = 0; t < s->o->targets; t++) {
             e->cand[t].avoid = (q->tried >> t & 1) != 0;
         }
@@ -281,60 +150,19 @@
         e->cand[t].refused++;
         if (decide(s, q, GV_ATTEMPT_REFUSED) == GV_RETRY_REQUEUE) {
             s->queue->requeue(e->queue, it, (int64_t)s->now);
-            schedule(s, s->now + 3, AGAIN, q);
+            GvSim_Schedule(s, s->now + 3, GV_SIM_AGAIN, q);
             return;
         }
         close_request(s, q, false);
     }
 }
 
-/* Borrows slots from peers for work that waits while all own slots are in
-   use. */
-static void
-borrow(sim_t *s, entry_t *e)
-{
-    update_load(s, e);
-    int want = s->queue->length(e->queue) - (e->load.slots - e->load.busy);
-    int64_t now = (int64_t)s->now;
-    for (int p = 0; p < s->o->entries && want > 0; p++) {
-        entry_t *peer = &s->entries[p];
-        int queued = s->queue->length(peer->queue);
-        if (peer == e) {
-            continue;
-        }
-        for (int t = 0; t < s->o->targets && want > 0; t++) {
-            int n = GvSlots_Lend(&peer->slots[t], want, peer->busy[t], queued,
-                                 now, GV_LOAN_MS);
-            if (n > 0) {
-                GvSlots_Borrowed(&e->slots[t], n, now + GV_LOAN_MS);
-                want -= n;
-            }
-        }
-    }
-}
-
-static entry_t *
-entry_for(sim_t *s)
-{
-    int n = s->o->entries;
-    if (!s->o->uneven) {
-        return &s->entries[g_rand_int_range(s->rand, 0, n)];
-    }
-    int u = g_rand_int_range(s->rand, 0, n * (n + 1) / 2);
-    int i = 0;
-    while (u >= n - i) {
-        u -= n - i;
-        i++;
-    }
-    return &s->entries[i];
-}
-
 static void
-arrive(sim_t *s)
+arrive(gv_sim_t *s)
 {
-    schedule(s, GvLoad_Next(&s->gen, s->now), ARRIVE, NULL);
-    entry_t *e = entry_for(s);
-    req_t *q = g_new0(req_t, 1);
+    GvSim_Schedule(s, GvLoad_Next(&s->gen, s->now), GV_SIM_ARRIVE, NULL);
+    gv_sim_entry_t *e = GvSim_EntryFor(s);
+    gv_sim_req_t *q = g_new0(gv_sim_req_t, 1);
     GvLoad_Job(&s->gen, &q->job);
     q->entry = e;
     q->arrived_ms = s->now;
@@ -345,7 +173,7 @@
     s->r->longs += q->job.really_long;
     s->r->urgents += q->job.urgent;
     GvRetry_Request(&e->budget);
-    update_load(s, e);
+    GvSim_UpdateLoad(s, e);
     q->it = (gv_queue_item_t){
         .team = GvStr_C(q->job.team),
         .urgent = q->job.urgent,
@@ -362,12 +190,12 @@
 }
 
 static void
-end_attempt(sim_t *s, req_t *q)
+end_attempt(gv_sim_t *s, gv_sim_req_t *q)
 {
-    entry_t *e = q->entry;
+    gv_sim_entry_t *e = q->entry;
     g_ptr_array_remove_index_fast(e->running, (guint)q->running_at);
     if ((guint)q->running_at < e->running->len) {
-        ((req_t *)e->running->pdata[q->running_at])->running_at =
+        ((gv_sim_req_t *)e->running->pdata[q->running_at])->running_at =
             q->running_at;
     }
     e->busy[q->target]--;
@@ -379,7 +207,7 @@
 }
 
 static void
-note_health(sim_t *s, entry_t *e, const req_t *q)
+note_health(gv_sim_t *s, gv_sim_entry_t *e, const gv_sim_req_t *q)
 {
     int out = 0;
     for (int t = 0; t < s->o->targets; t++) {
@@ -392,9 +220,9 @@
 }
 
 static void
-finish(sim_t *s, req_t *q)
+finish(gv_sim_t *s, gv_sim_req_t *q)
 {
-    entry_t *e = q->entry;
+    gv_sim_entry_t *e = q->entry;
     end_attempt(s, q);
     note_health(s, e, q);
     if (!q->fails) {
@@ -419,7 +247,7 @@
 }
 
 static void
-cancel_wave(sim_t *s, entry_t *e)
+cancel_wave(gv_sim_t *s, gv_sim_entry_t *e)
 {
     /* Items are only reachable through the queue: expiring at a far time
        takes each out once; two of three go back in their order. */
@@ -429,11 +257,11 @@
         g_ptr_array_add(all, it);
     }
     for (guint i = all->len; i-- > 0;) {
-        req_t *q = all->pdata[i];
+        gv_sim_req_t *q = all->pdata[i];
         s->queue->requeue(e->queue, &q->it, (int64_t)s->now);
     }
     for (guint i = 0; i < all->len; i += 3) {
-        req_t *q = all->pdata[i];
+        gv_sim_req_t *q = all->pdata[i];
         s->queue->remove(e->queue, &q->it);
         /* Its caller does not count it as lost. */
         s->r->requests--;
@@ -446,18 +274,18 @@
 }
 
 static void
-tick(sim_t *s)
+tick(gv_sim_t *s)
 {
-    schedule(s, s->now + GV_TIMER_TICK_MS, TICK, NULL);
+    GvSim_Schedule(s, s->now + GV_TIMER_TICK_MS, GV_SIM_TICK, NULL);
     bool asks = (int64_t)s->now % GV_LOAN_ASK_MS < GV_TIMER_TICK_MS;
     for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+        gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, (int64_t)s->now)) != NULL) {
-            close_request(s, (req_t *)it, false);
+            close_request(s, (gv_sim_req_t *)it, false);
         }
         for (guint k = 0; k < e->running->len; k++) {
-            req_t *q = e->running->pdata[k];
+            gv_sim_req_t *q = e->running->pdata[k];
             double ran = s->now - q->started_ms;
             if (ran <= SHORT_MS || s->o->no_classes) {
                 continue;
@@ -473,16 +301,16 @@
             cancel_wave(s, e);
         }
         if (s->o->lending && !s->o->no_shares && asks) {
-            borrow(s, e);
+            GvSim_Borrow(s, e);
         }
         dispatch(s, e);
     }
 }
 
 static void
-init(sim_t *s)
+init(gv_sim_t *s)
 {
-    static const char *const names[MAX_ENTRIES] = {"e1", "e2", "e3", "e4"};
+    static const char *const names[GV_SIM_ENTRIES] = {"e1", "e2", "e3", "e4"};
     gv_team_t teams[2] = {{GV_STR("crews"), 60}, {GV_STR("authorities"), 40}};
     gv_queue_opts_t qo = {.max_requests = GV_QUEUE_MAX_REQUESTS,
                           .teams = teams,
@@ -490,12 +318,12 @@
                           .urgent_share_percent = 50,
                           .long_share_percent = 40};
     gv_estimate_opts_t eo = {SHORT_MS, 0};
-    gv_str_t entries[MAX_ENTRIES];
+    gv_str_t entries[GV_SIM_ENTRIES];
     for (int i = 0; i < s->o->entries; i++) {
         entries[i] = GvStr_C(names[i]);
     }
     for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+        gv_sim_entry_t *e = &s->entries[i];
         e->queue = s->queue->create(&qo);
         e->estimate = GvEstimate_New(&eo);
         e->budget.percent = 10;
@@ -512,10 +340,10 @@
 }
 
 static void
-end(sim_t *s)
+end(gv_sim_t *s)
 {
     for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+        gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, INT64_MAX / 2)) != NULL) {
             g_free(it);
@@ -536,7 +364,7 @@
 void
 GvSim_Run(const gv_sim_opts_t *o, gv_sim_result_t *r)
 {
-    sim_t s = {.o = o, .r = r};
+    gv_sim_t s = {.o = o, .r = r};
     *r = (gv_sim_result_t){
         .short_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .long_wait = g_array_new(FALSE, FALSE, sizeof(double)),
@@ -548,27 +376,27 @@
                                                          GvStr_C(o->place));
     s.retry = (const gv_retry_policy_t *)GvRegistry_Find(GV_PLUGIN_RETRY,
                                                          GvStr_C(o->retry));
-    s.heap = g_array_new(FALSE, FALSE, sizeof(event_t));
+    s.heap = g_array_new(FALSE, FALSE, sizeof(gv_sim_event_t));
     s.rand = g_rand_new_with_seed(o->seed + 1000);
     double capacity = o->targets * GV_TARGET_SLOTS / GV_LOAD_WORK_MS;
     GvLoad_Init(&s.gen, o->seed, 0, o->load * capacity);
     init(&s);
-    schedule(&s, 0, TICK, NULL);
-    schedule(&s, GvLoad_Next(&s.gen, 0), ARRIVE, NULL);
+    GvSim_Schedule(&s, 0, GV_SIM_TICK, NULL);
+    GvSim_Schedule(&s, GvLoad_Next(&s.gen, 0), GV_SIM_ARRIVE, NULL);
     while (s.now < o->seconds * 1000) {
-        event_t e = next_event(&s);
+        gv_sim_event_t e = GvSim_NextEvent(&s);
         s.now = e.at;
         switch (e.kind) {
-        case ARRIVE:
+        case GV_SIM_ARRIVE:
             arrive(&s);
             break;
-        case FINISH:
+        case GV_SIM_FINISH:
             finish(&s, e.req);
             break;
-        case TICK:
+        case GV_SIM_TICK:
             tick(&s);
             break;
-        case AGAIN:
+        case GV_SIM_AGAIN:
             for (int i = 0; i < o->entries; i++) {
                 dispatch(&s, &s.entries[i]);
             }
--- /dev/null
+++ b/bench/sim_peers.c
@@ -0,0 +1,63 @@
+#include "limits.h"
+#include "sim_private.h"
+
+/* Fills the candidates and the load that queue and placement read. */
+void
+GvSim_UpdateLoad(gv_sim_t *s, gv_sim_entry_t *e)
+{
+    int slots = 0;
+    for (int t = 0; t < s->o->targets; t++) {
+        gv_candidate_t *c = &e->cand[t];
+        c->usable = s->o->no_shares
+                        ? GV_TARGET_SLOTS
+                        : GvSlots_Usable(&e->slots[t], (int64_t)s->now);
+        c->busy = e->busy[t];
+        c->ejected = e->eject[t].ejected;
+        slots += c->ejected ? 0 : c->usable;
+    }
+    e->load.slots = slots;
+    e->load.mean_run_ms = GvEstimate_MeanMs(e->estimate);
+}
+
+/* Borrows slots from peers for work that waits while all own slots are in
+   use. */
+void
+GvSim_Borrow(gv_sim_t *s, gv_sim_entry_t *e)
+{
+    GvSim_UpdateLoad(s, e);
+    int want = s->queue->length(e->queue) - (e->load.slots - e->load.busy);
+    int64_t now = (int64_t)s->now;
+    for (int p = 0; p < s->o->entries && want > 0; p++) {
+        gv_sim_entry_t *peer = &s->entries[p];
+        int queued = s->queue->length(peer->queue);
+        if (peer == e) {
+            continue;
+        }
+        for (int t = 0; t < s->o->targets && want > 0; t++) {
+            int n = GvSlots_Lend(&peer->slots[t], want, peer->busy[t], queued,
+                                 now, GV_LOAN_MS);
+            if (n > 0) {
+                GvSlots_Borrowed(&e->slots[t], n, now + GV_LOAN_MS);
+                want -= n;
+            }
+        }
+    }
+}
+
+/* Draws the entry host that a new request reaches: evenly, or the first ones
+   more often. */
+gv_sim_entry_t *
+GvSim_EntryFor(gv_sim_t *s)
+{
+    int n = s->o->entries;
+    if (!s->o->uneven) {
+        return &s->entries[g_rand_int_range(s->rand, 0, n)];
+    }
+    int u = g_rand_int_range(s->rand, 0, n * (n + 1) / 2);
+    int i = 0;
+    while (u >= n - i) {
+        u -= n - i;
+        i++;
+    }
+    return &s->entries[i];
+}
