Measure spill to another data centre against no spill

Cause: the choice of one hop from a full pool had no figure. A new group 'spill' has rows for bursts at other times and at the same time. Conclusion: spill stays, one hop.

--- /dev/null
+++ b/bench/bench_spill.c
@@ -0,0 +1,97 @@
+#include "compare.h"
+
+/* Two data centres of a current deployment, 3 of 12 workers and 2 entry
+   hosts each. */
+static const gv_sim_opts_t usual = {.queue = "fair",
+                                    .place = "least-loaded",
+                                    .retry = "safe",
+                                    .entries = 2,
+                                    .targets = 3,
+                                    .seconds = 300,
+                                    .load = 0.45,
+                                    .second_load = 0.2,
+                                    .second_apart = true,
+                                    .spill = true,
+                                    .lending = true};
+
+static double
+wait_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 50);
+}
+
+static double
+wait_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 99);
+}
+
+static double
+refused(gv_sim_result_t *r)
+{
+    return 100 * r->refused / MAX(r->requests, 1);
+}
+
+static double
+in_time(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+static double
+spilled(gv_sim_result_t *r)
+{
+    return 100 * r->spilled / MAX(r->requests + r->second_requests, 1);
+}
+
+static double
+second_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->second_wait, 50);
+}
+
+static double
+second_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->second_wait, 99);
+}
+
+static double
+second_refused(gv_sim_result_t *r)
+{
+    return 100 * r->second_refused / MAX(r->second_requests, 1);
+}
+
+static double
+second_in_time(gv_sim_result_t *r)
+{
+    return 100 * r->second_in_time / MAX(r->second_requests, 1);
+}
+
+static const gv_metric_t metrics[] = {
+    {"waiting of short work, p50", "ms", wait_p50},
+    {"waiting of short work, p99", "ms", wait_p99},
+    {"refused", "% of requests", refused},
+    {"answered in time", "%", in_time},
+    {"run in the other data centre", "% of requests", spilled},
+    {"lending data centre, waiting of short work, p50", "ms", second_p50},
+    {"lending data centre, waiting of short work, p99", "ms", second_p99},
+    {"lending data centre, refused", "% of requests", second_refused},
+    {"lending data centre, answered in time", "%", second_in_time}};
+
+/* Spill from a data centre with bursts of 2.25 times its capacity to one with
+   bursts of its capacity, which come at other times or at the same time. */
+void
+GvBench_Spill(const gv_bench_t *b)
+{
+    static const char *const names[] = {"spill, bursts apart",
+                                        "spill, bursts together"};
+    for (int k = 0; k < 2; k++) {
+        gv_sim_opts_t ours = usual;
+        ours.second_apart = k == 0;
+        gv_sim_opts_t none = ours;
+        none.spill = false;
+        GvCompare_Rows(b, names[k], &ours, "no spill", &none, metrics,
+                       G_N_ELEMENTS(metrics));
+    }
+}
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -25,7 +25,17 @@
 close_request(gv_sim_t *s, gv_sim_req_t *q, bool ok)
 {
     gv_sim_result_t *r = s->r;
-    bool in_time = ok && s->now <= q->arrived_ms + q->job.deadline_ms;
+    double end = s->now + (q->entry != q->first ? GV_SIM_HOP_MS : 0);
+    bool in_time = ok && end <= q->arrived_ms + q->job.deadline_ms;
+    r->spilled += q->entry != q->first && q->wait_ms >= 0;
+    if (q->dc != 0) {
+        r->second_in_time += in_time;
+        if (q->wait_ms < 0 && !q->job.really_long) {
+            g_array_append_val(r->second_wait, q->job.deadline_ms);
+        }
+        g_free(q);
+        return;
+    }
     r->in_time += in_time;
     if (q->job.really_long) {
         r->long_in_time += in_time;
@@ -33,7 +43,7 @@
     else {
         r->short_in_time += in_time;
         /* As with the waits: no answer counts with the whole deadline. */
-        double ms = ok ? s->now - q->arrived_ms : q->job.deadline_ms;
+        double ms = ok ? end - q->arrived_ms : q->job.deadline_ms;
         if (!q->job.never_runs) {
             g_array_append_val(r->response, ms);
         }
@@ -59,6 +69,12 @@
         return;
     }
     q->wait_ms = s->now - q->arrived_ms;
+    if (q->dc != 0) {
+        if (!q->job.really_long) {
+            g_array_append_val(s->r->second_wait, q->wait_ms);
+        }
+        return;
+    }
     GArray *a = q->job.really_long ? s->r->long_wait : s->r->short_wait;
     g_array_append_val(a, q->wait_ms);
     if (!q->job.really_long) {
@@ -80,7 +96,7 @@
     e->busy[t]++;
     e->load.busy++;
     e->load.busy_long += q->counted_long;
-    s->running[t]++;
+    s->running[e->dc][t]++;
     note_start(s, q);
     bool bad = s->o->bad_worker && t == 0 && in_fault(s);
     bool down = s->o->collapse && in_fault(s) && g_rand_double(s->rand) < 0.8;
@@ -142,7 +158,7 @@
             return;
         }
         q->attempts++;
-        if (s->running[t] < GV_TARGET_SLOTS) {
+        if (s->running[e->dc][t] < GV_TARGET_SLOTS) {
             start(s, e, q, t);
             continue;
         }
@@ -157,36 +173,82 @@
     }
 }
 
+/* Draws the data centre's next request and its time. */
 static void
-arrive(gv_sim_t *s)
+draw_arrival(gv_sim_t *s, int dc)
 {
-    GvSim_Schedule(s, GvLoad_Next(&s->gen, s->now), GV_SIM_ARRIVE, NULL);
-    gv_sim_entry_t *e = GvSim_EntryFor(s);
     gv_sim_req_t *q = g_new0(gv_sim_req_t, 1);
-    GvLoad_Job(&s->gen, &q->job);
-    q->entry = e;
-    q->arrived_ms = s->now;
-    q->wait_ms = -1;
+    q->dc = dc;
+    GvSim_Schedule(s, GvLoad_Next(&s->gen[dc], s->now), GV_SIM_ARRIVE, q);
+}
+
+static void
+count_request(gv_sim_t *s, const gv_sim_req_t *q)
+{
+    if (q->dc != 0) {
+        s->r->second_requests++;
+        return;
+    }
     s->r->requests++;
     s->r->requests_fault += in_fault(s);
     s->r->shorts += !q->job.really_long;
     s->r->longs += q->job.really_long;
     s->r->urgents += q->job.urgent;
-    GvRetry_Request(&e->budget);
+}
+
+/* Tells whether the entry host offers new work to another data centre before
+   its own queue: no free slot, and a queue as long as its slots. */
+static bool
+is_crowded(const gv_sim_t *s, const gv_sim_entry_t *e)
+{
+    return e->load.busy >= e->load.slots &&
+           s->queue->length(e->queue) >= e->load.slots;
+}
+
+/* Admits the request at its entry host, spills it or refuses it. */
+static void
+submit(gv_sim_t *s, gv_sim_req_t *q)
+{
+    gv_sim_entry_t *e = q->entry;
     GvSim_UpdateLoad(s, e);
+    if (is_crowded(s, e) && GvSim_Spill(s, q)) {
+        return;
+    }
     q->it = (gv_queue_item_t){
         .team = GvStr_C(q->job.team),
         .urgent = q->job.urgent,
         .is_long =
             !s->o->no_classes && GvEstimate_IsLong(e->estimate, work_of(q)),
         .run_ms = GvEstimate_RunMs(e->estimate, work_of(q)),
-        .deadline_ms = (int64_t)(s->now + q->job.deadline_ms)};
+        .deadline_ms = (int64_t)(q->arrived_ms + q->job.deadline_ms)};
     gv_admit_t a = s->queue->push(e->queue, &q->it, (int64_t)s->now, &e->load);
-    if (a.kind != GV_ADMIT_QUEUED) {
+    if (a.kind == GV_ADMIT_QUEUED) {
+        dispatch(s, e);
+    }
+    else if (e != q->first) {
+        /* Refused there: back to the first entry host's queue. */
+        q->entry = q->first;
+        GvSim_Schedule(s, s->now + GV_SIM_HOP_MS, GV_SIM_HOP, q);
+    }
+    else if (!GvSim_Spill(s, q)) {
+        s->r->refused += q->dc == 0;
+        s->r->second_refused += q->dc != 0;
         close_request(s, q, false);
-        return;
     }
-    dispatch(s, e);
+}
+
+static void
+arrive(gv_sim_t *s, gv_sim_req_t *q)
+{
+    draw_arrival(s, q->dc);
+    q->entry = GvSim_EntryFor(s, q->dc);
+    q->first = q->entry;
+    GvLoad_Job(&s->gen[q->dc], &q->job);
+    q->arrived_ms = s->now;
+    q->wait_ms = -1;
+    count_request(s, q);
+    GvRetry_Request(&q->entry->budget);
+    submit(s, q);
 }
 
 static void
@@ -203,7 +265,7 @@
     e->cand[q->target].refused = 0;
     e->load.busy--;
     e->load.busy_long -= q->counted_long;
-    s->running[q->target]--;
+    s->running[e->dc][q->target]--;
 }
 
 static void
@@ -264,6 +326,11 @@
         gv_sim_req_t *q = all->pdata[i];
         s->queue->remove(e->queue, &q->it);
         /* Its caller does not count it as lost. */
+        if (q->dc != 0) {
+            s->r->second_requests--;
+            g_free(q);
+            continue;
+        }
         s->r->requests--;
         s->r->shorts -= !q->job.really_long;
         s->r->longs -= q->job.really_long;
@@ -278,7 +345,10 @@
 {
     GvSim_Schedule(s, s->now + GV_TIMER_TICK_MS, GV_SIM_TICK, NULL);
     bool asks = (int64_t)s->now % GV_LOAN_ASK_MS < GV_TIMER_TICK_MS;
-    for (int i = 0; i < s->o->entries; i++) {
+    if (s->o->spill && (int64_t)s->now % GV_HEARTBEAT_MS < GV_TIMER_TICK_MS) {
+        GvSim_Heartbeat(s);
+    }
+    for (int i = 0; i < s->n_entries; i++) {
         gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, (int64_t)s->now)) != NULL) {
@@ -310,7 +380,8 @@
 static void
 init(gv_sim_t *s)
 {
-    static const char *const names[GV_SIM_ENTRIES] = {"e1", "e2", "e3", "e4"};
+    static const char *const names[GV_SIM_ENTRIES] = {"e1", "e2", "e3", "e4",
+                                                      "e5", "e6", "e7", "e8"};
     gv_team_t teams[2] = {{GV_STR("crews"), 60}, {GV_STR("authorities"), 40}};
     gv_queue_opts_t qo = {.max_requests = GV_QUEUE_MAX_REQUESTS,
                           .teams = teams,
@@ -318,12 +389,13 @@
                           .urgent_share_percent = 50,
                           .long_share_percent = 40};
     gv_estimate_opts_t eo = {SHORT_MS, 0};
-    gv_str_t entries[GV_SIM_ENTRIES];
+    gv_str_t entries[GV_SIM_ENTRIES] = {{0}};
     for (int i = 0; i < s->o->entries; i++) {
         entries[i] = GvStr_C(names[i]);
     }
-    for (int i = 0; i < s->o->entries; i++) {
+    for (int i = 0; i < s->n_entries; i++) {
         gv_sim_entry_t *e = &s->entries[i];
+        e->dc = i / s->o->entries;
         e->queue = s->queue->create(&qo);
         e->estimate = GvEstimate_New(&eo);
         e->budget.percent = 10;
@@ -334,7 +406,7 @@
             e->cand[t].recent_ms = 1000;
             e->slots[t].share =
                 GvSlots_Share(GvStr_C(host), GV_TARGET_SLOTS, entries,
-                              s->o->entries, entries[i]);
+                              s->o->entries, entries[i % s->o->entries]);
         }
     }
 }
@@ -342,7 +414,7 @@
 static void
 end(gv_sim_t *s)
 {
-    for (int i = 0; i < s->o->entries; i++) {
+    for (int i = 0; i < s->n_entries; i++) {
         gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, INT64_MAX / 2)) != NULL) {
@@ -355,8 +427,17 @@
         s->queue->destroy(e->queue);
         GvEstimate_Free(e->estimate);
     }
+    const gv_sim_event_t *h = (const void *)s->heap->data;
+    for (guint i = 0; i < s->heap->len; i++) {
+        /* Other events name requests that are freed above or before. */
+        if (h[i].kind == GV_SIM_ARRIVE || h[i].kind == GV_SIM_HOP) {
+            g_free(h[i].req);
+        }
+    }
     g_array_free(s->heap, TRUE);
-    GvLoad_Clear(&s->gen);
+    for (int dc = 0; dc * s->o->entries < s->n_entries; dc++) {
+        GvLoad_Clear(&s->gen[dc]);
+    }
     g_rand_free(s->rand);
 }
 
@@ -369,7 +450,8 @@
         .short_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .long_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .urgent_wait = g_array_new(FALSE, FALSE, sizeof(double)),
-        .response = g_array_new(FALSE, FALSE, sizeof(double))};
+        .response = g_array_new(FALSE, FALSE, sizeof(double)),
+        .second_wait = g_array_new(FALSE, FALSE, sizeof(double))};
     s.queue = (const gv_queue_policy_t *)GvRegistry_Find(GV_PLUGIN_QUEUE,
                                                          GvStr_C(o->queue));
     s.place = (const gv_place_policy_t *)GvRegistry_Find(GV_PLUGIN_PLACE,
@@ -379,16 +461,27 @@
     s.heap = g_array_new(FALSE, FALSE, sizeof(gv_sim_event_t));
     s.rand = g_rand_new_with_seed(o->seed + 1000);
     double capacity = o->targets * GV_TARGET_SLOTS / GV_LOAD_WORK_MS;
-    GvLoad_Init(&s.gen, o->seed, 0, o->load * capacity);
+    GvLoad_Init(&s.gen[0], o->seed, 0, o->load * capacity);
+    s.n_entries = o->entries;
+    if (o->second_load > 0) {
+        s.n_entries *= GV_SIM_DCS;
+        GvLoad_Init(&s.gen[1], o->seed, o->second_apart ? 2 : 0,
+                    o->second_load * capacity);
+    }
     init(&s);
     GvSim_Schedule(&s, 0, GV_SIM_TICK, NULL);
-    GvSim_Schedule(&s, GvLoad_Next(&s.gen, 0), GV_SIM_ARRIVE, NULL);
+    for (int dc = 0; dc * o->entries < s.n_entries; dc++) {
+        draw_arrival(&s, dc);
+    }
     while (s.now < o->seconds * 1000) {
         gv_sim_event_t e = GvSim_NextEvent(&s);
         s.now = e.at;
         switch (e.kind) {
         case GV_SIM_ARRIVE:
-            arrive(&s);
+            arrive(&s, e.req);
+            break;
+        case GV_SIM_HOP:
+            submit(&s, e.req);
             break;
         case GV_SIM_FINISH:
             finish(&s, e.req);
@@ -397,7 +490,7 @@
             tick(&s);
             break;
         case GV_SIM_AGAIN:
-            for (int i = 0; i < o->entries; i++) {
+            for (int i = 0; i < s.n_entries; i++) {
                 dispatch(&s, &s.entries[i]);
             }
             break;
@@ -414,4 +507,5 @@
     g_array_free(r->long_wait, TRUE);
     g_array_free(r->urgent_wait, TRUE);
     g_array_free(r->response, TRUE);
+    g_array_free(r->second_wait, TRUE);
 }
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -3,8 +3,8 @@
 
 #include "load.h"
 
-/* One service of one data centre in virtual time: entry hosts with a queue
-   each, and targets that refuse work beyond their slots. Drives queue,
+/* One service in one or two data centres in virtual time: entry hosts with a
+   queue each, and targets that refuse work beyond their slots. Drives queue,
    estimate, slots, placement and retry as the daemon does. */
 
 typedef struct {
@@ -12,7 +12,7 @@
     const char *queue;
     const char *place;
     const char *retry;
-    int entries;
+    int entries; /* in a data centre, as the targets */
     int targets;
     double seconds;
     double load;     /* mean demand over capacity */
@@ -25,6 +25,11 @@
     bool no_eject;
     bool bad_worker; /* the first target fails everything for 60 s */
     bool collapse;   /* all targets fail four in five runs for 60 s */
+    /* A second data centre with this mean demand over its capacity; 0: none.
+       Its queue bursts at the same time, or when another service's would. */
+    double second_load;
+    bool second_apart;
+    bool spill; /* full entry hosts hand work to the other data centre */
 } gv_sim_opts_t;
 
 typedef struct {
@@ -47,6 +52,14 @@
     double attempts_fault; /* during the fault */
     double requests_fault;
     double late_starts; /* ended after the deadline */
+    double refused;     /* not admitted */
+    double spilled;     /* run in the second data centre */
+    /* Requests that reached the second data centre first; the others are
+       counted above. */
+    GArray *second_wait; /* of short work */
+    double second_requests;
+    double second_in_time;
+    double second_refused;
 } gv_sim_result_t;
 
 void GvSim_Run(const gv_sim_opts_t *o, gv_sim_result_t *r);
--- a/bench/sim_peers.c
+++ b/bench/sim_peers.c
@@ -27,10 +27,10 @@
     GvSim_UpdateLoad(s, e);
     int want = s->queue->length(e->queue) - (e->load.slots - e->load.busy);
     int64_t now = (int64_t)s->now;
-    for (int p = 0; p < s->o->entries && want > 0; p++) {
+    for (int p = 0; p < s->n_entries && want > 0; p++) {
         gv_sim_entry_t *peer = &s->entries[p];
         int queued = s->queue->length(peer->queue);
-        if (peer == e) {
+        if (peer == e || peer->dc != e->dc) {
             continue;
         }
         for (int t = 0; t < s->o->targets && want > 0; t++) {
@@ -47,11 +47,12 @@
 /* Draws the entry host that a new request reaches: evenly, or the first ones
    more often. */
 gv_sim_entry_t *
-GvSim_EntryFor(gv_sim_t *s)
+GvSim_EntryFor(gv_sim_t *s, int dc)
 {
     int n = s->o->entries;
+    gv_sim_entry_t *first = &s->entries[dc * n];
     if (!s->o->uneven) {
-        return &s->entries[g_rand_int_range(s->rand, 0, n)];
+        return &first[g_rand_int_range(s->rand, 0, n)];
     }
     int u = g_rand_int_range(s->rand, 0, n * (n + 1) / 2);
     int i = 0;
@@ -59,5 +60,48 @@
         u -= n - i;
         i++;
     }
-    return &s->entries[i];
+    return &first[i];
+}
+
+/* Notes the free slots of each entry host at all those of the other data
+   centre. */
+void
+GvSim_Heartbeat(gv_sim_t *s)
+{
+    int n = s->o->entries;
+    for (int i = 0; i < s->n_entries; i++) {
+        gv_sim_entry_t *e = &s->entries[i];
+        GvSim_UpdateLoad(s, e);
+        int spare = e->load.slots - e->load.busy - s->queue->length(e->queue);
+        for (int k = 0; k < s->n_entries; k++) {
+            if (s->entries[k].dc != e->dc) {
+                s->entries[k].free_at[i % n] = spare;
+            }
+        }
+    }
+}
+
+/* Hands the request to the entry host of the other data centre with most
+   free slots, as the daemon does. Returns false when none has one. */
+bool
+GvSim_Spill(gv_sim_t *s, gv_sim_req_t *q)
+{
+    gv_sim_entry_t *e = q->entry;
+    int best = -1;
+    if (!s->o->spill || q->hopped) {
+        return false;
+    }
+    for (int i = 0; i < s->o->entries; i++) {
+        if (e->free_at[i] > (best < 0 ? 0 : e->free_at[best])) {
+            best = i;
+        }
+    }
+    if (best < 0) {
+        return false;
+    }
+    e->free_at[best]--;
+    q->hopped = true;
+    q->entry = &s->entries[(1 - e->dc) * s->o->entries + best];
+    GvSim_Schedule(s, s->now + GV_SIM_HOP_MS, GV_SIM_HOP, q);
+    return true;
 }
