Measure 130 teams at the target size of a pool against one FIFO

Cause: fair sharing, the start of urgent work and the cost of a decision had no figure at 130 teams. Change: the simulation takes up to 130 teams of equal quotas, of which one asks for half of the work; a new group 'teams' compares with a FIFO, measures the shares when all teams ask for too much, and times admission and choice while 520 requests wait.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -31,6 +31,7 @@
 
 void GvBench_Queue(const gv_bench_t *b);
 void GvBench_Place(const gv_bench_t *b);
+void GvBench_Teams(const gv_bench_t *b);
 void GvBench_Spill(const gv_bench_t *b);
 void GvBench_Retry(const gv_bench_t *b);
 void GvBench_Wave(const gv_bench_t *b);
--- /dev/null
+++ b/bench/bench_teams.c
@@ -0,0 +1,288 @@
+#include <time.h>
+
+#include "compare.h"
+#include "queue.h"
+
+/* One data centre of a pool at the target size: 181 hosts in 17 data centres,
+   8 entry hosts. */
+static const gv_sim_opts_t usual = {.queue = "fair",
+                                    .place = "least-loaded",
+                                    .retry = "safe",
+                                    .entries = 8,
+                                    .targets = 11,
+                                    .seconds = 300,
+                                    .load = 0.45,
+                                    .teams = GV_SIM_TEAMS_MAX,
+                                    .lending = true,
+                                    .cancels = true};
+
+enum {
+    TEAMS = GV_SIM_TEAMS_MAX,
+    QUEUED = 520,   /* waiting while decisions are timed */
+    BATCH = 104,    /* decisions timed together */
+    ROUNDS = 500,   /* batches of a run */
+    STARTS = 26000, /* 200 for each team */
+    OFFERS = 24, /* arrivals for each start: every team more than its share */
+    SLOTS = 11,  /* of one entry host */
+    RUN_MS = 100,
+    DEADLINE_MS = 5000,
+    FAR_MS = 60000 /* a deadline that refuses nothing */
+};
+
+static double
+modest_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->modest_wait, 50);
+}
+
+static double
+modest_p99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->modest_wait, 99);
+}
+
+static double
+greedy_p50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->greedy_wait, 50);
+}
+
+static double
+urgent_lost(gv_sim_result_t *r)
+{
+    return 100 * r->urgent_lost / MAX(r->urgents, 1);
+}
+
+static double
+in_time(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+static const gv_metric_t metrics[] = {
+    {"urgent work not started", "%", urgent_lost},
+    {"waiting of short work of teams within quota, p50", "ms", modest_p50},
+    {"waiting of short work of teams within quota, p99", "ms", modest_p99},
+    {"waiting of short work of the team above quota, p50", "ms", greedy_p50},
+    {"answered in time", "%", in_time}};
+
+/* The bound holds for every run, so the row has the worst of all seeds. */
+static void
+write_urgent(const gv_bench_t *b)
+{
+    static const char *const policies[] = {"fair", "fifo"};
+    double worst[2][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        for (int k = 0; k < 2; k++) {
+            gv_sim_opts_t o = usual;
+            o.queue = policies[k];
+            o.seed = gv_bench_seeds[i];
+            gv_sim_result_t r;
+            GvSim_Run(&o, &r);
+            worst[k][i] = GvBench_Percentile(r.urgent_wait, 100);
+            GvSim_Clear(&r);
+        }
+    }
+    GvBench_Row(b, "130 teams: urgent start, worst", GV_OF_WORST,
+                GvBench_Worst(worst[0], GV_BENCH_SEEDS), "ms", "fifo",
+                GvBench_Worst(worst[1], GV_BENCH_SEEDS));
+}
+
+typedef struct {
+    const gv_queue_policy_t *policy;
+    gv_queue_t *queue;
+    gv_team_t teams[TEAMS];
+    char names[TEAMS][8];
+    GRand *rand;
+} lab_t;
+
+static void
+lab_init(lab_t *l, const char *policy, int teams, guint32 seed)
+{
+    *l = (lab_t){.rand = g_rand_new_with_seed(seed)};
+    l->policy = (const gv_queue_policy_t *)GvRegistry_Find(GV_PLUGIN_QUEUE,
+                                                           GvStr_C(policy));
+    for (int i = 0; i < teams; i++) {
+        g_snprintf(l->names[i], sizeof l->names[i], "team%d", i);
+        l->teams[i] = (gv_team_t){GvStr_C(l->names[i]), 10};
+    }
+    gv_queue_opts_t o = {.max_requests = 1000,
+                         .teams = l->teams,
+                         .n_teams = teams,
+                         .urgent_share_percent = 50,
+                         .long_share_percent = 40};
+    l->queue = l->policy->create(&o);
+}
+
+static void
+lab_clear(lab_t *l)
+{
+    gv_queue_item_t *it;
+    while ((it = l->policy->expire(l->queue, INT64_MAX / 2)) != NULL) {
+        g_free(it);
+    }
+    l->policy->destroy(l->queue);
+    g_rand_free(l->rand);
+}
+
+static bool
+push(lab_t *l, gv_queue_item_t *it, int team, int64_t now, int left_ms)
+{
+    gv_queue_load_t busy = {SLOTS, SLOTS, 0, RUN_MS};
+    *it = (gv_queue_item_t){.team = l->teams[team].name,
+                            .run_ms = RUN_MS,
+                            .deadline_ms = now + left_ms};
+    return l->policy->push(l->queue, it, now, &busy).kind == GV_ADMIT_QUEUED;
+}
+
+static gv_queue_item_t *
+pop(lab_t *l, int64_t now)
+{
+    gv_queue_load_t one_free = {SLOTS, SLOTS - 1, 0, RUN_MS};
+    return l->policy->pop(l->queue, now, &one_free);
+}
+
+/* Lets every team offer more than its share, some ten times as much as
+   others. Returns the starts of the most and the least served team over the
+   mean. */
+static void
+share_starts(const char *policy, guint32 seed, double *most, double *least)
+{
+    lab_t l;
+    lab_init(&l, policy, TEAMS, seed);
+    int starts[TEAMS] = {0};
+    double now = 0;
+    for (int i = 0; i < STARTS; i++) {
+        now += (double)RUN_MS / SLOTS;
+        for (int k = 0; k < OFFERS; k++) {
+            int team = g_rand_int_range(l.rand, 0, TEAMS);
+            /* Team 0, 10, 20 ... offer least. */
+            if (g_rand_int_range(l.rand, 0, 10) > team % 10) {
+                continue;
+            }
+            gv_queue_item_t *it = g_new0(gv_queue_item_t, 1);
+            if (!push(&l, it, team, (int64_t)now, DEADLINE_MS)) {
+                g_free(it);
+            }
+        }
+        gv_queue_item_t *it;
+        while ((it = l.policy->expire(l.queue, (int64_t)now)) != NULL) {
+            g_free(it);
+        }
+        it = pop(&l, (int64_t)now);
+        for (int t = 0; it != NULL && t < TEAMS; t++) {
+            starts[t] += GvStr_Equal(it->team, l.teams[t].name);
+        }
+        g_free(it);
+    }
+    *most = 0;
+    *least = G_MAXDOUBLE;
+    for (int t = 0; t < TEAMS; t++) {
+        double part = (double)starts[t] * TEAMS / STARTS;
+        *most = MAX(*most, part);
+        *least = MIN(*least, part);
+    }
+    lab_clear(&l);
+}
+
+static double
+now_us(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+/* Measures in us the admission of one request and the choice of the next,
+   while work of every team waits. */
+static void
+time_decisions(int teams, double *admit_us, double *choose_us)
+{
+    lab_t l;
+    lab_init(&l, "fair", teams, 1);
+    gv_queue_item_t *items = g_new0(gv_queue_item_t, QUEUED + BATCH);
+    gv_queue_item_t *idle[BATCH];
+    for (int i = 0; i < QUEUED; i++) {
+        bool queued = push(&l, &items[i], i % teams, 0, FAR_MS);
+        g_assert(queued);
+    }
+    for (int i = 0; i < BATCH; i++) {
+        idle[i] = &items[QUEUED + i];
+    }
+    double admit = 0;
+    double choose = 0;
+    for (int r = 0; r < ROUNDS; r++) {
+        double begin = now_us();
+        for (int i = 0; i < BATCH; i++) {
+            bool queued =
+                push(&l, idle[i], (r * BATCH + i) % teams, 0, FAR_MS);
+            g_assert(queued);
+        }
+        double middle = now_us();
+        for (int i = 0; i < BATCH; i++) {
+            idle[i] = pop(&l, 0);
+        }
+        choose += now_us() - middle;
+        admit += middle - begin;
+    }
+    *admit_us = admit / (ROUNDS * BATCH);
+    *choose_us = choose / (ROUNDS * BATCH);
+    while (l.policy->expire(l.queue, INT64_MAX / 2) != NULL) {
+    }
+    lab_clear(&l);
+    g_free(items);
+}
+
+static void
+write_costs(const gv_bench_t *b)
+{
+    static const int teams[] = {TEAMS, 2};
+    double admit[2][GV_BENCH_SEEDS];
+    double choose[2][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        for (int k = 0; k < 2; k++) {
+            time_decisions(teams[k], &admit[k][i], &choose[k][i]);
+        }
+    }
+    GvBench_Row(b, "130 teams: cost of admitting a request", GV_OF_RUNS,
+                GvBench_Median(admit[0], GV_BENCH_SEEDS), "us", "2 teams",
+                GvBench_Median(admit[1], GV_BENCH_SEEDS));
+    GvBench_Row(b, "130 teams: cost of choosing the next request", GV_OF_RUNS,
+                GvBench_Median(choose[0], GV_BENCH_SEEDS), "us", "2 teams",
+                GvBench_Median(choose[1], GV_BENCH_SEEDS));
+}
+
+static void
+write_shares(const gv_bench_t *b)
+{
+    static const char *const policies[] = {"fair", "fifo"};
+    double most[2][GV_BENCH_SEEDS];
+    double least[2][GV_BENCH_SEEDS];
+    for (int i = 0; i < GV_BENCH_SEEDS; i++) {
+        for (int k = 0; k < 2; k++) {
+            share_starts(policies[k], gv_bench_seeds[i], &most[k][i],
+                         &least[k][i]);
+        }
+    }
+    GvBench_Row(b, "130 teams, all above quota: most served", GV_OF_MEDIAN,
+                GvBench_Median(most[0], GV_BENCH_SEEDS), "of its quota",
+                "fifo", GvBench_Median(most[1], GV_BENCH_SEEDS));
+    GvBench_Row(b, "130 teams, all above quota: least served", GV_OF_MEDIAN,
+                GvBench_Median(least[0], GV_BENCH_SEEDS), "of its quota",
+                "fifo", GvBench_Median(least[1], GV_BENCH_SEEDS));
+}
+
+/* 130 teams with equal quotas, one of which asks for half of the work,
+   against one fifo; their shares when all ask for too much; cost of the
+   queue's decisions against 2 teams. */
+void
+GvBench_Teams(const gv_bench_t *b)
+{
+    gv_sim_opts_t fifo = usual;
+    fifo.queue = "fifo";
+    GvCompare_Rows(b, "130 teams", &usual, "fifo", &fifo, metrics,
+                   G_N_ELEMENTS(metrics));
+    write_urgent(b);
+    write_shares(b);
+    write_costs(b);
+}
--- a/bench/load.c
+++ b/bench/load.c
@@ -70,12 +70,12 @@
 {
     GRand *r = g->jobs;
     double u = g_rand_double(r);
-    *j = (gv_gen_job_t){.team =
-                            g_rand_double(r) < 0.5 ? "crews" : "authorities",
+    *j = (gv_gen_job_t){.team_draw = g_rand_double(r),
                         .deadline_ms = 5000,
                         .urgent = g_rand_double(r) < 0.1,
                         .idempotent = g_rand_double(r) < 0.7,
                         .never_runs = g_rand_double(r) < 0.01};
+    j->team = j->team_draw < 0.5 ? "crews" : "authorities";
     if (u < 0.03) {
         j->work = g_rand_double(r) < 0.05 ? "quote" : "plan";
         j->real_ms = lognormal(r, 3000, 0.6);
--- a/bench/load.h
+++ b/bench/load.h
@@ -24,6 +24,7 @@
 typedef struct {
     const char *work; /* label given by the caller, sometimes wrong */
     const char *team;
+    double team_draw; /* 0 to 1; below a half: the first team */
     double real_ms;
     double deadline_ms; /* relative */
     bool urgent;
--- a/bench/main.c
+++ b/bench/main.c
@@ -105,10 +105,10 @@
     static const struct {
         const char *name;
         void (*run)(const gv_bench_t *b);
-    } groups[] = {{"queue", GvBench_Queue}, {"place", GvBench_Place},
-                  {"spill", GvBench_Spill}, {"retry", GvBench_Retry},
-                  {"wave", GvBench_Wave},   {"reserve", GvBench_Reserve},
-                  {"fold", GvBench_Fold}};
+    } groups[] = {{"queue", GvBench_Queue},     {"teams", GvBench_Teams},
+                  {"place", GvBench_Place},     {"spill", GvBench_Spill},
+                  {"retry", GvBench_Retry},     {"wave", GvBench_Wave},
+                  {"reserve", GvBench_Reserve}, {"fold", GvBench_Fold}};
     if (argc < 3) {
         fprintf(stderr, "usage: bench DATA_DIR RESULTS [GROUP ...]\n");
         return 2;
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -21,6 +21,19 @@
     return GvStr_C(q->job.work);
 }
 
+static void
+add_wait(gv_sim_t *s, const gv_sim_req_t *q, double ms)
+{
+    gv_sim_result_t *r = s->r;
+    if (q->job.really_long) {
+        g_array_append_val(r->long_wait, ms);
+        return;
+    }
+    g_array_append_val(r->short_wait, ms);
+    g_array_append_val(
+        q->job.team_draw < 0.5 ? r->greedy_wait : r->modest_wait, ms);
+}
+
 static void
 close_request(gv_sim_t *s, gv_sim_req_t *q, bool ok)
 {
@@ -52,8 +65,7 @@
     if (q->wait_ms < 0) {
         /* Work that never starts counts with its whole deadline, so that a
            policy gains nothing by giving up. */
-        GArray *a = q->job.really_long ? r->long_wait : r->short_wait;
-        g_array_append_val(a, q->job.deadline_ms);
+        add_wait(s, q, q->job.deadline_ms);
     }
     r->urgent_lost += q->job.urgent && q->wait_ms < 0;
     r->lost_bad += !ok && q->bad_last && !q->job.never_runs;
@@ -75,8 +87,7 @@
         }
         return;
     }
-    GArray *a = q->job.really_long ? s->r->long_wait : s->r->short_wait;
-    g_array_append_val(a, q->wait_ms);
+    add_wait(s, q, q->wait_ms);
     if (!q->job.really_long) {
         s->r->short_worst = MAX(s->r->short_worst, q->wait_ms);
     }
@@ -244,6 +255,12 @@
     q->entry = GvSim_EntryFor(s, q->dc);
     q->first = q->entry;
     GvLoad_Job(&s->gen[q->dc], &q->job);
+    if (s->o->teams > 0) {
+        double rest = MAX(q->job.team_draw - 0.5, 0) * 2;
+        int team =
+            q->job.team_draw < 0.5 ? 0 : 1 + (int)(rest * (s->o->teams - 1));
+        q->job.team = s->teams[team];
+    }
     q->arrived_ms = s->now;
     q->wait_ms = -1;
     count_request(s, q);
@@ -382,10 +399,15 @@
 {
     static const char *const names[GV_SIM_ENTRIES] = {"e1", "e2", "e3", "e4",
                                                       "e5", "e6", "e7", "e8"};
-    gv_team_t teams[2] = {{GV_STR("crews"), 60}, {GV_STR("authorities"), 40}};
+    gv_team_t teams[GV_SIM_TEAMS_MAX] = {{GV_STR("crews"), 60},
+                                         {GV_STR("authorities"), 40}};
+    for (int i = 0; i < s->o->teams; i++) {
+        g_snprintf(s->teams[i], sizeof s->teams[i], "team%d", i);
+        teams[i] = (gv_team_t){GvStr_C(s->teams[i]), 10};
+    }
     gv_queue_opts_t qo = {.max_requests = GV_QUEUE_MAX_REQUESTS,
                           .teams = teams,
-                          .n_teams = 2,
+                          .n_teams = s->o->teams > 0 ? s->o->teams : 2,
                           .urgent_share_percent = 50,
                           .long_share_percent = 40};
     gv_estimate_opts_t eo = {SHORT_MS, 0};
@@ -449,6 +471,8 @@
     *r = (gv_sim_result_t){
         .short_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .long_wait = g_array_new(FALSE, FALSE, sizeof(double)),
+        .modest_wait = g_array_new(FALSE, FALSE, sizeof(double)),
+        .greedy_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .urgent_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .response = g_array_new(FALSE, FALSE, sizeof(double)),
         .second_wait = g_array_new(FALSE, FALSE, sizeof(double))};
@@ -505,6 +529,8 @@
 {
     g_array_free(r->short_wait, TRUE);
     g_array_free(r->long_wait, TRUE);
+    g_array_free(r->modest_wait, TRUE);
+    g_array_free(r->greedy_wait, TRUE);
     g_array_free(r->urgent_wait, TRUE);
     g_array_free(r->response, TRUE);
     g_array_free(r->second_wait, TRUE);
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -7,6 +7,8 @@
    queue each, and targets that refuse work beyond their slots. Drives queue,
    estimate, slots, placement and retry as the daemon does. */
 
+enum { GV_SIM_TEAMS_MAX = 130 };
+
 typedef struct {
     guint32 seed;
     const char *queue;
@@ -29,12 +31,17 @@
        Its queue bursts at the same time, or when another service's would. */
     double second_load;
     bool second_apart;
+    /* Teams with equal quotas in place of the two usual ones; the first asks
+       for half of the work. At most GV_SIM_TEAMS_MAX. */
+    int teams;
     bool spill; /* full entry hosts hand work to the other data centre */
 } gv_sim_opts_t;
 
 typedef struct {
     GArray *short_wait; /* double, ms; the deadline for work not started */
     GArray *long_wait;
+    GArray *modest_wait; /* short work of all teams but the first */
+    GArray *greedy_wait; /* short work of the first team */
     GArray *urgent_wait;
     GArray *response;   /* of short work, from arrival */
     double short_worst; /* of started work */
--- a/bench/sim_private.h
+++ b/bench/sim_private.h
@@ -78,6 +78,7 @@
     GRand *rand;
     GArray *heap; /* gv_sim_event_t */
     guint64 order;
+    char teams[GV_SIM_TEAMS_MAX][8];
     double now;
     gv_sim_entry_t entries[GV_SIM_ENTRIES * GV_SIM_DCS];
     int running[GV_SIM_DCS][GV_SIM_TARGETS];
