Choose trials in the bench as the daemon does

Cause: the simulation sent trials of ejected targets with idempotent requests only, while the daemon sends whichever request is placed there; the rows showed fewer lost requests than the daemon has. Change: a target whose trial is due is a candidate like any other.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -120,18 +120,6 @@
     GvSim_Schedule(s, s->now + (bad ? BAD_RUN_MS : run), GV_SIM_FINISH, q);
 }
 
-static int
-trial_target(gv_sim_t *s, gv_sim_entry_t *e, const gv_sim_req_t *q)
-{
-    for (int t = 0; t < s->o->targets; t++) {
-        if (e->eject[t].ejected && q->job.idempotent &&
-            GvEject_Trial(&e->eject[t], (int64_t)s->now)) {
-            return t;
-        }
-    }
-    return -1;
-}
-
 static gv_retry_decision_t
 decide(gv_sim_t *s, gv_sim_req_t *q, gv_attempt_t a)
 {
@@ -159,15 +147,16 @@
         for (int t = 0; t < s->o->targets; t++) {
             e->cand[t].avoid = (q->tried >> t & 1) != 0;
         }
-        int t = trial_target(s, e, q);
-        if (t < 0) {
-            t = s->place->choose(e->cand, s->o->targets, g_rand_int(s->rand),
+        int t = s->place->choose(e->cand, s->o->targets, g_rand_int(s->rand),
                                  e->turn++);
-        }
         if (t < 0) {
             s->queue->requeue(e->queue, it, (int64_t)s->now);
             return;
         }
+        if (e->eject[t].ejected) {
+            bool due = GvEject_Trial(&e->eject[t], (int64_t)s->now);
+            g_assert(due);
+        }
         q->attempts++;
         if (s->running[e->dc][t] < GV_TARGET_SLOTS) {
             start(s, e, q, t);
--- a/bench/sim_peers.c
+++ b/bench/sim_peers.c
@@ -12,7 +12,9 @@
                         ? GV_TARGET_SLOTS
                         : GvSlots_Usable(&e->slots[t], (int64_t)s->now);
         c->busy = e->busy[t];
-        c->ejected = e->eject[t].ejected;
+        /* A target whose trial is due counts as usable. */
+        c->ejected =
+            e->eject[t].ejected && (int64_t)s->now < e->eject[t].probe_at_ms;
         slots += c->ejected ? 0 : c->usable;
     }
     e->load.slots = slots;
