Give trials of an ejected target to idempotent requests first

Cause: a target whose trial is due was a candidate for any request; one that is not idempotent cannot be retried and was lost when the target still failed. Ruled out: trials by idempotent requests only, because a service may have no others and its target would never come back; a health probe as trial, because a worker that fails everything may answer probes. Change: GvEject_IsDue holds a due trial back for GV_EJECT_PREFER_MS (5 s) from requests that are not idempotent; dispatch and the bench mark such candidates. The test waits for the first probe, which corrects the listed boot and by that ends an ejection.

--- a/bench/bench_retry.c
+++ b/bench/bench_retry.c
@@ -21,6 +21,12 @@
     return r->lost_bad;
 }
 
+static double
+lost_trial(gv_sim_result_t *r)
+{
+    return r->lost_trial;
+}
+
 static double
 in_time(gv_sim_result_t *r)
 {
@@ -36,6 +42,10 @@
     {"extra starts", "% of requests", extra},
     {"answered in time", "%", in_time}};
 
+static const gv_metric_t trials[] = {
+    {"requests lost to the worker", "requests", lost_bad},
+    {"requests lost as trials", "requests", lost_trial}};
+
 /* Retry policy against always and never, in a collapse of all targets and
    with one worker that fails everything at once. */
 void
@@ -59,6 +69,10 @@
                        bad_worker, G_N_ELEMENTS(bad_worker));
     }
     gv_sim_opts_t base = ours;
+    base.any_trial = true;
+    GvCompare_Rows(b, "trials of a bad worker", &ours, "any request", &base,
+                   trials, G_N_ELEMENTS(trials));
+    base = ours;
     base.no_eject = true;
     GvCompare_Rows(b, "ejection of a bad worker", &ours, "no ejection", &base,
                    bad_worker, G_N_ELEMENTS(bad_worker));
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -68,7 +68,9 @@
         add_wait(s, q, q->job.deadline_ms);
     }
     r->urgent_lost += q->job.urgent && q->wait_ms < 0;
-    r->lost_bad += !ok && q->bad_last && !q->job.never_runs;
+    bool lost = !ok && q->bad_last && !q->job.never_runs;
+    r->lost_bad += lost;
+    r->lost_trial += lost && q->trial;
     g_free(q);
 }
 
@@ -146,6 +148,7 @@
         gv_sim_req_t *q = (gv_sim_req_t *)it;
         for (int t = 0; t < s->o->targets; t++) {
             e->cand[t].avoid = (q->tried >> t & 1) != 0;
+            e->cand[t].ejected |= e->cand[t].safe_only && !q->job.idempotent;
         }
         int t = s->place->choose(e->cand, s->o->targets, g_rand_int(s->rand),
                                  e->turn++);
@@ -153,8 +156,11 @@
             s->queue->requeue(e->queue, it, (int64_t)s->now);
             return;
         }
-        if (e->eject[t].ejected) {
-            bool due = GvEject_Trial(&e->eject[t], (int64_t)s->now);
+        q->trial = e->eject[t].ejected;
+        if (q->trial) {
+            bool due = GvEject_Trial(&e->eject[t],
+                                     q->job.idempotent || s->o->any_trial,
+                                     (int64_t)s->now);
             g_assert(due);
         }
         q->attempts++;
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -25,6 +25,7 @@
     bool slow;    /* one target in five is three times slower */
     bool cancels; /* every 7 s a third of the waiting work is cancelled */
     bool no_eject;
+    bool any_trial;  /* trials take whichever request is placed there */
     bool bad_worker; /* the first target fails everything for 60 s */
     bool collapse;   /* all targets fail four in five runs for 60 s */
     /* A second data centre with this mean demand over its capacity; 0: none.
@@ -56,6 +57,7 @@
     double starts;
     double refusals;       /* by full targets */
     double lost_bad;       /* failed last on the bad worker */
+    double lost_trial;     /* of them, as a trial of an ejected worker */
     double attempts_fault; /* during the fault */
     double requests_fault;
     double late_starts; /* ended after the deadline */
--- a/bench/sim_peers.c
+++ b/bench/sim_peers.c
@@ -13,8 +13,11 @@
                         : GvSlots_Usable(&e->slots[t], (int64_t)s->now);
         c->busy = e->busy[t];
         /* A target whose trial is due counts as usable. */
-        c->ejected =
-            e->eject[t].ejected && (int64_t)s->now < e->eject[t].probe_at_ms;
+        const gv_eject_t *out = &e->eject[t];
+        int64_t now = (int64_t)s->now;
+        c->ejected = out->ejected && !GvEject_IsDue(out, true, now);
+        c->safe_only = !s->o->any_trial && out->ejected && !c->ejected &&
+                       !GvEject_IsDue(out, false, now);
         slots += c->ejected ? 0 : c->usable;
     }
     e->load.slots = slots;
--- a/bench/sim_private.h
+++ b/bench/sim_private.h
@@ -39,6 +39,7 @@
     unsigned tried; /* bit set of targets */
     bool counted_long;
     bool bad_last;
+    bool trial;      /* the current attempt, of an ejected target */
     bool fails;      /* decided at the start */
     gint running_at; /* index in entry->running */
 } gv_sim_req_t;
--- a/src/dispatch_pump.c
+++ b/src/dispatch_pump.c
@@ -54,11 +54,13 @@
     f->cands = NULL;
 }
 
-/* Marks the candidates on which the request has failed. */
+/* Marks the candidates on which the request has failed, and those whose trial
+   it may not be. */
 static void
-mark_tried(const gv_request_t *rq, gv_field_t *f)
+mark_candidates(const gv_request_t *rq, gv_field_t *f)
 {
     for (int i = 0; i < f->vs->n_targets; i++) {
+        f->cands[i].ejected |= f->cands[i].safe_only && !rq->idempotent;
         gv_str_t host = GvStr_C(GvTarget_Host(f->vs->targets[i]));
         for (int k = 0; k < rq->n_tried; k++) {
             f->cands[i].avoid |= GvStr_Equal(host, rq->tried[k]);
@@ -69,7 +71,7 @@
 /* Begins an exchange on the best target. Returns its index or -1. */
 static int
 begin_somewhere(gv_dispatch_t *d, gv_shard_t *sh, gv_field_t *f,
-                int64_t now_ms, char *addr, size_t n)
+                bool idempotent, int64_t now_ms, char *addr, size_t n)
 {
     for (int tries = 0; tries < f->vs->n_targets; tries++) {
         int i = d->place_policy->choose(f->cands, f->vs->n_targets,
@@ -77,8 +79,8 @@
         if (i < 0) {
             return -1;
         }
-        if (GvTarget_Begin(f->vs->targets[i], f->vs->service->pool, now_ms,
-                           addr, n) == GV_OK) {
+        if (GvTarget_Begin(f->vs->targets[i], f->vs->service->pool, idempotent,
+                           now_ms, addr, n) == GV_OK) {
             return i;
         }
         /* Closed or filled since the look: not a candidate any more. */
@@ -160,8 +162,9 @@
         return true;
     }
     char addr[64];
-    mark_tried(rq, f);
-    int i = begin_somewhere(d, sh, f, now_ms, addr, sizeof addr);
+    mark_candidates(rq, f);
+    int i =
+        begin_somewhere(d, sh, f, rq->idempotent, now_ms, addr, sizeof addr);
     if (i < 0) {
         put_back(d, sh, rq, now_ms);
         return false;
--- a/src/limits.h
+++ b/src/limits.h
@@ -208,6 +208,9 @@
 #define GV_EJECT_STREAK       5
 #define GV_EJECT_WAIT_MS      1000
 #define GV_EJECT_WAIT_MAX_MS  60000
+/* A trial that is due waits this long for an idempotent request, which can be
+   retried elsewhere, before it takes any; a service may have no others. */
+#define GV_EJECT_PREFER_MS 5000
 /* Least time between two moves of a pool, before it takes a host and before
    it gives one away; the latter for equal weights, more when waiting weighs
    more. With 60 s the bursts of one queue after the other moved hosts to and
--- a/src/placement.h
+++ b/src/placement.h
@@ -15,7 +15,8 @@
        every GV_TIMER_TICK_MS and clears it when one of its runs there ends. */
     int refused;
     bool ejected;
-    bool avoid; /* already tried by this request */
+    bool safe_only; /* its trial is due, for an idempotent request only */
+    bool avoid;     /* already tried by this request */
 } gv_candidate_t;
 
 /* Plug-in: chooses a target. Returns an index or -1 when none has a free
--- a/src/retry.c
+++ b/src/retry.c
@@ -44,7 +44,7 @@
 {
     e->ejected = true;
     e->probe_at_ms = now_ms;
-    (void)GvEject_Trial(e, now_ms);
+    (void)GvEject_Trial(e, true, now_ms);
     return true;
 }
 
@@ -91,12 +91,22 @@
     return eject(e, now_ms);
 }
 
-/* Tells whether an ejected host may get one trial request now. Each trial
-   doubles the wait for the next one, up to GV_EJECT_WAIT_MAX_MS. */
+/* Tells whether an ejected host may get a request as a trial now. One that is
+   not idempotent would be lost if the host still fails, so it is taken only
+   when no other came for GV_EJECT_PREFER_MS. */
 bool
-GvEject_Trial(gv_eject_t *e, int64_t now_ms)
+GvEject_IsDue(const gv_eject_t *e, bool idempotent, int64_t now_ms)
 {
-    if (!e->ejected || now_ms < e->probe_at_ms) {
+    int64_t prefer = idempotent ? 0 : GV_EJECT_PREFER_MS;
+    return e->ejected && now_ms >= e->probe_at_ms + prefer;
+}
+
+/* Takes the trial that is due, if any. Each trial doubles the wait for the
+   next one, up to GV_EJECT_WAIT_MAX_MS. */
+bool
+GvEject_Trial(gv_eject_t *e, bool idempotent, int64_t now_ms)
+{
+    if (!GvEject_IsDue(e, idempotent, now_ms)) {
         return false;
     }
     int64_t wait = GV_EJECT_WAIT_MS;
--- a/src/retry.h
+++ b/src/retry.h
@@ -65,8 +65,9 @@
    ejected flag changed. */
 bool GvEject_Note(gv_eject_t *e, gv_attempt_t a, bool may_eject,
                   int64_t now_ms);
-/* Tells whether an ejected host may get one trial request now; the next
-   trial is then due only after the wait. */
-bool GvEject_Trial(gv_eject_t *e, int64_t now_ms);
+/* Tells whether an ejected host may get such a request as a trial now. */
+bool GvEject_IsDue(const gv_eject_t *e, bool idempotent, int64_t now_ms);
+/* As GvEject_IsDue; when true, the next trial is due only after the wait. */
+bool GvEject_Trial(gv_eject_t *e, bool idempotent, int64_t now_ms);
 
 #endif
--- a/src/target.c
+++ b/src/target.c
@@ -299,7 +299,10 @@
     if (open) {
         c->usable = GvSlots_Usable(&t->loan, now_ms);
         c->busy = t->busy;
-        c->ejected = t->eject.ejected && now_ms < t->eject.probe_at_ms;
+        c->ejected =
+            t->eject.ejected && !GvEject_IsDue(&t->eject, true, now_ms);
+        c->safe_only = t->eject.ejected && !c->ejected &&
+                       !GvEject_IsDue(&t->eject, false, now_ms);
         c->recent_ms = t->ratio * 1000;
         if (now_ms - t->refused_ms < GV_REFUSED_KEEP_MS) {
             c->refused = t->refused;
@@ -310,17 +313,19 @@
 }
 
 /* Begins an exchange and copies the address to addr. Atomic with the closed
-   flag under the shard's lock. Returns 0; GV_EREFUSED when the target gets no
+   flag under the shard's lock. A trial of an ejected target prefers
+   idempotent requests. Returns 0; GV_EREFUSED when the target gets no
    work of that pool; GV_EFULL when no slot is usable. */
 int
-GvTarget_Begin(gv_target_t *t, gv_str_t pool, int64_t now_ms, char *addr,
-               size_t n)
+GvTarget_Begin(gv_target_t *t, gv_str_t pool, bool idempotent, int64_t now_ms,
+               char *addr, size_t n)
 {
     int rc = GV_OK;
     gv_target_shard_t *sh = GvTarget_Lock(t);
     bool room = t->busy < GvSlots_Usable(&t->loan, now_ms);
     if (!atomic_load(&t->table->joined) || !GvTarget_IsOpen(t, pool) ||
-        (room && t->eject.ejected && !GvEject_Trial(&t->eject, now_ms))) {
+        (room && t->eject.ejected &&
+         !GvEject_Trial(&t->eject, idempotent, now_ms))) {
         rc = GV_EREFUSED;
     }
     else if (!room) {
--- a/src/target.h
+++ b/src/target.h
@@ -36,8 +36,8 @@
 /* Begins an exchange, atomically with the closed flag. GV_EREFUSED: closed,
    leaving, ejected, not joined, or no longer in that pool; GV_EFULL: no
    usable slot. addr gets the address. */
-int GvTarget_Begin(gv_target_t *t, gv_str_t pool, int64_t now_ms, char *addr,
-                   size_t n);
+int GvTarget_Begin(gv_target_t *t, gv_str_t pool, bool idempotent,
+                   int64_t now_ms, char *addr, size_t n);
 /* Ends an exchange. may_eject: see GvEject_Note. */
 bool GvTarget_IsEjected(gv_target_t *t);
 void GvTarget_End(gv_target_t *t, gv_attempt_t a, bool may_eject,
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -108,6 +108,13 @@
         conn.close()
 
 
+def limit_s(name):
+    """Reads a limit in ms from src/limits.h; returns seconds."""
+    text = (pathlib.Path(__file__).resolve().parent.parent / "src"
+            / "limits.h").read_text()
+    return int(re.search(rf"#define {name}\s+(\d+)", text).group(1)) / 1000
+
+
 def serves(answer):
     """Whether an Answer came and has status 200."""
     return answer is not None and answer.status == 200
--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -8,9 +8,12 @@
 import time
 
 from cluster import Callers, Cluster
-from harness import run_threads, wait_until
+from harness import limit_s, run_threads, serves, wait_until
 from relay import Relay
 
+EJECT_WAIT_S = limit_s("GV_EJECT_WAIT_MS")
+EJECT_PREFER_S = limit_s("GV_EJECT_PREFER_MS")
+
 
 def entry_killed(build):
     """Guards against a second run of a ticket or key after the entry host
@@ -136,6 +139,52 @@
         callers.verdict(least_run=100)
 
 
+def trials(build):
+    """Guards against a trial of an ejected target that takes a request which
+    cannot be retried while idempotent ones come."""
+    bad = "plan-dc1-2"
+    with Cluster(build, hosts=3, entries=1) as c:
+        c.target(bad, "POST", "/control/fault?fail_all=1")
+
+        def batch(method):
+            """Sends requests for half of the slots, so that all targets are
+            chosen; returns how many were served."""
+            served = []
+            run_threads(lambda n: served.append(serves(c.entry(
+                "e1", method, f"/svc/plan/work?tag={n}&run_ms=20"))),
+                range(12))
+            return sum(served)
+
+        def row():
+            rows = json.loads(c.entry("e1", "GET", "/v1/status").text)
+            return next(r for r in rows["targets"] if r["host"] == bad)
+
+        def ejected():
+            batch("GET")
+            return row()["ejected"]
+
+        # The first probe corrects the listed boot, which ends an ejection.
+        boot = c.target(bad, "GET", "/health").text.split()[1]
+        wait_until(lambda: f"boot={row()['boot']}" == boot, 10, "boot known")
+        for _ in range(50):
+            begin = time.monotonic()
+            if ejected():
+                break
+        else:
+            raise AssertionError("the failing target is not ejected")
+        due = time.monotonic() + EJECT_WAIT_S
+        tried = events(c, bad, "start ")
+        batches = 0
+        while time.monotonic() < due + EJECT_PREFER_S / 2:
+            served = batch("POST")
+            if time.monotonic() < begin + EJECT_WAIT_S + EJECT_PREFER_S:
+                assert served == 12, "a trial took a POST"
+                batches += time.monotonic() > due
+        print(f"  {batches} batches of POSTs while a trial was due")
+        wait_until(lambda: ejected() and events(c, bad, "start ") > tried, 10,
+                   "an idempotent request is the trial")
+
+
 def partition(build):
     """Guards against a data centre that stops serving when it is cut off from
     the platform and from the other data centre, and against settings that do
@@ -221,7 +270,7 @@
 
 SCENARIOS = [entry_killed, entry_paused, platform_outage, lost_appends,
              operators_race, wave_under_load, leaving_target,
-             silent_connections, failing_target, partition, rolling_restarts]
+             silent_connections, failing_target, trials, partition, rolling_restarts]
 
 
 def main():
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -1,8 +1,6 @@
 #!/usr/bin/env python3
 """Planned stops of an entry host while others are gone: each must end within
 GV_STOP_MS after the last request, with exit status 0."""
-import pathlib
-import re
 import signal
 import sys
 import time
@@ -11,9 +9,7 @@
 from harness import call, wait_until
 from proc_path import Path
 
-LIMITS = pathlib.Path(__file__).resolve().parent.parent / "src" / "limits.h"
-STOP_S = int(re.search(r"#define GV_STOP_MS\s+(\d+)",
-                       LIMITS.read_text()).group(1)) / 1000
+STOP_S = harness.limit_s("GV_STOP_MS")
 
 
 class Stops(Path):
--- a/tests/script_policy.c
+++ b/tests/script_policy.c
@@ -188,12 +188,14 @@
     }
 }
 
-/* trial NOW ...: whether a trial request may go at each time. */
+/* trial [once] NOW ...: whether a trial request may go at each time; once: one
+   that is not idempotent. */
 GV_VERB("trial", run_trial)
 {
-    for (int i = 1; i < argc; i++) {
+    bool once = strcmp(argv[1], "once") == 0;
+    for (int i = once ? 2 : 1; i < argc; i++) {
         printf("trial at %s: %s\n", argv[i],
-               GvEject_Trial(&eject, atoi(argv[i])) ? "yes" : "no");
+               GvEject_Trial(&eject, !once, atoi(argv[i])) ? "yes" : "no");
     }
 }
 
--- a/tests/test_peer_services.c
+++ b/tests/test_peer_services.c
@@ -267,7 +267,7 @@
     wait_usable(&a, 4, &b, 4);
     gv_target_t *t = GvTargets_Find(a.targets, GV_STR("h1"));
     for (int i = 0; i < 4; i++) {
-        ASSERT_OK(GvTarget_Begin(t, GV_STR("p"), GvClock_MonoMs(), addr,
+        ASSERT_OK(GvTarget_Begin(t, GV_STR("p"), true, GvClock_MonoMs(), addr,
                                  sizeof addr));
     }
     beat(&b, &a, 4);
