Plot a wave with room to widen beside the one with a tight budget

Cause: bench/wave.svg plots the case with min_hosts 9 of 12, in which a lost rack of two leaves room for one host out, so adaptive draws the line of 'one'. The load is low in both cases and hides nothing. Change: the plot shows both cases, with lines of different width. Before and after: the rows are the same. Conclusion: the policy stays; the plot showed one case only.

--- a/bench/bench_wave.c
+++ b/bench/bench_wave.c
@@ -286,7 +286,7 @@
 }
 
 static void
-write_wave(const gv_bench_t *b, const wave_case_t *c)
+write_wave(const gv_bench_t *b, const wave_case_t *c, const char *file)
 {
     static const char *const policies[] = {"adaptive", "fixed", "one"};
     /* The seed that is worst for the baseline shows the difference best. */
@@ -299,7 +299,7 @@
             seed = gv_bench_seeds[i];
         }
     }
-    FILE *f = GvBench_Data(b, "wave.dat");
+    FILE *f = GvBench_Data(b, file);
     for (int p = 0; p < 3; p++) {
         fprintf(f, "# %s: s, hosts in service, hosts under claim, waiting\n",
                 policies[p]);
@@ -322,5 +322,8 @@
         compare(b, &cases[i], "fixed");
         compare(b, &cases[i], "one");
     }
-    write_wave(b, &cases[2]);
+    /* The budget of the second one is too tight for more than one host at a
+       time, so that only the first shows the width that adaptive takes. */
+    write_wave(b, &cases[1], "wave_wide.dat");
+    write_wave(b, &cases[2], "wave_tight.dat");
 }
--- a/bench/plots.gp
+++ b/bench/plots.gp
@@ -20,14 +20,22 @@
      "" index 1 using 1:4 lw 2 title "fifo, urgent work"
 
 unset logscale
+set terminal svg size 760,640 background rgb "white" dynamic
 set output out."/wave.svg"
-set title "A wave over 12 hosts with the loss of a rack"
+set multiplot layout 2,1 title \
+    "A wave over 12 hosts with the loss of a rack, at low load"
 set xlabel "time (s)"
 set ylabel "hosts in service"
 set yrange [0:13]
-set xrange [*:*]
+set xrange [0:*]
 set key right bottom
-plot "wave.dat" index 0 using 1:2 lw 2 title "adaptive", \
-     "" index 1 using 1:2 lw 2 title "fixed", \
-     "" index 2 using 1:2 lw 2 title "one", \
-     9 lw 1 lc rgb "black" title "min\\_hosts"
+# Lines of equal value would hide each other.
+do for [k in "8 9"] {
+    file = k eq "8" ? "wave_wide.dat" : "wave_tight.dat"
+    set title "min\\_hosts ".k
+    plot file index 0 using 1:2 lw 5 lc rgb "#88bbee" title "adaptive", \
+         "" index 1 using 1:2 lw 2 lc rgb "#cc3311" title "fixed", \
+         "" index 2 using 1:2 lw 1 lc rgb "#117733" title "one", \
+         real(k) lw 1 lc rgb "black" title "min\\_hosts"
+}
+unset multiplot
