--- a/bench/sim.c
+++ b/bench/sim.c
@@ -1,145 +1,54 @@
-#include "sim.h"
+#include "sim_private.h"
 
-#include <string.h>
-
-#include "estimate.h"
 #include "limits.h"
-#include "placement.h"
-#include "queue.h"
-#include "retry.h"
-#include "slots.h"
 
 enum {
-    MAX_ENTRIES = 4,
-    MAX_TARGETS = 16,
     SHORT_MS = 200,
     BAD_RUN_MS = 2, /* a worker that fails everything does so at once */
     FAULT_FROM_MS = 60000,
     FAULT_TO_MS = 120000
 };
 
-typedef enum { ARRIVE, FINISH, TICK, AGAIN } event_kind_t;
-
-struct entry_s;
-
-typedef struct {
-    gv_queue_item_t it; /* first */
-    gv_gen_job_t job;
-    struct entry_s *entry;
-    double arrived_ms;
-    double started_ms; /* of the current attempt */
-    double wait_ms;    /* until the first start, -1 before */
-    int target;
-    int attempts;
-    int hosts_failed;
-    unsigned tried; /* bit set of targets */
-    bool counted_long;
-    bool bad_last;
-    bool fails;      /* decided at the start */
-    gint running_at; /* index in entry->running */
-} req_t;
-
-typedef struct {
-    double at;
-    event_kind_t kind;
-    guint64 order;
-    req_t *req;
-} event_t;
-
-typedef struct entry_s {
-    gv_queue_t *queue;
-    gv_estimate_t *estimate;
-    gv_retry_budget_t budget;
-    gv_queue_load_t load;
-    GPtrArray *running;
-    int busy[MAX_TARGETS];
-    gv_slots_t slots[MAX_TARGETS];
-    gv_eject_t eject[MAX_TARGETS];
-    gv_candidate_t cand[MAX_TARGETS];
-    guint64 turn;
-} entry_t;
-
-typedef struct {
-    const gv_sim_opts_t *o;
-    gv_sim_result_t *r;
-    const gv_queue_policy_t *queue;
-    const gv_place_policy_t *place;
-    const gv_retry_policy_t *retry;
-    gv_gen_t gen;
-    GRand *rand;
-    GArray *heap; /* event_t */
-    guint64 order;
-    double now;
-    entry_t entries[MAX_ENTRIES];
-    int running[MAX_TARGETS];
-} sim_t;
-
 static bool
-before(const event_t *a, const event_t *b)
+in_fault(const gv_sim_t *s)
 {
-    return a->at < b->at || (a->at == b->at && a->order < b->order);
+    return s->now >= FAULT_FROM_MS && s->now < FAULT_TO_MS;
 }
 
-static void
-schedule(sim_t *s, double at, event_kind_t kind, req_t *req)
+static gv_str_t
+work_of(const gv_sim_req_t *q)
 {
-    event_t e = {at, kind, s->order++, req};
-    g_array_append_val(s->heap, e);
-    event_t *h = (event_t *)(void *)s->heap->data;
-    guint i = s->heap->len - 1;
-    while (i > 0 && before(&e, &h[(i - 1) / 2])) {
-        h[i] = h[(i - 1) / 2];
-        i = (i - 1) / 2;
-    }
-    h[i] = e;
+    return GvStr_C(q->job.work);
 }
 
-static event_t
-next_event(sim_t *s)
+static void
+add_wait(gv_sim_t *s, const gv_sim_req_t *q, double ms)
 {
-    event_t *h = (event_t *)(void *)s->heap->data;
-    event_t top = h[0];
-    guint n = s->heap->len - 1;
-    event_t last = h[n];
-    g_array_set_size(s->heap, n);
-    guint i = 0;
-    for (;;) {
-        guint c = 2 * i + 1;
-        if (c >= n) {
-            break;
-        }
-        if (c + 1 < n && before(&h[c + 1], &h[c])) {
-            c++;
-        }
-        if (!before(&h[c], &last)) {
-            break;
-        }
-        h[i] = h[c];
-        i = c;
-    }
-    if (n > 0) {
-        h[i] = last;
+    gv_sim_result_t *r = s->r;
+    if (q->job.really_long) {
+        g_array_append_val(r->long_wait, ms);
+        return;
     }
-    return top;
-}
-
-static bool
-in_fault(const sim_t *s)
-{
-    return s->now >= FAULT_FROM_MS && s->now < FAULT_TO_MS;
-}
-
-static gv_str_t
-work_of(const req_t *q)
-{
-    return GvStr_C(q->job.work);
+    g_array_append_val(r->short_wait, ms);
+    g_array_append_val(
+        q->job.team_draw < 0.5 ? r->greedy_wait : r->modest_wait, ms);
 }
 
 static void
-close_request(sim_t *s, req_t *q, bool ok)
+close_request(gv_sim_t *s, gv_sim_req_t *q, bool ok)
 {
     gv_sim_result_t *r = s->r;
-    bool in_time = ok && s->now <= q->arrived_ms + q->job.deadline_ms;
+    double end = s->now + (q->entry != q->first ? GV_SIM_HOP_MS : 0);
+    bool in_time = ok && end <= q->arrived_ms + q->job.deadline_ms;
+    r->spilled += q->entry != q->first && q->wait_ms >= 0;
+    if (q->dc != 0) {
+        r->second_in_time += in_time;
+        if (q->wait_ms < 0 && !q->job.really_long) {
+            g_array_append_val(r->second_wait, q->job.deadline_ms);
+        }
+        g_free(q);
+        return;
+    }
     r->in_time += in_time;
     if (q->job.really_long) {
         r->long_in_time += in_time;
@@ -147,7 +56,7 @@
     else {
         r->short_in_time += in_time;
         /* As with the waits: no answer counts with the whole deadline. */
-        double ms = ok ? s->now - q->arrived_ms : q->job.deadline_ms;
+        double ms = ok ? end - q->arrived_ms : q->job.deadline_ms;
         if (!q->job.never_runs) {
             g_array_append_val(r->response, ms);
         }
@@ -156,33 +65,17 @@
     if (q->wait_ms < 0) {
         /* Work that never starts counts with its whole deadline, so that a
            policy gains nothing by giving up. */
-        GArray *a = q->job.really_long ? r->long_wait : r->short_wait;
-        g_array_append_val(a, q->job.deadline_ms);
+        add_wait(s, q, q->job.deadline_ms);
     }
     r->urgent_lost += q->job.urgent && q->wait_ms < 0;
-    r->lost_bad += !ok && q->bad_last && !q->job.never_runs;
+    bool lost = !ok && q->bad_last && !q->job.never_runs;
+    r->lost_bad += lost;
+    r->lost_trial += lost && q->trial;
     g_free(q);
 }
 
 static void
-update_load(sim_t *s, entry_t *e)
-{
-    int slots = 0;
-    for (int t = 0; t < s->o->targets; t++) {
-        gv_candidate_t *c = &e->cand[t];
-        c->usable = s->o->no_shares
-                        ? GV_TARGET_SLOTS
-                        : GvSlots_Usable(&e->slots[t], (int64_t)s->now);
-        c->busy = e->busy[t];
-        c->ejected = e->eject[t].ejected;
-        slots += c->ejected ? 0 : c->usable;
-    }
-    e->load.slots = slots;
-    e->load.mean_run_ms = GvEstimate_MeanMs(e->estimate);
-}
-
-static void
-note_start(sim_t *s, req_t *q)
+note_start(gv_sim_t *s, gv_sim_req_t *q)
 {
     s->r->starts++;
     s->r->attempts_fault += in_fault(s);
@@ -190,8 +83,13 @@
         return;
     }
     q->wait_ms = s->now - q->arrived_ms;
-    GArray *a = q->job.really_long ? s->r->long_wait : s->r->short_wait;
-    g_array_append_val(a, q->wait_ms);
+    if (q->dc != 0) {
+        if (!q->job.really_long) {
+            g_array_append_val(s->r->second_wait, q->wait_ms);
+        }
+        return;
+    }
+    add_wait(s, q, q->wait_ms);
     if (!q->job.really_long) {
         s->r->short_worst = MAX(s->r->short_worst, q->wait_ms);
     }
@@ -201,7 +99,7 @@
 }
 
 static void
-start(sim_t *s, entry_t *e, req_t *q, int t)
+start(gv_sim_t *s, gv_sim_entry_t *e, gv_sim_req_t *q, int t)
 {
     q->target = t;
     q->started_ms = s->now;
@@ -211,7 +109,7 @@
     e->busy[t]++;
     e->load.busy++;
     e->load.busy_long += q->counted_long;
-    s->running[t]++;
+    s->running[e->dc][t]++;
     note_start(s, q);
     bool bad = s->o->bad_worker && t == 0 && in_fault(s);
     bool down = s->o->collapse && in_fault(s) && g_rand_double(s->rand) < 0.8;
@@ -221,23 +119,11 @@
     }
     q->fails = bad || down || q->job.never_runs;
     q->bad_last = bad;
-    schedule(s, s->now + (bad ? BAD_RUN_MS : run), FINISH, q);
-}
-
-static int
-trial_target(sim_t *s, entry_t *e, const req_t *q)
-{
-    for (int t = 0; t < s->o->targets; t++) {
-        if (e->eject[t].ejected && q->job.idempotent &&
-            GvEject_Trial(&e->eject[t], (int64_t)s->now)) {
-            return t;
-        }
-    }
-    return -1;
+    GvSim_Schedule(s, s->now + (bad ? BAD_RUN_MS : run), GV_SIM_FINISH, q);
 }
 
 static gv_retry_decision_t
-decide(sim_t *s, req_t *q, gv_attempt_t a)
+decide(gv_sim_t *s, gv_sim_req_t *q, gv_attempt_t a)
 {
     gv_retry_case_t c = {.attempt = a,
                          .idempotent = q->job.idempotent,
@@ -250,30 +136,35 @@
 
 /* Starts waiting work of an entry host while slots are free. */
 static void
-dispatch(sim_t *s, entry_t *e)
+dispatch(gv_sim_t *s, gv_sim_entry_t *e)
 {
     for (;;) {
-        update_load(s, e);
+        GvSim_UpdateLoad(s, e);
         gv_queue_item_t *it =
             s->queue->pop(e->queue, (int64_t)s->now, &e->load);
         if (it == NULL) {
             return;
         }
-        req_t *q = (req_t *)it;
+        gv_sim_req_t *q = (gv_sim_req_t *)it;
         for (int t = 0; t < s->o->targets; t++) {
             e->cand[t].avoid = (q->tried >> t & 1) != 0;
+            e->cand[t].ejected |= e->cand[t].safe_only && !q->job.idempotent;
         }
-        int t = trial_target(s, e, q);
-        if (t < 0) {
-            t = s->place->choose(e->cand, s->o->targets, g_rand_int(s->rand),
+        int t = s->place->choose(e->cand, s->o->targets, g_rand_int(s->rand),
                                  e->turn++);
-        }
         if (t < 0) {
             s->queue->requeue(e->queue, it, (int64_t)s->now);
             return;
         }
+        q->trial = e->eject[t].ejected;
+        if (q->trial) {
+            bool due = GvEject_Trial(&e->eject[t],
+                                     q->job.idempotent || s->o->any_trial,
+                                     (int64_t)s->now);
+            g_assert(due);
+        }
         q->attempts++;
-        if (s->running[t] < GV_TARGET_SLOTS) {
+        if (s->running[e->dc][t] < GV_TARGET_SLOTS) {
             start(s, e, q, t);
             continue;
         }
@@ -281,93 +172,104 @@
         e->cand[t].refused++;
         if (decide(s, q, GV_ATTEMPT_REFUSED) == GV_RETRY_REQUEUE) {
             s->queue->requeue(e->queue, it, (int64_t)s->now);
-            schedule(s, s->now + 3, AGAIN, q);
+            GvSim_Schedule(s, s->now + 3, GV_SIM_AGAIN, q);
             return;
         }
         close_request(s, q, false);
     }
 }
 
-/* Borrows slots from peers for work that waits while all own slots are in
-   use. */
+/* Draws the data centre's next request and its time. */
 static void
-borrow(sim_t *s, entry_t *e)
+draw_arrival(gv_sim_t *s, int dc)
 {
-    update_load(s, e);
-    int want = s->queue->length(e->queue) - (e->load.slots - e->load.busy);
-    int64_t now = (int64_t)s->now;
-    for (int p = 0; p < s->o->entries && want > 0; p++) {
-        entry_t *peer = &s->entries[p];
-        int queued = s->queue->length(peer->queue);
-        if (peer == e) {
-            continue;
-        }
-        for (int t = 0; t < s->o->targets && want > 0; t++) {
-            int n = GvSlots_Lend(&peer->slots[t], want, peer->busy[t], queued,
-                                 now, GV_LOAN_MS);
-            if (n > 0) {
-                GvSlots_Borrowed(&e->slots[t], n, now + GV_LOAN_MS);
-                want -= n;
-            }
-        }
-    }
-}
-
-static entry_t *
-entry_for(sim_t *s)
-{
-    int n = s->o->entries;
-    if (!s->o->uneven) {
-        return &s->entries[g_rand_int_range(s->rand, 0, n)];
-    }
-    int u = g_rand_int_range(s->rand, 0, n * (n + 1) / 2);
-    int i = 0;
-    while (u >= n - i) {
-        u -= n - i;
-        i++;
-    }
-    return &s->entries[i];
+    gv_sim_req_t *q = g_new0(gv_sim_req_t, 1);
+    q->dc = dc;
+    GvSim_Schedule(s, GvLoad_Next(&s->gen[dc], s->now), GV_SIM_ARRIVE, q);
 }
 
 static void
-arrive(sim_t *s)
+count_request(gv_sim_t *s, const gv_sim_req_t *q)
 {
-    schedule(s, GvLoad_Next(&s->gen, s->now), ARRIVE, NULL);
-    entry_t *e = entry_for(s);
-    req_t *q = g_new0(req_t, 1);
-    GvLoad_Job(&s->gen, &q->job);
-    q->entry = e;
-    q->arrived_ms = s->now;
-    q->wait_ms = -1;
+    if (q->dc != 0) {
+        s->r->second_requests++;
+        return;
+    }
     s->r->requests++;
     s->r->requests_fault += in_fault(s);
     s->r->shorts += !q->job.really_long;
     s->r->longs += q->job.really_long;
     s->r->urgents += q->job.urgent;
-    GvRetry_Request(&e->budget);
-    update_load(s, e);
+}
+
+/* Tells whether the entry host offers new work to another data centre before
+   its own queue: no free slot, and a queue as long as its slots. */
+static bool
+is_crowded(const gv_sim_t *s, const gv_sim_entry_t *e)
+{
+    return e->load.busy >= e->load.slots &&
+           s->queue->length(e->queue) >= e->load.slots;
+}
+
+/* Admits the request at its entry host, spills it or refuses it. */
+static void
+submit(gv_sim_t *s, gv_sim_req_t *q)
+{
+    gv_sim_entry_t *e = q->entry;
+    GvSim_UpdateLoad(s, e);
+    if (is_crowded(s, e) && GvSim_Spill(s, q)) {
+        return;
+    }
     q->it = (gv_queue_item_t){
         .team = GvStr_C(q->job.team),
         .urgent = q->job.urgent,
         .is_long =
             !s->o->no_classes && GvEstimate_IsLong(e->estimate, work_of(q)),
         .run_ms = GvEstimate_RunMs(e->estimate, work_of(q)),
-        .deadline_ms = (int64_t)(s->now + q->job.deadline_ms)};
+        .deadline_ms = (int64_t)(q->arrived_ms + q->job.deadline_ms)};
     gv_admit_t a = s->queue->push(e->queue, &q->it, (int64_t)s->now, &e->load);
-    if (a.kind != GV_ADMIT_QUEUED) {
+    if (a.kind == GV_ADMIT_QUEUED) {
+        dispatch(s, e);
+    }
+    else if (e != q->first) {
+        /* Refused there: back to the first entry host's queue. */
+        q->entry = q->first;
+        GvSim_Schedule(s, s->now + GV_SIM_HOP_MS, GV_SIM_HOP, q);
+    }
+    else if (!GvSim_Spill(s, q)) {
+        s->r->refused += q->dc == 0;
+        s->r->second_refused += q->dc != 0;
         close_request(s, q, false);
-        return;
     }
-    dispatch(s, e);
 }
 
 static void
-end_attempt(sim_t *s, req_t *q)
+arrive(gv_sim_t *s, gv_sim_req_t *q)
 {
-    entry_t *e = q->entry;
+    draw_arrival(s, q->dc);
+    q->entry = GvSim_EntryFor(s, q->dc);
+    q->first = q->entry;
+    GvLoad_Job(&s->gen[q->dc], &q->job);
+    if (s->o->teams > 0) {
+        double rest = MAX(q->job.team_draw - 0.5, 0) * 2;
+        int team =
+            q->job.team_draw < 0.5 ? 0 : 1 + (int)(rest * (s->o->teams - 1));
+        q->job.team = s->teams[team];
+    }
+    q->arrived_ms = s->now;
+    q->wait_ms = -1;
+    count_request(s, q);
+    GvRetry_Request(&q->entry->budget);
+    submit(s, q);
+}
+
+static void
+end_attempt(gv_sim_t *s, gv_sim_req_t *q)
+{
+    gv_sim_entry_t *e = q->entry;
     g_ptr_array_remove_index_fast(e->running, (guint)q->running_at);
     if ((guint)q->running_at < e->running->len) {
-        ((req_t *)e->running->pdata[q->running_at])->running_at =
+        ((gv_sim_req_t *)e->running->pdata[q->running_at])->running_at =
             q->running_at;
     }
     e->busy[q->target]--;
@@ -375,11 +277,11 @@
     e->cand[q->target].refused = 0;
     e->load.busy--;
     e->load.busy_long -= q->counted_long;
-    s->running[q->target]--;
+    s->running[e->dc][q->target]--;
 }
 
 static void
-note_health(sim_t *s, entry_t *e, const req_t *q)
+note_health(gv_sim_t *s, gv_sim_entry_t *e, const gv_sim_req_t *q)
 {
     int out = 0;
     for (int t = 0; t < s->o->targets; t++) {
@@ -392,9 +294,9 @@
 }
 
 static void
-finish(sim_t *s, req_t *q)
+finish(gv_sim_t *s, gv_sim_req_t *q)
 {
-    entry_t *e = q->entry;
+    gv_sim_entry_t *e = q->entry;
     end_attempt(s, q);
     note_health(s, e, q);
     if (!q->fails) {
@@ -419,7 +321,7 @@
 }
 
 static void
-cancel_wave(sim_t *s, entry_t *e)
+cancel_wave(gv_sim_t *s, gv_sim_entry_t *e)
 {
     /* Items are only reachable through the queue: expiring at a far time
        takes each out once; two of three go back in their order. */
@@ -429,13 +331,18 @@
         g_ptr_array_add(all, it);
     }
     for (guint i = all->len; i-- > 0;) {
-        req_t *q = all->pdata[i];
+        gv_sim_req_t *q = all->pdata[i];
         s->queue->requeue(e->queue, &q->it, (int64_t)s->now);
     }
     for (guint i = 0; i < all->len; i += 3) {
-        req_t *q = all->pdata[i];
+        gv_sim_req_t *q = all->pdata[i];
         s->queue->remove(e->queue, &q->it);
         /* Its caller does not count it as lost. */
+        if (q->dc != 0) {
+            s->r->second_requests--;
+            g_free(q);
+            continue;
+        }
         s->r->requests--;
         s->r->shorts -= !q->job.really_long;
         s->r->longs -= q->job.really_long;
@@ -446,18 +353,21 @@
 }
 
 static void
-tick(sim_t *s)
+tick(gv_sim_t *s)
 {
-    schedule(s, s->now + GV_TIMER_TICK_MS, TICK, NULL);
+    GvSim_Schedule(s, s->now + GV_TIMER_TICK_MS, GV_SIM_TICK, NULL);
     bool asks = (int64_t)s->now % GV_LOAN_ASK_MS < GV_TIMER_TICK_MS;
-    for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+    if (s->o->spill && (int64_t)s->now % GV_HEARTBEAT_MS < GV_TIMER_TICK_MS) {
+        GvSim_Heartbeat(s);
+    }
+    for (int i = 0; i < s->n_entries; i++) {
+        gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, (int64_t)s->now)) != NULL) {
-            close_request(s, (req_t *)it, false);
+            close_request(s, (gv_sim_req_t *)it, false);
         }
         for (guint k = 0; k < e->running->len; k++) {
-            req_t *q = e->running->pdata[k];
+            gv_sim_req_t *q = e->running->pdata[k];
             double ran = s->now - q->started_ms;
             if (ran <= SHORT_MS || s->o->no_classes) {
                 continue;
@@ -473,32 +383,39 @@
             cancel_wave(s, e);
         }
         if (s->o->lending && !s->o->no_shares && asks) {
-            borrow(s, e);
+            GvSim_Borrow(s, e);
         }
         dispatch(s, e);
     }
 }
 
 static void
-init(sim_t *s)
+init(gv_sim_t *s)
 {
-    static const char *const names[MAX_ENTRIES] = {"e1", "e2", "e3", "e4"};
-    gv_team_t teams[2] = {{GV_STR("crews"), 60}, {GV_STR("authorities"), 40}};
+    static const char *const names[GV_SIM_ENTRIES] = {"e1", "e2", "e3", "e4",
+                                                      "e5", "e6", "e7", "e8"};
+    gv_team_t teams[GV_SIM_TEAMS_MAX] = {{GV_STR("crews"), 60},
+                                         {GV_STR("authorities"), 40}};
+    for (int i = 0; i < s->o->teams; i++) {
+        g_snprintf(s->teams[i], sizeof s->teams[i], "team%d", i);
+        teams[i] = (gv_team_t){GvStr_C(s->teams[i]), 10};
+    }
     gv_queue_opts_t qo = {.max_requests = GV_QUEUE_MAX_REQUESTS,
                           .teams = teams,
-                          .n_teams = 2,
+                          .n_teams = s->o->teams > 0 ? s->o->teams : 2,
                           .urgent_share_percent = 50,
                           .long_share_percent = 40};
     gv_estimate_opts_t eo = {SHORT_MS, 0};
-    gv_str_t entries[MAX_ENTRIES];
+    gv_str_t entries[GV_SIM_ENTRIES] = {{0}};
     for (int i = 0; i < s->o->entries; i++) {
         entries[i] = GvStr_C(names[i]);
     }
-    for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+    for (int i = 0; i < s->n_entries; i++) {
+        gv_sim_entry_t *e = &s->entries[i];
+        e->dc = i / s->o->entries;
         e->queue = s->queue->create(&qo);
         e->estimate = GvEstimate_New(&eo);
-        e->budget.percent = 10;
+        e->budget.percent = s->o->retry_percent > 0 ? s->o->retry_percent : 10;
         e->running = g_ptr_array_new();
         for (int t = 0; t < s->o->targets; t++) {
             char host[16];
@@ -506,16 +423,16 @@
             e->cand[t].recent_ms = 1000;
             e->slots[t].share =
                 GvSlots_Share(GvStr_C(host), GV_TARGET_SLOTS, entries,
-                              s->o->entries, entries[i]);
+                              s->o->entries, entries[i % s->o->entries]);
         }
     }
 }
 
 static void
-end(sim_t *s)
+end(gv_sim_t *s)
 {
-    for (int i = 0; i < s->o->entries; i++) {
-        entry_t *e = &s->entries[i];
+    for (int i = 0; i < s->n_entries; i++) {
+        gv_sim_entry_t *e = &s->entries[i];
         gv_queue_item_t *it;
         while ((it = s->queue->expire(e->queue, INT64_MAX / 2)) != NULL) {
             g_free(it);
@@ -527,8 +444,17 @@
         s->queue->destroy(e->queue);
         GvEstimate_Free(e->estimate);
     }
+    const gv_sim_event_t *h = (const void *)s->heap->data;
+    for (guint i = 0; i < s->heap->len; i++) {
+        /* Other events name requests that are freed above or before. */
+        if (h[i].kind == GV_SIM_ARRIVE || h[i].kind == GV_SIM_HOP) {
+            g_free(h[i].req);
+        }
+    }
     g_array_free(s->heap, TRUE);
-    GvLoad_Clear(&s->gen);
+    for (int dc = 0; dc * s->o->entries < s->n_entries; dc++) {
+        GvLoad_Clear(&s->gen[dc]);
+    }
     g_rand_free(s->rand);
 }
 
@@ -536,40 +462,54 @@
 void
 GvSim_Run(const gv_sim_opts_t *o, gv_sim_result_t *r)
 {
-    sim_t s = {.o = o, .r = r};
+    gv_sim_t s = {.o = o, .r = r};
     *r = (gv_sim_result_t){
         .short_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .long_wait = g_array_new(FALSE, FALSE, sizeof(double)),
+        .modest_wait = g_array_new(FALSE, FALSE, sizeof(double)),
+        .greedy_wait = g_array_new(FALSE, FALSE, sizeof(double)),
         .urgent_wait = g_array_new(FALSE, FALSE, sizeof(double)),
-        .response = g_array_new(FALSE, FALSE, sizeof(double))};
+        .response = g_array_new(FALSE, FALSE, sizeof(double)),
+        .second_wait = g_array_new(FALSE, FALSE, sizeof(double))};
     s.queue = (const gv_queue_policy_t *)GvRegistry_Find(GV_PLUGIN_QUEUE,
                                                          GvStr_C(o->queue));
     s.place = (const gv_place_policy_t *)GvRegistry_Find(GV_PLUGIN_PLACE,
                                                          GvStr_C(o->place));
     s.retry = (const gv_retry_policy_t *)GvRegistry_Find(GV_PLUGIN_RETRY,
                                                          GvStr_C(o->retry));
-    s.heap = g_array_new(FALSE, FALSE, sizeof(event_t));
+    s.heap = g_array_new(FALSE, FALSE, sizeof(gv_sim_event_t));
     s.rand = g_rand_new_with_seed(o->seed + 1000);
     double capacity = o->targets * GV_TARGET_SLOTS / GV_LOAD_WORK_MS;
-    GvLoad_Init(&s.gen, o->seed, 0, o->load * capacity);
+    GvLoad_Init(&s.gen[0], o->seed, 0, o->load * capacity);
+    s.n_entries = o->entries;
+    if (o->second_load > 0) {
+        s.n_entries *= GV_SIM_DCS;
+        GvLoad_Init(&s.gen[1], o->seed, o->second_apart ? 2 : 0,
+                    o->second_load * capacity);
+    }
     init(&s);
-    schedule(&s, 0, TICK, NULL);
-    schedule(&s, GvLoad_Next(&s.gen, 0), ARRIVE, NULL);
+    GvSim_Schedule(&s, 0, GV_SIM_TICK, NULL);
+    for (int dc = 0; dc * o->entries < s.n_entries; dc++) {
+        draw_arrival(&s, dc);
+    }
     while (s.now < o->seconds * 1000) {
-        event_t e = next_event(&s);
+        gv_sim_event_t e = GvSim_NextEvent(&s);
         s.now = e.at;
         switch (e.kind) {
-        case ARRIVE:
-            arrive(&s);
+        case GV_SIM_ARRIVE:
+            arrive(&s, e.req);
+            break;
+        case GV_SIM_HOP:
+            submit(&s, e.req);
             break;
-        case FINISH:
+        case GV_SIM_FINISH:
             finish(&s, e.req);
             break;
-        case TICK:
+        case GV_SIM_TICK:
             tick(&s);
             break;
-        case AGAIN:
-            for (int i = 0; i < o->entries; i++) {
+        case GV_SIM_AGAIN:
+            for (int i = 0; i < s.n_entries; i++) {
                 dispatch(&s, &s.entries[i]);
             }
             break;
@@ -584,6 +524,9 @@
 {
     g_array_free(r->short_wait, TRUE);
     g_array_free(r->long_wait, TRUE);
+    g_array_free(r->modest_wait, TRUE);
+    g_array_free(r->greedy_wait, TRUE);
     g_array_free(r->urgent_wait, TRUE);
     g_array_free(r->response, TRUE);
+    g_array_free(r->second_wait, TRUE);
 }
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -3,16 +3,19 @@
 
 #include "load.h"
 
-/* One service of one data centre in virtual time: entry hosts with a queue
-   each, and targets that refuse work beyond their slots. Drives queue,
+/* One service in one or two data centres in virtual time: entry hosts with a
+   queue each, and targets that refuse work beyond their slots. Drives queue,
    estimate, slots, placement and retry as the daemon does. */
 
+enum { GV_SIM_TEAMS_MAX = 130 };
+
 typedef struct {
     guint32 seed;
     const char *queue;
     const char *place;
     const char *retry;
-    int entries;
+    int retry_percent; /* budget; 0: 10 */
+    int entries;       /* in a data centre, as the targets */
     int targets;
     double seconds;
     double load;     /* mean demand over capacity */
@@ -23,13 +26,24 @@
     bool slow;    /* one target in five is three times slower */
     bool cancels; /* every 7 s a third of the waiting work is cancelled */
     bool no_eject;
+    bool any_trial;  /* trials take whichever request is placed there */
     bool bad_worker; /* the first target fails everything for 60 s */
     bool collapse;   /* all targets fail four in five runs for 60 s */
+    /* A second data centre with this mean demand over its capacity; 0: none.
+       Its queue bursts at the same time, or when another service's would. */
+    double second_load;
+    bool second_apart;
+    /* Teams with equal quotas in place of the two usual ones; the first asks
+       for half of the work. At most GV_SIM_TEAMS_MAX. */
+    int teams;
+    bool spill; /* full entry hosts hand work to the other data centre */
 } gv_sim_opts_t;
 
 typedef struct {
     GArray *short_wait; /* double, ms; the deadline for work not started */
     GArray *long_wait;
+    GArray *modest_wait; /* short work of all teams but the first */
+    GArray *greedy_wait; /* short work of the first team */
     GArray *urgent_wait;
     GArray *response;   /* of short work, from arrival */
     double short_worst; /* of started work */
@@ -44,9 +58,18 @@
     double starts;
     double refusals;       /* by full targets */
     double lost_bad;       /* failed last on the bad worker */
+    double lost_trial;     /* of them, as a trial of an ejected worker */
     double attempts_fault; /* during the fault */
     double requests_fault;
     double late_starts; /* ended after the deadline */
+    double refused;     /* not admitted */
+    double spilled;     /* run in the second data centre */
+    /* Requests that reached the second data centre first; the others are
+       counted above. */
+    GArray *second_wait; /* of short work */
+    double second_requests;
+    double second_in_time;
+    double second_refused;
 } gv_sim_result_t;
 
 void GvSim_Run(const gv_sim_opts_t *o, gv_sim_result_t *r);
