Share the parsing of words between the verbs of the scripted runs

Ruled out: functions in script.c, which need more lines than they save. Change: the macros ARG, NUM and OPT in script.h. On a scratch copy, ledger_budget fails without the max_out rule, ledger_wave with the wave-state rule inverted, maintain_plan with the halt or the reboot limit inverted, queue_order and queue_shares with one slot too many. Conclusion: the macros stay.

--- a/tests/script.h
+++ b/tests/script.h
@@ -16,6 +16,12 @@
 /* The position of a word in a list of names; it must be there. */
 #define INDEX(word_, ...)                                                     \
     GvScript_Index(word_, (const char *const[]){__VA_ARGS__, NULL})
+/* For use in a verb: the word at position i, or an empty one; the number
+   there, or 0; the integer in the word "name=value", or the one given. */
+#define ARG(i_) ((i_) < argc ? GvStr_C(argv[i_]) : GV_STR(""))
+#define NUM(i_) ((i_) < argc ? g_ascii_strtoull(argv[i_], NULL, 0) : 0)
+#define OPT(name_, otherwise_)                                                \
+    atoi(GvScript_Option(argc, argv, name_, #otherwise_))
 /* The ledger that the ledger verbs build; NULL before the first record. */
 const struct gv_ledger_s *GvScript_Ledger(void);
 
--- a/tests/script_ledger.c
+++ b/tests/script_ledger.c
@@ -29,18 +29,6 @@
 static const char *const verdicts[] = {"accepted", "rejected", "duplicate",
                                        "expired", "malformed"};
 
-static gv_str_t
-arg(int argc, char **argv, int i)
-{
-    return i < argc ? GvStr_C(argv[i]) : GV_STR("");
-}
-
-static uint64_t
-num(int argc, char **argv, int i)
-{
-    return i < argc ? g_ascii_strtoull(argv[i], NULL, 0) : 0;
-}
-
 static void
 append(gv_str_t bytes)
 {
@@ -96,21 +84,21 @@
 /* as ORIGIN INCARNATION: sender of the records that follow. */
 GV_VERB("as", verb_as)
 {
-    g_strlcpy(origin, arg(argc, argv, 1).p, sizeof origin);
-    incarnation = num(argc, argv, 2);
+    g_strlcpy(origin, ARG(1).p, sizeof origin);
+    incarnation = NUM(2);
 }
 
 /* wait MS: moves the append time, possibly back. */
 GV_VERB("wait", verb_wait)
 {
-    now_ms += g_ascii_strtoll(arg(argc, argv, 1).p, NULL, 10);
+    now_ms += g_ascii_strtoll(ARG(1).p, NULL, 10);
 }
 
 /* times CREATED EXPIRES: of the next record, relative to now. */
 GV_VERB("times", verb_times)
 {
-    created_ms = now_ms + g_ascii_strtoll(arg(argc, argv, 1).p, NULL, 10);
-    expires_ms = now_ms + g_ascii_strtoll(arg(argc, argv, 2).p, NULL, 10);
+    created_ms = now_ms + g_ascii_strtoll(ARG(1).p, NULL, 10);
+    expires_ms = now_ms + g_ascii_strtoll(ARG(2).p, NULL, 10);
 }
 
 /* settings BASE YAML...: one document for each argument. */
@@ -121,23 +109,22 @@
         docs[i - 2].file = GV_STR("a.yaml");
         docs[i - 2].text = GvStr_C(argv[i]);
     }
-    GvLedger_PackSettings(&payload, num(argc, argv, 1), docs,
-                          MAX(argc - 2, 0));
+    GvLedger_PackSettings(&payload, NUM(1), docs, MAX(argc - 2, 0));
     submit("settings");
 }
 
 /* host NAME DC RACK POOL BOOT STATE */
 GV_VERB("host", verb_host)
 {
-    gv_lhost_t h = {.name = arg(argc, argv, 1),
-                    .dc = arg(argc, argv, 2),
-                    .rack = arg(argc, argv, 3),
-                    .addr = GV_STR("127.0.0.1:9001"),
-                    .pool = arg(argc, argv, 4),
-                    .boot = arg(argc, argv, 5),
-                    .slots = 8,
-                    .state = (gv_host_state_t)INDEX(arg(argc, argv, 6).p, "up",
-                                                    "failed", "gone")};
+    gv_lhost_t h = {
+        .name = ARG(1),
+        .dc = ARG(2),
+        .rack = ARG(3),
+        .addr = GV_STR("127.0.0.1:9001"),
+        .pool = ARG(4),
+        .boot = ARG(5),
+        .slots = 8,
+        .state = (gv_host_state_t)INDEX(ARG(6).p, "up", "failed", "gone")};
     GvLedger_PackHost(&payload, &h);
     submit("host");
 }
@@ -145,9 +132,9 @@
 /* member join|leave|removed NAME DC INCARNATION */
 GV_VERB("member", verb_member)
 {
-    gv_member_t m = {.name = arg(argc, argv, 2),
-                     .dc = arg(argc, argv, 3),
-                     .incarnation = num(argc, argv, 4),
+    gv_member_t m = {.name = ARG(2),
+                     .dc = ARG(3),
+                     .incarnation = NUM(4),
                      .peer_addr = GV_STR("127.0.0.1:7001"),
                      .http_addr = GV_STR("127.0.0.1:8001")};
     GvLedger_PackMember(
@@ -159,9 +146,9 @@
 /* claim HOST maintenance|move|drain WAVE-OR-POOL; the sender holds it. */
 GV_VERB("claim", verb_claim)
 {
-    gv_str_t to = arg(argc, argv, 3);
+    gv_str_t to = ARG(3);
     GvLedger_PackClaim(
-        &payload, arg(argc, argv, 1),
+        &payload, ARG(1),
         (gv_claim_kind_t)INDEX(argv[2], "maintenance", "move", "drain"), to,
         to, GvStr_C(origin), incarnation);
     submit("claim");
@@ -171,18 +158,18 @@
 static uint64_t
 claim_of(int argc, char **argv)
 {
-    const gv_lhost_t *h = GvLedger_Host(ledger, arg(argc, argv, 1));
-    if (GvStr_Equal(arg(argc, argv, 2), GV_STR("-"))) {
+    const gv_lhost_t *h = GvLedger_Host(ledger, ARG(1));
+    if (GvStr_Equal(ARG(2), GV_STR("-"))) {
         return h != NULL && h->claim != NULL ? h->claim->offset : 0;
     }
-    return num(argc, argv, 2);
+    return NUM(2);
 }
 
 /* confirm|act|takeover HOST CLAIM, by the sender. */
 GV_VERB("confirm", verb_step)
 {
     uint64_t claim = claim_of(argc, argv);
-    gv_str_t host = arg(argc, argv, 1);
+    gv_str_t host = ARG(1);
     if (argv[0][0] == 'c') {
         GvLedger_PackConfirm(&payload, host, claim, GvStr_C(origin),
                              incarnation);
@@ -200,12 +187,11 @@
 /* done HOST CLAIM healthy|failed|cancelled [BOOT] */
 GV_VERB("done", verb_done)
 {
-    gv_str_t host = arg(argc, argv, 1);
+    gv_str_t host = ARG(1);
     gv_done_t result =
         (gv_done_t)INDEX(argv[3], "healthy", "failed", "cancelled");
     if (argc > 4) {
-        GvLedger_PackHealthy(&payload, host, claim_of(argc, argv),
-                             arg(argc, argv, 4));
+        GvLedger_PackHealthy(&payload, host, claim_of(argc, argv), ARG(4));
     }
     else {
         GvLedger_PackDone(&payload, host, claim_of(argc, argv), result);
@@ -217,8 +203,7 @@
 GV_VERB("wave", verb_wave)
 {
     GvLedger_PackWave(
-        &payload, arg(argc, argv, 2), arg(argc, argv, 3),
-        (int)num(argc, argv, 4),
+        &payload, ARG(2), ARG(3), (int)NUM(4),
         (gv_wave_change_t)INDEX(argv[1], "start", "stop", "resume"));
     submit("wave");
 }
@@ -247,7 +232,7 @@
 /* repeat [BACK]: appends an earlier record again, unchanged. */
 GV_VERB("repeat", verb_repeat)
 {
-    unsigned back = argc > 1 ? (unsigned)num(argc, argv, 1) : 1;
+    unsigned back = argc > 1 ? (unsigned)NUM(1) : 1;
     append(g_array_index(entries, logged_t, entries->len - back).bytes);
 }
 
@@ -337,10 +322,9 @@
 GV_VERB("show", verb_show)
 {
     static const char *const states[] = {"running", "halted", "done"};
-    gv_str_t what = arg(argc, argv, 1);
-    const gv_wave_t *w = GvLedger_Wave(ledger, arg(argc, argv, 2));
-    const gv_key_claim_t *k =
-        GvLedger_Key(ledger, arg(argc, argv, 2), arg(argc, argv, 3));
+    gv_str_t what = ARG(1);
+    const gv_wave_t *w = GvLedger_Wave(ledger, ARG(2));
+    const gv_key_claim_t *k = GvLedger_Key(ledger, ARG(2), ARG(3));
     if (GvStr_Equal(what, GV_STR("wave")) && w != NULL) {
         printf("  wave %s %s healthy %d%s%s\n", w->name.p, states[w->state],
                w->healthy, w->halt_reason.n > 0 ? ": " : "", w->halt_reason.p);
--- a/tests/script_maintain.c
+++ b/tests/script_maintain.c
@@ -5,12 +5,6 @@
 #include "maintain_plan.h"
 #include "script.h"
 
-static long
-number(int argc, char **argv, const char *name)
-{
-    return strtol(GvScript_Option(argc, argv, name, "0"), NULL, 10);
-}
-
 /* step PHASE [probes=N running=N (no report without it) halted=1 waived=1
    drained=1 rebooted=1 reboot_ms=N new_boot=1 leaving=1 readied=1] */
 GV_VERB("step", verb_step)
@@ -22,17 +16,17 @@
     gv_claim_facts_t f = {
         .phase =
             (gv_claim_phase_t)INDEX(argv[1], "granted", "clear", "stopping"),
-        .wave_runs = number(argc, argv, "halted") == 0,
-        .waived = number(argc, argv, "waived") == 1,
-        .probes = (int)number(argc, argv, "probes"),
+        .wave_runs = OPT("halted", 0) == 0,
+        .waived = OPT("waived", 0) == 1,
+        .probes = OPT("probes", 0),
         .reported = running != NULL,
-        .running = (int)number(argc, argv, "running"),
-        .new_boot = number(argc, argv, "new_boot") == 1,
-        .leaving = number(argc, argv, "leaving") == 1,
-        .drained = number(argc, argv, "drained") == 1,
-        .rebooted = number(argc, argv, "rebooted") == 1,
-        .reboot_ms = number(argc, argv, "reboot_ms"),
-        .readied = number(argc, argv, "readied") == 1,
+        .running = OPT("running", 0),
+        .new_boot = OPT("new_boot", 0) == 1,
+        .leaving = OPT("leaving", 0) == 1,
+        .drained = OPT("drained", 0) == 1,
+        .rebooted = OPT("rebooted", 0) == 1,
+        .reboot_ms = OPT("reboot_ms", 0),
+        .readied = OPT("readied", 0) == 1,
     };
     for (int i = 1; i < argc; i++) {
         printf("%s ", argv[i]);
--- a/tests/script_policy_queue.c
+++ b/tests/script_policy_queue.c
@@ -44,21 +44,13 @@
 static int most_long;
 static GHashTable *stats; /* "team class" to int[3]: started, worst, late */
 
-static int
-option(int argc, char **argv, const char *name, int otherwise)
-{
-    const char *value = GvScript_Option(argc, argv, name, NULL);
-    return value == NULL ? otherwise : atoi(value);
-}
-
 static void
 read_opts(int argc, char **argv)
 {
-    opts = (gv_queue_opts_t){
-        .max_requests = option(argc, argv, "max", 1000),
-        .urgent_share_percent = option(argc, argv, "urgent", 50),
-        .long_share_percent = option(argc, argv, "long", 40),
-        .teams = teams};
+    opts = (gv_queue_opts_t){.max_requests = OPT("max", 1000),
+                             .urgent_share_percent = OPT("urgent", 50),
+                             .long_share_percent = OPT("long", 40),
+                             .teams = teams};
     for (int i = 1; i < argc; i++) {
         char *at = strchr(argv[i], ':');
         if (at != NULL && opts.n_teams < 8) {
@@ -268,7 +260,7 @@
     f->cls = g_intern_string(argv[1]);
     g_strlcpy(f->team, argv[2], sizeof f->team);
     f->run_ms = atof(argv[3]);
-    f->real_ms = option(argc, argv, "real", (int)f->run_ms);
+    f->real_ms = atoi(GvScript_Option(argc, argv, "real", argv[3]));
     f->every_ms = atoi(argv[4]);
     f->deadline_ms = atoi(argv[5]);
 }
