Share the process handling between harness.py and cluster.py

Cause: Processes and Cluster each started, signalled, killed and checked children; Processes also left stderr in a pipe that nobody read until the end, which can block a child that logs more than the pipe holds. Ruled out: giving Cluster a Processes member, because the scenarios and bench/processes.py call kill, signal, await_end and procs of the cluster. Change: Cluster derives from Processes, whose children log to files. Checks moved from Cluster to Processes: exit of a child that the test did not end, exit status of await_end, sanitizer reports in logs. Processes keeps the exit statuses of stop and stop_all and now checks the logs of killed children too. Conclusion: the shared class stays.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -4,14 +4,12 @@
 import os
 import pathlib
 import random
-import signal
 import subprocess
-import tempfile
 import threading
 import time
 
 import history
-from harness import (call, check_end, free_ports, serves, wait_until,
+from harness import (Processes, call, free_ports, serves, wait_until,
                      write_node)
 
 SERVICE = """kind: service
@@ -34,20 +32,17 @@
 """
 
 
-class Cluster:
+class Cluster(Processes):
     """Data centres dc1..; entry hosts e1.. spread over them in order; hosts
     SERVICE-DC-N, four to a rack. Ends all of its processes on exit."""
 
     def __init__(self, build, dcs=1, entries=2, services=("plan", "spare"),
                  hosts=4, min_hosts=1, max_out=2, reboot_ms=300,
                  platform_args=()):
-        self.build = pathlib.Path(build)
-        self.dir = tempfile.TemporaryDirectory(prefix="gv-test-")
+        super().__init__(build)
         self.dcs = [f"dc{i + 1}" for i in range(dcs)]
         self.services = services
         self.min_hosts, self.max_out = min_hosts, max_out
-        self.procs = {}
-        self.ended = []  # names and exit statuses of processes that crashed
         ports = iter(free_ports(
             2 + dcs * (2 * entries + hosts * len(services))))
 
@@ -77,26 +72,20 @@
         try:
             self.start()
         except BaseException:
-            self.stop()
+            self.kill_all()
             raise
         return self
 
     def __exit__(self, kind, value, trace):
         if kind is not None:
             print(f"{kind.__name__}: {value}")
-            for log in sorted(pathlib.Path(self.dir.name).glob("*.log")):
-                print(f"--- {log.name}\n{log.read_text()[-1500:]}")
-        self.stop()
-
-    def spawn(self, name, args):
-        log = open(pathlib.Path(self.dir.name) / f"{name}.log", "ab")
-        self.procs[name] = subprocess.Popen(
-            [str(self.build / args[0])] + args[1:], stdout=log, stderr=log)
-        log.close()
+            for name, text in self.logs().items():
+                print(f"--- {name}\n{text[-1500:]}")
+        self.kill_all()
 
     def start(self):
-        self.spawn("platform", ["standin-platform", "--listen", self.platform,
-                                "--control", self.control, *self.platform_args])
+        self.spawn("platform", "standin-platform", "--listen", self.platform,
+                   "--control", self.control, *self.platform_args)
         wait_until(lambda: call(self.platform, "GET", "/hosts"), 10,
                    "platform answers")
         racks = {}
@@ -105,11 +94,11 @@
             rack.append(name)
             self.set_host(name, rack=f"{dc}-r{(len(rack) - 1) // 4}")
         for dc in self.dcs:
-            args = ["standin-target", "--reboot-ms", str(self.reboot_ms)]
+            args = ["--reboot-ms", self.reboot_ms]
             for name, (at, _, addr) in self.hosts.items():
                 if at == dc:
                     args += ["--target", f"{name}={addr}"]
-            self.spawn(f"targets-{dc}", args)
+            self.spawn(f"targets-{dc}", "standin-target", *args)
         for name in self.entries:
             self.start_entry(name)
         for name in self.entries:
@@ -129,7 +118,7 @@
         write_node(path, name, self.entries,
                    self.platform_via.get(name, self.platform), 32,
                    self.peer_via)
-        self.spawn(name, ["gventryd", "--config", str(path)])
+        self.spawn(name, "gventryd", "--config", path)
 
     def wait_entry(self, name):
         wait_until(lambda: serves(self.entry(name, "GET", "/healthz")), 15,
@@ -175,23 +164,6 @@
     def target(self, host, method, path):
         return call(self.hosts[host][2], method, path, timeout=5.0)
 
-    def kill(self, name):
-        proc = self.procs[name]
-        if proc.poll() is not None:
-            self.ended.append((name, proc.returncode))
-        proc.kill()
-        proc.wait()
-        del self.procs[name]
-
-    def await_end(self, name, code, seconds):
-        """Waits until a process ends by itself with that exit status."""
-        proc = self.procs.pop(name)
-        assert proc.wait(seconds) == code, f"{name} ended with " \
-            f"{proc.returncode}"
-
-    def signal(self, name, number):
-        self.procs[name].send_signal(number)
-
     def runs(self):
         out = []
         for host in self.hosts:
@@ -200,25 +172,6 @@
             out += history.parse_history(answer.text)
         return [run for run in out if run.tag != "ping"]
 
-    def stop(self):
-        """Kills what still runs; a process that ended otherwise than by the
-        test fails it, as does a sanitizer report."""
-        for name, proc in self.procs.items():
-            if proc.poll() is None:
-                proc.send_signal(signal.SIGCONT)
-                proc.kill()
-            else:
-                self.ended.append((name, proc.returncode))
-        for proc in self.procs.values():
-            proc.wait()
-        logs = {log.stem: log.read_text(errors="replace")
-                for log in sorted(pathlib.Path(self.dir.name).glob("*.log"))}
-        self.dir.cleanup()
-        for name, code in self.ended:
-            check_end(name, code or "a status of 0", logs[name])
-        for name, text in logs.items():
-            check_end(name, None, text)
-
 
 class Callers:
     """Caller threads with a seeded mix of requests. Every submission is
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -6,9 +6,11 @@
 import itertools
 import pathlib
 import re
+import signal
 import socket
 import struct
 import subprocess
+import tempfile
 import threading
 import time
 import typing
@@ -136,43 +138,80 @@
 
 
 class Processes:
-    """Children of one test. Ends exactly these, by SIGTERM, then SIGKILL."""
+    """Children of one test by name, each with a log file. Ends exactly
+    these."""
 
     def __init__(self, build):
         self.build = pathlib.Path(build)
-        self.children = {}
-
-    def start(self, name, program, *args, addr=None, env=None):
-        proc = subprocess.Popen([str(self.build / program), *map(str, args)],
-                                stderr=subprocess.PIPE, env=env)
-        self.children[name] = proc
+        self.dir = tempfile.TemporaryDirectory(prefix="gv-test-")
+        self.procs = {}
+        self.ended = []  # names and exit statuses of processes that crashed
+
+    def logs(self):
+        """Returns the output of each process so far."""
+        return {log.stem: log.read_text(errors="replace")
+                for log in sorted(pathlib.Path(self.dir.name).glob("*.log"))}
+
+    def spawn(self, name, program, *args, addr=None, env=None):
+        with open(f"{self.dir.name}/{name}.log", "ab") as log:
+            self.procs[name] = subprocess.Popen(
+                [str(self.build / program), *map(str, args)],
+                stdout=log, stderr=log, env=env)
         if addr:
             wait_port(addr)
-        return proc
+
+    def signal(self, name, number):
+        self.procs[name].send_signal(number)
+
+    def kill(self, name):
+        proc = self.procs.pop(name)
+        if proc.poll() is not None:
+            self.ended.append((name, proc.returncode))
+        proc.send_signal(signal.SIGCONT)
+        proc.kill()
+        proc.wait()
+
+    def await_end(self, name, code, seconds):
+        """Waits until a process ends by itself with that exit status."""
+        proc = self.procs.pop(name)
+        assert proc.wait(seconds) == code, f"{name} ended with " \
+            f"{proc.returncode}"
 
     def stop(self, name, seconds=10):
         """Ends a child by SIGTERM and returns its exit status."""
-        proc = self.children.pop(name)
-        if proc.poll() is None:
-            proc.terminate()
+        proc = self.procs.pop(name)
+        proc.terminate()
         try:
-            _, err = proc.communicate(timeout=seconds)
+            code = proc.wait(seconds)
         except subprocess.TimeoutExpired:
             proc.kill()
-            _, err = proc.communicate()
+            proc.wait()
             raise AssertionError(f"{name}: no end after SIGTERM") from None
-        text = err.decode(errors="replace")
-        if text:
-            print(f"{name}: {text}", end="")
-        check_end(name, None, text)
-        return proc.returncode
+        check_end(name, None, self.logs()[name])
+        return code
 
     def stop_all(self):
         """Ends all children; each must exit cleanly."""
-        codes = {name: self.stop(name) for name in list(self.children)}
+        codes = {name: self.stop(name) for name in list(self.procs)}
         bad = {name: code for name, code in codes.items() if code != 0}
+        for name, text in self.logs().items():
+            if text:
+                print(f"{name}: {text}", end="")
+        self.kill_all()
         assert not bad, f"unclean exits: {bad}"
 
+    def kill_all(self):
+        """Kills what still runs; a process that ended otherwise than by the
+        test fails it, as does a sanitizer report."""
+        for name in list(self.procs):
+            self.kill(name)
+        logs = self.logs()
+        self.dir.cleanup()
+        for name, code in self.ended:
+            check_end(name, code or "a status of 0", logs[name])
+        for name, text in logs.items():
+            check_end(name, None, text)
+
 
 class ProcessTest(unittest.TestCase):
     """A test with its own children; `build` is set by main()."""
--- a/tests/proc_maintain.py
+++ b/tests/proc_maintain.py
@@ -120,9 +120,7 @@
         wait_until(lambda: [t["host"] for t in
                             self.status(self.e1)["targets"]] == ["t1"], 20,
                    "t2 is dropped")
-        proc = self.procs.children.pop("e2")
-        proc.kill()
-        proc.communicate()
+        self.procs.kill("e2")
         self.list_host("e2", self.entries["e2"][1], "gone", 0, "")
         wait_until(lambda: [m["name"] for m in
                             self.status(self.e1)["members"]] == ["e1"], 20,
--- a/tests/proc_operator.py
+++ b/tests/proc_operator.py
@@ -34,7 +34,7 @@
         self.env = dict(env, GYPSUMVALVE_PLATFORM=self.addr)
         self.env.pop("GYPSUMVALVE_ENTRY", None)
         self.procs = harness.Processes(BUILD)
-        self.procs.start("platform", "standin-platform", "--listen", self.addr,
+        self.procs.spawn("platform", "standin-platform", "--listen", self.addr,
                          *args, addr=self.addr, env=env)
         self.seq, self.raws = 0, []
 
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -2,9 +2,9 @@
 """Requests end to end: callers, two entry hosts and targets as separate
 processes, with the settings read from the log."""
 import json
+import signal
 import socket
 import sys
-import tempfile
 import time
 
 import harness
@@ -38,13 +38,11 @@
     def setUp(self):
         super().setUp()
         self.sequence = 0
-        self.dir = tempfile.TemporaryDirectory()
-        self.addCleanup(self.dir.cleanup)
         self.platform = harness.free_addr()
-        self.procs.start("platform", "standin-platform", "--listen",
+        self.procs.spawn("platform", "standin-platform", "--listen",
                          self.platform, addr=self.platform)
         self.targets = {f"t{i}": harness.free_addr() for i in (1, 2)}
-        self.procs.start(
+        self.procs.spawn(
             "targets", "standin-target", "--slots", self.slots,
             *(f"--target={n}={a}" for n, a in self.targets.items()),
             addr=self.targets["t2"])
@@ -62,13 +60,13 @@
     def stop_entries(self):
         """Entry hosts end before the platform, so that they can leave."""
         for name in self.entries:
-            if name in self.procs.children:
+            if name in self.procs.procs:
                 self.assertEqual(self.procs.stop(name), 0)
 
     def start_entry(self, name):
-        path = f"{self.dir.name}/{name}.yaml"
+        path = f"{self.procs.dir.name}/{name}.yaml"
         harness.write_node(path, name, self.entries, self.platform, 8)
-        self.procs.start(name, "gventryd", "--config", path,
+        self.procs.spawn(name, "gventryd", "--config", path,
                          addr=self.entries[name][1])
 
     def append(self, kind, payload):
@@ -345,7 +343,7 @@
         """Guards against a planned stop that interrupts a run, accepts new
         work, or leaves without appending `leave`."""
         run, out = self.begin(1500, b"body")
-        self.procs.children["e1"].terminate()
+        self.procs.signal("e1", signal.SIGTERM)
         wait_until(lambda: call(self.e1, "GET", "/healthz").status == 503, 2,
                    "health turns 503")
         a = call(self.e1, "POST", "/svc/routing/new", b"")
@@ -361,14 +359,14 @@
     def test_reload(self):
         """Guards against an invalid node file that ends the daemon or
         replaces the settings in force."""
-        path = f"{self.dir.name}/e1.yaml"
+        path = f"{self.procs.dir.name}/e1.yaml"
         with open(path, encoding="utf-8") as f:
             good = f.read()
         for text in ("name: [", good.replace("data_centre: k1", "", 1),
                      good.replace("name: e1", "name: e9")):
             with open(path, "w", encoding="utf-8") as f:
                 f.write(text)
-            self.procs.children["e1"].send_signal(1)
+            self.procs.signal("e1", signal.SIGHUP)
             time.sleep(0.3)
             self.assertEqual(self.status(self.e1)["name"], "e1")
         a = call(self.e1, "GET", "/svc/routing/a")
--- a/tests/proc_platform.py
+++ b/tests/proc_platform.py
@@ -12,7 +12,7 @@
 class Platform(harness.ProcessTest):
     def start(self, *args):
         self.addr = harness.free_addr()
-        self.procs.start("platform", "standin-platform", "--listen",
+        self.procs.spawn("platform", "standin-platform", "--listen",
                          self.addr, *args, addr=self.addr)
 
     def append(self, *records):
@@ -152,7 +152,7 @@
 class Hosts(Platform):
     def start_target(self, *args):
         self.target = harness.free_addr()
-        self.procs.start("target", "standin-target", "--target",
+        self.procs.spawn("target", "standin-target", "--target",
                          f"h1={self.target}", *args, addr=self.target)
 
     def test_versions_lag_and_repeat(self):
@@ -247,7 +247,7 @@
     def start(self, *args):
         self.addr, self.other = (f"127.0.0.1:{p}"
                                  for p in harness.free_ports(2))
-        self.procs.start("target", "standin-target", "--target",
+        self.procs.spawn("target", "standin-target", "--target",
                          f"a={self.addr}", "--target", f"b={self.other}",
                          *args, addr=self.addr)
         harness.wait_port(self.other)
--- a/tests/proc_stop.py
+++ b/tests/proc_stop.py
@@ -19,9 +19,8 @@
 class Stops(Path):
     def freeze(self, name):
         """Pauses a process: its connections stay open and go silent."""
-        proc = self.procs.children[name]
-        proc.send_signal(signal.SIGSTOP)
-        self.addCleanup(proc.send_signal, signal.SIGCONT)
+        self.procs.signal(name, signal.SIGSTOP)
+        self.addCleanup(self.procs.signal, name, signal.SIGCONT)
 
     def stop_in_time(self, name):
         begin = time.monotonic()
@@ -35,7 +34,7 @@
                                    "/svc/routing/a?run_ms=1000", b"x")
         wait_until(self.runs, 5, "request has started")
         self.freeze("platform")
-        self.procs.children["e1"].terminate()
+        self.procs.signal("e1", signal.SIGTERM)
         run.join()
         self.assertEqual((out[0].status, out[0].text), (200, "ok x"))
         self.stop_in_time("e1")
@@ -43,9 +42,7 @@
     def test_platform_gone(self):
         """Guards against a stop that waits for a `leave` that cannot be
         appended."""
-        platform = self.procs.children.pop("platform")
-        platform.kill()
-        platform.communicate()
+        self.procs.kill("platform")
         self.stop_in_time("e1")
         self.stop_in_time("e2")
 
@@ -58,7 +55,7 @@
             "Gv-Ticket": ticket, "Gv-Deadline-Ms": "2000"})
         wait_until(lambda: self.status(self.e1)["in_progress"] == 1, 5,
                    "request is at the peer")
-        self.procs.children["e1"].terminate()
+        self.procs.signal("e1", signal.SIGTERM)
         run.join()
         self.assertEqual(out[0].headers["Gv-Outcome"], "unknown")
         self.stop_in_time("e1")
