--- a/src/hosttable.c
+++ b/src/hosttable.c
@@ -181,9 +181,7 @@
     t->dirty = false;
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 2);
+    msgpack_packer pk = GvPack_Array(&sb, 2);
     GvPack_Uint(&pk, ++t->version);
     msgpack_pack_array(&pk, t->hosts->len);
     for (guint i = 0; i < t->hosts->len; i++) {
--- a/src/ledger_checkpoint.c
+++ b/src/ledger_checkpoint.c
@@ -5,12 +5,10 @@
 void
 GvLedger_PackCheckpoint(msgpack_sbuffer *out, const gv_ledger_t *l)
 {
-    msgpack_packer pk;
     msgpack_sbuffer state;
     msgpack_sbuffer_init(&state);
     GvLedger_Save(l, &state);
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 2);
+    msgpack_packer pk = GvPack_Array(out, 2);
     GvPack_Uint(&pk, l->next);
     GvPack_Bin(&pk, GvStr_N(state.data, state.size));
     msgpack_sbuffer_destroy(&state);
--- a/src/ledger_claim.c
+++ b/src/ledger_claim.c
@@ -10,9 +10,7 @@
                    gv_str_t wave, gv_str_t to_pool, gv_str_t holder,
                    uint64_t incarnation)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 6);
+    msgpack_packer pk = GvPack_Array(out, 6);
     GvPack_Str(&pk, host);
     GvPack_Int(&pk, kind);
     GvPack_Str(&pk, wave);
@@ -26,9 +24,7 @@
 pack_step(msgpack_sbuffer *out, gv_str_t host, uint64_t claim, gv_str_t name,
           uint64_t incarnation)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 4);
+    msgpack_packer pk = GvPack_Array(out, 4);
     GvPack_Str(&pk, host);
     GvPack_Uint(&pk, claim);
     GvPack_Str(&pk, name);
@@ -64,9 +60,7 @@
 GvLedger_PackDone(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
                   gv_done_t result)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 3);
+    msgpack_packer pk = GvPack_Array(out, 3);
     GvPack_Str(&pk, host);
     GvPack_Uint(&pk, claim);
     GvPack_Int(&pk, result);
@@ -78,9 +72,7 @@
 GvLedger_PackHealthy(msgpack_sbuffer *out, gv_str_t host, uint64_t claim,
                      gv_str_t boot)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 4);
+    msgpack_packer pk = GvPack_Array(out, 4);
     GvPack_Str(&pk, host);
     GvPack_Uint(&pk, claim);
     GvPack_Int(&pk, GV_DONE_HEALTHY);
--- a/src/ledger_host.c
+++ b/src/ledger_host.c
@@ -9,9 +9,7 @@
 void
 GvLedger_PackHost(msgpack_sbuffer *out, const gv_lhost_t *h)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 8);
+    msgpack_packer pk = GvPack_Array(out, 8);
     GvPack_Str(&pk, h->name);
     GvPack_Str(&pk, h->dc);
     GvPack_Str(&pk, h->rack);
--- a/src/ledger_key.c
+++ b/src/ledger_key.c
@@ -35,9 +35,7 @@
 GvLedger_PackKeys(msgpack_sbuffer *out, const gv_key_item_t *items, int n,
                   gv_str_t owner, uint64_t incarnation)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 3);
+    msgpack_packer pk = GvPack_Array(out, 3);
     GvPack_Str(&pk, owner);
     GvPack_Uint(&pk, incarnation);
     msgpack_pack_array(&pk, (size_t)n);
--- a/src/ledger_member.c
+++ b/src/ledger_member.c
@@ -8,9 +8,7 @@
 GvLedger_PackMember(msgpack_sbuffer *out, const gv_member_t *m,
                     gv_member_change_t change)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 6);
+    msgpack_packer pk = GvPack_Array(out, 6);
     GvPack_Str(&pk, m->name);
     GvPack_Str(&pk, m->dc);
     GvPack_Uint(&pk, m->incarnation);
--- a/src/ledger_save.c
+++ b/src/ledger_save.c
@@ -196,9 +196,7 @@
 void
 GvLedger_Save(const gv_ledger_t *l, msgpack_sbuffer *out)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 16);
+    msgpack_packer pk = GvPack_Array(out, 16);
     GvPack_Uint(&pk, GV_STATE_FORMAT);
     GvPack_Uint(&pk, l->next);
     GvPack_Int(&pk, l->time_ms);
--- a/src/ledger_settings.c
+++ b/src/ledger_settings.c
@@ -9,9 +9,7 @@
 GvLedger_PackSettings(msgpack_sbuffer *out, uint64_t base,
                       const gv_document_t *docs, int n)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 2);
+    msgpack_packer pk = GvPack_Array(out, 2);
     GvPack_Uint(&pk, base);
     msgpack_pack_array(&pk, (size_t)n);
     for (int i = 0; i < n; i++) {
--- a/src/ledger_wave.c
+++ b/src/ledger_wave.c
@@ -9,9 +9,7 @@
 GvLedger_PackWave(msgpack_sbuffer *out, gv_str_t name, gv_str_t pool,
                   int width, gv_wave_change_t change)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 4);
+    msgpack_packer pk = GvPack_Array(out, 4);
     GvPack_Str(&pk, name);
     GvPack_Str(&pk, pool);
     GvPack_Int(&pk, width);
--- a/src/logstore.c
+++ b/src/logstore.c
@@ -142,9 +142,7 @@
 GvLogStore_PackAppended(uint64_t first, uint64_t count, msgpack_sbuffer *out)
 {
     msgpack_sbuffer_init(out);
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 2);
+    msgpack_packer pk = GvPack_Array(out, 2);
     GvPack_Uint(&pk, first);
     GvPack_Uint(&pk, count);
 }
@@ -162,9 +160,7 @@
         bytes += entry_at(s, end)->bytes.n;
         end++;
     }
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, 4);
+    msgpack_packer pk = GvPack_Array(out, 4);
     GvPack_Uint(&pk, s->first);
     GvPack_Uint(&pk, next);
     GvPack_Int(&pk, s->retention_ms);
--- a/src/pack.c
+++ b/src/pack.c
@@ -2,6 +2,17 @@
 
 #include "error.h"
 
+/* Begins an array of n values at the end of a buffer. The values are packed
+   with the packer that it returns. */
+msgpack_packer
+GvPack_Array(msgpack_sbuffer *out, size_t n)
+{
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+    msgpack_pack_array(&pk, n);
+    return pk;
+}
+
 /* Packs s as a msgpack string. */
 void
 GvPack_Str(msgpack_packer *pk, gv_str_t s)
--- a/src/pack.h
+++ b/src/pack.h
@@ -10,6 +10,7 @@
 /* Shorthand over msgpack-c. Objects are packed as arrays; a reader accepts
    arrays longer than it knows, so that fields can be appended later. */
 
+msgpack_packer GvPack_Array(msgpack_sbuffer *out, size_t n);
 void GvPack_Str(msgpack_packer *pk, gv_str_t s);
 void GvPack_Bin(msgpack_packer *pk, gv_str_t s);
 void GvPack_Uint(msgpack_packer *pk, uint64_t v);
--- a/src/platform.c
+++ b/src/platform.c
@@ -96,9 +96,7 @@
 {
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, (size_t)n);
+    msgpack_packer pk = GvPack_Array(&sb, (size_t)n);
     for (int i = 0; i < n; i++) {
         GvPack_Bin(&pk, records[i]);
     }
--- a/src/record.c
+++ b/src/record.c
@@ -10,9 +10,7 @@
 void
 GvRecord_Pack(msgpack_sbuffer *out, const gv_record_t *r, gv_str_t payload)
 {
-    msgpack_packer pk;
-    msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-    msgpack_pack_array(&pk, RECORD_FIELDS);
+    msgpack_packer pk = GvPack_Array(out, RECORD_FIELDS);
     GvPack_Uint(&pk, GV_RECORD_FORMAT);
     GvPack_Str(&pk, r->kind);
     GvPack_Str(&pk, r->origin);
