Leave out the empty field in gventryd's settings errors

Cause: a problem of the whole file has no field, and gventryd printed "FILE:1: : TEXT". Ruled out: the reader, because gypsumvalve check prints the same problem well. Change: the field and its colon are printed together, as cli_print.c does. Conclusion: the change stays.

--- a/src/gventryd.c
+++ b/src/gventryd.c
@@ -14,8 +14,9 @@
 {
     for (guint i = 0; i < ps->len; i++) {
         const gv_problem_t *p = g_ptr_array_index(ps, i);
-        GvLog_Write(GV_LOG_ERROR, "%.*s:%d: %.*s: %.*s", GV_STR_ARG(p->file),
-                    p->line, GV_STR_ARG(p->field), GV_STR_ARG(p->text));
+        GvLog_Write(GV_LOG_ERROR, "%.*s:%d: %.*s%s%.*s", GV_STR_ARG(p->file),
+                    p->line, GV_STR_ARG(p->field), p->field.n > 0 ? ": " : "",
+                    GV_STR_ARG(p->text));
     }
 }
 
