--- a/src/gypsumvalve.h
+++ b/src/gypsumvalve.h
@@ -3,7 +3,11 @@
 
 /* Public interface of libgypsumvalve: coordination parts without input,
    output, threads or clocks. Events, times and random numbers are arguments;
-   see docs/design.md. */
+   see docs/design.md and examples/embed.c.
+
+   An installed copy is included as <gypsumvalve/gypsumvalve.h>. With the
+   directory itself on the path of -I, limits.h would hide the system's
+   <limits.h>, which msgpack needs. */
 
 #include "burn.h"
 #include "error.h"
