Refuse connections at once when a stand-in server closes its port

Cause: proc_platform failed once in test_faults: a connection was accepted after refuse=1. The server's thread may be polling the listening socket while another thread closes it, and the poll keeps the socket listening until it returns. Ruled out: the machine's load; a loop that switches refuse on and connects at once meets it without load too. Change: shutdown of the listening socket before its close, and the loop as Target.test_refuse in proc_platform. Conclusion: the change stays.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -223,6 +224,9 @@
     if (refuse && s->daemon != NULL) {
         MHD_socket fd = MHD_quiesce_daemon(s->daemon);
         if (fd != MHD_INVALID_SOCKET) {
+            /* The server's thread may still poll the socket, which keeps it
+               listening after the close. */
+            shutdown(fd, SHUT_RDWR);
             close(fd);
         }
         g_ptr_array_add(s->quiesced, s->daemon);
--- a/tests/proc_platform.py
+++ b/tests/proc_platform.py
@@ -312,6 +312,16 @@
         self.assertEqual(self.fault("reset=1&what=1"), 400)
         self.assertEqual(call(self.addr, "GET", "/control/leave").status, 405)
 
+    def test_refuse(self):
+        """Guards against connections that are accepted for a moment after the
+        refusal has begun."""
+        self.start()
+        for _ in range(100):
+            self.fault("refuse=1")
+            with self.assertRaises(AssertionError):
+                harness.wait_port(self.addr, 0)
+            self.fault("reset=1")
+
     def test_silent(self):
         """Guards against new connections that are silent as well."""
         self.start()
