Read a stand-in server's daemon under its lock when stopping it

Cause: GvServer_Stop read the field without the lock under which GvServer_Refuse, called on another server's thread, writes it. Ruled out: holding the lock during the stop, because a handler that calls GvServer_Refuse would wait for it for ever. Change: GvServer_Stop copies the field under the lock.

--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -203,8 +203,12 @@
 void
 GvServer_Stop(gv_server_t *s)
 {
-    if (s->daemon != NULL) {
-        MHD_stop_daemon(s->daemon);
+    /* Not held during the stop, because a handler may call Refuse. */
+    pthread_mutex_lock(&s->lock);
+    struct MHD_Daemon *daemon = s->daemon;
+    pthread_mutex_unlock(&s->lock);
+    if (daemon != NULL) {
+        MHD_stop_daemon(daemon);
     }
     for (guint i = 0; i < s->quiesced->len; i++) {
         MHD_stop_daemon(s->quiesced->pdata[i]);
