--- a/src/httpserver.c
+++ b/src/httpserver.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -202,8 +203,12 @@
 void
 GvServer_Stop(gv_server_t *s)
 {
-    if (s->daemon != NULL) {
-        MHD_stop_daemon(s->daemon);
+    /* Not held during the stop, because a handler may call Refuse. */
+    pthread_mutex_lock(&s->lock);
+    struct MHD_Daemon *daemon = s->daemon;
+    pthread_mutex_unlock(&s->lock);
+    if (daemon != NULL) {
+        MHD_stop_daemon(daemon);
     }
     for (guint i = 0; i < s->quiesced->len; i++) {
         MHD_stop_daemon(s->quiesced->pdata[i]);
@@ -223,6 +228,9 @@
     if (refuse && s->daemon != NULL) {
         MHD_socket fd = MHD_quiesce_daemon(s->daemon);
         if (fd != MHD_INVALID_SOCKET) {
+            /* The server's thread may still poll the socket, which keeps it
+               listening after the close. */
+            shutdown(fd, SHUT_RDWR);
             close(fd);
         }
         g_ptr_array_add(s->quiesced, s->daemon);
