Test the cancellation by id of a queued ticket over processes

Cause: test_forward calls GvForward_Cancel itself, so that nothing noticed if DELETE /v1/requests/ID took another way.

Ruled out: nothing else.

--- a/src/sockwatch.c
+++ b/src/sockwatch.c
@@ -22,6 +22,7 @@
 find_connect(void)
 {
     next_connect = (connect_t)dlsym(RTLD_NEXT, "connect");
+    g_assert(next_connect != NULL);
 }
 
 /* Takes the place of the C library's connect in this program, notes the
--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -253,6 +253,28 @@
         time.sleep(2)
         self.assertFalse([r for r in self.runs() if " /c" in r])
 
+    def test_cancel_ticket_queued(self):
+        """Guards against a ticket that is cancelled in the queue, by the id
+        of the submission or of its run, and is told unknown or runs later."""
+        self.fill(self.e1, 2500)
+        self.fill(self.e2, 2500)
+
+        def ids():
+            return {r["id"] for r in self.status(self.e1)["requests"]}
+        for i in range(2):
+            known = ids()
+            ticket = call(self.e1, "POST", "/v1/tickets").text.strip()
+            args = ("POST", "/svc/routing/c", b"", {"Gv-Ticket": ticket})
+            thread, out = self.background(self.e1, *args)
+            wait_until(lambda k=known: len(ids() - k) == 2, 5,
+                       "the run is queued")
+            rid = sorted(ids() - known)[i]
+            call(self.e1, "DELETE", f"/v1/requests/{rid}")
+            thread.join()
+            repeats = [call(addr, *args) for addr in (self.e1, self.e2)]
+            self.assertEqual([self.outcome(a) for a in out + repeats],
+                             [(409, "not-run")] * 3)
+
     def test_caller_gone_while_queued(self):
         """Guards against work that starts for a caller who has left."""
         self.fill_all()
