--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -349,7 +349,7 @@
         """Puts relays with this edit between the entry hosts and targets."""
         addrs = set()
         for name, addr in self.targets.items():
-            relay = Relay(addr, edit)
+            relay = Relay(addr, edit=edit)
             self.addCleanup(relay.stop)
             addrs.add(relay.addr)
             self.append("host", [name, "k1", f"r-{name}", relay.addr,
