--- a/src/sockwatch.c
+++ b/src/sockwatch.c
@@ -16,7 +16,7 @@
 static GTree *watched; /* active gv_sockwatch_t, the earliest end first */
 static pthread_once_t connect_once = PTHREAD_ONCE_INIT;
 static connect_t next_connect;
-static __thread int last_fd = -1;
+static _Thread_local int last_fd = -1;
 
 static void
 find_connect(void)
