Make wave_waits prove the guard between data centres

Cause: the mutant one-data-centre-in-a-wave was missed. The scenario cut the data centre off during the first claim of the wave, and before its first host is back a wave gets no second claim anyway.

Ruled out: that the entry hosts of the second data centre do not propose a claim; with the claim after the first one they do, and the mutant is caught.

Change: the scenario waits until the first host is back before it holds a claim.

--- a/tests/proc_cuts.py
+++ b/tests/proc_cuts.py
@@ -283,21 +283,30 @@
 def wave_waits(build):
     """Guards against a second data centre that is maintained while one that
     is cut off holds a claim and may be rebooting its host."""
-    with Cuts(build, dcs=2, hosts=1, services=("plan",)) as cuts:
+    with Cuts(build, dcs=2, hosts=4, services=("plan",)) as cuts:
         c = cuts.c
-        c.signal("e2", signal.SIGSTOP)  # its confirmation stays missing
         c.operate("wave", "start", "w1", "--pool", "plan", "--width", "2")
-        wait_until(lambda: rows(c, "e3", "claims"), 15, "a claim")
+        # Before its first host is back a wave has no second claim anyway.
+        wait_until(lambda: rows(c, "e3", "waves")[0]["healthy"], 15,
+                   "the first host is back")
+        c.signal("e2", signal.SIGSTOP)  # its confirmation stays missing
+        time.sleep(1)  # a record that it has sent is applied by then
+        wait_until(lambda: [r for r in rows(c, "e3", "claims")
+                            if r["waiting"] or r["holder"] == "e2"], 15,
+                   "a claim that needs e2")
         cuts.cut("dc1")
+        before = [r["host"] for r in rows(c, "e3", "claims")]
+        assert {h.split("-")[1] for h in before} == {"dc1"}, \
+            f"claims on {before}"
         c.signal("e2", signal.SIGCONT)
         end = time.monotonic() + 9  # longer than GV_WAVE_TURN_MS
         while time.monotonic() < end:
             held = [r["host"] for r in rows(c, "e3", "claims")]
-            assert held == ["plan-dc1-1"], f"claims on {held}"
+            assert held == before, f"claims on {held}, before: {before}"
             time.sleep(0.1)
         cuts.heal()
         wait_until(lambda: wave(c, "e3") == "done", 40, "wave ends")
-        assert rebooted(c, "dc1") == rebooted(c, "dc2") == 1
+        assert rebooted(c, "dc1") == rebooted(c, "dc2") == 4
 
 
 def lost_site(build):
