--- a/tests/proc_faults.py
+++ b/tests/proc_faults.py
@@ -270,7 +270,8 @@
 
 SCENARIOS = [entry_killed, entry_paused, platform_outage, lost_appends,
              operators_race, wave_under_load, leaving_target,
-             silent_connections, failing_target, trials, partition, rolling_restarts]
+             silent_connections, failing_target, trials, partition,
+             rolling_restarts]
 
 
 def main():
