Count control bytes by the server's port in make bench

Cause: the loopback interface's counters include the traffic of other processes, and give only bounds that are a factor of two apart. Ruled out: counters of the process's sockets, because they are lost when a connection is closed. Change: count the headers of packets by the ports of targets, platform and peer links; bytes between entry hosts count for both, all others for one. The rows name the parts, the bytes of one probe, the mean entry host and the entry host with the most probes. Conclusion: the parts are known exactly, also while others use loopback.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,14 +3,18 @@
 the request path against a direct call in the same run, and the control cost
 of an idle entry host at growing sizes.
 
-Bytes are taken from the loopback interface's counters, so nothing else may
-use loopback meanwhile; they include TCP/IP headers.
+Bytes are counted on the loopback interface by the port of the server, so
+traffic of other processes does not count; they include the headers of
+Ethernet, IP and TCP. This needs the right to open packet sockets (root).
 """
 import argparse
+import ctypes
 import http.client
 import os
 import pathlib
+import socket
 import statistics
+import struct
 import sys
 import threading
 import time
@@ -45,10 +49,56 @@
     return 0.0
 
 
-def loopback_bytes():
-    for line in pathlib.Path("/proc/net/dev").read_text().split("\n"):
-        if line.strip().startswith("lo:"):
-            return int(line.split(":")[1].split()[0])
+class PortBytes:
+    """Counts the bytes on loopback to and from the ports of each class. The
+    kernel cuts packets to their headers and hands over nothing else."""
+    HEADERS = 54  # Ethernet, IP and TCP without options
+    ETH_P_IP, SO_ATTACH_FILTER, SO_RCVBUFFORCE = 0x800, 26, 33
+
+    def __init__(self, classes):
+        self.classes = {int(addr.rsplit(":", 1)[1]): name
+                        for name, addrs in classes.items() for addr in addrs}
+        self.bytes = dict.fromkeys(classes, 0)
+        self.socket = socket.socket(socket.AF_PACKET, socket.SOCK_RAW, 0)
+        cut = ctypes.create_string_buffer(
+            struct.pack("HBBI", 0x06, 0, 0, self.HEADERS))
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, self.SO_ATTACH_FILTER,
+            struct.pack("HL", 1, ctypes.addressof(cut)))
+        self.socket.setsockopt(socket.SOL_SOCKET, self.SO_RCVBUFFORCE,
+                               32 << 20)
+        self.socket.settimeout(0.2)
+        self.socket.bind(("lo", self.ETH_P_IP))
+
+    def run(self, seconds):
+        """Counts for that time and returns the time that passed."""
+        start = time.monotonic()
+        while time.monotonic() < start + seconds:
+            try:
+                head = self.socket.recv(self.HEADERS)
+            except socket.timeout:
+                continue
+            if len(head) < self.HEADERS:
+                continue
+            for port in struct.unpack_from("!HH", head, 34):
+                if port in self.classes:
+                    # Length of the IP packet, and the Ethernet header.
+                    size = struct.unpack_from("!H", head, 16)[0] + 14
+                    self.bytes[self.classes[port]] += size
+                    break
+        took = time.monotonic() - start
+        # Statistics: packets seen, packets dropped.
+        dropped = struct.unpack("II", self.socket.getsockopt(263, 6, 8))[1]
+        assert dropped == 0, f"{dropped} packets were not counted"
+        self.socket.close()
+        return took
+
+
+def metric(c, entry, name):
+    text = c.entry(entry, "GET", "/metrics").text
+    for line in text.split("\n"):
+        if line.startswith(f"gypsumvalve_{name} "):
+            return int(line.split()[1])
     return 0
 
 
@@ -102,7 +152,7 @@
                 used / n * 1e6, "us/request")
 
 
-def control_cost(build, dc_hosts, all_hosts, entries, seconds=10):
+def control_cost(build, dc_hosts, all_hosts, entries, seconds=30):
     """One data centre with `entries` entry hosts and dc_hosts targets; the
     platform lists all_hosts hosts in all, the others in other data centres.
     """
@@ -113,22 +163,39 @@
                 f"/hosts/set?host=x{i}&dc={dc}&rack={dc}-{i // 64}"
                 f"&addr=127.0.0.1:9&slots=8&pool=plan&state=live"))
         time.sleep(8)
+        count = PortBytes({"probes": [h[2] for h in c.hosts.values()],
+                           "platform": [c.platform],
+                           "heartbeats": [e[2] for e in c.entries.values()]})
         pids = [c.procs[e].pid for e in c.entries]
-        start, bytes_0 = time.monotonic(), loopback_bytes()
+        probes_0 = [metric(c, e, "probes_total") for e in c.entries]
         cpu_0 = [cpu_s(p) for p in pids]
-        time.sleep(seconds)
-        took = time.monotonic() - start
+        took = count.run(seconds)
         used = max(cpu_s(p) - b for p, b in zip(pids, cpu_0))
-        sent = loopback_bytes() - bytes_0
+        probes = [metric(c, e, "probes_total") - b
+                  for e, b in zip(c.entries, probes_0)]
         name = f"control, {entries} entry hosts, {dc_hosts} own targets, " \
                f"{all_hosts} listed hosts"
         row(f"{name}: processor time", used / took * 100, "% of a core")
         row(f"{name}: memory", max(rss_mb(p) for p in pids), "MB")
-        # Loopback counts a byte once. Bytes between entry hosts are sent by
-        # one and received by another; all others concern one entry host.
-        per_entry = sent / took / entries / 1024
-        row(f"{name}: bytes, lower bound", per_entry, "KB/s")
-        row(f"{name}: bytes, upper bound", 2 * per_entry, "KB/s")
+        control_bytes(name, count.bytes, probes, took)
+
+
+def control_bytes(name, counted, probes, took):
+    """Bytes between two entry hosts count for both; all others concern one
+    entry host. Entry hosts differ in their shares of the probes."""
+    entries = len(probes)
+    row(f"{name}: probes", sum(probes) / took / entries, "1/s")
+    row(f"{name}: bytes of a probe", counted["probes"] / sum(probes), "B")
+    parts = {"probes": counted["probes"],
+             "platform": counted["platform"],
+             "heartbeats": 2 * counted["heartbeats"]}
+    for part, sent in parts.items():
+        row(f"{name}: bytes, {part}", sent / took / entries / 1024, "KB/s")
+    mean = sum(parts.values()) / entries
+    most = mean + parts["probes"] * (max(probes) / sum(probes) - 1 / entries)
+    row(f"{name}: bytes, mean entry host", mean / took / 1024, "KB/s")
+    row(f"{name}: bytes, entry host with most probes", most / took / 1024,
+        "KB/s")
 
 
 def publish_time(build):
@@ -151,11 +218,7 @@
 
 
 def offset(c, entry):
-    text = c.entry(entry, "GET", "/metrics").text
-    for line in text.split("\n"):
-        if line.startswith("gypsumvalve_ledger_offset "):
-            return int(line.split()[1])
-    return 0
+    return metric(c, entry, "ledger_offset")
 
 
 def main():
