Keep a connection for the periodic probes of each target

Cause: 20.1 of the 30.0 KB/s of control traffic of an entry host at the target size are probes; opening and closing the connection is half of the 969 bytes of a probe. Ruled out: a kept connection alone, because one that goes silent would hide a living target, and one that is still served would hide a target that accepts no new ones. Change: the prober keeps one connection for each target of its share. A failure on it is repeated at once on a new connection, and it is replaced every 30 s. A time-out on both counts as two failed probes; after any failure the next probe follows after 1 s in place of 2 s. Targets that another entry host probes now lose their connection.

--- a/src/httpclient.c
+++ b/src/httpclient.c
@@ -330,7 +330,8 @@
     if (err != GV_OK) {
         return err;
     }
-    if (c->open && GvClock_MonoMs() - c->used_ms > GV_HTTP_IDLE_MS) {
+    int idle_ms = rq->idle_ms > 0 ? rq->idle_ms : GV_HTTP_IDLE_MS;
+    if (c->open && GvClock_MonoMs() - c->used_ms > idle_ms) {
         ne_close_connection(c->session);
     }
     c->idempotent = rq->idempotent;
@@ -349,6 +350,22 @@
     return err;
 }
 
+/* Tells whether a connection is kept; see the header. */
+bool
+GvHttp_IsOpen(const gv_http_client_t *c)
+{
+    return c->open;
+}
+
+/* Closes a kept connection. */
+void
+GvHttp_Close(gv_http_client_t *c)
+{
+    if (c->open) {
+        ne_close_connection(c->session);
+    }
+}
+
 /* Releases the body and the headers and empties the answer. */
 void
 GvHttp_ClearAnswer(gv_http_answer_t *answer)
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -23,6 +23,8 @@
     gv_str_t body;
     bool idempotent; /* neon may resend on a kept connection only then */
     int timeout_ms;  /* neon rounds up to whole seconds */
+    int idle_ms;     /* a connection unused for longer is not used again; 0:
+                        GV_HTTP_IDLE_MS */
     size_t max_body; /* answers over it give GV_ETOOBIG */
     /* Names of answer headers to keep, NULL-terminated; may be NULL. */
     const char *const *want;
@@ -44,6 +46,10 @@
    GV_ETIMEDOUT, GV_ETOOBIG, GV_EINVAL. answer->sent is valid in every case. */
 int GvHttp_Do(gv_http_client_t *c, const gv_http_request_t *rq,
               gv_http_answer_t *answer);
+/* Tells whether a connection is kept, as far as the client has noticed. */
+bool GvHttp_IsOpen(const gv_http_client_t *c);
+/* Closes a kept connection; the next request opens a new one. */
+void GvHttp_Close(gv_http_client_t *c);
 void GvHttp_ClearAnswer(gv_http_answer_t *answer);
 /* One request without a body on a connection of its own. Returns the HTTP
    status or a negative error; *text (if not NULL) gets the body of an answer,
--- a/src/limits.h
+++ b/src/limits.h
@@ -111,7 +111,9 @@
 #define GV_TARGET_SLOTS       8
 #define GV_TARGET_CONNECTIONS 64
 #define GV_PROBE_INTERVAL_MS  2000
-#define GV_PROBE_TIMEOUT_MS   1000
+/* Between probes of a target whose last probe failed. */
+#define GV_PROBE_DOUBT_MS   1000
+#define GV_PROBE_TIMEOUT_MS 1000
 /* Added to the run limit sent to a target before an abandoned exchange is
    counted as ended: covers clock rate differences and delivery. */
 #define GV_ABANDON_GRACE_MS   1000
@@ -185,8 +187,14 @@
 
 /* Probes: one lost probe is common while a target is busy; two in a row are
    not. */
-#define GV_PROBE_FAILURES   2
-#define GV_PROBE_THREADS    8
+#define GV_PROBE_FAILURES 2
+/* A probe of a silent target takes two time-outs. At the target size an entry
+   host probes about 42 targets; 16 threads get through the time-outs of all of
+   them in 6 s. */
+#define GV_PROBE_THREADS 16
+/* Periodic probes keep a connection for this long. A kept connection may
+   still be answered by a target that accepts no new ones. */
+#define GV_PROBE_RENEW_MS   30000
 #define GV_TARGET_SLOTS_MAX 1024
 /* Decisions */
 #define GV_ESTIMATE_KINDS 256
--- a/src/prober.c
+++ b/src/prober.c
@@ -1,5 +1,6 @@
 #include "prober.h"
 
+#include <limits.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -17,13 +18,22 @@
 GV_COUNTER(old_lists, "host_lists_old_total",
            "Host lists ignored because a newer one was seen");
 
+GV_COUNTER(repeated, "probes_repeated_total",
+           "Health probes repeated on a new connection because the kept one "
+           "failed");
+
 /* Workers, the prober and the lister. */
 #define THREADS (GV_PROBE_THREADS + 2)
 
 typedef struct {
     gv_str_t host;
     gv_str_t addr;
-    bool busy; /* a probe is in progress */
+    bool busy;      /* a probe is in progress */
+    int64_t due_ms; /* of the next probe */
+    /* Kept connection of the periodic probes, NULL before the first one. The
+       copy that is being probed has it while the target is busy. */
+    gv_http_client_t *http;
+    int64_t opened_ms;
 } target_t;
 
 /* One change to report, with owned strings. */
@@ -64,9 +74,17 @@
     target_t *t = p;
     GvStr_Free(&t->host);
     GvStr_Free(&t->addr);
+    GvHttp_Free(t->http);
     g_free(t);
 }
 
+/* Closes a kept connection. */
+static void
+free_client(gpointer http)
+{
+    GvHttp_Free(http);
+}
+
 /* Collects a change; called by the table under the lock. */
 static void
 on_changed(void *user, const gv_health_view_t *v)
@@ -106,37 +124,118 @@
     return !p->stopping;
 }
 
+/* Sends one probe with that client. `keep` lets it use a kept connection and
+   keep the one that it used. Results as GvProber_Probe. */
+static int
+ask(gv_http_client_t *c, gv_str_t addr, int timeout_ms, bool keep,
+    gv_health_report_t *r)
+{
+    gv_http_request_t rq = {.addr = addr,
+                            .method = GV_STR("GET"),
+                            .path = GV_STR("/health"),
+                            .idempotent = keep,
+                            .timeout_ms = timeout_ms,
+                            .idle_ms = INT_MAX,
+                            .max_body = GV_BODY_MAX_BYTES};
+    gv_http_answer_t a;
+    int err = GvHttp_Do(c, &rq, &a);
+    if (err == GV_OK) {
+        gv_str_t text = GvStr_N(a.body->data, a.body->len);
+        err = a.status == 200 ? GvHealth_ParseReport(text, r) : GV_EREFUSED;
+    }
+    GvHttp_ClearAnswer(&a);
+    GvCounter_Add(&probes, 1);
+    GvCounter_Add(&probes_failed, err != GV_OK ? 1 : 0);
+    return err;
+}
+
 /* Probes a target once; see the header. */
 int
 GvProber_Probe(gv_str_t addr, int timeout_ms, gv_health_report_t *r)
 {
-    char *text = NULL;
-    char *a = g_strndup(addr.p, addr.n);
-    int res = GvHttp_Once(a, "GET", "/health", timeout_ms, &text);
-    GvCounter_Add(&probes, 1);
-    if (res > 0) {
-        res =
-            res == 200 ? GvHealth_ParseReport(GvStr_C(text), r) : GV_EREFUSED;
+    gv_http_client_t *c = GvHttp_New();
+    int err = ask(c, addr, timeout_ms, false, r);
+    GvHttp_Free(c);
+    return err;
+}
+
+/* Makes the periodic probe. A failure on a kept connection alone says nothing
+   about the target, so the probe is repeated at once on a new one. Returns
+   how many probes the target failed. A kept connection that timed out counts
+   when the new one fails too; one that broke does not, because the repetition
+   follows within the same moment. */
+static int
+probe_kept(target_t *t, int renew_ms, gv_health_report_t *r)
+{
+    int failures = 0;
+    if (t->http == NULL) {
+        t->http = GvHttp_New();
+    }
+    int64_t now_ms = GvClock_MonoMs();
+    if (now_ms - t->opened_ms >= renew_ms) {
+        GvHttp_Close(t->http);
+    }
+    bool kept = GvHttp_IsOpen(t->http);
+    t->opened_ms = kept ? t->opened_ms : now_ms;
+    int err = ask(t->http, t->addr, GV_PROBE_TIMEOUT_MS, true, r);
+    if (err != GV_OK && kept) {
+        failures = err == GV_ETIMEDOUT ? 1 : 0;
+        GvCounter_Add(&repeated, 1);
+        GvHttp_Close(t->http);
+        t->opened_ms = GvClock_MonoMs();
+        err = ask(t->http, t->addr, GV_PROBE_TIMEOUT_MS, true, r);
     }
-    if (res != GV_OK) {
-        GvCounter_Add(&probes_failed, 1);
+    if (err == GV_OK) {
+        return 0;
     }
-    g_free(text);
-    g_free(a);
-    return res;
+    GvHttp_Close(t->http);
+    return failures + 1;
+}
+
+/* Tells whether this entry host probes the target; the lock is held. */
+static bool
+is_own(const gv_prober_t *p, const target_t *t)
+{
+    return GvHealth_IsProber(t->host, p->opts.self, p->members, p->n_members);
+}
+
+/* Queues a probe of a target, with its kept connection; the lock is held. */
+static void
+queue_probe(gv_prober_t *p, target_t *t)
+{
+    target_t *copy = g_new0(target_t, 1);
+    copy->host = GvStr_Dup(t->host);
+    copy->addr = GvStr_Dup(t->addr);
+    copy->http = g_steal_pointer(&t->http);
+    copy->opened_ms = t->opened_ms;
+    t->busy = true;
+    t->due_ms = GvClock_MonoMs() + GV_PROBE_INTERVAL_MS;
+    g_queue_push_tail(&p->jobs, copy);
 }
 
 /* Probes a copy of a target and applies the result. */
 static void
-probe_target(gv_prober_t *p, const target_t *copy)
+probe_target(gv_prober_t *p, target_t *copy)
 {
     gv_health_report_t r;
-    int err = GvProber_Probe(copy->addr, GV_PROBE_TIMEOUT_MS, &r);
+    int failures = probe_kept(copy, p->opts.renew_ms, &r);
     pthread_mutex_lock(&p->lock);
     target_t *t = g_hash_table_lookup(p->targets, copy->host.p);
     if (t != NULL && GvStr_Equal(t->addr, copy->addr)) {
         t->busy = false;
-        GvHealth_OnProbe(p->table, t->host, err == GV_OK ? &r : NULL);
+        if (t->http == NULL) {
+            t->http = g_steal_pointer(&copy->http);
+            t->opened_ms = copy->opened_ms;
+        }
+        if (failures == 0) {
+            GvHealth_OnProbe(p->table, t->host, &r);
+        }
+        else {
+            t->due_ms -= GV_PROBE_INTERVAL_MS - GV_PROBE_DOUBT_MS;
+        }
+        for (int i = 0; i < failures; i++) {
+            GvHealth_OnProbe(p->table, t->host, NULL);
+        }
     }
     unlock_and_tell(p);
 }
@@ -162,40 +261,51 @@
     return NULL;
 }
 
-/* Starts a probe of each target in this entry host's share; the lock is held.
-   A target whose last probe is still in progress is left out. */
+/* Starts a probe of each target in this entry host's share that is due and not
+   being probed; the lock is held. Connections to targets that another entry
+   host probes now are added to `unused`. */
 static void
-start_probes(gv_prober_t *p)
+start_probes(gv_prober_t *p, GPtrArray *unused)
 {
+    /* A wait may end a little early; that must not cost a whole turn. */
+    int64_t soon_ms = GvClock_MonoMs() + GV_PROBE_DOUBT_MS / 2;
     GHashTableIter it;
     gpointer value;
     g_hash_table_iter_init(&it, p->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         target_t *t = value;
-        if (t->busy || !GvHealth_IsProber(t->host, p->opts.self, p->members,
-                                          p->n_members)) {
+        if (t->busy) {
             continue;
         }
-        target_t *copy = g_new0(target_t, 1);
-        copy->host = GvStr_Dup(t->host);
-        copy->addr = GvStr_Dup(t->addr);
-        t->busy = true;
-        g_queue_push_tail(&p->jobs, copy);
+        if (!is_own(p, t)) {
+            t->due_ms = 0;
+            if (t->http != NULL) {
+                g_ptr_array_add(unused, g_steal_pointer(&t->http));
+            }
+        }
+        else if (t->due_ms <= soon_ms) {
+            queue_probe(p, t);
+        }
     }
     pthread_cond_broadcast(&p->work);
 }
 
-/* Thread: hands out probes every GV_PROBE_INTERVAL_MS. */
+/* Thread: hands out the probes that are due every GV_PROBE_DOUBT_MS. */
 static void *
 probe_loop(void *user)
 {
     gv_prober_t *p = user;
+    GPtrArray *unused = g_ptr_array_new_with_free_func(free_client);
     pthread_mutex_lock(&p->lock);
     while (!p->stopping) {
-        start_probes(p);
-        pause_locked(p, GV_PROBE_INTERVAL_MS);
+        start_probes(p, unused);
+        pthread_mutex_unlock(&p->lock);
+        g_ptr_array_set_size(unused, 0);
+        pthread_mutex_lock(&p->lock);
+        pause_locked(p, GV_PROBE_DOUBT_MS);
     }
     pthread_mutex_unlock(&p->lock);
+    g_ptr_array_free(unused, TRUE);
     return NULL;
 }
 
@@ -292,6 +402,7 @@
     p->opts = *o;
     p->opts.platform_addr = GvStr_Dup(o->platform_addr);
     p->opts.self = GvStr_Dup(o->self);
+    p->opts.renew_ms = o->renew_ms > 0 ? o->renew_ms : GV_PROBE_RENEW_MS;
     pthread_mutex_init(&p->tell, NULL);
     pthread_mutex_init(&p->lock, NULL);
     GvSync_InitCond(&p->change);
@@ -358,21 +469,27 @@
     GHashTable *fresh =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
     pthread_mutex_lock(&p->lock);
+    GHashTable *former = p->targets;
     for (int i = 0; i < n; i++) {
         target_t *t = g_new0(target_t, 1);
         t->host = GvStr_Dup(targets[i].host);
         t->addr = GvStr_Dup(targets[i].addr);
-        const target_t *old = g_hash_table_lookup(p->targets, t->host.p);
-        t->busy = old != NULL && old->busy && GvStr_Equal(old->addr, t->addr);
+        target_t *old = g_hash_table_lookup(former, t->host.p);
+        if (old != NULL && GvStr_Equal(old->addr, t->addr)) {
+            t->busy = old->busy;
+            t->due_ms = old->due_ms;
+            t->http = g_steal_pointer(&old->http);
+            t->opened_ms = old->opened_ms;
+        }
         gv_health_view_t v;
         if (old == NULL && GvHealth_Get(p->table, t->host, &v)) {
             on_changed(p, &v);
         }
         g_hash_table_replace(fresh, (char *)t->host.p, t);
     }
-    g_hash_table_destroy(p->targets);
     p->targets = fresh;
     unlock_and_tell(p);
+    g_hash_table_destroy(former);
 }
 
 /* Replaces the live members; see the header. */
--- a/src/prober.h
+++ b/src/prober.h
@@ -24,6 +24,9 @@
     /* A list newer than all before; valid during the call. May be NULL. */
     void (*on_list)(void *user, const gv_hostlist_t *list);
     void *user;
+    /* Age at which the connection of the periodic probes is replaced; 0:
+       GV_PROBE_RENEW_MS. */
+    int renew_ms;
 } gv_prober_opts_t;
 
 typedef struct {
