Send fewer heartbeats while nothing changes, and less health in them

Ruled out: fewer heartbeats throughout, because lending uses the load of the peers of the own data centre. Change: peers of the own data centre get a heartbeat every 500 ms while load, offset or health change, else every second; peers of other data centres, which use only the load, every second. Unhealthy and leaving targets are repeated every 10 beats as before, all others every 60 beats; a peer that is new, has restarted, was silent or could not be sent to gets all health with its next heartbeat. That a restarted peer gets all health at once has no test of its own.

--- a/src/kernel.c
+++ b/src/kernel.c
@@ -511,6 +511,7 @@
     GvNodeConf_Clear(&k->conf);
     pthread_mutex_destroy(&p->lock);
     pthread_cond_destroy(&p->wake);
+    g_hash_table_destroy(p->informed);
     g_free(p);
     g_free(k);
 }
@@ -524,6 +525,8 @@
     k->conf = *conf;
     *conf = (gv_nodeconf_t){0};
     k->private = g_new0(struct gv_kernel_private_s, 1);
+    k->private->informed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     pthread_mutex_init(&k->private->lock, NULL);
     GvSync_InitCond(&k->private->wake);
     int rc = start_all(k);
--- a/src/kernel_peer.c
+++ b/src/kernel_peer.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <xxhash.h>
 
 #include "clock.h"
 #include "error.h"
@@ -9,9 +10,15 @@
 #include "maintain.h"
 #include "prober.h"
 
-/* Every tenth heartbeat carries all first-hand health, which repairs what a
-   lost one left out and informs an entry host that has just started. */
-#define FULL_HEALTH_BEATS 10
+/* A change of health goes into two heartbeats in a row. What a lost one left
+   out is repaired by later ones: targets that must get no work are repeated
+   often; all others, which are most of the bytes, less often. */
+#define BAD_HEALTH_BEATS 10
+#define ALL_HEALTH_BEATS 60
+
+/* Other data centres use only the load, for spill, and get a heartbeat every
+   so many beats. So does the own data centre while nothing changes. */
+#define SLOW_BEATS 2
 
 /* Hands a peer's message to the modules that know its kind. Runs on the peer
    thread; the parts are started one after another. */
@@ -105,22 +112,88 @@
     }
 }
 
-/* Sends one heartbeat to each peer of the region. Health concerns only the
-   own data centre. */
+/* Tells whether a peer of the own data centre needs all health, because it is
+   new, has restarted or was silent. */
+static bool
+is_uninformed(struct gv_kernel_private_s *p, const gv_peer_info_t *peer)
+{
+    const uint64_t *known = g_hash_table_lookup(p->informed, peer->name);
+    if (!peer->alive) {
+        g_hash_table_remove(p->informed, peer->name);
+    }
+    return peer->alive && (known == NULL || *known != peer->incarnation);
+}
+
+/* Sends one heartbeat to a peer of the own data centre: with all health when
+   the peer needs it, else with the news. */
+static void
+send_near(gv_kernel_t *k, const gv_peer_info_t *peer, gv_message_t *m,
+          const GArray *all, const GArray *news, bool due)
+{
+    struct gv_kernel_private_s *p = k->private;
+    bool uninformed = is_uninformed(p, peer);
+    if (!due && !uninformed && news->len == 0) {
+        return;
+    }
+    const GArray *health = uninformed ? all : news;
+    m->u.heartbeat.health = (gv_health_t *)health->data;
+    m->u.heartbeat.n_health = (int)health->len;
+    int err = GvPeers_Send(k->peers, GvStr_C(peer->name), m);
+    if (err != GV_OK) {
+        g_hash_table_remove(p->informed, peer->name);
+    }
+    else if (uninformed) {
+        uint64_t *incarnation = g_new(uint64_t, 1);
+        *incarnation = peer->incarnation;
+        g_hash_table_replace(p->informed, g_strdup(peer->name), incarnation);
+    }
+}
+
+/* Sends one heartbeat to each peer of the region that is due for one. Health
+   concerns only the own data centre. */
 static void
 send_beats(gv_kernel_t *k, const GArray *peers, gv_message_t *m,
-           const GArray *health)
+           const GArray *all, const GArray *news)
 {
+    struct gv_kernel_private_s *p = k->private;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvMessage_Pack(&sb, m);
+    uint64_t hash = XXH3_64bits(sb.data, sb.size);
+    msgpack_sbuffer_destroy(&sb);
+    bool slow = p->beats % SLOW_BEATS == 0;
+    bool changed = hash != p->beat_hash;
+    p->beat_hash = hash;
     for (guint i = 0; i < peers->len; i++) {
-        const gv_peer_info_t *p = &g_array_index(peers, gv_peer_info_t, i);
-        if (!GvStr_Equal(GvStr_C(p->region), k->conf.region)) {
-            continue;
+        const gv_peer_info_t *peer = &g_array_index(peers, gv_peer_info_t, i);
+        if (GvStr_Equal(GvStr_C(peer->dc), k->conf.dc)) {
+            send_near(k, peer, m, all, news, slow || changed);
+        }
+        else if (slow && GvStr_Equal(GvStr_C(peer->region), k->conf.region)) {
+            m->u.heartbeat.health = NULL;
+            m->u.heartbeat.n_health = 0;
+            GvPeers_Send(k->peers, GvStr_C(peer->name), m);
+        }
+    }
+}
+
+/* Returns what this heartbeat tells a peer that knows the state before: the
+   changes, from time to time also the targets that must get no work, and now
+   and then everything. The strings stay those of `all`. */
+static GArray *
+pick_news(const struct gv_kernel_private_s *p, const GArray *all)
+{
+    GArray *news = g_array_new(FALSE, FALSE, sizeof(gv_health_t));
+    bool bad = p->beats % BAD_HEALTH_BEATS == 0;
+    bool every = p->beats % ALL_HEALTH_BEATS == 0;
+    for (guint i = 0; i < all->len; i++) {
+        gv_health_t h = g_array_index(all, gv_health_t, i);
+        if (every || (bad && (h.leaving || !h.healthy)) ||
+            h.seen > p->sent_seen[1]) {
+            g_array_append_val(news, h);
         }
-        bool near = GvStr_Equal(GvStr_C(p->dc), k->conf.dc);
-        m->u.heartbeat.health = near ? (gv_health_t *)health->data : NULL;
-        m->u.heartbeat.n_health = near ? (int)health->len : 0;
-        GvPeers_Send(k->peers, GvStr_C(p->name), m);
     }
+    return news;
 }
 
 /* Keeps the highest observation number of this and of the last heartbeat. */
@@ -134,8 +207,7 @@
     }
 }
 
-/* Sends heartbeats when they are due; a change of health goes into two in a
-   row. Timer thread. */
+/* Sends heartbeats when they are due. Timer thread. */
 void
 GvKernel_Heartbeat(gv_kernel_t *k, int64_t now_ms)
 {
@@ -152,8 +224,9 @@
     live_members(k, peers, names);
     GvProber_SetMembers(k->prober, (gv_str_t *)names->data, (int)names->len);
     GvDispatch_Loads(k->dispatch, loads);
-    bool full = p->beats++ % FULL_HEALTH_BEATS == 0;
-    GvProber_FirstHand(k->prober, full ? 0 : p->sent_seen[1], health);
+    p->beats++;
+    GvProber_FirstHand(k->prober, 0, health);
+    GArray *news = pick_news(p, health);
     note_seen(p, health);
     gv_message_t m = {.kind = GV_MSG_HEARTBEAT};
     m.u.heartbeat = (gv_msg_heartbeat_t){
@@ -164,7 +237,8 @@
     };
     m.u.heartbeat.offset = GvLedger_Next(GvReplica_Lock(k->replica));
     GvReplica_Unlock(k->replica);
-    send_beats(k, peers, &m, health);
+    send_beats(k, peers, &m, health, news);
+    g_array_free(news, TRUE);
     GvProber_ClearHealth(health);
     g_array_free(health, TRUE);
     g_array_free(names, TRUE);
--- a/src/kernel_private.h
+++ b/src/kernel_private.h
@@ -23,6 +23,10 @@
     int64_t beat_ms; /* next heartbeat */
     unsigned beats;
     uint64_t sent_seen[2]; /* highest health number in the last two beats */
+    uint64_t beat_hash;    /* of the last heartbeat without its health */
+    /* Peers of the own data centre that were sent all health: name ->
+       uint64_t incarnation. */
+    GHashTable *informed;
     /* Signals the end of the own `leave`. */
     pthread_mutex_t lock;
     pthread_cond_t wake;
--- a/src/limits.h
+++ b/src/limits.h
@@ -25,7 +25,8 @@
 #define GV_FRAME_VERSION     1
 #define GV_PEER_OUTPUT_BYTES (4 * 1024 * 1024)
 #define GV_HEARTBEAT_MS      500
-/* Six missed heartbeats: shorter pauses are common on small hosts. */
+/* Three missed heartbeats of an idle entry host, six of a busy one: shorter
+   pauses are common on small hosts. */
 #define GV_PEER_DEAD_MS    3000
 #define GV_PEER_CONNECT_MS 1000
 /* An idle link is kept from counting as silent by a HELLO this often. */
