--- a/tests/proc_path.py
+++ b/tests/proc_path.py
@@ -416,11 +416,10 @@
         """Guards against a request of another entry host that gets no answer
         from one that has not yet started all its parts."""
         entries = {"e1": ("k1", harness.free_addr(), harness.free_addr())}
-        with tempfile.TemporaryDirectory() as path:
-            harness.write_node(f"{path}/e1.yaml", "e1", entries,
-                               harness.free_addr(), 2)
-            self.procs.start("e1", "gventryd", "--config", f"{path}/e1.yaml",
-                             addr=entries["e1"][2])
+        path = f"{self.procs.dir.name}/e1.yaml"
+        harness.write_node(path, "e1", entries, harness.free_addr(), 2)
+        self.procs.spawn("e1", "gventryd", "--config", path,
+                         addr=entries["e1"][2])
         host, port = entries["e1"][2].split(":")
         self.peer = socket.create_connection((host, int(port)), 8)
         self.addCleanup(self.peer.close)
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -31,7 +31,7 @@
      3,
      0,
      {.result = {GV_OUTCOME_UNKNOWN, 502, 250, GV_STR("why"),
-                 GV_STR("text/plain"), GV_STR("body")}}},
+                 GV_STR("text/plain"), GV_STR("body"), false}}},
     {GV_MSG_CANCEL, 3, 0, {.ledger_get = {0}}},
     {GV_MSG_LEDGER_GET, 4, 100, {.ledger_get = {UINT64_MAX}}},
     {GV_MSG_LEDGER_RECORDS, 4, 0, {.ledger_records = {records, 2}}},
