Wake the thread that bounds exchanges only for an earlier bound

Cause: each exchange signalled the thread, which cost two context switches. Change: the thread is signalled only when a bound is earlier than the time at which it looks again anyway.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -153,12 +153,15 @@
                 used / n * 1e6, "us/request")
 
 
-def control_cost(build, dc_hosts, all_hosts, entries, seconds=30):
-    """One data centre with `entries` entry hosts and dc_hosts targets; the
+def control_cost(build, dc_hosts, all_hosts, entries, dcs=1, services=2,
+                 seconds=30):
+    """Data centres with `entries` entry hosts and dc_hosts targets each; the
     platform lists all_hosts hosts in all, the others in other data centres.
     """
-    with Cluster(build, entries=entries, hosts=dc_hosts // 2) as c:
-        for i in range(all_hosts - dc_hosts):
+    names = ("plan", "spare", *(f"s{i}" for i in range(3, services + 1)))
+    with Cluster(build, dcs=dcs, entries=entries, services=names,
+                 hosts=dc_hosts // services) as c:
+        for i in range(all_hosts - dcs * dc_hosts):
             dc = f"other{i % 16}"
             assert call(c.platform, "POST", (
                 f"/hosts/set?host=x{i}&dc={dc}&rack={dc}-{i // 64}"
@@ -176,6 +179,8 @@
                   for e, b in zip(c.entries, probes_0)]
         name = f"control, {entries} entry hosts, {dc_hosts} own targets, " \
                f"{all_hosts} listed hosts"
+        name += f", {dcs} data centres" if dcs > 1 else ""
+        name += f", {services} services" if services > 2 else ""
         row(f"{name}: processor time", used / took * 100, "% of a core")
         row(f"{name}: memory", max(rss_mb(p) for p in pids), "MB")
         control_bytes(name, count.bytes, probes, took)
@@ -270,6 +275,8 @@
         for own, listed, entries in ((16, 16, 2), (64, 64, 8), (64, 1000, 8),
                                      (340, 1000, 8), (340, 5800, 8)):
             control_cost(build, own, listed, entries)
+        control_cost(build, 4, 12, 8, dcs=3)
+        control_cost(build, 32, 32, 8, services=32)
     with open(ROOT / "bench" / "results.tsv", "a", encoding="utf-8") as out:
         out.write("\n".join(ROWS) + "\n")
 
--- a/src/sockwatch.c
+++ b/src/sockwatch.c
@@ -14,6 +14,9 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t wake;
 static GTree *watched; /* active gv_sockwatch_t, the earliest end first */
+/* When the thread looks again without a signal. Most exchanges end long before
+   their bound, and a signal for each would cost two context switches. */
+static int64_t wake_at_ms = INT64_MAX;
 static pthread_once_t connect_once = PTHREAD_ONCE_INIT;
 static connect_t next_connect;
 static _Thread_local int last_fd = -1;
@@ -66,12 +69,14 @@
     for (;;) {
         GTreeNode *node = g_tree_node_first(watched);
         if (node == NULL) {
+            wake_at_ms = INT64_MAX;
             pthread_cond_wait(&wake, &lock);
             continue;
         }
         gv_sockwatch_t *w = g_tree_node_key(node);
         if (w->end_ms > GvClock_MonoMs()) {
-            GvSync_WaitUntil(&wake, &lock, w->end_ms * 1000);
+            wake_at_ms = w->end_ms;
+            GvSync_WaitUntil(&wake, &lock, wake_at_ms * 1000);
             continue;
         }
         g_tree_remove(watched, w);
@@ -107,7 +112,7 @@
     w->active = true;
     w->expired = false;
     g_tree_insert(watched, w, w);
-    if (g_tree_node_key(g_tree_node_first(watched)) == w) {
+    if (end_ms < wake_at_ms) {
         pthread_cond_signal(&wake);
     }
     pthread_mutex_unlock(&lock);
