--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -11,8 +11,8 @@
 B=${1:-build}
 TMP=$(mktemp -d)
 PIDS=()
-# Below the range from which the kernel takes ports for connections.
-PORT=$((10000 + $$ % 20000))
+# Below the ports of the tests and those that the kernel takes for connections.
+PORT=$((4000 + $$ % 5000))
 PLATFORM=127.0.0.1:$PORT
 export GYPSUMVALVE_PLATFORM=$PLATFORM
 
