Share the metrics that several bench groups have

Cause: five groups defined the same four metrics. Ruled out: the other look-alikes, which have the same shape but read different fields.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -13,18 +13,6 @@
                                     .slow = true,
                                     .lending = true};
 
-static double
-wait_p50(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 50);
-}
-
-static double
-wait_p99(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 99);
-}
-
 static double
 response_p50(gv_sim_result_t *r)
 {
@@ -43,19 +31,13 @@
     return 100 * r->refusals / MAX(r->starts, 1);
 }
 
-static double
-in_time(gv_sim_result_t *r)
-{
-    return 100 * r->in_time / MAX(r->requests, 1);
-}
-
 static const gv_metric_t metrics[] = {
-    {"waiting of short work, p50", "ms", wait_p50},
-    {"waiting of short work, p99", "ms", wait_p99},
+    {"waiting of short work, p50", "ms", GvCompare_ShortP50},
+    {"waiting of short work, p99", "ms", GvCompare_ShortP99},
     {"response time of short work, p50", "ms", response_p50},
     {"response time of short work, p99", "ms", response_p99},
     {"refusals by full targets", "% of starts", refusals},
-    {"answered in time", "%", in_time}};
+    {"answered in time", "%", GvCompare_InTime}};
 
 /* Placement against the baselines, and slot sharing against none. */
 void
--- a/bench/bench_queue.c
+++ b/bench/bench_queue.c
@@ -12,18 +12,6 @@
                                     .lending = true,
                                     .cancels = true};
 
-static double
-short_p50(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 50);
-}
-
-static double
-short_p99(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 99);
-}
-
 static double
 short_worst(gv_sim_result_t *r)
 {
@@ -48,18 +36,6 @@
     return GvBench_Percentile(r->urgent_wait, 100);
 }
 
-static double
-urgent_lost(gv_sim_result_t *r)
-{
-    return 100 * r->urgent_lost / MAX(r->urgents, 1);
-}
-
-static double
-in_time(gv_sim_result_t *r)
-{
-    return 100 * r->in_time / MAX(r->requests, 1);
-}
-
 static double
 short_in_time(gv_sim_result_t *r)
 {
@@ -79,14 +55,14 @@
 }
 
 static const gv_metric_t metrics[] = {
-    {"waiting of short work, p50", "ms", short_p50},
-    {"waiting of short work, p99", "ms", short_p99},
+    {"waiting of short work, p50", "ms", GvCompare_ShortP50},
+    {"waiting of short work, p99", "ms", GvCompare_ShortP99},
     {"waiting of started short work, worst", "ms", short_worst},
     {"waiting of long work, p50", "ms", long_p50},
     {"waiting of long work, p99", "ms", long_p99},
     {"urgent start, worst", "ms", urgent_worst},
-    {"urgent work not started", "%", urgent_lost},
-    {"answered in time", "%", in_time},
+    {"urgent work not started", "%", GvCompare_UrgentLost},
+    {"answered in time", "%", GvCompare_InTime},
     {"short work answered in time", "%", short_in_time},
     {"long work answered in time", "%", long_in_time},
     {"runs that ended after the deadline", "%", too_late}};
--- a/bench/bench_retry.c
+++ b/bench/bench_retry.c
@@ -27,20 +27,14 @@
     return r->lost_trial;
 }
 
-static double
-in_time(gv_sim_result_t *r)
-{
-    return 100 * r->in_time / MAX(r->requests, 1);
-}
-
 static const gv_metric_t collapse[] = {
     {"extra starts while four in five runs fail", "% of requests", extra},
-    {"answered in time", "%", in_time}};
+    {"answered in time", "%", GvCompare_InTime}};
 
 static const gv_metric_t bad_worker[] = {
     {"requests lost to the worker", "requests", lost_bad},
     {"extra starts", "% of requests", extra},
-    {"answered in time", "%", in_time}};
+    {"answered in time", "%", GvCompare_InTime}};
 
 static const gv_metric_t trials[] = {
     {"requests lost to the worker", "requests", lost_bad},
--- a/bench/bench_spill.c
+++ b/bench/bench_spill.c
@@ -14,30 +14,12 @@
                                     .spill = true,
                                     .lending = true};
 
-static double
-wait_p50(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 50);
-}
-
-static double
-wait_p99(gv_sim_result_t *r)
-{
-    return GvBench_Percentile(r->short_wait, 99);
-}
-
 static double
 refused(gv_sim_result_t *r)
 {
     return 100 * r->refused / MAX(r->requests, 1);
 }
 
-static double
-in_time(gv_sim_result_t *r)
-{
-    return 100 * r->in_time / MAX(r->requests, 1);
-}
-
 static double
 spilled(gv_sim_result_t *r)
 {
@@ -69,10 +51,10 @@
 }
 
 static const gv_metric_t metrics[] = {
-    {"waiting of short work, p50", "ms", wait_p50},
-    {"waiting of short work, p99", "ms", wait_p99},
+    {"waiting of short work, p50", "ms", GvCompare_ShortP50},
+    {"waiting of short work, p99", "ms", GvCompare_ShortP99},
     {"refused", "% of requests", refused},
-    {"answered in time", "%", in_time},
+    {"answered in time", "%", GvCompare_InTime},
     {"run in the other data centre", "% of requests", spilled},
     {"lending data centre, waiting of short work, p50", "ms", second_p50},
     {"lending data centre, waiting of short work, p99", "ms", second_p99},
--- a/bench/bench_teams.c
+++ b/bench/bench_teams.c
@@ -47,24 +47,12 @@
     return GvBench_Percentile(r->greedy_wait, 50);
 }
 
-static double
-urgent_lost(gv_sim_result_t *r)
-{
-    return 100 * r->urgent_lost / MAX(r->urgents, 1);
-}
-
-static double
-in_time(gv_sim_result_t *r)
-{
-    return 100 * r->in_time / MAX(r->requests, 1);
-}
-
 static const gv_metric_t metrics[] = {
-    {"urgent work not started", "%", urgent_lost},
+    {"urgent work not started", "%", GvCompare_UrgentLost},
     {"waiting of short work of teams within quota, p50", "ms", modest_p50},
     {"waiting of short work of teams within quota, p99", "ms", modest_p99},
     {"waiting of short work of the team above quota, p50", "ms", greedy_p50},
-    {"answered in time", "%", in_time}};
+    {"answered in time", "%", GvCompare_InTime}};
 
 /* The bound holds for every run, so the row has the worst of all seeds. */
 static void
--- a/bench/compare.c
+++ b/bench/compare.c
@@ -35,3 +35,31 @@
         GvBench_Row(b, name, GV_OF_MEDIAN, x[k], m[k].unit, base_name, y[k]);
     }
 }
+
+/* Returns the median waiting time of short work in ms. */
+double
+GvCompare_ShortP50(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 50);
+}
+
+/* Returns the 99th percentile of the waiting of short work in ms. */
+double
+GvCompare_ShortP99(gv_sim_result_t *r)
+{
+    return GvBench_Percentile(r->short_wait, 99);
+}
+
+/* Returns the share of requests answered in time in %. */
+double
+GvCompare_InTime(gv_sim_result_t *r)
+{
+    return 100 * r->in_time / MAX(r->requests, 1);
+}
+
+/* Returns the share of urgent requests not started in %. */
+double
+GvCompare_UrgentLost(gv_sim_result_t *r)
+{
+    return 100 * r->urgent_lost / MAX(r->urgents, 1);
+}
--- a/bench/compare.h
+++ b/bench/compare.h
@@ -12,6 +12,13 @@
 
 enum { GV_METRICS_MAX = 16 };
 
+/* Metrics that several groups have. Waiting of short work in ms: */
+double GvCompare_ShortP50(gv_sim_result_t *r);
+double GvCompare_ShortP99(gv_sim_result_t *r);
+/* Requests answered in time, and urgent ones not started, in %. */
+double GvCompare_InTime(gv_sim_result_t *r);
+double GvCompare_UrgentLost(gv_sim_result_t *r);
+
 /* Runs both variants with all seeds and writes a row "group: metric" for
    each metric. */
 void GvCompare_Rows(const gv_bench_t *b, const char *group,
