--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
        python3 python3-hypothesis liburcu-dev libmsgpack-dev \
        libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
-       liblog4c-dev libyaml-dev libxxhash-dev libclang-rt-14-dev gnuplot-nox
+       liblog4c-dev libyaml-dev libxxhash-dev libcurl4-gnutls-dev libclang-rt-14-dev gnuplot-nox
 
 B ?= build
 WARN = -Wall -Wextra -Werror
@@ -37,7 +37,7 @@
          retry.h settings.h slots.h str.h ticket.h wave.h
 
 .PHONY: fuzzers all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
-all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so
+all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so $(B)/gvschedd
 
 packages:
 	@dpkg -s $(DEBS) >/dev/null 2>&1 || \
@@ -55,6 +55,18 @@
 $(B)/gventryd: $(B)/gventryd.o $(LIB)
 	$(CC) $(SAN) $< $(WHOLE) -o $@ $(LIBS)
 
+# The adapter to the users' platform.
+ADAPTERSRC = $(wildcard platform/*.c)
+ADAPTEROBJ = $(ADAPTERSRC:platform/%.c=$(B)/platform/%.o)
+ADAPTER_FLAGS = -iquote platform $(shell pkg-config --cflags libcurl)
+
+$(B)/platform/%.o: platform/%.c | $(B)
+	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -MMD -MP -c $< -o $@
+
+$(B)/gvschedd: $(ADAPTEROBJ) $(LIB)
+	$(CC) $(SAN) $(ADAPTEROBJ) $(LIB) -o $@ $(LIBS) \
+	    $(shell pkg-config --libs libcurl)
+
 $(B)/gypsumvalve: $(B)/gypsumvalve.o $(CMDOBJ) $(LIB)
 	$(CC) $(SAN) $< $(CMDOBJ) $(WHOLE) -o $@ $(LIBS)
 
@@ -78,7 +90,7 @@
 	$(CC) $(ALL_CFLAGS) $(wildcard bench/*.c) $(WHOLE) -o $@ $(LIBS)
 
 $(B):
-	mkdir -p $(B) $(B)/tests
+	mkdir -p $(B) $(B)/tests $(B)/platform
 
 tests: $(TESTS)
 
@@ -150,4 +162,5 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(B)/*.d) $(wildcard $(B)/tests/*.d)
+-include $(wildcard $(B)/*.d) $(wildcard $(B)/tests/*.d) \
+         $(wildcard $(B)/platform/*.d)
--- /dev/null
+++ b/src/catalog.c
@@ -0,0 +1,51 @@
+#include "catalog.h"
+
+#include <string.h>
+
+/* Releases a catalog; NULL is allowed. */
+void
+GvCatalog_Free(gv_catalog_t *c)
+{
+    if (c == NULL) {
+        return;
+    }
+    for (int i = 0; i < c->n_routes; i++) {
+        GvStr_Free(&c->routes[i].info.name);
+        GvStr_Free(&c->routes[i].info.service);
+        GvStr_Free(&c->routes[i].host);
+        GvStr_Free(&c->routes[i].prefix);
+    }
+    for (int i = 0; i < c->n_services; i++) {
+        GvStr_Free(&c->services[i].name);
+    }
+    g_free(c->routes);
+    g_free(c->services);
+    g_free(c);
+}
+
+static bool
+same_host(gv_str_t a, gv_str_t b)
+{
+    return a.n == b.n && g_ascii_strncasecmp(a.p, b.p, a.n) == 0;
+}
+
+/* Returns the route with that host and the longest prefix of the path, or
+   NULL. A port in the host is ignored. */
+const gv_route_t *
+GvCatalog_Match(const gv_catalog_t *c, gv_str_t host, gv_str_t path)
+{
+    const gv_route_t *best = NULL;
+    const char *colon = memchr(host.p, ':', host.n);
+    if (colon != NULL) {
+        host.n = (size_t)(colon - host.p);
+    }
+    for (int i = 0; i < c->n_routes; i++) {
+        const gv_route_t *r = &c->routes[i];
+        if (same_host(r->host, host) && r->prefix.n <= path.n &&
+            memcmp(r->prefix.p, path.p, r->prefix.n) == 0 &&
+            (best == NULL || r->prefix.n > best->prefix.n)) {
+            best = r;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/catalog.h
@@ -0,0 +1,27 @@
+#ifndef GV_CATALOG_H
+#define GV_CATALOG_H
+
+#include "sched.h"
+
+/* The queues and services of one version of the settings, and how a request
+   finds its queue. */
+
+typedef struct {
+    gv_queue_info_t info;
+    gv_str_t host;   /* of the request */
+    gv_str_t prefix; /* of its path */
+} gv_route_t;
+
+typedef struct {
+    int64_t version;
+    gv_route_t *routes;
+    int n_routes;
+    gv_service_info_t *services;
+    int n_services;
+} gv_catalog_t;
+
+void GvCatalog_Free(gv_catalog_t *c);
+const gv_route_t *GvCatalog_Match(const gv_catalog_t *c, gv_str_t host,
+                                  gv_str_t path);
+
+#endif
--- /dev/null
+++ b/src/evlog.c
@@ -0,0 +1,103 @@
+#include "evlog.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "limits.h"
+
+GV_COUNTER(lines_dropped, "log_lines_dropped_total",
+           "Decision log lines dropped by the rate bound or a full pipe");
+
+static char *node_name;
+static char buffer[GV_EVLOG_BUFFER_BYTES];
+static size_t used;
+static int64_t second;
+static int lines_left;
+static int64_t dropped; /* since the last line that says so */
+
+/* Begins the decision log of this process; to be called once. */
+void
+GvEvlog_Open(const char *node)
+{
+    g_free(node_name);
+    node_name = g_strdup(node);
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        (void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+/* Writes out what is buffered, as far as the reader takes it. */
+void
+GvEvlog_Flush(void)
+{
+    while (used > 0) {
+        ssize_t n = write(STDOUT_FILENO, buffer, used);
+        if (n <= 0) {
+            if (n < 0 && errno == EINTR) {
+                continue;
+            }
+            return;
+        }
+        used -= (size_t)n;
+        memmove(buffer, buffer + n, used);
+    }
+}
+
+/* Counts a line against this second's bound. */
+static bool
+allowed(void)
+{
+    int64_t now = GvClock_MonoMs() / 1000;
+    if (now != second) {
+        second = now;
+        lines_left = GV_EVLOG_LINES_PER_S;
+    }
+    if (lines_left == 0) {
+        return false;
+    }
+    lines_left--;
+    return true;
+}
+
+/* Adds one line. Does nothing before GvEvlog_Open, so that the library stays
+   silent in embedding programs. */
+void
+GvEvlog_Write(const char *event, const char *fmt, ...)
+{
+    char line[GV_EVLOG_LINE_BYTES];
+    if (node_name == NULL) {
+        return;
+    }
+    int n = snprintf(line, sizeof line, "t=%lld node=%s ev=%s ",
+                     (long long)GvClock_WallMs(), node_name, event);
+    va_list ap;
+    va_start(ap, fmt);
+    n += vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
+    va_end(ap);
+    n = MIN(n, (int)sizeof line - 32);
+    if (dropped > 0) {
+        n += snprintf(line + n, sizeof line - (size_t)n, " dropped=%lld",
+                      (long long)dropped);
+    }
+    line[n++] = '\n';
+    if (used + (size_t)n > sizeof buffer) {
+        GvEvlog_Flush();
+    }
+    if (used + (size_t)n > sizeof buffer || !allowed()) {
+        dropped++;
+        GvCounter_Add(&lines_dropped, 1);
+        return;
+    }
+    dropped = 0;
+    memcpy(buffer + used, line, (size_t)n);
+    used += (size_t)n;
+}
--- /dev/null
+++ b/src/job.c
@@ -0,0 +1,277 @@
+#include "job.h"
+
+#include <glib.h>
+
+#include "error.h"
+#include "limits.h"
+
+/* Returns an empty job of one occurrence. */
+gv_job_t *
+GvJob_New(void)
+{
+    gv_job_t *job = g_new0(gv_job_t, 1);
+    job->occurrences = 1;
+    job->attempts = 1;
+    job->stretch = 1;
+    return job;
+}
+
+/* Releases a job and all that it holds; NULL is allowed. */
+void
+GvJob_Free(gv_job_t *job)
+{
+    if (job == NULL) {
+        return;
+    }
+    for (int i = 0; i < job->n_steps; i++) {
+        g_free(job->steps[i].after);
+        GvStr_Free(&job->steps[i].label);
+        GvStr_Free(&job->steps[i].rack);
+        GvStr_Free(&job->steps[i].image);
+    }
+    for (int i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
+        g_free(job->tasks[i].saved);
+    }
+    g_free(job->steps);
+    g_free(job->tasks);
+    GvStr_Free(&job->id);
+    GvStr_Free(&job->queue);
+    GvStr_Free(&job->service);
+    GvStr_Free(&job->spec);
+    g_free(job);
+}
+
+/* Tells whether a step refers to earlier steps only and has sane figures. */
+static bool
+step_valid(const gv_step_t *s, int number)
+{
+    if (s->count < 1 || s->count > GV_JOB_TASKS_MAX || s->need.cpu < 0 ||
+        s->need.memory < 0 || s->need.gpu < 0) {
+        return false;
+    }
+    for (int i = 0; i < s->n_after; i++) {
+        if (s->after[i] < 0 || s->after[i] >= number) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Checks a job whose definition is complete and allocates its tasks. Returns
+   0, GV_EINVAL for a definition that cannot be right, or GV_ETOOBIG for too
+   many tasks. */
+int
+GvJob_Prepare(gv_job_t *job)
+{
+    int64_t each = 0;
+    if (job->n_steps < 1 || job->occurrences < 1 || !GvJob_IsId(job->id) ||
+        job->spec.n > GV_JOB_SPEC_BYTES) {
+        return GV_EINVAL;
+    }
+    for (int i = 0; i < job->n_steps; i++) {
+        if (!step_valid(&job->steps[i], i)) {
+            return GV_EINVAL;
+        }
+        each += job->steps[i].count;
+    }
+    if (each * job->occurrences > GV_JOB_TASKS_MAX) {
+        return GV_ETOOBIG;
+    }
+    job->tasks_each = (int)each;
+    job->n_tasks = (int)each * job->occurrences;
+    job->tasks = g_new0(gv_task_t, (gsize)job->n_tasks);
+    return GV_OK;
+}
+
+/* Returns what a caller is told about the job. */
+gv_job_state_t
+GvJob_State(const gv_job_t *job)
+{
+    if (job->n_done == job->n_tasks) {
+        return GV_JOB_DONE;
+    }
+    if (job->cancelled) {
+        return GV_JOB_CANCELLED;
+    }
+    if (job->failed) {
+        return GV_JOB_FAILED;
+    }
+    return job->begun ? GV_JOB_RUNNING : GV_JOB_QUEUED;
+}
+
+/* Returns the name of a state for callers and logs. */
+const char *
+GvJob_StateName(gv_job_state_t state)
+{
+    switch (state) {
+    case GV_JOB_QUEUED:
+        return "queued";
+    case GV_JOB_RUNNING:
+        return "running";
+    case GV_JOB_DONE:
+        return "done";
+    case GV_JOB_FAILED:
+        return "failed";
+    case GV_JOB_CANCELLED:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+/* Tells whether no further task of the job will start. */
+bool
+GvJob_Ended(const gv_job_t *job)
+{
+    return job->cancelled || job->failed || job->n_done == job->n_tasks;
+}
+
+/* Tells whether a run of some task is recorded that may be live. */
+bool
+GvJob_HasPlaced(const gv_job_t *job)
+{
+    for (int i = 0; i < job->n_tasks; i++) {
+        if (job->tasks[i].state == GV_TASK_PLACED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether the job has tasks that run until it is cancelled. */
+bool
+GvJob_Lasts(const gv_job_t *job)
+{
+    for (int i = 0; i < job->n_steps; i++) {
+        if (job->steps[i].lasts) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether id has the form of a job's identifier. */
+bool
+GvJob_IsId(gv_str_t id)
+{
+    if (id.n != GV_JOB_ID_BYTES) {
+        return false;
+    }
+    for (size_t i = 0; i < id.n; i++) {
+        if (!g_ascii_isxdigit(id.p[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns the number of a task within its job, or -1 for no such task. */
+int
+GvJob_TaskOf(const gv_job_t *job, gv_task_place_t at)
+{
+    int task = at.occurrence * job->tasks_each;
+    if (at.occurrence < 0 || at.occurrence >= job->occurrences ||
+        at.step < 0 || at.step >= job->n_steps || at.index < 0 ||
+        at.index >= job->steps[at.step].count) {
+        return -1;
+    }
+    for (int i = 0; i < at.step; i++) {
+        task += job->steps[i].count;
+    }
+    return task + at.index;
+}
+
+/* Returns the occurrence, step and index of a task. */
+gv_task_place_t
+GvJob_PlaceOf(const gv_job_t *job, int task)
+{
+    gv_task_place_t at = {.occurrence = task / job->tasks_each};
+    int left = task % job->tasks_each;
+    while (left >= job->steps[at.step].count) {
+        left -= job->steps[at.step].count;
+        at.step++;
+    }
+    at.index = left;
+    return at;
+}
+
+/* Returns the step of a task. */
+const gv_step_t *
+GvJob_StepOf(const gv_job_t *job, int task)
+{
+    return &job->steps[GvJob_PlaceOf(job, task).step];
+}
+
+/* Tells whether all tasks of a step are done in that occurrence. */
+bool
+GvJob_StepDone(const gv_job_t *job, int occurrence, int step)
+{
+    int first = GvJob_TaskOf(job, (gv_task_place_t){occurrence, step, 0});
+    for (int i = 0; i < job->steps[step].count; i++) {
+        if (job->tasks[first + i].state != GV_TASK_DONE) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Tells whether the tasks of a step may start at this time. */
+bool
+GvJob_StepReady(const gv_job_t *job, int occurrence, int step, int64_t wall_ms)
+{
+    const gv_step_t *s = &job->steps[step];
+    if (job->timed &&
+        wall_ms < job->first_ms + occurrence * job->interval_ms) {
+        return false;
+    }
+    for (int i = 0; i < s->n_after; i++) {
+        if (!GvJob_StepDone(job, occurrence, s->after[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns the longest chain of declared run times through the steps, in
+   milliseconds. */
+int
+GvJob_ChainMs(const gv_job_t *job)
+{
+    int longest = 0;
+    int *end = g_new0(int, (gsize)job->n_steps);
+    for (int i = 0; i < job->n_steps; i++) {
+        const gv_step_t *s = &job->steps[i];
+        for (int k = 0; k < s->n_after; k++) {
+            end[i] = MAX(end[i], end[s->after[k]]);
+        }
+        end[i] += s->estimate_ms;
+        longest = MAX(longest, end[i]);
+    }
+    g_free(end);
+    return longest;
+}
+
+/* Tells whether need fits into free in every dimension. */
+bool
+GvRoom_Fits(gv_room_t need, gv_room_t free)
+{
+    return need.cpu <= free.cpu && need.memory <= free.memory &&
+           need.gpu <= free.gpu;
+}
+
+/* Adds room. */
+void
+GvRoom_Add(gv_room_t *to, gv_room_t add)
+{
+    to->cpu += add.cpu;
+    to->memory += add.memory;
+    to->gpu += add.gpu;
+}
+
+/* Takes room away. */
+void
+GvRoom_Take(gv_room_t *from, gv_room_t take)
+{
+    from->cpu -= take.cpu;
+    from->memory -= take.memory;
+    from->gpu -= take.gpu;
+}
--- /dev/null
+++ b/src/lead.h
@@ -0,0 +1,25 @@
+#ifndef GV_LEAD_H
+#define GV_LEAD_H
+
+#include "job_table.h"
+
+/* When an entry host takes charge of scheduling. The store's record of the
+   lease decides who is in charge; this only says when to try to replace it.
+   No input or output and no clock. Times are monotonic milliseconds. */
+
+typedef struct {
+    gv_str_t self;
+    const gv_lead_t *lead; /* as the store has it */
+    int64_t now_ms;
+    int64_t started_ms; /* this process, or its return from a pause */
+    int64_t heard_ms;   /* newest record of the one in charge */
+    int64_t failed_ms;  /* newest failure of a read of the store; 0: none */
+    bool current;       /* everything stored was read */
+    bool ours;          /* this process is in charge */
+    bool stopping;
+    int silence_ms; /* after which another takes over */
+} gv_lead_view_t;
+
+bool GvLead_MayClaim(const gv_lead_view_t *v);
+
+#endif
--- a/src/limits.h
+++ b/src/limits.h
@@ -234,4 +234,60 @@
 #define GV_RESERVE_UP_MS   5000
 #define GV_RESERVE_DOWN_MS 300000
 
+/* Decision log: a line is at most this long; the buffer holds what a slow
+   reader has not taken yet; the rate covers some ten decisions on each of the
+   30 jobs that an entry host handles in a busy second. */
+#define GV_EVLOG_LINE_BYTES   600
+#define GV_EVLOG_BUFFER_BYTES (64 * 1024)
+#define GV_EVLOG_LINES_PER_S  400
+
+/* Jobs */
+#define GV_JOB_ID_BYTES   16
+#define GV_JOB_SPEC_BYTES 4000
+#define GV_JOB_STEPS_MAX  256
+/* Of all occurrences together; bounds one progress record to about 250 KB. */
+#define GV_JOB_TASKS_MAX 4096
+
+/* Full name of a task: its job's identifier and three numbers. */
+#define GV_TASK_NAME_BYTES 64
+
+/* Scheduler. A lease outlives one lost hold and the change of the scheduler
+   in charge, and is no longer than that: work on a target that falls silent
+   starts again only after it. */
+#define GV_SCHED_LEASE_MS       4500
+#define GV_SCHED_LEASE_SLACK_MS 300
+/* A hold waits this long for an end; a quarter of the lease. */
+#define GV_SCHED_HOLD_WAIT_MS  1000
+#define GV_SCHED_HOLD_RETRY_MS 150
+/* Clocks of targets may run 2% slow: after this time one is off by 0.2 s,
+   which the lease slack covers. */
+#define GV_SCHED_CLOCK_MS 10000
+#define GV_SCHED_TICK_MS  100
+/* A scheduler without the store goes on holding for at most this long. */
+#define GV_SCHED_ORPHAN_MS      6000
+#define GV_SCHED_STOP_REPEAT_MS 300
+#define GV_SCHED_START_TRIES    2
+/* After an unanswered start, an unhealthy answer or a failed connect. */
+#define GV_SCHED_SILENT_MS 500
+/* After a refusal for want of room: one short task later there may be some. */
+#define GV_SCHED_ROOM_MS 100
+/* Runs in a row that fail on a target: 3% of a healthy one's fail, so three
+   in a row by chance are one in 30,000. */
+#define GV_SCHED_FAILURES 3
+#define GV_SCHED_AVOID_MS 5000
+
+/* Claims of the lease are spread over this many steps; a step is longer than
+   an append of a claim takes to be read by the others. */
+#define GV_LEAD_RANKS   8
+#define GV_LEAD_RANK_MS 30
+
+/* Between two tries of an append that was refused. */
+#define GV_LEAD_RETRY_MS 60
+
+/* Intake: appends of accepted work that may be open at once; further
+   submissions wait for the next append. */
+#define GV_INTAKE_APPENDS 4
+#define GV_INTAKE_BATCH   64
+#define GV_INTAKE_RETRY_MS 80
+
 #endif
--- /dev/null
+++ b/src/sched.c
@@ -0,0 +1,497 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "error.h"
+#include "evlog.h"
+#include "job_record.h"
+#include "limits.h"
+#include "sched_private.h"
+
+static guint
+hash_str(gconstpointer key)
+{
+    return GvStr_Hash(*(const gv_str_t *)key);
+}
+
+static gboolean
+equal_str(gconstpointer a, gconstpointer b)
+{
+    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
+}
+
+static void
+clear_info(gv_target_info_t *i)
+{
+    GvStr_Free(&i->id);
+    GvStr_Free(&i->addr);
+    GvStr_Free(&i->service);
+    GvStr_Free(&i->dc);
+    GvStr_Free(&i->rack);
+    GvStr_Free(&i->labels);
+}
+
+static void
+free_seat(gpointer p)
+{
+    gv_seat_t *seat = p;
+    clear_info(&seat->info);
+    g_ptr_array_free(seat->runs, TRUE);
+    g_free(seat);
+}
+
+static void
+free_active(gpointer p)
+{
+    gv_active_t *a = p;
+    for (int i = 0; i < a->job->n_tasks; i++) {
+        g_free(a->runs[i]);
+    }
+    g_free(a->runs);
+    GvJob_Free(a->job);
+    g_free(a);
+}
+
+static void
+free_queue(gpointer p)
+{
+    gv_queue_info_t *q = p;
+    GvStr_Free(&q->name);
+    GvStr_Free(&q->service);
+    g_free(q);
+}
+
+static void
+free_service(gpointer p)
+{
+    gv_service_info_t *v = p;
+    GvStr_Free(&v->name);
+    g_free(v);
+}
+
+/* Returns a scheduler that knows nothing yet. */
+gv_sched_t *
+GvSched_New(const gv_sched_opts_t *o)
+{
+    gv_sched_t *s = g_new0(gv_sched_t, 1);
+    s->o = *o;
+    s->seats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_seat);
+    s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
+    s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
+    s->services =
+        g_hash_table_new_full(hash_str, equal_str, NULL, free_service);
+    s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s->logging = g_ptr_array_new();
+    s->batched = g_ptr_array_new();
+    return s;
+}
+
+/* Releases a scheduler; runs on targets go on until their leases end. */
+void
+GvSched_Free(gv_sched_t *s)
+{
+    g_ptr_array_free(s->logging, TRUE);
+    g_ptr_array_free(s->batched, TRUE);
+    g_hash_table_destroy(s->jobs);
+    g_hash_table_destroy(s->seats);
+    g_hash_table_destroy(s->queues);
+    g_hash_table_destroy(s->services);
+    g_hash_table_destroy(s->strays);
+    g_free(s);
+}
+
+/* Tells whether a target has seen the fence of a newer scheduler. */
+bool
+GvSched_Fenced(const gv_sched_t *s)
+{
+    return s->fenced;
+}
+
+/* Replaces the queues; jobs of a queue that is gone keep what it was when
+   they were accepted. */
+void
+GvSched_SetQueues(gv_sched_t *s, const gv_queue_info_t *queues, int n)
+{
+    g_hash_table_remove_all(s->queues);
+    for (int i = 0; i < n; i++) {
+        gv_queue_info_t *q = g_memdup2(&queues[i], sizeof *q);
+        q->name = GvStr_Dup(q->name);
+        q->service = GvStr_Dup(q->service);
+        g_hash_table_replace(s->queues, &q->name, q);
+    }
+    s->place_due = true;
+}
+
+/* Replaces the services. */
+void
+GvSched_SetServices(gv_sched_t *s, const gv_service_info_t *services, int n)
+{
+    g_hash_table_remove_all(s->services);
+    for (int i = 0; i < n; i++) {
+        gv_service_info_t *v = g_memdup2(&services[i], sizeof *v);
+        v->name = GvStr_Dup(v->name);
+        g_hash_table_replace(s->services, &v->name, v);
+    }
+}
+
+const gv_queue_info_t *
+GvSched_QueueOf(const gv_sched_t *s, const gv_job_t *job)
+{
+    return g_hash_table_lookup(s->queues, &job->queue);
+}
+
+/* Returns the service whose targets run the job at present. */
+gv_str_t
+GvSched_ServiceOf(const gv_sched_t *s, const gv_job_t *job)
+{
+    const gv_queue_info_t *q = GvSched_QueueOf(s, job);
+    return q == NULL ? job->service : q->service;
+}
+
+int
+GvSched_AttemptsOf(const gv_sched_t *s, const gv_job_t *job)
+{
+    const gv_queue_info_t *q = GvSched_QueueOf(s, job);
+    return MAX(q == NULL ? job->attempts : q->attempts, 1);
+}
+
+gv_seat_t *
+GvSched_Seat(const gv_sched_t *s, const char *id)
+{
+    return g_hash_table_lookup(s->seats, id);
+}
+
+gv_active_t *
+GvSched_Job(const gv_sched_t *s, gv_str_t id)
+{
+    return g_hash_table_lookup(s->jobs, &id);
+}
+
+/* Writes the full name of a task, ID.K.STEP.INDEX. */
+void
+GvSched_TaskName(const gv_job_t *job, int task, char *out, size_t n)
+{
+    gv_task_place_t at = GvJob_PlaceOf(job, task);
+    snprintf(out, n, "%.*s.%d.%d.%d", GV_STR_ARG(job->id), at.occurrence,
+             at.step, at.index);
+}
+
+/* Finds the job and the number of a task by its full name; NULL for a job
+   that is not active here or a name that does not fit it. */
+gv_active_t *
+GvSched_TaskByName(const gv_sched_t *s, gv_str_t name, int *task)
+{
+    char text[GV_TASK_NAME_BYTES];
+    gv_task_place_t at;
+    char end;
+    if (name.n <= GV_JOB_ID_BYTES || name.n >= sizeof text) {
+        return NULL;
+    }
+    gv_active_t *a = GvSched_Job(s, GvStr_N(name.p, GV_JOB_ID_BYTES));
+    g_snprintf(text, sizeof text, "%.*s", GV_STR_ARG(name));
+    if (a == NULL || sscanf(text + GV_JOB_ID_BYTES, ".%d.%d.%d%c",
+                            &at.occurrence, &at.step, &at.index, &end) != 3) {
+        return NULL;
+    }
+    *task = GvJob_TaskOf(a->job, at);
+    return *task < 0 ? NULL : a;
+}
+
+static gv_seat_t *
+seat_of(gv_sched_t *s, const char *id)
+{
+    gv_seat_t *seat = GvSched_Seat(s, id);
+    if (seat == NULL) {
+        seat = g_new0(gv_seat_t, 1);
+        seat->id = g_intern_string(id);
+        seat->runs = g_ptr_array_new();
+        g_hash_table_insert(s->seats, (gpointer)seat->id, seat);
+    }
+    return seat;
+}
+
+/* Takes what the host list says of a target. */
+void
+GvSched_SetTarget(gv_sched_t *s, const gv_target_info_t *info, int64_t now_ms)
+{
+    char *id = g_strndup(info->id.p, info->id.n);
+    gv_seat_t *seat = seat_of(s, id);
+    g_free(id);
+    bool drains = info->draining && !seat->info.draining;
+    if (!seat->listed || drains ||
+        !GvStr_Equal(seat->info.service, info->service)) {
+        GvEvlog_Write("target", "target=%s service=%.*s draining=%d left=%lld",
+                      seat->id, GV_STR_ARG(info->service), info->draining,
+                      (long long)info->left_ms);
+    }
+    gv_target_info_t copy = *info;
+    copy.id = GvStr_Dup(info->id);
+    copy.addr = GvStr_Dup(info->addr);
+    copy.service = GvStr_Dup(info->service);
+    copy.dc = GvStr_Dup(info->dc);
+    copy.rack = GvStr_Dup(info->rack);
+    copy.labels = GvStr_Dup(info->labels);
+    clear_info(&seat->info);
+    seat->info = copy;
+    seat->listed = true;
+    if (info->born != 0 && seat->born != 0 && info->born > seat->born) {
+        GvSched_LoseSeat(s, seat, "reborn");
+        seat->born = info->born;
+        seat->synced = false;
+    }
+    for (guint i = 0; drains && i < seat->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i);
+        if (r->job->lasts) {
+            GvSched_StopRun(s, r, "target drains", now_ms);
+        }
+    }
+    s->place_due = true;
+}
+
+/* Takes a target off the list. Its runs may go on: they count until it
+   answers or their leases have ended. */
+void
+GvSched_RemoveTarget(gv_sched_t *s, gv_str_t id, int64_t now_ms)
+{
+    char *name = g_strndup(id.p, id.n);
+    gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    if (seat == NULL || !seat->listed) {
+        return;
+    }
+    GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld",
+                  seat->id, seat->runs->len,
+                  (long long)(seat->lease_until_ms - now_ms));
+    seat->listed = false;
+}
+
+void
+GvSched_KeepTargets(gv_sched_t *s, GHashTable *ids, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const gv_seat_t *seat = value;
+        if (!g_hash_table_contains(ids, seat->id)) {
+            GvSched_RemoveTarget(s, GvStr_C(seat->id), now_ms);
+        }
+    }
+}
+
+/* Ends all runs on a target that no longer exists in that life: the platform
+   says that its host was taken down, or it was started anew. */
+void
+GvSched_Ended(gv_sched_t *s, gv_str_t target, int64_t now_ms)
+{
+    char *name = g_strndup(target.p, target.n);
+    gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    if (seat != NULL) {
+        GvSched_LoseSeat(s, seat, "host taken down");
+        seat->listed = false;
+        seat->lease_until_ms = now_ms;
+    }
+}
+
+/* Takes over a job with its progress. Runs that are recorded may be live:
+   they are looked for on their targets. A job that is known stays. */
+void
+GvSched_AddJob(gv_sched_t *s, const gv_job_t *job)
+{
+    msgpack_sbuffer sb;
+    gv_job_t *copy = NULL;
+    if (GvSched_Job(s, job->id) != NULL) {
+        return;
+    }
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackDefinition(job, &sb);
+    int rc = GvJobRecord_ReadDefinition(GvStr_N(sb.data, sb.size), &copy);
+    sb.size = 0;
+    if (rc == GV_OK) {
+        GvJobRecord_PackProgress(job, &sb);
+        rc = GvJobRecord_ReadProgress(GvStr_N(sb.data, sb.size), copy);
+    }
+    msgpack_sbuffer_destroy(&sb);
+    if (rc != GV_OK) {
+        GvEvlog_Write("job", "job=%.*s not taken: %s", GV_STR_ARG(job->id),
+                      Gv_StrError(rc));
+        GvJob_Free(copy);
+        return;
+    }
+    copy->cancelled = job->cancelled;
+    gv_active_t *a = g_new0(gv_active_t, 1);
+    a->job = copy;
+    a->lasts = GvJob_Lasts(copy);
+    a->runs = g_new0(gv_run_t *, (gsize)copy->n_tasks);
+    g_hash_table_insert(s->jobs, &copy->id, a);
+    for (int i = 0; i < copy->n_tasks; i++) {
+        gv_task_t *t = &copy->tasks[i];
+        if (t->state == GV_TASK_PLACED && t->target != NULL) {
+            gv_seat_t *seat = seat_of(s, t->target);
+            seat->lease_until_ms =
+                MAX(seat->lease_until_ms,
+                    s->o.now_ms + GV_SCHED_ORPHAN_MS + s->o.max_lease_ms);
+            GvSched_AddRun(s, a, i, seat, GV_RUN_INHERITED, s->o.now_ms);
+        }
+    }
+    if (GvJob_Ended(copy)) {
+        GvSched_StopJob(s, a, "job has ended", s->o.now_ms);
+    }
+    s->place_due = true;
+}
+
+/* Cancels a job: nothing of it starts any more, and its runs are stopped. */
+void
+GvSched_Cancel(gv_sched_t *s, gv_str_t id, int64_t now_ms)
+{
+    gv_active_t *a = GvSched_Job(s, id);
+    if (a == NULL || a->job->cancelled) {
+        return;
+    }
+    GvEvlog_Write("cancel", "job=%.*s runs=%d", GV_STR_ARG(id), a->n_runs);
+    a->job->cancelled = true;
+    a->dirty = true;
+    GvSched_StopJob(s, a, "cancelled", now_ms);
+}
+
+/* Gives out the progress of every job that has changed. Returns the number of
+   records; 0 also while a batch is open. */
+int
+GvSched_TakeBatch(gv_sched_t *s, gv_sched_add_t add, void *user)
+{
+    GHashTableIter it;
+    gpointer value;
+    int n = 0;
+    if (s->batch_open) {
+        return 0;
+    }
+    g_hash_table_iter_init(&it, s->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_active_t *a = value;
+        if (!a->dirty) {
+            continue;
+        }
+        msgpack_sbuffer sb;
+        char key[GV_JOB_ID_BYTES + 2];
+        msgpack_sbuffer_init(&sb);
+        g_snprintf(key, sizeof key, "P%.*s", GV_STR_ARG(a->job->id));
+        if (GvJob_Ended(a->job) && a->job->ended_ms == 0) {
+            a->job->ended_ms = s->wall_ms;
+        }
+        GvJobRecord_PackProgress(a->job, &sb);
+        add(user, GvStr_C(key), GvStr_N(sb.data, sb.size));
+        msgpack_sbuffer_destroy(&sb);
+        a->dirty = false;
+        n++;
+    }
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        seat->noted_batch = seat->noted;
+        if (n == 0) {
+            seat->noted_stored = seat->noted;
+        }
+    }
+    if (n > 0) {
+        GPtrArray *swap = s->batched;
+        s->batched = s->logging;
+        s->logging = swap;
+        s->batch_open = true;
+    }
+    return n;
+}
+
+/* Forgets jobs that have ended and left no run behind. */
+static void
+sweep_jobs(gv_sched_t *s)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_active_t *a = value;
+        if (!a->dirty && a->n_runs == 0 && GvJob_Ended(a->job)) {
+            GvEvlog_Write("ended", "job=%.*s state=%s age=%lld",
+                          GV_STR_ARG(a->job->id),
+                          GvJob_StateName(GvJob_State(a->job)),
+                          (long long)(s->wall_ms - a->job->accepted_ms));
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+/* The batch is stored: its starts are ordered, and targets may forget the
+   ends that it holds. */
+void
+GvSched_Committed(gv_sched_t *s, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    s->batch_open = false;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        seat->noted_stored = seat->noted_batch;
+    }
+    while (s->batched->len > 0) {
+        gv_run_t *r = g_ptr_array_remove_index_fast(s->batched, 0);
+        if (r->phase == GV_RUN_LOGGING) {
+            GvSched_SendStart(s, r, now_ms);
+        }
+    }
+    sweep_jobs(s);
+}
+
+/* Returns what planning of pools needs to know of a target. */
+bool
+GvSched_View(const gv_sched_t *s, gv_str_t target, gv_target_view_t *v)
+{
+    char *name = g_strndup(target.p, target.n);
+    const gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    if (seat == NULL || !seat->listed) {
+        return false;
+    }
+    *v = (gv_target_view_t){
+        .id = seat->id,
+        .service = seat->info.service.p,
+        .rack = seat->info.rack.p,
+        .runs = (int)seat->runs->len,
+        .draining = seat->info.draining,
+        .reserved = seat->reserved,
+        .room = seat->info.room,
+        .free = seat->info.room,
+    };
+    GvRoom_Take(&v->free, seat->used);
+    for (guint i = 0; i < seat->runs->len; i++) {
+        const gv_run_t *r = g_ptr_array_index(seat->runs, i);
+        v->lasting += r->job->lasts ? 1 : 0;
+    }
+    return true;
+}
+
+/* Keeps a target free of new tasks, or lets it have them again. */
+void
+GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved)
+{
+    char *name = g_strndup(target.p, target.n);
+    gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    if (seat != NULL && seat->reserved != reserved) {
+        GvEvlog_Write("reserve", "target=%s reserved=%d runs=%u", seat->id,
+                      reserved, seat->runs->len);
+        seat->reserved = reserved;
+        s->place_due = true;
+    }
+}
+
+/* Renews leases, ends what has lapsed and places what waits. Returns the time
+   of the next call that is needed without an event. */
+int64_t
+GvSched_Run(gv_sched_t *s, int64_t now_ms, int64_t wall_ms)
+{
+    s->wall_ms = wall_ms;
+    int64_t next = GvSched_StepSeats(s, now_ms);
+    GvSched_Place(s, now_ms);
+    return next;
+}
--- /dev/null
+++ b/src/sched_place.c
@@ -0,0 +1,355 @@
+#include <string.h>
+
+#include "evlog.h"
+#include "limits.h"
+#include "sched_private.h"
+
+/* Chooses which waiting tasks start where. */
+
+/* A step of an occurrence whose turn has come and that has tasks waiting. */
+typedef struct {
+    gv_active_t *job;
+    const gv_step_t *step;
+    gv_str_t service;
+    int first; /* number of its first task */
+    int priority;
+    bool late;           /* its objective has passed */
+    int64_t deadline_ms; /* wall clock of the objective */
+} gv_ready_t;
+
+/* Lasting work comes first, then by priority; work that can still meet its
+   objective goes before work that cannot, the earlier objective first. */
+static int
+compare_ready(gconstpointer pa, gconstpointer pb)
+{
+    const gv_ready_t *a = pa;
+    const gv_ready_t *b = pb;
+    if (a->job->lasts != b->job->lasts) {
+        return a->job->lasts ? -1 : 1;
+    }
+    if (a->priority != b->priority) {
+        return a->priority < b->priority ? -1 : 1;
+    }
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
+    if (a->deadline_ms != b->deadline_ms) {
+        return a->deadline_ms < b->deadline_ms ? -1 : 1;
+    }
+    return GvStr_Compare(a->job->job->id, b->job->job->id);
+}
+
+static bool
+has_waiting(const gv_active_t *a, int first, int count)
+{
+    for (int i = 0; i < count; i++) {
+        if (a->job->tasks[first + i].state == GV_TASK_WAITING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_ready(gv_sched_t *s, gv_active_t *a, GArray *out)
+{
+    gv_job_t *job = a->job;
+    const gv_queue_info_t *q = GvSched_QueueOf(s, job);
+    int objective = q == NULL ? job->objective_ms : q->objective_ms;
+    double stretch = q == NULL ? job->stretch : q->stretch;
+    if (q != NULL && q->advice) {
+        return; /* placed by its own path */
+    }
+    for (int k = 0; k < job->occurrences; k++) {
+        int first = k * job->tasks_each;
+        int64_t begin = job->timed ? job->first_ms + k * job->interval_ms
+                                   : job->accepted_ms;
+        for (int i = 0; i < job->n_steps; i++) {
+            const gv_step_t *step = &job->steps[i];
+            if (has_waiting(a, first, step->count) &&
+                GvJob_StepReady(job, k, i, s->wall_ms)) {
+                gv_ready_t r = {
+                    .job = a,
+                    .step = step,
+                    .service = GvSched_ServiceOf(s, job),
+                    .first = first,
+                    .priority = q == NULL ? job->priority : q->priority,
+                    .deadline_ms = begin + objective +
+                                   (int64_t)(stretch * GvJob_ChainMs(job)),
+                };
+                r.late = s->wall_ms > r.deadline_ms;
+                g_array_append_val(out, r);
+            }
+            first += step->count;
+        }
+    }
+}
+
+static GArray *
+ready_steps(gv_sched_t *s)
+{
+    GHashTableIter it;
+    gpointer value;
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(gv_ready_t));
+    g_hash_table_iter_init(&it, s->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_active_t *a = value;
+        if (!GvJob_Ended(a->job)) {
+            add_ready(s, a, out);
+        }
+    }
+    g_array_sort(out, compare_ready);
+    return out;
+}
+
+static bool
+has_label(const gv_seat_t *seat, gv_str_t label)
+{
+    if (label.n == 0) {
+        return true;
+    }
+    const char *p = seat->info.labels.p;
+    while (p != NULL && *p != '\0') {
+        const char *end = strchrnul(p, ' ');
+        if (GvStr_Equal(GvStr_N(p, (size_t)(end - p)), label)) {
+            return true;
+        }
+        p = *end == '\0' ? end : end + 1;
+    }
+    return false;
+}
+
+static int
+runs_of_step(const gv_seat_t *seat, const gv_ready_t *r)
+{
+    int n = 0;
+    for (guint i = 0; i < seat->runs->len; i++) {
+        const gv_run_t *run = g_ptr_array_index(seat->runs, i);
+        n += run->job == r->job && run->task >= r->first &&
+                     run->task < r->first + r->step->count
+                 ? 1
+                 : 0;
+    }
+    return n;
+}
+
+/* Tells whether tasks that fill and tasks with a goal for their response
+   times would share the target. */
+static bool
+would_disturb(const gv_seat_t *seat, const gv_step_t *step)
+{
+    for (guint i = 0; i < seat->runs->len; i++) {
+        const gv_run_t *run = g_ptr_array_index(seat->runs, i);
+        const gv_step_t *other = GvJob_StepOf(run->job->job, run->task);
+        if ((step->fills && other->tail_goal_ms > 0) ||
+            (step->tail_goal_ms > 0 && other->fills)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether a task of the step may start on the target now. */
+static bool
+may_run(const gv_seat_t *seat, const gv_ready_t *r, const gv_room_t *free,
+        int64_t now_ms)
+{
+    gv_room_t need = r->step->need;
+    if (r->step->fills) {
+        need.cpu = 0;
+    }
+    return seat->listed && !seat->info.draining && !seat->reserved &&
+           now_ms >= seat->avoid_until_ms &&
+           GvStr_Equal(seat->info.service, r->service) &&
+           GvRoom_Fits(need, *free) && has_label(seat, r->step->label) &&
+           (r->step->max_per_target == 0 ||
+            runs_of_step(seat, r) < r->step->max_per_target) &&
+           !would_disturb(seat, r->step);
+}
+
+/* Rates a target that may run a task; the highest is taken. Data on the rack
+   counts most, then a target other than the one where the task failed, then
+   the least room left over, so that other targets stay empty. */
+static double
+rate(const gv_seat_t *seat, const gv_ready_t *r, const gv_task_t *t,
+     const gv_room_t *free)
+{
+    double left = (double)free->cpu / (double)MAX(seat->info.room.cpu, 1);
+    double score = r->step->fills ? left : 1 - left;
+    if (r->step->rack.n > 0 &&
+        GvStr_Equal(r->step->rack, seat->info.rack)) {
+        score += 8;
+    }
+    if (t->failures > 0 && t->target == seat->id) {
+        score -= 4;
+    }
+    if (seat->failures > 0) {
+        score -= 2;
+    }
+    return score;
+}
+
+static gv_seat_t *
+choose(gv_sched_t *s, const gv_ready_t *r, const gv_task_t *t, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    gv_seat_t *best = NULL;
+    double best_score = 0;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        gv_room_t free = seat->info.room;
+        GvRoom_Take(&free, seat->used);
+        if (!may_run(seat, r, &free, now_ms)) {
+            continue;
+        }
+        if (!GvSched_SeatFresh(seat, now_ms)) {
+            seat->wanted = true;
+            continue;
+        }
+        double score = rate(seat, r, t, &free);
+        if (best == NULL || score > best_score ||
+            (score == best_score && strcmp(seat->id, best->id) < 0)) {
+            best = seat;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* Places all tasks of a gang under one run number, or none. */
+static void
+place_gang(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+{
+    gv_task_t *tasks = r->job->job->tasks;
+    uint32_t run = 0;
+    const char *saved = NULL;
+    for (int i = 0; i < r->step->count; i++) {
+        gv_task_t *t = &tasks[r->first + i];
+        if (t->state != GV_TASK_WAITING) {
+            return;
+        }
+        run = MAX(run, t->run);
+        saved = saved == NULL ? t->saved : saved;
+    }
+    char *state = g_strdup(saved);
+    int placed = 0;
+    while (placed < r->step->count) {
+        gv_task_t *t = &tasks[r->first + placed];
+        gv_seat_t *seat = choose(s, r, t, now_ms);
+        if (seat == NULL) {
+            break;
+        }
+        t->run = run + 1;
+        g_free(t->saved);
+        t->saved = g_strdup(state);
+        GvSched_AddRun(s, r->job, r->first + placed, seat, GV_RUN_LOGGING,
+                       now_ms);
+        placed++;
+    }
+    bool whole = placed == r->step->count;
+    while (!whole && placed > 0) {
+        placed--;
+        GvSched_DropRun(s, r->job->runs[r->first + placed], NULL);
+    }
+    g_free(state);
+}
+
+static void
+place_tasks(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+{
+    for (int i = 0; i < r->step->count; i++) {
+        gv_task_t *t = &r->job->job->tasks[r->first + i];
+        if (t->state != GV_TASK_WAITING) {
+            continue;
+        }
+        gv_seat_t *seat = choose(s, r, t, now_ms);
+        if (seat == NULL) {
+            return;
+        }
+        t->run++;
+        GvSched_AddRun(s, r->job, r->first + i, seat, GV_RUN_LOGGING, now_ms);
+    }
+}
+
+/* Places every waiting task that has its turn and finds room. Without an
+   event it does so once a tick, for occurrences that fall due and targets
+   that are avoided no longer. */
+void
+GvSched_Place(gv_sched_t *s, int64_t now_ms)
+{
+    if (!s->place_due && now_ms - s->placed_ms < GV_SCHED_TICK_MS) {
+        return;
+    }
+    s->placed_ms = now_ms;
+    GArray *ready = ready_steps(s);
+    for (guint i = 0; i < ready->len; i++) {
+        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
+        if (r->step->gang) {
+            place_gang(s, r, now_ms);
+        }
+        else {
+            place_tasks(s, r, now_ms);
+        }
+    }
+    g_array_free(ready, TRUE);
+    s->place_due = false;
+}
+
+/* Sums up what the tasks of a service ask for: those that run, and those
+   whose turn has come. */
+gv_demand_t
+GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t wall_ms)
+{
+    gv_demand_t d = {0};
+    GHashTableIter it;
+    gpointer value;
+    s->wall_ms = wall_ms;
+    GArray *ready = ready_steps(s);
+    for (guint i = 0; i < ready->len; i++) {
+        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
+        if (!GvStr_Equal(r->service, service) || r->step->fills) {
+            continue;
+        }
+        for (int k = 0; k < r->step->count; k++) {
+            if (r->job->job->tasks[r->first + k].state == GV_TASK_WAITING) {
+                d.waiting++;
+                d.wanted_cpu += r->step->need.cpu;
+            }
+        }
+    }
+    g_array_free(ready, TRUE);
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const gv_seat_t *seat = value;
+        if (GvStr_Equal(seat->info.service, service)) {
+            d.used_cpu += seat->used.cpu;
+        }
+    }
+    return d;
+}
+
+/* Stops what may be stopped on a target so that it becomes empty: lasting
+   tasks as far as their step allows, and short ones if asked. Returns the
+   number of runs that are left. */
+int
+GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
+                 int64_t now_ms)
+{
+    char *name = g_strndup(target.p, target.n);
+    gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    if (seat == NULL) {
+        return 0;
+    }
+    for (guint i = seat->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+        if (r->phase == GV_RUN_STOPPING ||
+            (r->job->lasts ? !GvSched_MayStop(r) : !short_too)) {
+            continue;
+        }
+        GvSched_StopRun(s, r, "target is emptied", now_ms);
+    }
+    return (int)seat->runs->len;
+}
--- /dev/null
+++ b/src/sched_private.h
@@ -0,0 +1,115 @@
+#ifndef GV_SCHED_PRIVATE_H
+#define GV_SCHED_PRIVATE_H
+
+#include "sched.h"
+
+/* Shared by the files of the scheduler only. */
+
+typedef enum {
+    GV_RUN_LOGGING,   /* placed; its record is not stored yet */
+    GV_RUN_SENDING,   /* ordered, without an answer so far */
+    GV_RUN_ACTIVE,    /* the target has confirmed it */
+    GV_RUN_STOPPING,  /* a stop was or will be ordered */
+    GV_RUN_INHERITED, /* an earlier scheduler may have ordered it */
+} gv_run_phase_t;
+
+typedef struct gv_seat_s gv_seat_t;
+typedef struct gv_active_s gv_active_t;
+
+/* A run that is on a target, or may be. */
+typedef struct {
+    gv_seat_t *seat;
+    gv_active_t *job;
+    int task;
+    uint32_t run;
+    gv_room_t need;
+    gv_run_phase_t phase;
+    bool open;          /* an order waits for its answer */
+    bool unsure;        /* an earlier order got no answer */
+    bool listed;        /* in the newest list of its target */
+    int tries;          /* orders sent in this phase */
+    int64_t next_ms;    /* of the next order, while none is open */
+    int64_t known_ms;   /* the target confirmed the newest order */
+    int64_t placed_ms;
+    int percent;
+} gv_run_t;
+
+/* A job that has not ended or still has runs. */
+struct gv_active_s {
+    gv_job_t *job;
+    bool lasts;
+    bool dirty;       /* progress differs from what was given out to store */
+    gv_run_t **runs;  /* by task, NULL without one */
+    int n_runs;
+};
+
+/* A target with what runs on it. */
+struct gv_seat_s {
+    const char *id; /* interned */
+    gv_target_info_t info;
+    bool listed;   /* the host list has it */
+    bool reserved; /* for a move or maintenance: gets no new tasks */
+    bool synced;   /* it has answered under this fence */
+    bool wanted;   /* placement waits for a newer clock */
+    bool hold_open;
+    int hold_failures;
+    int64_t hold_sent_ms;
+    int64_t hold_next_ms;
+    int64_t answered_ms; /* newest answer with a clock */
+    int64_t clock_delta; /* the target's clock less ours */
+    int64_t born;
+    int64_t lease_until_ms; /* no run on it lives longer without an order */
+    uint64_t noted;         /* ends applied */
+    uint64_t noted_batch;   /* of them, in the batch that is being stored */
+    uint64_t noted_stored;
+    uint64_t noted_told; /* the target may forget up to here */
+    gv_room_t used;
+    GPtrArray *runs; /* gv_run_t * */
+    int failures;    /* runs in a row that ended as failed */
+    int64_t avoid_until_ms;
+};
+
+struct gv_sched_s {
+    gv_sched_opts_t o;
+    bool fenced;
+    bool batch_open;
+    int64_t wall_ms;
+    GHashTable *seats;  /* interned id -> gv_seat_t * */
+    GHashTable *jobs;   /* gv_str_t * -> gv_active_t * */
+    GHashTable *queues; /* name -> gv_queue_info_t * */
+    GHashTable *services;
+    GHashTable *strays; /* "target task run" -> time of the newest stop */
+    GPtrArray *logging; /* gv_run_t * to be ordered after the next batch */
+    GPtrArray *batched; /* gv_run_t * to be ordered after this batch */
+    bool place_due;
+    int64_t placed_ms; /* newest pass of placement */
+};
+
+gv_seat_t *GvSched_Seat(const gv_sched_t *s, const char *id);
+gv_active_t *GvSched_Job(const gv_sched_t *s, gv_str_t id);
+gv_str_t GvSched_ServiceOf(const gv_sched_t *s, const gv_job_t *job);
+const gv_queue_info_t *GvSched_QueueOf(const gv_sched_t *s,
+                                       const gv_job_t *job);
+int GvSched_AttemptsOf(const gv_sched_t *s, const gv_job_t *job);
+void GvSched_TaskName(const gv_job_t *job, int task, char *out, size_t n);
+gv_active_t *GvSched_TaskByName(const gv_sched_t *s, gv_str_t name, int *task);
+
+gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_t *a, int task,
+                         gv_seat_t *seat, gv_run_phase_t phase,
+                         int64_t now_ms);
+void GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why);
+void GvSched_StopRun(gv_sched_t *s, gv_run_t *r, const char *why,
+                     int64_t now_ms);
+void GvSched_StopJob(gv_sched_t *s, gv_active_t *a, const char *why,
+                     int64_t now_ms);
+void GvSched_EndRun(gv_sched_t *s, gv_run_t *r, const gv_ended_t *e,
+                    int64_t now_ms);
+void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+void GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why);
+bool GvSched_MayStop(const gv_run_t *r);
+bool GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms);
+void GvSched_Place(gv_sched_t *s, int64_t now_ms);
+int64_t GvSched_StepSeats(gv_sched_t *s, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/sched_run.c
@@ -0,0 +1,657 @@
+#include <string.h>
+
+#include "evlog.h"
+#include "limits.h"
+#include "sched_private.h"
+
+/* One run of a task: from its placement to its end. */
+
+static gv_room_t
+charged(const gv_step_t *step)
+{
+    gv_room_t need = step->need;
+    if (step->fills) {
+        need.cpu = 0;
+    }
+    return need;
+}
+
+/* Adds a run of a task on a target. For a new placement the task gets the
+   next run number. */
+gv_run_t *
+GvSched_AddRun(gv_sched_t *s, gv_active_t *a, int task, gv_seat_t *seat,
+               gv_run_phase_t phase, int64_t now_ms)
+{
+    gv_task_t *t = &a->job->tasks[task];
+    gv_run_t *r = g_new0(gv_run_t, 1);
+    r->seat = seat;
+    r->job = a;
+    r->task = task;
+    r->need = charged(GvJob_StepOf(a->job, task));
+    r->phase = phase;
+    r->placed_ms = now_ms;
+    if (phase == GV_RUN_LOGGING) {
+        t->state = GV_TASK_PLACED;
+        t->target = seat->id;
+        a->job->begun = true;
+        a->dirty = true;
+        g_ptr_array_add(s->logging, r);
+    }
+    r->run = t->run;
+    a->runs[task] = r;
+    a->n_runs++;
+    GvRoom_Add(&seat->used, r->need);
+    g_ptr_array_add(seat->runs, r);
+    return r;
+}
+
+/* Forgets a run that is known not to be live. A task that is not done waits
+   for its next start. */
+void
+GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why)
+{
+    gv_active_t *a = r->job;
+    gv_task_t *t = &a->job->tasks[r->task];
+    if (why != NULL) {
+        char name[GV_TASK_NAME_BYTES];
+        GvSched_TaskName(a->job, r->task, name, sizeof name);
+        GvEvlog_Write("dropped", "task=%s run=%u target=%s why=\"%s\"", name,
+                      r->run, r->seat->id, why);
+    }
+    if (t->state == GV_TASK_PLACED) {
+        t->state = GV_TASK_WAITING;
+        a->dirty = true;
+    }
+    GvRoom_Take(&r->seat->used, r->need);
+    g_ptr_array_remove_fast(r->seat->runs, r);
+    g_ptr_array_remove_fast(s->logging, r);
+    g_ptr_array_remove_fast(s->batched, r);
+    a->runs[r->task] = NULL;
+    a->n_runs--;
+    g_free(r);
+    s->place_due = true;
+}
+
+/* Ends all runs on a target whose life has ended. */
+void
+GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why)
+{
+    while (seat->runs->len > 0) {
+        GvSched_DropRun(s, g_ptr_array_index(seat->runs, 0), why);
+    }
+    seat->noted = 0;
+    seat->noted_batch = 0;
+    seat->noted_stored = 0;
+    seat->noted_told = 0;
+}
+
+static int64_t
+deadline_of(const gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+{
+    int64_t until = now_ms + s->o.lease_ms + s->o.lease_ms / 50 +
+                    GV_SCHED_LEASE_SLACK_MS;
+    seat->lease_until_ms = MAX(seat->lease_until_ms, until);
+    return now_ms + seat->clock_delta + s->o.lease_ms;
+}
+
+/* Orders a start whose record is stored. */
+void
+GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    gv_task_t *t = &r->job->job->tasks[r->task];
+    if (GvJob_Ended(r->job->job)) {
+        GvSched_DropRun(s, r, "job ended before the start");
+        return;
+    }
+    r->phase = GV_RUN_SENDING;
+    r->open = true;
+    r->tries++;
+    gv_start_order_t o = {
+        .target = r->seat->id,
+        .addr = r->seat->info.addr.p,
+        .job = r->job->job,
+        .task = r->task,
+        .run = r->run,
+        .deadline_ms = deadline_of(s, r->seat, now_ms),
+        .saved = t->saved,
+        .retry = r->tries > 1,
+    };
+    s->o.ops.start(s->o.ops.user, &o);
+}
+
+/* Orders a stop, again until it is confirmed. */
+void
+GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    char name[GV_TASK_NAME_BYTES];
+    GvSched_TaskName(r->job->job, r->task, name, sizeof name);
+    r->open = true;
+    r->tries++;
+    r->next_ms = now_ms + GV_SCHED_STOP_REPEAT_MS;
+    gv_stop_order_t o = {.target = r->seat->id,
+                         .addr = r->seat->info.addr.p,
+                         .task = name,
+                         .run = r->run};
+    s->o.ops.stop(s->o.ops.user, &o);
+}
+
+/* Begins to stop a run. One that was not ordered yet is dropped at once. */
+void
+GvSched_StopRun(gv_sched_t *s, gv_run_t *r, const char *why, int64_t now_ms)
+{
+    if (r->phase == GV_RUN_STOPPING) {
+        return;
+    }
+    if (r->phase == GV_RUN_LOGGING) {
+        GvSched_DropRun(s, r, why);
+        return;
+    }
+    char name[GV_TASK_NAME_BYTES];
+    GvSched_TaskName(r->job->job, r->task, name, sizeof name);
+    GvEvlog_Write("stop", "task=%s run=%u target=%s why=\"%s\"", name, r->run,
+                  r->seat->id, why);
+    r->phase = GV_RUN_STOPPING;
+    r->tries = 0;
+    r->known_ms = 0;
+    GvSched_SendStop(s, r, now_ms);
+}
+
+/* Stops every run of a job. */
+void
+GvSched_StopJob(gv_sched_t *s, gv_active_t *a, const char *why, int64_t now_ms)
+{
+    for (int i = 0; i < a->job->n_tasks; i++) {
+        if (a->runs[i] != NULL) {
+            GvSched_StopRun(s, a->runs[i], why, now_ms);
+        }
+    }
+}
+
+static void
+mark_done(gv_active_t *a, int task)
+{
+    gv_task_t *t = &a->job->tasks[task];
+    if (t->state != GV_TASK_DONE) {
+        t->state = GV_TASK_DONE;
+        a->job->n_done++;
+        a->dirty = true;
+    }
+}
+
+/* Marks what one end as done settles: the task, or every task of its gang. */
+static void
+settle_done(gv_active_t *a, int task)
+{
+    const gv_step_t *step = GvJob_StepOf(a->job, task);
+    if (!step->gang) {
+        mark_done(a, task);
+        return;
+    }
+    gv_task_place_t at = GvJob_PlaceOf(a->job, task);
+    int first = task - at.index;
+    for (int i = 0; i < step->count; i++) {
+        mark_done(a, first + i);
+    }
+}
+
+/* Counts a failed run. A task, or a gang, that has failed often enough fails
+   its job. */
+static void
+count_failure(gv_sched_t *s, gv_active_t *a, int task, int64_t now_ms)
+{
+    const gv_step_t *step = GvJob_StepOf(a->job, task);
+    int failures = ++a->job->tasks[task].failures;
+    if (step->gang) {
+        int first = task - GvJob_PlaceOf(a->job, task).index;
+        failures = 0;
+        for (int i = 0; i < step->count; i++) {
+            failures += a->job->tasks[first + i].failures;
+        }
+    }
+    a->dirty = true;
+    if (!step->lasts && failures >= GvSched_AttemptsOf(s, a->job) &&
+        !GvJob_Ended(a->job)) {
+        GvEvlog_Write("failed", "job=%.*s failures=%d attempts=%d",
+                      GV_STR_ARG(a->job->id), failures,
+                      GvSched_AttemptsOf(s, a->job));
+        a->job->failed = true;
+        GvSched_StopJob(s, a, "job failed", now_ms);
+    }
+}
+
+static void
+keep_saved(gv_active_t *a, int task, gv_str_t saved)
+{
+    gv_task_t *t = &a->job->tasks[task];
+    if (saved.n > 0) {
+        g_free(t->saved);
+        t->saved = g_strndup(saved.p, saved.n);
+    }
+}
+
+/* Judges a target by how its runs end: one that fails run after run gets no
+   more work for a while. */
+static void
+judge_seat(gv_seat_t *seat, gv_end_t how, int64_t now_ms)
+{
+    if (how == GV_END_DONE) {
+        seat->failures = 0;
+    }
+    if (how != GV_END_FAILED) {
+        return;
+    }
+    seat->failures++;
+    if (seat->failures >= GV_SCHED_FAILURES) {
+        seat->avoid_until_ms = now_ms + GV_SCHED_AVOID_MS;
+        GvEvlog_Write("avoid", "target=%s failures=%d for_ms=%d", seat->id,
+                      seat->failures, GV_SCHED_AVOID_MS);
+    }
+}
+
+/* Takes an end that the target has listed. */
+void
+GvSched_EndRun(gv_sched_t *s, gv_run_t *r, const gv_ended_t *e, int64_t now_ms)
+{
+    static const char *const names[] = {"done",   "failed", "stopped",
+                                        "lapsed", "broken", "alone"};
+    gv_active_t *a = r->job;
+    int task = r->task;
+    GvEvlog_Write("end", "task=%.*s run=%u target=%s how=%s ms=%lld",
+                  GV_STR_ARG(e->task), r->run, r->seat->id, names[e->how],
+                  (long long)(now_ms - r->placed_ms));
+    judge_seat(r->seat, e->how, now_ms);
+    keep_saved(a, task, e->saved);
+    if (e->how == GV_END_DONE) {
+        settle_done(a, task);
+    }
+    GvSched_DropRun(s, r, NULL);
+    if (e->how == GV_END_FAILED) {
+        count_failure(s, a, task, now_ms);
+    }
+}
+
+static bool
+take_answer(gv_sched_t *s, gv_seat_t *seat, const gv_order_answer_t *a,
+            int64_t now_ms)
+{
+    if (a->result == GV_ORDER_FENCED) {
+        GvEvlog_Write("fenced", "target=%s epoch=%llu", seat->id,
+                      (unsigned long long)s->o.epoch);
+        s->fenced = true;
+        return false;
+    }
+    bool reborn = a->born != 0 && seat->born != 0 && a->born != seat->born;
+    if (a->result == GV_ORDER_OTHER_LIFE || reborn) {
+        GvSched_LoseSeat(s, seat, "target was started anew");
+        seat->synced = false;
+        seat->listed = seat->listed && reborn;
+        seat->born = a->born;
+        return false;
+    }
+    if (a->born != 0) {
+        seat->born = a->born;
+    }
+    if (a->clock_ms != 0) {
+        seat->clock_delta = a->clock_ms - now_ms;
+        seat->answered_ms = now_ms;
+    }
+    return true;
+}
+
+static gv_run_t *
+find_run(const gv_sched_t *s, const char *target, const char *name,
+         uint32_t run)
+{
+    int task;
+    gv_active_t *a = GvSched_TaskByName(s, GvStr_C(name), &task);
+    gv_run_t *r = a == NULL ? NULL : a->runs[task];
+    if (r == NULL || r->run != run || strcmp(r->seat->id, target) != 0) {
+        return NULL;
+    }
+    return r;
+}
+
+/* A start that was certainly not carried out frees its task, unless an
+   earlier order for the same run may still be. */
+static void
+start_refused(gv_sched_t *s, gv_run_t *r, const char *why, int avoid_ms,
+              int64_t now_ms)
+{
+    r->seat->avoid_until_ms =
+        MAX(r->seat->avoid_until_ms, now_ms + avoid_ms);
+    if (r->unsure) {
+        GvSched_StopRun(s, r, why, now_ms);
+    }
+    else {
+        GvSched_DropRun(s, r, why);
+    }
+}
+
+static void
+start_unanswered(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    r->unsure = true;
+    if (r->tries < GV_SCHED_START_TRIES) {
+        GvSched_SendStart(s, r, now_ms);
+        return;
+    }
+    r->seat->avoid_until_ms = now_ms + GV_SCHED_SILENT_MS;
+    GvSched_StopRun(s, r, "start without an answer", now_ms);
+}
+
+/* Takes the answer to a start. */
+void
+GvSched_Started(gv_sched_t *s, const char *target, const char *task,
+                uint32_t run, const gv_order_answer_t *a, int64_t now_ms)
+{
+    gv_seat_t *seat = GvSched_Seat(s, target);
+    if (seat == NULL || !take_answer(s, seat, a, now_ms)) {
+        return;
+    }
+    gv_run_t *r = find_run(s, target, task, run);
+    if (r == NULL) {
+        return;
+    }
+    r->open = false;
+    if (r->phase != GV_RUN_SENDING) {
+        return;
+    }
+    switch (a->result) {
+    case GV_ORDER_DONE:
+        r->phase = GV_RUN_ACTIVE;
+        r->known_ms = now_ms;
+        GvEvlog_Write("start", "task=%s run=%u target=%s tries=%d", task, run,
+                      target, r->tries);
+        return;
+    case GV_ORDER_NO_ANSWER:
+        start_unanswered(s, r, now_ms);
+        return;
+    case GV_ORDER_OLD_RUN:
+        /* Either the repeat of an order that was carried out, whose end the
+           next list shows, or an older start with this number. */
+        r->phase = GV_RUN_ACTIVE;
+        r->known_ms = now_ms;
+        return;
+    case GV_ORDER_NOT_SENT:
+        start_refused(s, r, "target not reached", GV_SCHED_SILENT_MS, now_ms);
+        return;
+    case GV_ORDER_BUSY:
+        start_refused(s, r, "target unhealthy", GV_SCHED_SILENT_MS, now_ms);
+        return;
+    case GV_ORDER_NO_ROOM:
+        start_refused(s, r, "no room on target", GV_SCHED_ROOM_MS, now_ms);
+        return;
+    case GV_ORDER_LATE:
+        seat->synced = false;
+        start_refused(s, r, "deadline passed on target", 0, now_ms);
+        return;
+    case GV_ORDER_REFUSED:
+        start_refused(s, r, "refused by target", GV_SCHED_SILENT_MS, now_ms);
+        return;
+    case GV_ORDER_FENCED:
+    case GV_ORDER_OTHER_LIFE:
+        return;
+    }
+}
+
+/* Takes the answer to a stop. Its room is free when the target lists the end
+   or no longer lists the run. */
+void
+GvSched_Stopped(gv_sched_t *s, const char *target, const char *task,
+                uint32_t run, const gv_order_answer_t *a, int64_t now_ms)
+{
+    gv_seat_t *seat = GvSched_Seat(s, target);
+    if (seat == NULL || !take_answer(s, seat, a, now_ms)) {
+        return;
+    }
+    gv_run_t *r = find_run(s, target, task, run);
+    if (r == NULL) {
+        return;
+    }
+    r->open = false;
+    if (r->phase == GV_RUN_STOPPING && a->result == GV_ORDER_DONE) {
+        r->known_ms = now_ms;
+    }
+}
+
+/* Stops a run that this scheduler does not know, once in a while until it is
+   gone. */
+static void
+stop_stray(gv_sched_t *s, gv_seat_t *seat, const gv_running_t *run,
+           int64_t now_ms)
+{
+    char key[2 * GV_TASK_NAME_BYTES];
+    char name[GV_TASK_NAME_BYTES];
+    g_snprintf(name, sizeof name, "%.*s", GV_STR_ARG(run->task));
+    g_snprintf(key, sizeof key, "%s %s %u", seat->id, name, run->run);
+    int64_t *last = g_hash_table_lookup(s->strays, key);
+    if (last != NULL && now_ms < *last + GV_SCHED_STOP_REPEAT_MS) {
+        return;
+    }
+    GvEvlog_Write("stray", "task=%s run=%u target=%s", name, run->run,
+                  seat->id);
+    g_hash_table_replace(s->strays, g_strdup(key),
+                         g_memdup2(&now_ms, sizeof now_ms));
+    gv_stop_order_t o = {.target = seat->id,
+                         .addr = seat->info.addr.p,
+                         .task = name,
+                         .run = run->run};
+    s->o.ops.stop(s->o.ops.user, &o);
+}
+
+static void
+take_end(gv_sched_t *s, gv_seat_t *seat, const gv_ended_t *e, int64_t now_ms)
+{
+    int task;
+    if (e->number <= seat->noted) {
+        return;
+    }
+    seat->noted = e->number;
+    gv_active_t *a = GvSched_TaskByName(s, e->task, &task);
+    gv_run_t *r = a == NULL ? NULL : a->runs[task];
+    if (r != NULL && r->run == e->run && r->seat == seat) {
+        GvSched_EndRun(s, r, e, now_ms);
+        return;
+    }
+    if (a != NULL && e->how == GV_END_DONE &&
+        a->job->tasks[task].state != GV_TASK_DONE) {
+        /* An earlier run that was taken for lost was done after all. */
+        GvEvlog_Write("end", "task=%.*s run=%u target=%s how=done late=1",
+                      GV_STR_ARG(e->task), e->run, seat->id);
+        settle_done(a, task);
+        if (r != NULL) {
+            GvSched_StopRun(s, r, "an earlier run was done", now_ms);
+        }
+    }
+}
+
+static void
+take_running(gv_sched_t *s, gv_seat_t *seat, const gv_running_t *x,
+             int64_t now_ms)
+{
+    int task;
+    gv_active_t *a = GvSched_TaskByName(s, x->task, &task);
+    gv_run_t *r = a == NULL ? NULL : a->runs[task];
+    if (r == NULL || r->run != x->run || r->seat != seat) {
+        stop_stray(s, seat, x, now_ms);
+        return;
+    }
+    r->listed = true;
+    r->percent = x->percent;
+    keep_saved(a, task, x->saved);
+    if (r->phase == GV_RUN_INHERITED ||
+        (r->phase == GV_RUN_SENDING && !r->open)) {
+        r->phase = GV_RUN_ACTIVE;
+        r->known_ms = now_ms;
+    }
+}
+
+/* Drops the runs that the target should list and does not: those whose newest
+   order it had confirmed before this list was asked for. */
+static void
+drop_missing(gv_sched_t *s, gv_seat_t *seat)
+{
+    for (guint i = seat->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+        bool settled = r->phase == GV_RUN_INHERITED ||
+                       ((r->phase == GV_RUN_ACTIVE ||
+                         r->phase == GV_RUN_STOPPING) &&
+                        r->known_ms > 0 && r->known_ms < seat->hold_sent_ms);
+        if (!r->listed && settled) {
+            GvSched_DropRun(s, r, "not on its target");
+        }
+    }
+}
+
+/* Takes the answer to a hold: ends first, then what runs. */
+void
+GvSched_Held(gv_sched_t *s, const char *target, const gv_hold_answer_t *a,
+             int64_t now_ms)
+{
+    gv_seat_t *seat = GvSched_Seat(s, target);
+    if (seat == NULL) {
+        return;
+    }
+    seat->hold_open = false;
+    bool ours = take_answer(s, seat, &a->answer, now_ms);
+    if (!ours || a->answer.result != GV_ORDER_DONE) {
+        if (seat->hold_failures++ == 0) {
+            GvEvlog_Write("target", "target=%s hold failed result=%d",
+                          seat->id, a->answer.result);
+        }
+        seat->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
+        return;
+    }
+    seat->hold_failures = 0;
+    seat->synced = true;
+    seat->wanted = false;
+    seat->hold_next_ms = now_ms;
+    for (guint i = 0; i < seat->runs->len; i++) {
+        ((gv_run_t *)g_ptr_array_index(seat->runs, i))->listed = false;
+    }
+    for (int i = 0; i < a->n_ended; i++) {
+        take_end(s, seat, &a->ended[i], now_ms);
+    }
+    for (int i = 0; i < a->n_running; i++) {
+        take_running(s, seat, &a->running[i], now_ms);
+    }
+    drop_missing(s, seat);
+    s->place_due = true;
+}
+
+static bool
+needs_hold(const gv_seat_t *seat)
+{
+    return seat->runs->len > 0 || seat->noted_stored > seat->noted_told ||
+           (seat->listed && (!seat->synced || seat->wanted));
+}
+
+static void
+send_hold(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+{
+    bool known = seat->answered_ms > 0;
+    bool unstored = seat->noted > seat->noted_stored;
+    gv_hold_order_t o = {
+        .target = seat->id,
+        .addr = seat->info.addr.p,
+        .noted = seat->noted_stored,
+        .wait_ms = seat->runs->len > 0 && seat->synced && !unstored &&
+                           seat->hold_failures == 0
+                       ? GV_SCHED_HOLD_WAIT_MS
+                       : 0,
+        .retry = seat->hold_failures > 0,
+    };
+    if (known && seat->runs->len > 0) {
+        o.deadline_ms = deadline_of(s, seat, now_ms);
+    }
+    seat->hold_open = true;
+    seat->hold_sent_ms = now_ms;
+    seat->noted_told = seat->noted_stored;
+    s->o.ops.hold(s->o.ops.user, &o);
+}
+
+/* Drops the runs whose lease has ended for certain; those that were not
+   ordered yet have none. */
+static void
+lapse_runs(gv_sched_t *s, gv_seat_t *seat)
+{
+    for (guint i = seat->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+        if (r->phase != GV_RUN_LOGGING) {
+            GvSched_DropRun(s, r, "lease ended without contact");
+            seat->synced = false;
+        }
+    }
+}
+
+/* Tells whether a run may be stopped by planned work: so few tasks of its
+   step are away that one more is allowed. */
+bool
+GvSched_MayStop(const gv_run_t *r)
+{
+    const gv_active_t *a = r->job;
+    const gv_step_t *step = GvJob_StepOf(a->job, r->task);
+    int first = r->task - GvJob_PlaceOf(a->job, r->task).index;
+    int away = 0;
+    if (step->max_unavailable == 0) {
+        return true;
+    }
+    for (int i = first; i < first + step->count; i++) {
+        const gv_run_t *o = a->runs[i];
+        bool at_work =
+            o != NULL && o->phase == GV_RUN_ACTIVE && o->percent >= 100;
+        away += i != r->task && !at_work ? 1 : 0;
+    }
+    return away < step->max_unavailable;
+}
+
+/* Ends what has lapsed on one target, repeats its stops and holds it. */
+static void
+step_seat(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+{
+    if (seat->runs->len > 0 && now_ms > seat->lease_until_ms) {
+        lapse_runs(s, seat);
+    }
+    for (guint i = 0; i < seat->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i);
+        if (r->phase == GV_RUN_STOPPING && !r->open && r->known_ms == 0 &&
+            now_ms >= r->next_ms) {
+            GvSched_SendStop(s, r, now_ms);
+        }
+    }
+    /* While an end is being stored the hold would return at once. */
+    bool storing = seat->noted > seat->noted_stored;
+    int64_t due = storing ? seat->hold_sent_ms + GV_SCHED_HOLD_WAIT_MS
+                          : seat->hold_next_ms;
+    if (!seat->hold_open && needs_hold(seat) && seat->info.addr.n > 0 &&
+        now_ms >= due) {
+        send_hold(s, seat, now_ms);
+    }
+}
+
+/* Steps every target; one that is gone and empty is forgotten. Returns when
+   to come back without an event. */
+int64_t
+GvSched_StepSeats(gv_sched_t *s, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        step_seat(s, seat, now_ms);
+        if (!seat->listed && seat->runs->len == 0 && !seat->hold_open &&
+            now_ms > seat->lease_until_ms) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    return now_ms + GV_SCHED_TICK_MS;
+}
+
+/* Tells whether the target's clock is known well enough to set deadlines. */
+bool
+GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms)
+{
+    return seat->synced && seat->hold_failures == 0 &&
+           now_ms - seat->answered_ms < GV_SCHED_CLOCK_MS;
+}
