Maintain hosts in waves and let hosts follow demand

Cause: waves of the platform were not carried out, and every pool kept all of its hosts while its demand rose and fell. Change: pools with a plan of moves, waves with a cap, progress of waves in the store, arrivals and run times learned for each queue.

--- a/src/limits.h
+++ b/src/limits.h
@@ -290,4 +290,33 @@
 #define GV_INTAKE_BATCH   64
 #define GV_INTAKE_RETRY_MS 80
 
+/* Pools. Tasks do not divide evenly over hosts: this much of a host's cpu is
+   counted on. */
+#define GV_POOL_FILL_PERCENT 85
+/* A pool keeps this many hosts, so that work that comes anew begins at once. */
+#define GV_POOL_KEEP_HOSTS 2
+/* A host that has been empty for so long is turned off: below about 2 s the
+   two moves cost more than the host. */
+#define GV_POOL_PARK_MS   1500
+#define GV_POOL_PLAN_MS   100
+#define GV_POOL_MOVES_MAX 64
+/* Between two lists of the hosts, while some are on their way and else. */
+#define GV_POOL_LIST_MS      400
+#define GV_POOL_LIST_IDLE_MS 2000
+#define GV_POOL_RETRY_MS     300
+/* Short tasks on a host that is due for maintenance may end by themselves for
+   this long; four of five take less. */
+#define GV_POOL_PATIENCE_MS 2000
+/* Hosts with lasting tasks that are emptied at the same time. */
+#define GV_POOL_LASTING_HOSTS  3
+#define GV_POOL_WAVE_MARGIN_MS 4000
+
+/* Arrivals are summed up over GV_LOAD_BINS bins: a burst shows within a
+   fraction of a second, a single large job does not count as one. */
+#define GV_LOAD_BIN_MS      250
+#define GV_LOAD_BINS        4
+#define GV_LOAD_MIN_JOBS    3
+#define GV_LOAD_KNOWN_RUNS  20
+#define GV_LOAD_MEMORY_RUNS 200
+
 #endif
--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,116 @@
+#include "load.h"
+
+#include <glib.h>
+
+#include "limits.h"
+
+/* Arrivals of one service in bins of GV_LOAD_BIN_MS. */
+typedef struct {
+    int64_t bin;                     /* number of the newest bin */
+    double work[GV_LOAD_BINS];       /* thousandths of a core x ms */
+    int jobs[GV_LOAD_BINS];
+} gv_arrivals_t;
+
+/* Learned run time of a queue's tasks. */
+typedef struct {
+    int n;
+    double mean_ms;
+} gv_run_time_t;
+
+struct gv_loads_s {
+    GHashTable *services; /* name -> gv_arrivals_t * */
+    GHashTable *queues;   /* name -> gv_run_time_t * */
+};
+
+gv_loads_t *
+GvLoads_New(void)
+{
+    gv_loads_t *l = g_new0(gv_loads_t, 1);
+    l->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    l->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return l;
+}
+
+void
+GvLoads_Free(gv_loads_t *l)
+{
+    g_hash_table_destroy(l->services);
+    g_hash_table_destroy(l->queues);
+    g_free(l);
+}
+
+static gpointer
+entry(GHashTable *table, gv_str_t name, gsize size)
+{
+    char *key = g_strndup(name.p, name.n);
+    gpointer e = g_hash_table_lookup(table, key);
+    if (e == NULL) {
+        e = g_malloc0(size);
+        g_hash_table_insert(table, key, e);
+    }
+    else {
+        g_free(key);
+    }
+    return e;
+}
+
+/* Clears the bins between the newest one and now. */
+static void
+advance(gv_arrivals_t *a, int64_t now_ms)
+{
+    int64_t bin = now_ms / GV_LOAD_BIN_MS;
+    if (bin - a->bin > GV_LOAD_BINS) {
+        a->bin = bin - GV_LOAD_BINS;
+    }
+    while (a->bin < bin) {
+        a->bin++;
+        a->work[a->bin % GV_LOAD_BINS] = 0;
+        a->jobs[a->bin % GV_LOAD_BINS] = 0;
+    }
+}
+
+/* Counts a job that has come in. */
+void
+GvLoads_Arrived(gv_loads_t *l, const gv_job_t *job, gv_str_t service,
+                int64_t now_ms)
+{
+    gv_arrivals_t *a = entry(l->services, service, sizeof *a);
+    const gv_run_time_t *t = entry(l->queues, job->queue, sizeof *t);
+    double work = 0;
+    for (int i = 0; i < job->n_steps; i++) {
+        const gv_step_t *s = &job->steps[i];
+        double ms = t->n >= GV_LOAD_KNOWN_RUNS ? t->mean_ms : s->estimate_ms;
+        work += (double)s->count * (double)s->need.cpu * ms;
+    }
+    advance(a, now_ms);
+    a->work[a->bin % GV_LOAD_BINS] += work;
+    a->jobs[a->bin % GV_LOAD_BINS]++;
+}
+
+/* Takes the run time of a task that was done. */
+void
+GvLoads_Ran(gv_loads_t *l, gv_str_t queue, int64_t ms)
+{
+    gv_run_time_t *t = entry(l->queues, queue, sizeof *t);
+    t->n = MIN(t->n + 1, GV_LOAD_MEMORY_RUNS);
+    t->mean_ms += ((double)ms - t->mean_ms) / t->n;
+}
+
+/* Returns the cpu that new jobs will use if they go on coming as in the
+   newest bins, thousandths of a core. A few jobs tell nothing yet. */
+int64_t
+GvLoads_ArrivingCpu(gv_loads_t *l, gv_str_t service, int64_t now_ms)
+{
+    gv_arrivals_t *a = entry(l->services, service, sizeof *a);
+    double work = 0;
+    int jobs = 0;
+    advance(a, now_ms);
+    for (int i = 0; i < GV_LOAD_BINS; i++) {
+        work += a->work[i];
+        jobs += a->jobs[i];
+    }
+    int64_t span =
+        (GV_LOAD_BINS - 1) * GV_LOAD_BIN_MS + now_ms % GV_LOAD_BIN_MS;
+    return jobs < GV_LOAD_MIN_JOBS ? 0 : (int64_t)(work / (double)span);
+}
--- /dev/null
+++ b/src/pool_move.c
@@ -0,0 +1,110 @@
+#include <string.h>
+
+#include "evlog.h"
+#include "limits.h"
+#include "pool_private.h"
+
+/* Moves: gathers what the plan needs to know, and begins what it says. */
+
+typedef struct {
+    GPtrArray *names; /* char *, borrowed */
+    GArray *pools;    /* gv_plan_pool_t */
+    GPtrArray *hosts; /* gv_host_t * */
+    GArray *views;    /* gv_plan_host_t */
+} gv_plan_input_t;
+
+static int
+pool_index(gv_pools_t *p, gv_plan_input_t *in, const char *name,
+           int64_t now_ms, int64_t wall_ms)
+{
+    for (guint i = 0; i < in->names->len; i++) {
+        if (strcmp(g_ptr_array_index(in->names, i), name) == 0) {
+            return (int)i;
+        }
+    }
+    gv_demand_t d = GvSched_Demand(p->o.sched, GvStr_C(name), now_ms, wall_ms);
+    gv_plan_pool_t pool = {
+        .need_cpu = MAX(d.used_cpu + d.wanted_cpu, d.arriving_cpu),
+        .standby = GvPools_Standby(p, name),
+        .keep = GV_POOL_KEEP_HOSTS,
+    };
+    if (g_hash_table_lookup(p->services, name) == NULL) {
+        pool.keep = G_MAXINT / 2; /* not in the settings: left alone */
+    }
+    g_array_append_val(in->pools, pool);
+    g_ptr_array_add(in->names, (gpointer)name);
+    return (int)in->names->len - 1;
+}
+
+static void
+add_host(gv_pools_t *p, gv_plan_input_t *in, gv_host_t *h, int64_t now_ms,
+         int64_t wall_ms)
+{
+    gv_target_view_t v = {0};
+    const char *name = h->to != NULL ? h->to : h->pool;
+    if (name == NULL) {
+        return;
+    }
+    int pool = pool_index(p, in, name, now_ms, wall_ms);
+    gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, pool);
+    bool seen = h->target != NULL &&
+                GvSched_View(p->o.sched, GvStr_C(h->target), &v);
+    if (h->wave == 0 && (h->state == GV_HOST_UP || h->to != NULL) &&
+        !v.draining) {
+        pl->hosts++;
+        pl->host_cpu = MAX(pl->host_cpu, h->cpu);
+    }
+    gv_plan_host_t view = {
+        .pool = pool,
+        .free = h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP &&
+                now_ms >= h->next_ms &&
+                (pl->standby ||
+                 (seen && v.runs == 0 && !v.draining && !v.reserved)),
+        .idle_ms = h->idle_ms == 0 ? 0 : now_ms - h->idle_ms,
+    };
+    g_array_append_val(in->views, view);
+    g_ptr_array_add(in->hosts, h);
+}
+
+static void
+begin_moves(gv_pools_t *p, gv_plan_input_t *in, int64_t now_ms)
+{
+    gv_plan_move_t moves[GV_POOL_MOVES_MAX];
+    int n = GvPoolPlan_Moves((gv_plan_pool_t *)in->pools->data,
+                             (int)in->pools->len,
+                             (gv_plan_host_t *)in->views->data,
+                             (int)in->views->len, GV_POOL_PARK_MS, moves,
+                             GV_POOL_MOVES_MAX);
+    for (int i = 0; i < n; i++) {
+        gv_host_t *h = g_ptr_array_index(in->hosts, moves[i].host);
+        GvPools_BeginDuty(p, h, 0, g_ptr_array_index(in->names, moves[i].to),
+                          now_ms);
+    }
+}
+
+/* Plans and begins moves, a few times a second. */
+void
+GvPools_Plan(gv_pools_t *p, int64_t now_ms, int64_t wall_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    if (now_ms - p->planned_ms < GV_POOL_PLAN_MS) {
+        return;
+    }
+    p->planned_ms = now_ms;
+    gv_plan_input_t in = {
+        .names = g_ptr_array_new(),
+        .pools = g_array_new(FALSE, TRUE, sizeof(gv_plan_pool_t)),
+        .hosts = g_ptr_array_new(),
+        .views = g_array_new(FALSE, TRUE, sizeof(gv_plan_host_t)),
+    };
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        add_host(p, &in, value, now_ms, wall_ms);
+    }
+    begin_moves(p, &in, now_ms);
+    g_ptr_array_free(in.names, TRUE);
+    g_array_free(in.pools, TRUE);
+    g_ptr_array_free(in.hosts, TRUE);
+    g_array_free(in.views, TRUE);
+}
--- /dev/null
+++ b/src/pool_plan.h
@@ -0,0 +1,34 @@
+#ifndef GV_POOL_PLAN_H
+#define GV_POOL_PLAN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Which host moves to which pool, so that hosts follow demand and none is
+   paid for that nothing needs. Pure: all that it knows comes in. */
+
+typedef struct {
+    int64_t need_cpu; /* of what runs, waits and is about to come */
+    int hosts;        /* that serve it or are on their way there */
+    int64_t host_cpu; /* of one host; thousandths of a core */
+    bool standby;     /* hosts there are off and cost nothing */
+    int keep;         /* never fewer hosts than this */
+} gv_plan_pool_t;
+
+typedef struct {
+    int pool; /* index */
+    bool free; /* empty and without another duty */
+    int64_t idle_ms; /* empty for so long */
+} gv_plan_host_t;
+
+typedef struct {
+    int host;
+    int to;
+} gv_plan_move_t;
+
+int GvPoolPlan_Wanted(const gv_plan_pool_t *pool);
+int GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
+                     const gv_plan_host_t *hosts, int n_hosts,
+                     int park_after_ms, gv_plan_move_t *out, int max);
+
+#endif
--- /dev/null
+++ b/src/pool_wave.c
@@ -0,0 +1,249 @@
+#include <string.h>
+
+#include "error.h"
+#include "evlog.h"
+#include "limits.h"
+#include "pack.h"
+#include "pool_private.h"
+
+/* Maintenance waves: which host is next, and what is stored of them. */
+
+static gv_wave_t *
+find_wave(const gv_pools_t *p, int number)
+{
+    for (guint i = 0; i < p->waves->len; i++) {
+        gv_wave_t *w = g_ptr_array_index(p->waves, i);
+        if (w->number == number) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+/* Stores which hosts have begun their maintenance: deadline, done, rows. */
+void
+GvPools_StoreWave(gv_pools_t *p, gv_wave_t *w)
+{
+    msgpack_sbuffer sb;
+    size_t begun = 0;
+    for (int i = 0; i < w->n_hosts; i++) {
+        begun += w->turns[i] != GV_TURN_WAITING ? 1 : 0;
+    }
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk = GvPack_Array(&sb, 3);
+    GvPack_Int(&pk, w->deadline_wall_ms);
+    GvPack_Bool(&pk, w->done);
+    msgpack_pack_array(&pk, begun);
+    for (int i = 0; i < w->n_hosts; i++) {
+        if (w->turns[i] != GV_TURN_WAITING) {
+            GvPack_Str(&pk, GvStr_C(w->hosts[i]));
+        }
+    }
+    p->o.ops.store(p->o.ops.user, w->number, GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+}
+
+static void
+mark_begun(gv_wave_t *w, gv_str_t host)
+{
+    for (int i = 0; i < w->n_hosts; i++) {
+        if (GvStr_Equal(GvStr_C(w->hosts[i]), host)) {
+            w->turns[i] = GV_TURN_BEGUN;
+        }
+    }
+}
+
+static void
+load_wave(gv_wave_t *w, gv_str_t bytes)
+{
+    msgpack_unpacked un;
+    int rc = GvUnpack_Root(&un, bytes);
+    gv_unpack_t u = GvUnpack_Array(rc == GV_OK ? &un.data : NULL, 3);
+    if (u.err == GV_OK) {
+        w->deadline_wall_ms = GvUnpack_Int(&u);
+        w->done = GvUnpack_Bool(&u);
+        gv_unpack_t rows = GvUnpack_Sub(&u, 0);
+        while (u.err == GV_OK && GvUnpack_More(&rows)) {
+            mark_begun(w, GvUnpack_Str(&rows));
+        }
+    }
+    else {
+        GvEvlog_Write("wave", "wave=%d stored progress not readable",
+                      w->number);
+    }
+    msgpack_unpacked_destroy(&un);
+}
+
+void
+GvPools_SetWave(gv_pools_t *p, int wave, const gv_str_t *hosts, int n,
+                int64_t duration_ms, int cap, gv_str_t stored, int64_t now_ms,
+                int64_t wall_ms)
+{
+    (void)now_ms;
+    if (find_wave(p, wave) != NULL) {
+        return;
+    }
+    gv_wave_t *w = g_new0(gv_wave_t, 1);
+    w->number = wave;
+    w->cap = MAX(cap, 1);
+    w->n_hosts = n;
+    w->hosts = g_new0(char *, (gsize)n + 1);
+    w->turns = g_new0(gv_turn_t, (gsize)n + 1);
+    w->deadline_wall_ms = wall_ms + duration_ms;
+    for (int i = 0; i < n; i++) {
+        w->hosts[i] = g_strndup(hosts[i].p, hosts[i].n);
+    }
+    if (stored.n > 0) {
+        load_wave(w, stored);
+    }
+    GvEvlog_Write("wave", "wave=%d hosts=%d cap=%d left_ms=%lld done=%d",
+                  wave, n, w->cap, (long long)(w->deadline_wall_ms - wall_ms),
+                  w->done);
+    g_ptr_array_add(p->waves, w);
+}
+
+/* Tells whether a host whose maintenance has begun is back. */
+static bool
+is_back(const gv_pools_t *p, const char *id)
+{
+    const gv_host_t *h = GvPools_Host(p, id);
+    return h == NULL || (h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP);
+}
+
+/* Rates a host for its turn, lowest first: hosts with lasting tasks take
+   longest, so they begin early; then empty ones; -1: not now. */
+static int
+rate_host(const gv_pools_t *p, const gv_host_t *h, int lasting_open)
+{
+    gv_target_view_t v;
+    if (h->duty != GV_DUTY_NONE || h->state != GV_HOST_UP) {
+        return -1;
+    }
+    if (h->target == NULL ||
+        !GvSched_View(p->o.sched, GvStr_C(h->target), &v)) {
+        return 1;
+    }
+    if (v.lasting > 0) {
+        return lasting_open < GV_POOL_LASTING_HOSTS ? 0 : -1;
+    }
+    return 1 + v.runs;
+}
+
+/* Returns the host whose turn is next, or NULL. */
+static gv_host_t *
+next_host(const gv_pools_t *p, const gv_wave_t *w, int lasting_open)
+{
+    gv_host_t *best = NULL;
+    int best_rate = 0;
+    for (int i = 0; i < w->n_hosts; i++) {
+        gv_host_t *h = GvPools_Host(p, w->hosts[i]);
+        if (w->turns[i] != GV_TURN_WAITING || h == NULL) {
+            continue;
+        }
+        int rate = rate_host(p, h, lasting_open);
+        if (rate >= 0 && (best == NULL || rate < best_rate)) {
+            best = h;
+            best_rate = rate;
+        }
+    }
+    return best;
+}
+
+typedef struct {
+    int waiting;
+    int open;    /* being emptied, ordered or away */
+    int lasting; /* of them, with lasting tasks */
+    int missing; /* waiting, and not in the list of hosts */
+} gv_wave_count_t;
+
+static gv_wave_count_t
+count_turns(gv_pools_t *p, gv_wave_t *w)
+{
+    gv_wave_count_t c = {0};
+    gv_target_view_t v;
+    for (int i = 0; i < w->n_hosts; i++) {
+        const gv_host_t *h = GvPools_Host(p, w->hosts[i]);
+        if (w->turns[i] == GV_TURN_BEGUN && is_back(p, w->hosts[i])) {
+            w->turns[i] = GV_TURN_BACK;
+        }
+        if (w->turns[i] == GV_TURN_BEGUN) {
+            c.open++;
+        }
+        if (w->turns[i] != GV_TURN_WAITING) {
+            continue;
+        }
+        c.waiting++;
+        if (h == NULL) {
+            c.missing++;
+        }
+        else if (h->duty != GV_DUTY_NONE && h->wave == w->number) {
+            c.open++;
+            if (h->target != NULL &&
+                GvSched_View(p->o.sched, GvStr_C(h->target), &v) &&
+                v.lasting > 0) {
+                c.lasting++;
+            }
+        }
+    }
+    return c;
+}
+
+/* Returns how many hosts should be in maintenance at once so that the wave
+   ends in time, with a margin; never more than its cap. */
+static int
+wanted_open(const gv_wave_t *w, int waiting, int64_t wall_ms, int host_ms)
+{
+    int64_t left = w->deadline_wall_ms - wall_ms - GV_POOL_WAVE_MARGIN_MS;
+    if (left < host_ms) {
+        return w->cap;
+    }
+    int64_t rounds = left / host_ms;
+    return (int)MIN((waiting + rounds - 1) / rounds + 1, w->cap);
+}
+
+static void
+step_wave(gv_pools_t *p, gv_wave_t *w, int64_t now_ms, int64_t wall_ms)
+{
+    gv_wave_count_t c = count_turns(p, w);
+    if (!w->reported_running) {
+        w->reported_running = true;
+        p->o.ops.report(p->o.ops.user, w->number, false);
+        GvPools_StoreWave(p, w);
+    }
+    if (c.waiting - c.missing == 0 && c.open == 0) {
+        /* Hosts that are not listed have left the fleet. */
+        GvEvlog_Write("wave", "wave=%d done hosts=%d missing=%d", w->number,
+                      w->n_hosts, c.missing);
+        w->done = true;
+        GvPools_StoreWave(p, w);
+        p->o.ops.report(p->o.ops.user, w->number, true);
+        return;
+    }
+    int host_ms = p->o.maintenance_ms + GV_POOL_PATIENCE_MS;
+    int want = wanted_open(w, c.waiting, wall_ms, host_ms);
+    while (c.open < want) {
+        gv_host_t *h = next_host(p, w, c.lasting);
+        gv_target_view_t v;
+        if (h == NULL) {
+            break;
+        }
+        c.open++;
+        if (h->target != NULL &&
+            GvSched_View(p->o.sched, GvStr_C(h->target), &v) &&
+            v.lasting > 0) {
+            c.lasting++;
+        }
+        GvPools_BeginDuty(p, h, w->number, NULL, now_ms);
+    }
+}
+
+void
+GvPools_StepWaves(gv_pools_t *p, int64_t now_ms, int64_t wall_ms)
+{
+    for (guint i = 0; i < p->waves->len; i++) {
+        gv_wave_t *w = g_ptr_array_index(p->waves, i);
+        if (!w->done) {
+            step_wave(p, w, now_ms, wall_ms);
+        }
+    }
+}
--- a/src/sched.c
+++ b/src/sched.c
@@ -23,6 +23,7 @@
 clear_info(gv_target_info_t *i)
 {
     GvStr_Free(&i->id);
+    GvStr_Free(&i->host);
     GvStr_Free(&i->addr);
     GvStr_Free(&i->service);
     GvStr_Free(&i->dc);
@@ -60,14 +61,6 @@
     g_free(q);
 }
 
-static void
-free_service(gpointer p)
-{
-    gv_service_info_t *v = p;
-    GvStr_Free(&v->name);
-    g_free(v);
-}
-
 /* Returns a scheduler that knows nothing yet. */
 gv_sched_t *
 GvSched_New(const gv_sched_opts_t *o)
@@ -77,8 +70,7 @@
     s->seats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_seat);
     s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
     s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
-    s->services =
-        g_hash_table_new_full(hash_str, equal_str, NULL, free_service);
+    s->loads = GvLoads_New();
     s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->logging = g_ptr_array_new();
     s->batched = g_ptr_array_new();
@@ -94,7 +86,7 @@
     g_hash_table_destroy(s->jobs);
     g_hash_table_destroy(s->seats);
     g_hash_table_destroy(s->queues);
-    g_hash_table_destroy(s->services);
+    GvLoads_Free(s->loads);
     g_hash_table_destroy(s->strays);
     g_free(s);
 }
@@ -121,18 +113,6 @@
     s->place_due = true;
 }
 
-/* Replaces the services. */
-void
-GvSched_SetServices(gv_sched_t *s, const gv_service_info_t *services, int n)
-{
-    g_hash_table_remove_all(s->services);
-    for (int i = 0; i < n; i++) {
-        gv_service_info_t *v = g_memdup2(&services[i], sizeof *v);
-        v->name = GvStr_Dup(v->name);
-        g_hash_table_replace(s->services, &v->name, v);
-    }
-}
-
 const gv_queue_info_t *
 GvSched_QueueOf(const gv_sched_t *s, const gv_job_t *job)
 {
@@ -225,6 +205,7 @@
     }
     gv_target_info_t copy = *info;
     copy.id = GvStr_Dup(info->id);
+    copy.host = GvStr_Dup(info->host);
     copy.addr = GvStr_Dup(info->addr);
     copy.service = GvStr_Dup(info->service);
     copy.dc = GvStr_Dup(info->dc);
@@ -296,7 +277,7 @@
 /* Takes over a job with its progress. Runs that are recorded may be live:
    they are looked for on their targets. A job that is known stays. */
 void
-GvSched_AddJob(gv_sched_t *s, const gv_job_t *job)
+GvSched_AddJob(gv_sched_t *s, const gv_job_t *job, int64_t now_ms)
 {
     msgpack_sbuffer sb;
     gv_job_t *copy = NULL;
@@ -337,6 +318,9 @@
     if (GvJob_Ended(copy)) {
         GvSched_StopJob(s, a, "job has ended", s->o.now_ms);
     }
+    else if (!a->lasts && !copy->begun) {
+        GvLoads_Arrived(s->loads, copy, GvSched_ServiceOf(s, copy), now_ms);
+    }
     s->place_due = true;
 }
 
--- a/src/sched.h
+++ b/src/sched.h
@@ -18,6 +18,7 @@
 /* What a target says of itself, or the platform of it. */
 typedef struct {
     gv_str_t id;
+    gv_str_t host; /* on which it runs; may be empty */
     gv_str_t addr;
     gv_str_t service; /* the pool that it works for */
     gv_str_t dc;
@@ -146,14 +147,12 @@
 
 /* Beliefs */
 void GvSched_SetQueues(gv_sched_t *s, const gv_queue_info_t *queues, int n);
-void GvSched_SetServices(gv_sched_t *s, const gv_service_info_t *services,
-                         int n);
 void GvSched_SetTarget(gv_sched_t *s, const gv_target_info_t *info,
                        int64_t now_ms);
 void GvSched_RemoveTarget(gv_sched_t *s, gv_str_t id, int64_t now_ms);
 /* Removes every target that is not in the set of ids. */
 void GvSched_KeepTargets(gv_sched_t *s, GHashTable *ids, int64_t now_ms);
-void GvSched_AddJob(gv_sched_t *s, const gv_job_t *job);
+void GvSched_AddJob(gv_sched_t *s, const gv_job_t *job, int64_t now_ms);
 void GvSched_Cancel(gv_sched_t *s, gv_str_t job, int64_t now_ms);
 
 /* Results of orders */
@@ -193,11 +192,13 @@
 typedef struct {
     int64_t wanted_cpu; /* of tasks that could run now, thousandths */
     int64_t used_cpu;
-    int waiting;        /* tasks */
+    int64_t arriving_cpu; /* that new jobs use if they go on coming so */
+    int waiting;          /* tasks */
 } gv_demand_t;
 
 bool GvSched_View(const gv_sched_t *s, gv_str_t target, gv_target_view_t *v);
-gv_demand_t GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t wall_ms);
+gv_demand_t GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t now_ms,
+                           int64_t wall_ms);
 void GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved);
 int GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
                      int64_t now_ms);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef GV_SCHED_PRIVATE_H
 #define GV_SCHED_PRIVATE_H
 
+#include "load.h"
 #include "sched.h"
 
 /* Shared by the files of the scheduler only. */
@@ -77,7 +78,7 @@
     GHashTable *seats;  /* interned id -> gv_seat_t * */
     GHashTable *jobs;   /* gv_str_t * -> gv_active_t * */
     GHashTable *queues; /* name -> gv_queue_info_t * */
-    GHashTable *services;
+    gv_loads_t *loads;
     GHashTable *strays; /* "target task run" -> time of the newest stop */
     GPtrArray *logging; /* gv_run_t * to be ordered after the next batch */
     GPtrArray *batched; /* gv_run_t * to be ordered after this batch */
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -263,6 +263,7 @@
     keep_saved(a, task, e->saved);
     if (e->how == GV_END_DONE) {
         settle_done(a, task);
+        GvLoads_Ran(s->loads, a->job->queue, now_ms - r->placed_ms);
     }
     GvSched_DropRun(s, r, NULL);
     if (e->how == GV_END_FAILED) {
