--- a/src/limits.h
+++ b/src/limits.h
@@ -297,8 +297,9 @@
 #define GV_POOL_KEEP_HOSTS 2
 /* A host that has been empty for so long is turned off: below about 2 s the
    two moves cost more than the host. */
-#define GV_POOL_PARK_MS   1500
+#define GV_POOL_PARK_MS   20000
 #define GV_POOL_PLAN_MS   100
+#define GV_POOL_LOG_MS    1000
 #define GV_POOL_MOVES_MAX 64
 /* Between two lists of the hosts, while some are on their way and else. */
 #define GV_POOL_LIST_MS      400
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -66,6 +66,23 @@
     g_ptr_array_add(in->hosts, h);
 }
 
+/* Logs once a second what each pool has and wants. */
+static void
+log_pools(gv_pools_t *p, const gv_plan_input_t *in, int64_t now_ms)
+{
+    if (now_ms - p->logged_ms < GV_POOL_LOG_MS) {
+        return;
+    }
+    p->logged_ms = now_ms;
+    for (guint i = 0; i < in->names->len; i++) {
+        const gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, i);
+        GvEvlog_Write("pool", "pool=%s hosts=%d wanted=%d need_cpu=%lld%s",
+                      (const char *)g_ptr_array_index(in->names, i), pl->hosts,
+                      GvPoolPlan_Wanted(pl), (long long)pl->need_cpu,
+                      pl->standby ? " standby=1" : "");
+    }
+}
+
 static void
 begin_moves(gv_pools_t *p, gv_plan_input_t *in, int64_t now_ms)
 {
@@ -102,6 +119,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         add_host(p, &in, value, now_ms, wall_ms);
     }
+    log_pools(p, &in, now_ms);
     begin_moves(p, &in, now_ms);
     g_ptr_array_free(in.names, TRUE);
     g_array_free(in.pools, TRUE);
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -50,6 +50,7 @@
     bool known; /* the hosts were listed once */
     int64_t listed_ms;
     int64_t planned_ms;
+    int64_t logged_ms;
     GHashTable *hosts;    /* id -> gv_host_t * */
     GHashTable *services; /* name -> standby as a pointer */
     GPtrArray *waves;     /* gv_wave_t * */
