Let the lease of a silent target end; step down while an append is open

Besides, a scheduler that a target had fenced went on until its open append ended. Ruled out: placement (there was room); the target's entry (it was gone after 4 s). Change: a target that did not answer is asked without a lease; loss of the lease is looked at before the open append.

--- a/src/charge.c
+++ b/src/charge.c
@@ -196,26 +196,39 @@
     }
 }
 
+/* Returns why this process no longer is in charge, or NULL. */
+static const char *
+why_lost(const gv_charge_t *c, const gv_lead_t *lead, int64_t now_ms)
+{
+    if (lead->epoch > c->epoch) {
+        return "another holds the lease";
+    }
+    if (GvSched_Fenced(c->sched)) {
+        return "a target has seen a newer fence";
+    }
+    if (now_ms - c->renewed_ms > c->o.orphan_ms) {
+        return "store out of reach";
+    }
+    return NULL;
+}
+
 /* Carries on: claims the lease when it is free, stores progress while this
    process is in charge, and steps down when it no longer is. */
 void
 GvCharge_Step(gv_charge_t *c, const gv_lead_t *lead, bool current,
               uint64_t next, int64_t failed_ms, int64_t now_ms)
 {
+    const char *why =
+        c->state == IN_CHARGE ? why_lost(c, lead, now_ms) : NULL;
+    if (why != NULL) {
+        lose(c, why);
+        return;
+    }
     if (c->open || now_ms < c->next_ms) {
         return;
     }
     if (c->state == IN_CHARGE) {
-        if (lead->epoch > c->epoch) {
-            lose(c, "another holds the lease");
-        }
-        else if (GvSched_Fenced(c->sched)) {
-            lose(c, "a target has seen a newer fence");
-        }
-        else if (now_ms - c->renewed_ms > c->o.orphan_ms) {
-            lose(c, "store out of reach");
-        }
-        else if (c->records->len > 0) {
+        if (c->records->len > 0) {
             send(c);
         }
         else {
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -562,7 +562,9 @@
                        : 0,
         .retry = seat->hold_failures > 0,
     };
-    if (known && seat->runs->len > 0) {
+    /* A target that did not answer is asked without a new lease: otherwise
+       the lease of one that is gone would never be known to have ended. */
+    if (known && seat->runs->len > 0 && seat->hold_failures == 0) {
         o.deadline_ms = deadline_of(s, seat, now_ms);
     }
     seat->hold_open = true;
