--- a/src/limits.h
+++ b/src/limits.h
@@ -286,7 +286,7 @@
 
 /* Intake: appends of accepted work that may be open at once; further
    submissions wait for the next append. */
-#define GV_INTAKE_APPENDS 4
+#define GV_INTAKE_APPENDS 2
 #define GV_INTAKE_BATCH   64
 #define GV_INTAKE_RETRY_MS 80
 
