--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 ADAPTEROBJ = $(ADAPTERSRC:platform/%.c=$(B)/platform/%.o)
 ADAPTER_FLAGS = -iquote platform $(shell pkg-config --cflags libcurl)
 
-$(B)/platform/%.o: platform/%.c | $(B)
+$(B)/platform/%.o: platform/%.c | $(B)/platform
 	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -MMD -MP -c $< -o $@
 
 $(B)/gvschedd: $(ADAPTEROBJ) $(LIB)
@@ -73,24 +73,24 @@
 $(B)/standin-%: $(B)/standin_%.o $(LIB)
 	$(CC) $(SAN) $< $(WHOLE) -o $@ $(LIBS)
 
-$(B)/tests/%: tests/%.c $(LIB) | $(B)
+$(B)/tests/%: tests/%.c $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
 
-$(B)/tests/fuzz_%: tests/fuzz_%.c $(LIB) | $(B)
+$(B)/tests/fuzz_%: tests/fuzz_%.c $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer -MMD -MP $< $(WHOLE) -o $@ $(LIBS)
 
 # The embedding example is built and run with the tests.
-$(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)
+$(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) $< $(WHOLE) -o $@ $(LIBS)
 
-$(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)
+$(B)/tests/script: $(SCRIPTSRC) tests/script.h $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) $(SCRIPTSRC) $(WHOLE) -o $@ $(LIBS)
 
 $(B)/bench: $(wildcard bench/*.c) $(wildcard bench/*.h) $(LIB) | $(B)
 	$(CC) $(ALL_CFLAGS) $(wildcard bench/*.c) $(WHOLE) -o $@ $(LIBS)
 
-$(B):
-	mkdir -p $(B) $(B)/tests $(B)/platform
+$(B) $(B)/tests $(B)/platform:
+	mkdir -p $@
 
 tests: $(TESTS)
 
--- a/src/limits.h
+++ b/src/limits.h
@@ -263,6 +263,8 @@
    which the lease slack covers. */
 #define GV_SCHED_CLOCK_MS 10000
 #define GV_SCHED_TICK_MS  100
+/* A list older than one hold and its time-out proves nothing. */
+#define GV_SCHED_SEEN_MS 2000
 /* A scheduler without the store goes on holding for at most this long. */
 #define GV_SCHED_ORPHAN_MS      6000
 #define GV_SCHED_STOP_REPEAT_MS 300
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -348,7 +348,7 @@
     for (guint i = seat->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
         if (r->phase == GV_RUN_STOPPING ||
-            (r->job->lasts ? !GvSched_MayStop(r) : !short_too)) {
+            (r->job->lasts ? !GvSched_MayStop(r, now_ms) : !short_too)) {
             continue;
         }
         GvSched_StopRun(s, r, "target is emptied", now_ms);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -57,6 +57,7 @@
     int64_t hold_sent_ms;
     int64_t hold_next_ms;
     int64_t answered_ms; /* newest answer with a clock */
+    int64_t held_ms;     /* newest list */
     int64_t clock_delta; /* the target's clock less ours */
     int64_t born;
     int64_t lease_until_ms; /* no run on it lives longer without an order */
@@ -108,7 +109,7 @@
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why);
-bool GvSched_MayStop(const gv_run_t *r);
+bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
 bool GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
 int64_t GvSched_StepSeats(gv_sched_t *s, int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -524,6 +524,7 @@
         return;
     }
     seat->hold_failures = 0;
+    seat->held_ms = now_ms;
     seat->synced = true;
     seat->wanted = false;
     seat->hold_next_ms = now_ms;
@@ -587,10 +588,20 @@
     }
 }
 
+/* Tells whether a lasting run is known to be at work: its target said so
+   lately and answers. */
+static bool
+at_work(const gv_run_t *r, int64_t now_ms)
+{
+    return r != NULL && r->phase == GV_RUN_ACTIVE && r->listed &&
+           r->percent >= 100 && r->seat->hold_failures == 0 &&
+           now_ms - r->seat->held_ms < GV_SCHED_SEEN_MS;
+}
+
 /* Tells whether a run may be stopped by planned work: so few tasks of its
    step are away that one more is allowed. */
 bool
-GvSched_MayStop(const gv_run_t *r)
+GvSched_MayStop(const gv_run_t *r, int64_t now_ms)
 {
     const gv_active_t *a = r->job;
     const gv_step_t *step = GvJob_StepOf(a->job, r->task);
@@ -600,10 +611,7 @@
         return true;
     }
     for (int i = first; i < first + step->count; i++) {
-        const gv_run_t *o = a->runs[i];
-        bool at_work =
-            o != NULL && o->phase == GV_RUN_ACTIVE && o->percent >= 100;
-        away += i != r->task && !at_work ? 1 : 0;
+        away += i != r->task && !at_work(a->runs[i], now_ms) ? 1 : 0;
     }
     return away < step->max_unavailable;
 }
--- /dev/null
+++ b/tests/script_sched.c
@@ -0,0 +1,261 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+#include "sched.h"
+#include "script.h"
+
+/* Verbs that drive the scheduler. Orders are printed as they leave. */
+
+static gv_sched_t *sched;
+static int64_t now;
+
+static void
+on_start(void *user, const gv_start_order_t *o)
+{
+    gv_task_place_t at = GvJob_PlaceOf(o->job, o->task);
+    (void)user;
+    printf("  start %.*s.%d.%d.%d run %u on %s%s%s%s\n",
+           GV_STR_ARG(o->job->id), at.occurrence, at.step, at.index, o->run,
+           o->target, o->saved == NULL ? "" : " from ",
+           o->saved == NULL ? "" : o->saved, o->retry ? " again" : "");
+}
+
+static void
+on_stop(void *user, const gv_stop_order_t *o)
+{
+    (void)user;
+    printf("  stop %s run %u on %s\n", o->task, o->run, o->target);
+}
+
+static void
+on_hold(void *user, const gv_hold_order_t *o)
+{
+    (void)user;
+    printf("  hold %s noted %llu wait %d%s\n", o->target,
+           (unsigned long long)o->noted, o->wait_ms,
+           o->deadline_ms == 0 ? "" : " lease");
+}
+
+static gv_str_t
+text_of(int argc, char **argv, const char *name)
+{
+    return GvStr_C(GvScript_Option(argc, argv, name, ""));
+}
+
+GV_VERB("sched_new", sched_new)
+{
+    if (sched != NULL) {
+        GvSched_Free(sched);
+    }
+    now = OPT("now", 1000);
+    gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold},
+                         .epoch = (uint64_t)OPT("epoch", 1),
+                         .lease_ms = 4500,
+                         .max_lease_ms = 4500,
+                         .stop_ms = 200,
+                         .now_ms = now};
+    sched = GvSched_New(&o);
+}
+
+GV_VERB("queue", queue)
+{
+    gv_queue_info_t q = {.name = ARG(1),
+                         .service = text_of(argc, argv, "service"),
+                         .attempts = OPT("attempts", 2),
+                         .priority = OPT("priority", 0),
+                         .objective_ms = OPT("objective", 600),
+                         .stretch = 1.6};
+    GvSched_SetQueues(sched, &q, 1);
+}
+
+GV_VERB("target", target)
+{
+    gv_target_info_t t = {
+        .id = ARG(1),
+        .addr = GV_STR("127.0.0.1:1"),
+        .service = text_of(argc, argv, "service"),
+        .rack = text_of(argc, argv, "rack"),
+        .labels = text_of(argc, argv, "labels"),
+        .room = {OPT("cpu", 4000), OPT("mem", 4000), 0},
+        .draining = OPT("draining", 0) != 0,
+        .born = OPT("born", 0),
+    };
+    GvSched_SetTarget(sched, &t, now);
+}
+
+GV_VERB("target_gone", target_gone)
+{
+    GvSched_RemoveTarget(sched, ARG(1), now);
+}
+
+/* Reads a step: words separated by commas, "count=4" or a flag. */
+static gv_step_t
+read_step(char *words)
+{
+    gv_step_t s = {.count = 1, .need = {1000, 100, 0}, .estimate_ms = 900};
+    char **w = g_strsplit(words, ",", -1);
+    for (int i = 0; w[i] != NULL; i++) {
+        char *v = strchr(w[i], '=');
+        int n = v == NULL ? 0 : atoi(v + 1);
+        s.count = g_str_has_prefix(w[i], "count=") ? n : s.count;
+        s.need.cpu = g_str_has_prefix(w[i], "cpu=") ? n : s.need.cpu;
+        s.max_per_target = g_str_has_prefix(w[i], "max=") ? n
+                                                          : s.max_per_target;
+        s.max_unavailable =
+            g_str_has_prefix(w[i], "away=") ? n : s.max_unavailable;
+        s.tail_goal_ms = g_str_has_prefix(w[i], "goal=") ? n : s.tail_goal_ms;
+        s.lasts = s.lasts || strcmp(w[i], "lasts") == 0;
+        s.gang = s.gang || strcmp(w[i], "gang") == 0;
+        s.fills = s.fills || strcmp(w[i], "fills") == 0;
+        if (g_str_has_prefix(w[i], "after=")) {
+            s.after = g_new0(int, 1);
+            s.after[0] = n;
+            s.n_after = 1;
+        }
+        if (g_str_has_prefix(w[i], "label=")) {
+            s.label = GvStr_Dup(GvStr_C(v + 1));
+        }
+        if (g_str_has_prefix(w[i], "rack=")) {
+            s.rack = GvStr_Dup(GvStr_C(v + 1));
+        }
+    }
+    g_strfreev(w);
+    return s;
+}
+
+/* job ID queue=Q STEP... with steps as "step:count=4,cpu=500". */
+GV_VERB("job", job)
+{
+    gv_job_t *j = GvJob_New();
+    j->id = GvStr_Dup(ARG(1));
+    j->queue = GvStr_Dup(text_of(argc, argv, "queue"));
+    j->service = GvStr_Dup(text_of(argc, argv, "service"));
+    j->attempts = 2;
+    j->accepted_ms = now;
+    j->steps = g_new0(gv_step_t, (gsize)argc);
+    for (int i = 2; i < argc; i++) {
+        if (g_str_has_prefix(argv[i], "step:")) {
+            j->steps[j->n_steps++] = read_step(argv[i] + 5);
+        }
+    }
+    g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    const char *placed = GvScript_Option(argc, argv, "placed", NULL);
+    if (placed != NULL) {
+        j->tasks[0].state = GV_TASK_PLACED;
+        j->tasks[0].run = 1;
+        j->tasks[0].target = g_intern_string(placed);
+        j->begun = true;
+    }
+    GvSched_AddJob(sched, j, now);
+    GvJob_Free(j);
+}
+
+GV_VERB("cancel", cancel)
+{
+    GvSched_Cancel(sched, ARG(1), now);
+}
+
+/* Advances the time and lets the scheduler act. */
+GV_VERB("at", at)
+{
+    now = (int64_t)NUM(1);
+    printf("at %lld\n", (long long)now);
+    (void)GvSched_Run(sched, now, now);
+}
+
+static void
+on_record(void *user, gv_str_t key, gv_str_t value)
+{
+    (void)user;
+    printf("  record %.*s%s\n", GV_STR_ARG(key), value.n == 0 ? " empty" : "");
+}
+
+GV_VERB("take", take)
+{
+    printf("take %d\n", GvSched_TakeBatch(sched, on_record, NULL));
+}
+
+GV_VERB("stored", stored)
+{
+    printf("stored\n");
+    GvSched_Committed(sched, now);
+}
+
+static gv_order_answer_t
+answer_of(int argc, char **argv, const char *word)
+{
+    return (gv_order_answer_t){
+        .result = (gv_order_result_t)INDEX(word, "done", "no-answer",
+                                           "not-sent", "busy", "no-room",
+                                           "old-run", "late", "fenced",
+                                           "other-life", "refused"),
+        .clock_ms = now + 5000,
+        .born = OPT("born", 0),
+    };
+}
+
+/* started TARGET TASK RUN RESULT */
+GV_VERB("started", started)
+{
+    gv_order_answer_t a = answer_of(argc, argv, argv[4]);
+    GvSched_Started(sched, argv[1], argv[2], (uint32_t)NUM(3), &a, now);
+}
+
+GV_VERB("stopped", stopped)
+{
+    gv_order_answer_t a = answer_of(argc, argv, argv[4]);
+    GvSched_Stopped(sched, argv[1], argv[2], (uint32_t)NUM(3), &a, now);
+}
+
+static gv_end_t
+end_of(const char *word)
+{
+    return (gv_end_t)INDEX(word, "done", "failed", "stopped", "lapsed",
+                           "broken", "alone");
+}
+
+/* held TARGET RESULT [run:TASK:RUN:PERCENT]... [end:N:TASK:RUN:HOW]... */
+GV_VERB("held", held)
+{
+    gv_running_t running[16];
+    gv_ended_t ended[16];
+    char **kept[32];
+    int n_kept = 0;
+    gv_hold_answer_t a = {.answer = answer_of(argc, argv, argv[2]),
+                          .running = running,
+                          .ended = ended};
+    for (int i = 3; i < argc; i++) {
+        char **w = g_strsplit(argv[i], ":", -1);
+        kept[n_kept++] = w;
+        if (strcmp(w[0], "run") == 0) {
+            running[a.n_running++] =
+                (gv_running_t){.task = GvStr_C(w[1]),
+                               .run = (uint32_t)atoi(w[2]),
+                               .percent = atoi(w[3])};
+        }
+        if (strcmp(w[0], "end") == 0) {
+            ended[a.n_ended++] = (gv_ended_t){.number = (uint64_t)atoi(w[1]),
+                                              .task = GvStr_C(w[2]),
+                                              .run = (uint32_t)atoi(w[3]),
+                                              .how = end_of(w[4])};
+        }
+    }
+    GvSched_Held(sched, argv[1], &a, now);
+    while (n_kept > 0) {
+        g_strfreev(kept[--n_kept]);
+    }
+}
+
+GV_VERB("evacuate", evacuate)
+{
+    GvSched_Reserve(sched, ARG(1), true);
+    printf("left %d\n", GvSched_Evacuate(sched, ARG(1), false, now));
+}
+
+GV_VERB("fenced", fenced)
+{
+    printf("fenced %d\n", GvSched_Fenced(sched));
+}
