End runs on hosts that the platform lists as down; plan moves of hosts that are almost empty

Cause: work on a crashed target waited for its lease (up to 10 s after a change of the scheduler in charge), although the platform's list of hosts said within 0.4 s that the host was down; a cut-off target stays listed as up. Change: targets that their host no longer runs are ended; a slow store makes followers wait longer before they replace the one in charge; hosts with few short tasks are emptied for another pool.

--- a/src/charge.c
+++ b/src/charge.c
@@ -25,6 +25,7 @@
     GByteArray *extra;   /* for the next one */
     bool at_end;
     uint64_t end;
+    int call_ms; /* duration of a call of the store */
     int64_t started_ms;
     int64_t heard_ms;
     int64_t renewed_ms; /* newest stored append */
@@ -58,6 +59,12 @@
     c->heard_ms = now_ms;
 }
 
+void
+GvCharge_StoreSpeed(gv_charge_t *c, int call_ms)
+{
+    c->call_ms = call_ms;
+}
+
 /* This process stood still: what it believes of others' silence is void. */
 void
 GvCharge_Paused(gv_charge_t *c, int64_t now_ms)
@@ -249,7 +256,7 @@
         .current = current,
         .ours = false,
         .stopping = c->resign,
-        .silence_ms = c->o.silence_ms,
+        .silence_ms = c->o.silence_ms + GV_LEAD_SLOW_CALLS * c->call_ms,
     };
     if (GvLead_MayClaim(&v)) {
         claim(c, lead, next, now_ms);
--- a/src/charge.h
+++ b/src/charge.h
@@ -51,6 +51,9 @@
    charge was read at heard_ms. */
 void GvCharge_Step(gv_charge_t *c, const gv_lead_t *lead, bool current,
                    uint64_t next, int64_t failed_ms, int64_t now_ms);
+/* A slow store delays the records of whoever is in charge: call_ms is how
+   long its calls take at present. */
+void GvCharge_StoreSpeed(gv_charge_t *c, int call_ms);
 void GvCharge_Heard(gv_charge_t *c, int64_t now_ms);
 void GvCharge_Paused(gv_charge_t *c, int64_t now_ms);
 void GvCharge_Appended(gv_charge_t *c, const gv_append_answer_t *a,
--- a/src/limits.h
+++ b/src/limits.h
@@ -283,6 +283,8 @@
 #define GV_LEAD_RANKS   8
 #define GV_LEAD_RANK_MS 30
 
+/* Calls of the store that pass between a renewal and its reading. */
+#define GV_LEAD_SLOW_CALLS 6
 /* Between two tries of an append that was refused. */
 #define GV_LEAD_RETRY_MS 60
 
@@ -300,12 +302,18 @@
 /* A host that has been empty for so long is turned off: below about 2 s the
    two moves cost more than the host. */
 #define GV_POOL_PARK_MS   20000
+/* The same for a pool that has not had much work yet. */
+#define GV_POOL_PARK_UNSEEN_MS 20000
+/* A host that is to move gets no new tasks and waits for so many short ones
+   at most, for no longer than most of them take. */
+#define GV_POOL_DONOR_RUNS        4
+#define GV_POOL_EMPTY_PATIENCE_MS 2500
 #define GV_POOL_PLAN_MS   100
 #define GV_POOL_LOG_MS    1000
 #define GV_POOL_MOVES_MAX 64
 /* Between two lists of the hosts, while some are on their way and else. */
-#define GV_POOL_LIST_MS      400
-#define GV_POOL_LIST_IDLE_MS 2000
+#define GV_POOL_LIST_MS      300
+#define GV_POOL_LIST_IDLE_MS 600
 #define GV_POOL_RETRY_MS     300
 /* Short tasks on a host that is due for maintenance may end by themselves for
    this long; four of five take less. */
--- a/src/pool.c
+++ b/src/pool.c
@@ -38,6 +38,7 @@
     p->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_host);
     p->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    p->peaks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     p->waves = g_ptr_array_new_with_free_func(free_wave);
     return p;
 }
@@ -47,6 +48,7 @@
 {
     g_hash_table_destroy(p->hosts);
     g_hash_table_destroy(p->services);
+    g_hash_table_destroy(p->peaks);
     g_ptr_array_free(p->waves, TRUE);
     g_free(p);
 }
@@ -142,6 +144,12 @@
     if (h->pool == NULL || !GvStr_Equal(GvStr_C(h->pool), info->pool)) {
         h->arrived_ms = now_ms;
     }
+    if (h->state != info->state &&
+        (info->state == GV_HOST_DOWN || h->state == GV_HOST_DOWN)) {
+        GvEvlog_Write("host", "host=%s state=%s target=%.*s", h->id,
+                      info->state == GV_HOST_DOWN ? "down" : "not down",
+                      GV_STR_ARG(info->target));
+    }
     set_text(&h->pool, info->pool);
     set_text(&h->target, info->target);
     h->state = info->state;
@@ -149,6 +157,25 @@
     h->listed = true;
 }
 
+/* Tells the scheduler which target each host has now. */
+static void
+check_lives(gv_pools_t *p, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    GHashTable *now = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_iter_init(&it, p->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_host_t *h = value;
+        if (h->listed && h->duty != GV_DUTY_ORDERED) {
+            bool up = h->state == GV_HOST_UP && h->target != NULL;
+            g_hash_table_insert(now, h->id, up ? h->target : "");
+        }
+    }
+    GvSched_CheckHosts(p->o.sched, now, p->asked_ms, now_ms);
+    g_hash_table_destroy(now);
+}
+
 /* Takes a whole list of hosts; ok false: it could not be read. */
 void
 GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n, bool ok,
@@ -168,6 +195,7 @@
     for (int i = 0; i < n; i++) {
         take_host(p, &hosts[i], now_ms);
     }
+    check_lives(p, now_ms);
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
@@ -222,6 +250,10 @@
     }
     /* Short tasks may end by themselves for a while. */
     bool all = h->wave != 0 && now_ms - h->since_ms > GV_POOL_PATIENCE_MS;
+    if (h->to != NULL) {
+        gv_target_view_t v;
+        return GvSched_View(p->o.sched, GvStr_C(h->target), &v) ? v.runs : 0;
+    }
     return GvSched_Evacuate(p->o.sched, GvStr_C(h->target), all, now_ms);
 }
 
@@ -237,8 +269,9 @@
         return;
     }
     if (runs_left(p, h, now_ms) > 0) {
-        if (h->to != NULL) {
-            GvPools_EndDuty(p, h); /* only empty hosts move */
+        if (h->to != NULL &&
+            now_ms - h->since_ms > GV_POOL_EMPTY_PATIENCE_MS) {
+            GvPools_EndDuty(p, h); /* a long task is not worth the wait */
         }
         return;
     }
@@ -321,6 +354,9 @@
 {
     GHashTableIter it;
     gpointer value;
+    if (GvSched_Silent(p->o.sched) > 0) {
+        return true;
+    }
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const gv_host_t *h = value;
@@ -361,6 +397,7 @@
     int every = busy(p) ? GV_POOL_LIST_MS : GV_POOL_LIST_IDLE_MS;
     if (!p->listing && (p->listed_ms == 0 || now_ms - p->listed_ms >= every)) {
         p->listing = true;
+        p->asked_ms = now_ms;
         p->o.ops.list(p->o.ops.user);
     }
     if (!p->known) {
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -28,6 +28,10 @@
         .standby = GvPools_Standby(p, name),
         .keep = GV_POOL_KEEP_HOSTS,
     };
+    /* What a pool needs at its height is not known before it was there. */
+    int peak = GPOINTER_TO_INT(g_hash_table_lookup(p->peaks, name));
+    pool.park_after_ms =
+        peak > GV_POOL_KEEP_HOSTS ? GV_POOL_PARK_MS : GV_POOL_PARK_UNSEEN_MS;
     if (g_hash_table_lookup(p->services, name) == NULL) {
         pool.keep = G_MAXINT / 2; /* not in the settings: left alone */
     }
@@ -59,13 +63,29 @@
         .free = h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP &&
                 now_ms >= h->next_ms &&
                 (pl->standby ||
-                 (seen && v.runs == 0 && !v.draining && !v.reserved)),
+                 (seen && v.lasting == 0 && !v.draining && !v.reserved)),
+        .runs = v.runs,
         .idle_ms = h->idle_ms == 0 ? 0 : now_ms - h->idle_ms,
     };
     g_array_append_val(in->views, view);
     g_ptr_array_add(in->hosts, h);
 }
 
+/* Remembers the most hosts that each pool has wanted. */
+static void
+note_peaks(gv_pools_t *p, const gv_plan_input_t *in)
+{
+    for (guint i = 0; i < in->names->len; i++) {
+        const char *name = g_ptr_array_index(in->names, i);
+        int wanted =
+            GvPoolPlan_Wanted(&g_array_index(in->pools, gv_plan_pool_t, i));
+        if (wanted > GPOINTER_TO_INT(g_hash_table_lookup(p->peaks, name))) {
+            g_hash_table_replace(p->peaks, g_strdup(name),
+                                 GINT_TO_POINTER(wanted));
+        }
+    }
+}
+
 /* Logs once a second what each pool has and wants. */
 static void
 log_pools(gv_pools_t *p, const gv_plan_input_t *in, int64_t now_ms)
@@ -90,7 +110,7 @@
     int n = GvPoolPlan_Moves((gv_plan_pool_t *)in->pools->data,
                              (int)in->pools->len,
                              (gv_plan_host_t *)in->views->data,
-                             (int)in->views->len, GV_POOL_PARK_MS, moves,
+                             (int)in->views->len, moves,
                              GV_POOL_MOVES_MAX);
     for (int i = 0; i < n; i++) {
         gv_host_t *h = g_ptr_array_index(in->hosts, moves[i].host);
@@ -119,6 +139,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         add_host(p, &in, value, now_ms, wall_ms);
     }
+    note_peaks(p, &in);
     log_pools(p, &in, now_ms);
     begin_moves(p, &in, now_ms);
     g_ptr_array_free(in.names, TRUE);
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -33,8 +33,9 @@
     return best;
 }
 
-/* Returns the best host to take for another pool: one that is off, else one
-   of the pool with most hosts to spare; -1 for none. */
+/* Returns the best host to take for another pool: one that is off, else the
+   one that is empty soonest, of the pool with most hosts to spare; -1 for
+   none. */
 static int
 donor(const gv_plan_pool_t *pools, const int *have,
       const gv_plan_host_t *hosts, const bool *used, int n_hosts)
@@ -44,13 +45,15 @@
     for (int i = 0; i < n_hosts; i++) {
         const gv_plan_pool_t *pool = &pools[hosts[i].pool];
         int spare = have[hosts[i].pool] - GvPoolPlan_Wanted(pool);
-        if (used[i] || !hosts[i].free || spare <= 0) {
+        if (used[i] || !hosts[i].free || spare <= 0 ||
+            hosts[i].runs > GV_POOL_DONOR_RUNS) {
             continue;
         }
         if (pool->standby) {
             return i;
         }
-        if (spare > best_spare) {
+        if (best < 0 || hosts[i].runs < hosts[best].runs ||
+            (hosts[i].runs == hosts[best].runs && spare > best_spare)) {
             best = i;
             best_spare = spare;
         }
@@ -74,7 +77,7 @@
    number of moves, at most max. */
 int
 GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
-                 const gv_plan_host_t *hosts, int n_hosts, int park_after_ms,
+                 const gv_plan_host_t *hosts, int n_hosts,
                  gv_plan_move_t *out, int max)
 {
     int n = 0;
@@ -98,8 +101,8 @@
     int off = standby_pool(pools, n_pools);
     for (int i = 0; off >= 0 && i < n_hosts && n < max; i++) {
         int pool = hosts[i].pool;
-        if (used[i] || !hosts[i].free || pools[pool].standby ||
-            hosts[i].idle_ms < park_after_ms ||
+        if (used[i] || !hosts[i].free || hosts[i].runs > 0 ||
+            pools[pool].standby || hosts[i].idle_ms < pools[pool].park_after_ms ||
             have[pool] <= GvPoolPlan_Wanted(&pools[pool])) {
             continue;
         }
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -13,11 +13,13 @@
     int64_t host_cpu; /* of one host; thousandths of a core */
     bool standby;     /* hosts there are off and cost nothing */
     int keep;         /* never fewer hosts than this */
+    int park_after_ms; /* a host that is empty for so long may be turned off */
 } gv_plan_pool_t;
 
 typedef struct {
     int pool; /* index */
-    bool free; /* empty and without another duty */
+    bool free;       /* without another duty, and nothing there lasts */
+    int runs;        /* short tasks that have to end before it moves */
     int64_t idle_ms; /* empty for so long */
 } gv_plan_host_t;
 
@@ -29,6 +31,6 @@
 int GvPoolPlan_Wanted(const gv_plan_pool_t *pool);
 int GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
                      const gv_plan_host_t *hosts, int n_hosts,
-                     int park_after_ms, gv_plan_move_t *out, int max);
+                     gv_plan_move_t *out, int max);
 
 #endif
--- a/src/sched.c
+++ b/src/sched.c
@@ -214,6 +214,7 @@
     clear_info(&seat->info);
     seat->info = copy;
     seat->listed = true;
+    seat->seen_ms = seat->seen_ms == 0 ? now_ms : seat->seen_ms;
     if (info->born != 0 && seat->born != 0 && info->born > seat->born) {
         GvSched_LoseSeat(s, seat, "reborn");
         seat->born = info->born;
@@ -274,6 +275,47 @@
     }
 }
 
+void
+GvSched_CheckHosts(gv_sched_t *s, GHashTable *target_of_host, int64_t asked_ms,
+                   int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        if (seat->info.host.n == 0 || seat->seen_ms >= asked_ms) {
+            continue;
+        }
+        const char *target =
+            g_hash_table_lookup(target_of_host, seat->info.host.p);
+        if (target == NULL || strcmp(target, seat->id) == 0) {
+            continue;
+        }
+        if (seat->listed || seat->runs->len > 0) {
+            GvEvlog_Write("target", "target=%s ended with host=%s now=%s",
+                          seat->id, seat->info.host.p, target);
+        }
+        GvSched_LoseSeat(s, seat, "host is down or has another target");
+        seat->listed = false;
+        seat->lease_until_ms = now_ms;
+    }
+}
+
+int
+GvSched_Silent(const gv_sched_t *s)
+{
+    GHashTableIter it;
+    gpointer value;
+    int n = 0;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        const gv_seat_t *seat = value;
+        n += seat->hold_failures > 0 && seat->runs->len > 0 ? 1 : 0;
+    }
+    return n;
+}
+
 /* Takes over a job with its progress. Runs that are recorded may be live:
    they are looked for on their targets. A job that is known stays. */
 void
--- a/src/sched.h
+++ b/src/sched.h
@@ -175,6 +175,14 @@
 
 bool GvSched_Fenced(const gv_sched_t *s);
 
+/* The platform's list of hosts, asked for at asked_ms: for each host its
+   present target, or an empty one while it is down. Ends the runs of targets
+   that are gone for certain, without waiting for their leases. */
+void GvSched_CheckHosts(gv_sched_t *s, GHashTable *target_of_host,
+                        int64_t asked_ms, int64_t now_ms);
+/* Returns the number of targets with runs that do not answer. */
+int GvSched_Silent(const gv_sched_t *s);
+
 /* What planning of pools needs of a target. */
 typedef struct {
     const char *id;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -180,6 +180,9 @@
         GvStr_Equal(r->step->rack, seat->info.rack)) {
         score += 8;
     }
+    if (r->step->lasts && seat->n_lasting > 0) {
+        score += 2; /* lasting tasks on few hosts let the others move */
+    }
     if (t->failures > 0 && t->target == seat->id) {
         score -= 4;
     }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -49,6 +49,7 @@
     const char *id; /* interned */
     gv_target_info_t info;
     bool listed;   /* the host list has it */
+    int64_t seen_ms; /* first entry in the list; 0: none yet */
     bool reserved; /* for a move or maintenance: gets no new tasks */
     bool synced;   /* it has answered under this fence */
     bool wanted;   /* placement waits for a newer clock */
@@ -67,6 +68,7 @@
     uint64_t noted_told; /* the target may forget up to here */
     gv_room_t used;
     GPtrArray *runs; /* gv_run_t * */
+    int n_lasting;   /* runs of lasting tasks */
     int failures;    /* runs in a row that ended as failed */
     int64_t avoid_until_ms;
 };
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -41,6 +41,7 @@
     a->runs[task] = r;
     a->n_runs++;
     GvRoom_Add(&seat->used, r->need);
+    seat->n_lasting += a->lasts ? 1 : 0;
     g_ptr_array_add(seat->runs, r);
     return r;
 }
@@ -63,6 +64,7 @@
         a->dirty = true;
     }
     GvRoom_Take(&r->seat->used, r->need);
+    r->seat->n_lasting -= a->lasts ? 1 : 0;
     g_ptr_array_remove_fast(r->seat->runs, r);
     g_ptr_array_remove_fast(s->logging, r);
     g_ptr_array_remove_fast(s->batched, r);
