--- a/src/intake.c
+++ b/src/intake.c
@@ -125,13 +125,21 @@
     GvIntake_Step(in, now_ms);
 }
 
-/* Takes a request. The reply may come from within this call. */
+/* Takes a request. The reply may come from within this call. A submission
+   that the store would not answer is refused before anything of it is sent. */
 void
 GvIntake_Ask(gv_intake_t *in, gv_asked_t *rq, int64_t now_ms)
 {
     if (answer_known(in, rq)) {
         return;
     }
+    if (rq->ask == GV_ASK_SUBMIT &&
+        !in->ops.store_answers(in->ops.user, now_ms)) {
+        say(in, rq, (gv_intake_reply_t){.said = GV_SAID_NOT_RUN,
+                                        .retry_after_ms = 1000,
+                                        .why = "store does not answer"});
+        return;
+    }
     if (rq->ask == GV_ASK_SUBMIT ||
         GvJobTable_Find(in->table, rq->id) != NULL) {
         wait_for_store(in, rq, now_ms);
--- a/src/intake.h
+++ b/src/intake.h
@@ -46,6 +46,8 @@
     /* Reads all that is stored; the answer goes to GvIntake_Synced. */
     void (*sync)(void *user, gv_asked_t *rq);
     void (*reply)(void *user, gv_asked_t *rq, const gv_intake_reply_t *r);
+    /* Tells whether the store is believed to answer. */
+    bool (*store_answers)(void *user, int64_t now_ms);
 } gv_intake_ops_t;
 
 typedef enum { GV_ASK_SUBMIT, GV_ASK_STATE, GV_ASK_CANCEL } gv_ask_t;
--- a/src/limits.h
+++ b/src/limits.h
@@ -239,7 +239,7 @@
    30 jobs that an entry host handles in a busy second. */
 #define GV_EVLOG_LINE_BYTES   600
 #define GV_EVLOG_BUFFER_BYTES (64 * 1024)
-#define GV_EVLOG_LINES_PER_S  400
+#define GV_EVLOG_LINES_PER_S  1000
 
 /* Jobs */
 #define GV_JOB_ID_BYTES   16
