Place work that can still be in time before work that cannot

Cause: under overload the tasks of jobs that had no chance left took room, and hosts, from jobs that could still meet their objective. Change: a step counts as late when its remaining chain, from learned run times, ends after the objective; late work asks for hosts with a quarter of its demand.

--- a/src/limits.h
+++ b/src/limits.h
@@ -276,6 +276,9 @@
 /* Runs in a row that fail on a target: 3% of a healthy one's fail, so three
    in a row by chance are one in 30,000. */
 #define GV_SCHED_FAILURES 3
+/* Work that will be late anyway asks for hosts with a part of its demand, so
+   that it does not keep them from work that can be in time. */
+#define GV_SCHED_LATE_PART 4
 #define GV_SCHED_AVOID_MS 5000
 
 /* Claims of the lease are spread over this many steps; a step is longer than
--- a/src/load.c
+++ b/src/load.c
@@ -97,6 +97,16 @@
     t->mean_ms += ((double)ms - t->mean_ms) / t->n;
 }
 
+/* Returns the mean run time of a queue's tasks, or 0 while it is not known. */
+double
+GvLoads_RunMs(const gv_loads_t *l, gv_str_t queue)
+{
+    char *key = g_strndup(queue.p, queue.n);
+    const gv_run_time_t *t = g_hash_table_lookup(l->queues, key);
+    g_free(key);
+    return t == NULL || t->n < GV_LOAD_KNOWN_RUNS ? 0 : t->mean_ms;
+}
+
 /* Returns the cpu that new jobs will use if they go on coming as in the
    newest bins, thousandths of a core. A few jobs tell nothing yet. */
 int64_t
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -13,7 +13,7 @@
     gv_str_t service;
     int first; /* number of its first task */
     int priority;
-    bool late;           /* its objective has passed */
+    bool late;           /* it cannot meet its objective any more */
     int64_t deadline_ms; /* wall clock of the objective */
 } gv_ready_t;
 
@@ -50,6 +50,52 @@
     return false;
 }
 
+/* Returns how long the tasks of one step run: what was learned of the queue,
+   else what the job declares, milliseconds. */
+static double
+step_ms(const gv_sched_t *s, const gv_job_t *job, int step)
+{
+    double learned = GvLoads_RunMs(s->loads, job->queue);
+    return learned > 0 ? learned : job->steps[step].estimate_ms;
+}
+
+/* Returns the longest chain of run times from the begin of a step to the end
+   of the job, milliseconds. */
+static double
+chain_ms(const gv_sched_t *s, const gv_job_t *job, int from)
+{
+    double longest = 0;
+    double end[GV_JOB_STEPS_MAX];
+    for (int i = from; i < job->n_steps; i++) {
+        const gv_step_t *step = &job->steps[i];
+        double begin = 0;
+        bool follows = i == from;
+        for (int k = 0; k < step->n_after; k++) {
+            int before = step->after[k];
+            if (before >= from && end[before] > 0) {
+                follows = true;
+                begin = MAX(begin, end[before]);
+            }
+        }
+        end[i] = follows ? begin + step_ms(s, job, i) : 0;
+        longest = MAX(longest, end[i]);
+    }
+    return longest;
+}
+
+/* Returns the chain of a whole job. */
+static double
+whole_chain_ms(const gv_sched_t *s, const gv_job_t *job)
+{
+    double longest = 0;
+    for (int i = 0; i < job->n_steps; i++) {
+        if (job->steps[i].n_after == 0) {
+            longest = MAX(longest, chain_ms(s, job, i));
+        }
+    }
+    return longest;
+}
+
 static void
 add_ready(gv_sched_t *s, gv_active_t *a, GArray *out)
 {
@@ -60,6 +106,7 @@
     if (q != NULL && q->advice) {
         return; /* placed by its own path */
     }
+    double whole = whole_chain_ms(s, job);
     for (int k = 0; k < job->occurrences; k++) {
         int first = k * job->tasks_each;
         int64_t begin = job->timed ? job->first_ms + k * job->interval_ms
@@ -74,10 +121,11 @@
                     .service = GvSched_ServiceOf(s, job),
                     .first = first,
                     .priority = q == NULL ? job->priority : q->priority,
-                    .deadline_ms = begin + objective +
-                                   (int64_t)(stretch * GvJob_ChainMs(job)),
+                    .deadline_ms = begin + objective + (int64_t)(stretch * whole),
                 };
-                r.late = s->wall_ms > r.deadline_ms;
+                r.late =
+                    (double)s->wall_ms + chain_ms(s, job, i) >
+                    (double)r.deadline_ms;
                 g_array_append_val(out, r);
             }
             first += step->count;
@@ -320,7 +368,8 @@
         for (int k = 0; k < r->step->count; k++) {
             if (r->job->job->tasks[r->first + k].state == GV_TASK_WAITING) {
                 d.waiting++;
-                d.wanted_cpu += r->step->need.cpu;
+                d.wanted_cpu += r->late ? r->step->need.cpu / GV_SCHED_LATE_PART
+                                        : r->step->need.cpu;
             }
         }
     }
