Learn the rhythm of bursts and move hosts ahead of them; give orders early after a change of the scheduler

Cause: every burst began on the two hosts that a pool keeps; after a change of the scheduler in charge no host moved for 3.3 s, also hosts that nobody had given an order for long. Change: bursts of each service are noted; a steady interval lets hosts move before the next one; a new scheduler learns from the accepted jobs in the store; a host whose target is older than 9 s may be given an order at once.

--- a/src/limits.h
+++ b/src/limits.h
@@ -314,6 +314,9 @@
 #define GV_POOL_PLAN_MS   100
 #define GV_POOL_LOG_MS    1000
 #define GV_POOL_MOVES_MAX 64
+/* A target that is older has not been moved or maintained lately: the lease
+   between two holders of orders, and clocks that differ by some seconds. */
+#define GV_POOL_SETTLED_MS 9000
 /* Between two lists of the hosts, while some are on their way and else. */
 #define GV_POOL_LIST_MS      300
 #define GV_POOL_LIST_IDLE_MS 600
@@ -333,4 +336,18 @@
 #define GV_LOAD_KNOWN_RUNS  20
 #define GV_LOAD_MEMORY_RUNS 200
 
+/* Bursts: begin at this multiple of the mean load, end after it has been
+   below the mean for a second. Intervals outside these bounds are too short to
+   act on, or too long to have been seen twice. */
+#define GV_RHYTHM_BURST_TIMES 2.0
+#define GV_RHYTHM_LOW_MS      1000
+#define GV_RHYTHM_MIN_MS      5000
+#define GV_RHYTHM_MAX_MS      300000
+/* An expected burst that has not come by so much after its time is given up;
+   hosts are moved ahead of it by the time of a move and its start. */
+#define GV_RHYTHM_GRACE_MS 1500
+#define GV_RHYTHM_AHEAD_MS 800
+/* Arrivals of an earlier scheduler that a new one learns from. */
+#define GV_LOAD_HISTORY_MS 90000
+
 #endif
--- a/src/load.c
+++ b/src/load.c
@@ -3,12 +3,16 @@
 #include <glib.h>
 
 #include "limits.h"
+#include "rhythm.h"
 
 /* Arrivals of one service in bins of GV_LOAD_BIN_MS. */
 typedef struct {
     int64_t bin;                     /* number of the newest bin */
     double work[GV_LOAD_BINS];       /* thousandths of a core x ms */
     int jobs[GV_LOAD_BINS];
+    double total; /* work since begun_ms */
+    int64_t begun_ms;
+    gv_rhythm_t rhythm;
 } gv_arrivals_t;
 
 /* Learned run time of a queue's tasks. */
@@ -83,7 +87,11 @@
         double ms = t->n >= GV_LOAD_KNOWN_RUNS ? t->mean_ms : s->estimate_ms;
         work += (double)s->count * (double)s->need.cpu * ms;
     }
+    if (a->begun_ms == 0) {
+        a->begun_ms = now_ms;
+    }
     advance(a, now_ms);
+    a->total += work;
     a->work[a->bin % GV_LOAD_BINS] += work;
     a->jobs[a->bin % GV_LOAD_BINS]++;
 }
@@ -107,12 +115,9 @@
     return t == NULL || t->n < GV_LOAD_KNOWN_RUNS ? 0 : t->mean_ms;
 }
 
-/* Returns the cpu that new jobs will use if they go on coming as in the
-   newest bins, thousandths of a core. A few jobs tell nothing yet. */
-int64_t
-GvLoads_ArrivingCpu(gv_loads_t *l, gv_str_t service, int64_t now_ms)
+static double
+arriving(gv_arrivals_t *a, int64_t now_ms)
 {
-    gv_arrivals_t *a = entry(l->services, service, sizeof *a);
     double work = 0;
     int jobs = 0;
     advance(a, now_ms);
@@ -122,5 +127,63 @@
     }
     int64_t span =
         (GV_LOAD_BINS - 1) * GV_LOAD_BIN_MS + now_ms % GV_LOAD_BIN_MS;
-    return jobs < GV_LOAD_MIN_JOBS ? 0 : (int64_t)(work / (double)span);
+    return jobs < GV_LOAD_MIN_JOBS ? 0 : work / (double)span;
+}
+
+/* Returns the cpu that new jobs will use if they go on coming as in the
+   newest bins, thousandths of a core. A few jobs tell nothing yet. */
+int64_t
+GvLoads_ArrivingCpu(gv_loads_t *l, gv_str_t service, int64_t now_ms)
+{
+    gv_arrivals_t *a = entry(l->services, service, sizeof *a);
+    return (int64_t)arriving(a, now_ms);
+}
+
+void
+GvLoads_Sample(gv_loads_t *l, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, l->services);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_arrivals_t *a = value;
+        if (a->begun_ms == 0) {
+            continue;
+        }
+        int64_t span = MAX(now_ms - a->begun_ms, GV_RHYTHM_MIN_MS);
+        GvRhythm_Note(&a->rhythm, arriving(a, now_ms), a->total / (double)span,
+                      now_ms);
+    }
+}
+
+/* Returns the interval of the bursts of a service: its own, else the one that
+   most others show, as queues often take turns. 0: none. */
+static int64_t
+period_ms(const gv_loads_t *l, const gv_arrivals_t *a)
+{
+    GHashTableIter it;
+    gpointer value;
+    int64_t own = GvRhythm_PeriodMs(&a->rhythm);
+    int64_t other = 0;
+    if (own != 0 || a->rhythm.n >= 2) {
+        return own;
+    }
+    g_hash_table_iter_init(&it, l->services);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        other = MAX(other,
+                    GvRhythm_PeriodMs(&((gv_arrivals_t *)value)->rhythm));
+    }
+    return other;
+}
+
+/* Returns the cpu of the burst that is expected to begin within ahead_ms, or
+   should have begun just now; 0 for none. */
+int64_t
+GvLoads_ExpectedCpu(gv_loads_t *l, gv_str_t service, int64_t ahead_ms,
+                    int64_t now_ms)
+{
+    gv_arrivals_t *a = entry(l->services, service, sizeof *a);
+    return (int64_t)GvRhythm_Expected(&a->rhythm, period_ms(l, a),
+                                      now_ms - GV_RHYTHM_GRACE_MS,
+                                      now_ms + ahead_ms);
 }
--- a/src/load.h
+++ b/src/load.h
@@ -13,6 +13,11 @@
 void GvLoads_Arrived(gv_loads_t *l, const gv_job_t *job, gv_str_t service,
                      int64_t now_ms);
 void GvLoads_Ran(gv_loads_t *l, gv_str_t queue, int64_t ms);
+/* Takes samples for the rhythm of each service; to be called a few times a
+   second. */
+void GvLoads_Sample(gv_loads_t *l, int64_t now_ms);
+int64_t GvLoads_ExpectedCpu(gv_loads_t *l, gv_str_t service, int64_t ahead_ms,
+                            int64_t now_ms);
 double GvLoads_RunMs(const gv_loads_t *l, gv_str_t queue);
 int64_t GvLoads_ArrivingCpu(gv_loads_t *l, gv_str_t service, int64_t now_ms);
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -66,6 +66,20 @@
     return g_hash_table_lookup(p->hosts, id);
 }
 
+/* Tells whether a host may be given an order: an earlier scheduler has not
+   given it one lately. Its target was started after any such order. */
+bool
+GvPools_Settled(const gv_pools_t *p, const gv_host_t *h, int64_t now_ms,
+                int64_t wall_ms)
+{
+    if (now_ms >= p->o.first_order_ms) {
+        return true;
+    }
+    int64_t born =
+        h->target == NULL ? 0 : GvSched_Born(p->o.sched, GvStr_C(h->target));
+    return born > 0 && wall_ms - born > GV_POOL_SETTLED_MS;
+}
+
 bool
 GvPools_Standby(const gv_pools_t *p, const char *pool)
 {
@@ -404,7 +418,7 @@
         return;
     }
     note_idle(p, now_ms);
-    if (!may_order || p->fenced || now_ms < p->o.first_order_ms) {
+    if (!may_order || p->fenced) {
         return;
     }
     GvPools_StepWaves(p, now_ms, wall_ms);
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -22,9 +22,12 @@
             return (int)i;
         }
     }
-    gv_demand_t d = GvSched_Demand(p->o.sched, GvStr_C(name), now_ms, wall_ms);
+    gv_demand_t d = GvSched_Demand(p->o.sched, GvStr_C(name),
+                                   p->o.move_ms + GV_RHYTHM_AHEAD_MS, now_ms,
+                                   wall_ms);
     gv_plan_pool_t pool = {
-        .need_cpu = MAX(d.used_cpu + d.wanted_cpu, d.arriving_cpu),
+        .need_cpu = MAX(d.used_cpu + d.wanted_cpu,
+                        MAX(d.arriving_cpu, d.expected_cpu)),
         .standby = GvPools_Standby(p, name),
         .keep = GV_POOL_KEEP_HOSTS,
     };
@@ -61,7 +64,7 @@
     gv_plan_host_t view = {
         .pool = pool,
         .free = h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP &&
-                now_ms >= h->next_ms &&
+                now_ms >= h->next_ms && GvPools_Settled(p, h, now_ms, wall_ms) &&
                 (pl->standby ||
                  (seen && v.lasting == 0 && !v.draining && !v.reserved)),
         .runs = v.runs,
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -59,6 +59,8 @@
 };
 
 gv_host_t *GvPools_Host(const gv_pools_t *p, const char *id);
+bool GvPools_Settled(const gv_pools_t *p, const gv_host_t *h, int64_t now_ms,
+                     int64_t wall_ms);
 bool GvPools_Standby(const gv_pools_t *p, const char *pool);
 void GvPools_BeginDuty(gv_pools_t *p, gv_host_t *h, int wave, const char *to,
                        int64_t now_ms);
--- a/src/pool_wave.c
+++ b/src/pool_wave.c
@@ -113,10 +113,12 @@
 /* Rates a host for its turn, lowest first: hosts with lasting tasks take
    longest, so they begin early; then empty ones; -1: not now. */
 static int
-rate_host(const gv_pools_t *p, const gv_host_t *h, int lasting_open)
+rate_host(const gv_pools_t *p, const gv_host_t *h, int lasting_open,
+          int64_t now_ms, int64_t wall_ms)
 {
     gv_target_view_t v;
-    if (h->duty != GV_DUTY_NONE || h->state != GV_HOST_UP) {
+    if (h->duty != GV_DUTY_NONE || h->state != GV_HOST_UP ||
+        !GvPools_Settled(p, h, now_ms, wall_ms)) {
         return -1;
     }
     if (h->target == NULL ||
@@ -131,7 +133,8 @@
 
 /* Returns the host whose turn is next, or NULL. */
 static gv_host_t *
-next_host(const gv_pools_t *p, const gv_wave_t *w, int lasting_open)
+next_host(const gv_pools_t *p, const gv_wave_t *w, int lasting_open,
+          int64_t now_ms, int64_t wall_ms)
 {
     gv_host_t *best = NULL;
     int best_rate = 0;
@@ -140,7 +143,7 @@
         if (w->turns[i] != GV_TURN_WAITING || h == NULL) {
             continue;
         }
-        int rate = rate_host(p, h, lasting_open);
+        int rate = rate_host(p, h, lasting_open, now_ms, wall_ms);
         if (rate >= 0 && (best == NULL || rate < best_rate)) {
             best = h;
             best_rate = rate;
@@ -222,7 +225,7 @@
     int host_ms = p->o.maintenance_ms + GV_POOL_PATIENCE_MS;
     int want = wanted_open(w, c.waiting, wall_ms, host_ms);
     while (c.open < want) {
-        gv_host_t *h = next_host(p, w, c.lasting);
+        gv_host_t *h = next_host(p, w, c.lasting, now_ms, wall_ms);
         gv_target_view_t v;
         if (h == NULL) {
             break;
--- a/src/sched.c
+++ b/src/sched.c
@@ -67,6 +67,7 @@
 {
     gv_sched_t *s = g_new0(gv_sched_t, 1);
     s->o = *o;
+    s->learning = true;
     s->seats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_seat);
     s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
     s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
@@ -360,12 +361,44 @@
     if (GvJob_Ended(copy)) {
         GvSched_StopJob(s, a, "job has ended", s->o.now_ms);
     }
-    else if (!a->lasts && !copy->begun) {
+    else if (!a->lasts && !s->learning) {
         GvLoads_Arrived(s->loads, copy, GvSched_ServiceOf(s, copy), now_ms);
     }
     s->place_due = true;
 }
 
+void
+GvSched_Learn(gv_sched_t *s, const gv_job_t *const *jobs, int n,
+              int64_t now_ms, int64_t wall_ms)
+{
+    int64_t at = 0;
+    s->learning = false;
+    for (int i = 0; i < n; i++) {
+        int64_t then = now_ms - (wall_ms - jobs[i]->accepted_ms);
+        if (then > now_ms || now_ms - then > GV_LOAD_HISTORY_MS ||
+            GvJob_Lasts(jobs[i])) {
+            continue;
+        }
+        for (at = at == 0 ? then : at; at < then; at += GV_POOL_PLAN_MS) {
+            GvLoads_Sample(s->loads, at);
+        }
+        GvLoads_Arrived(s->loads, jobs[i], GvSched_ServiceOf(s, jobs[i]),
+                        then);
+    }
+    for (; at != 0 && at < now_ms; at += GV_POOL_PLAN_MS) {
+        GvLoads_Sample(s->loads, at);
+    }
+}
+
+int64_t
+GvSched_Born(const gv_sched_t *s, gv_str_t target)
+{
+    char *name = g_strndup(target.p, target.n);
+    const gv_seat_t *seat = GvSched_Seat(s, name);
+    g_free(name);
+    return seat == NULL ? 0 : seat->info.born;
+}
+
 /* Cancels a job: nothing of it starts any more, and its runs are stopped. */
 void
 GvSched_Cancel(gv_sched_t *s, gv_str_t id, int64_t now_ms)
@@ -517,6 +550,10 @@
 GvSched_Run(gv_sched_t *s, int64_t now_ms, int64_t wall_ms)
 {
     s->wall_ms = wall_ms;
+    if (now_ms - s->sampled_ms >= GV_POOL_PLAN_MS) {
+        s->sampled_ms = now_ms;
+        GvLoads_Sample(s->loads, now_ms);
+    }
     int64_t next = GvSched_StepSeats(s, now_ms);
     GvSched_Place(s, now_ms);
     return next;
--- a/src/sched.h
+++ b/src/sched.h
@@ -201,12 +201,19 @@
     int64_t wanted_cpu; /* of tasks that could run now, thousandths */
     int64_t used_cpu;
     int64_t arriving_cpu; /* that new jobs use if they go on coming so */
+    int64_t expected_cpu; /* of a burst that is about to begin */
     int waiting;          /* tasks */
 } gv_demand_t;
 
 bool GvSched_View(const gv_sched_t *s, gv_str_t target, gv_target_view_t *v);
-gv_demand_t GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t now_ms,
-                           int64_t wall_ms);
+gv_demand_t GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t ahead_ms,
+                           int64_t now_ms, int64_t wall_ms);
+/* Learns when work came in from jobs that an earlier scheduler has handled, in
+   the order of their acceptance. */
+void GvSched_Learn(gv_sched_t *s, const gv_job_t *const *jobs, int n,
+                   int64_t now_ms, int64_t wall_ms);
+/* When that target began its life, wall clock; 0: not known. */
+int64_t GvSched_Born(const gv_sched_t *s, gv_str_t target);
 void GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved);
 int GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
                      int64_t now_ms);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -351,11 +351,13 @@
 /* Sums up what the tasks of a service ask for: those that run, and those
    whose turn has come. */
 gv_demand_t
-GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t now_ms,
-               int64_t wall_ms)
+GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t ahead_ms,
+               int64_t now_ms, int64_t wall_ms)
 {
     gv_demand_t d = {0};
     d.arriving_cpu = GvLoads_ArrivingCpu(s->loads, service, now_ms);
+    d.expected_cpu =
+        GvLoads_ExpectedCpu(s->loads, service, ahead_ms, now_ms);
     GHashTableIter it;
     gpointer value;
     s->wall_ms = wall_ms;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -86,7 +86,10 @@
     GPtrArray *logging; /* gv_run_t * to be ordered after the next batch */
     GPtrArray *batched; /* gv_run_t * to be ordered after this batch */
     bool place_due;
+    bool learning;     /* jobs that are added were accepted earlier: until
+                          GvSched_Learn */
     int64_t placed_ms; /* newest pass of placement */
+    int64_t sampled_ms;
 };
 
 gv_seat_t *GvSched_Seat(const gv_sched_t *s, const char *id);
