--- a/Makefile
+++ b/Makefile
@@ -105,15 +105,19 @@
 
 lint: packages
 	clang-format --dry-run -Werror $(wildcard src/*.[ch]) $(wildcard tests/*.[ch]) \
+	    $(wildcard platform/*.[ch]) \
 	    $(wildcard examples/*.c) \
 	    $(wildcard bench/*.[ch])
 	printf '%s\n' $(wildcard src/*.c) $(TESTSRC) $(wildcard bench/*.c) | \
 	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) \
 	    2>/dev/null' lint
+	printf '%s\n' $(ADAPTERSRC) | \
+	    xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) \
+	    $(ADAPTER_FLAGS) 2>/dev/null' lint
 	python3 tests/mutants.py --check
 
 format:
-	clang-format -i $(wildcard src/*.[ch]) $(TESTSRC) $(wildcard bench/*.[ch])
+	clang-format -i $(wildcard src/*.[ch]) $(wildcard platform/*.[ch]) $(TESTSRC) $(wildcard bench/*.[ch])
 
 demo: packages
 	@$(MAKE) --no-print-directory all
--- a/src/charge.c
+++ b/src/charge.c
@@ -17,8 +17,8 @@
     uint64_t epoch; /* claimed or held */
     uint64_t seq;   /* of the open or next append */
     bool open;
-    bool resign;    /* asked to give up */
-    bool resigning; /* the open append says so */
+    bool resign;     /* asked to give up */
+    bool resigning;  /* the open append says so */
     bool with_batch; /* the open append holds a batch of the scheduler */
     bool fresh;
     GByteArray *records; /* of the open append */
@@ -161,8 +161,7 @@
     GvCounter_Add(&claims, 1);
     GvEvlog_Write("lead", "claim epoch=%llu from=%.*s silent_ms=%lld at=%llu",
                   (unsigned long long)lead->epoch + 1,
-                  GV_STR_ARG(lead->holder),
-                  (long long)(now_ms - c->heard_ms),
+                  GV_STR_ARG(lead->holder), (long long)(now_ms - c->heard_ms),
                   (unsigned long long)next);
     c->state = CLAIMING;
     c->epoch = lead->epoch + 1;
@@ -193,8 +192,7 @@
         put_lease(c, true);
         c->resigning = true;
     }
-    else if (c->records->len == 0 &&
-             now_ms - c->renewed_ms >= c->o.renew_ms) {
+    else if (c->records->len == 0 && now_ms - c->renewed_ms >= c->o.renew_ms) {
         put_lease(c, false);
     }
     if (c->records->len > 0) {
@@ -225,8 +223,7 @@
 GvCharge_Step(gv_charge_t *c, const gv_lead_t *lead, bool current,
               uint64_t next, int64_t failed_ms, int64_t now_ms)
 {
-    const char *why =
-        c->state == IN_CHARGE ? why_lost(c, lead, now_ms) : NULL;
+    const char *why = c->state == IN_CHARGE ? why_lost(c, lead, now_ms) : NULL;
     if (why != NULL) {
         lose(c, why);
         return;
--- a/src/intake.c
+++ b/src/intake.c
@@ -86,8 +86,8 @@
 static void
 say_state(gv_intake_t *in, gv_asked_t *rq, const gv_job_t *job)
 {
-    say(in, rq, (gv_intake_reply_t){.said = GV_SAID_STATE,
-                                    .state = GvJob_State(job)});
+    say(in, rq,
+        (gv_intake_reply_t){.said = GV_SAID_STATE, .state = GvJob_State(job)});
 }
 
 /* Answers from what is known, or returns false. */
@@ -100,8 +100,8 @@
     }
     switch (rq->ask) {
     case GV_ASK_SUBMIT:
-        say(in, rq, (gv_intake_reply_t){.said = GV_SAID_ACCEPTED,
-                                        .why = "known"});
+        say(in, rq,
+            (gv_intake_reply_t){.said = GV_SAID_ACCEPTED, .why = "known"});
         return true;
     case GV_ASK_STATE:
         say_state(in, rq, job);
@@ -110,8 +110,9 @@
         if (!GvJob_Ended(job)) {
             return false;
         }
-        say(in, rq, (gv_intake_reply_t){.said = GV_SAID_CANCELLED,
-                                        .why = "had ended"});
+        say(in, rq,
+            (gv_intake_reply_t){.said = GV_SAID_CANCELLED,
+                                .why = "had ended"});
         return true;
     }
     return false;
@@ -135,9 +136,10 @@
     }
     if (rq->ask == GV_ASK_SUBMIT &&
         !in->ops.store_answers(in->ops.user, now_ms)) {
-        say(in, rq, (gv_intake_reply_t){.said = GV_SAID_NOT_RUN,
-                                        .retry_after_ms = 1000,
-                                        .why = "store does not answer"});
+        say(in, rq,
+            (gv_intake_reply_t){.said = GV_SAID_NOT_RUN,
+                                .retry_after_ms = 1000,
+                                .why = "store does not answer"});
         return;
     }
     if (rq->ask == GV_ASK_SUBMIT ||
@@ -157,9 +159,10 @@
         return;
     }
     if (!ok) {
-        say(in, rq, (gv_intake_reply_t){.said = GV_SAID_UNAVAILABLE,
-                                        .retry_after_ms = 1000,
-                                        .why = "store not read"});
+        say(in, rq,
+            (gv_intake_reply_t){.said = GV_SAID_UNAVAILABLE,
+                                .retry_after_ms = 1000,
+                                .why = "store not read"});
     }
     else if (GvJobTable_Find(in->table, rq->id) == NULL) {
         say(in, rq, (gv_intake_reply_t){.said = GV_SAID_NO_JOB});
@@ -211,8 +214,8 @@
     gv_batch_t *b = &in->batches[i];
     b->open = true;
     b->tries++;
-    in->ops.append(in->ops.user, i,
-                   GvStr_N(b->records->data, b->records->len), b->tries > 1);
+    in->ops.append(in->ops.user, i, GvStr_N(b->records->data, b->records->len),
+                   b->tries > 1);
 }
 
 static void
@@ -311,8 +314,9 @@
         gv_asked_t *rq = g_ptr_array_index(b->asked, i - 1);
         if (now_ms >= rq->by_ms) {
             g_ptr_array_remove_index(b->asked, i - 1);
-            say(in, rq, (gv_intake_reply_t){.said = GV_SAID_UNKNOWN,
-                                            .why = "store has not answered"});
+            say(in, rq,
+                (gv_intake_reply_t){.said = GV_SAID_UNKNOWN,
+                                    .why = "store has not answered"});
         }
     }
     if (b->asked->len == 0 && !b->open) {
--- a/src/intake.h
+++ b/src/intake.h
@@ -21,8 +21,8 @@
     GV_SAID_NO_JOB,
     GV_SAID_NO_QUEUE,
     GV_SAID_INVALID,
-    GV_SAID_NOT_RUN,  /* refused; it is not stored and never runs */
-    GV_SAID_UNKNOWN,  /* it may be stored; the caller asks again */
+    GV_SAID_NOT_RUN,    /* refused; it is not stored and never runs */
+    GV_SAID_UNKNOWN,    /* it may be stored; the caller asks again */
     GV_SAID_UNAVAILABLE /* a question that cannot be answered now */
 } gv_said_t;
 
@@ -56,9 +56,9 @@
    until the reply. */
 struct gv_asked_s {
     gv_ask_t ask;
-    gv_str_t id;      /* of the job */
-    gv_job_t *job;    /* of a submission; owned */
-    int64_t by_ms;    /* the reply is due by then, monotonic */
+    gv_str_t id;   /* of the job */
+    gv_job_t *job; /* of a submission; owned */
+    int64_t by_ms; /* the reply is due by then, monotonic */
     void *caller;
 
     bool waiting; /* in a batch */
--- a/src/job.h
+++ b/src/job.h
@@ -59,13 +59,13 @@
 
 typedef struct {
     gv_str_t id;
-    gv_str_t queue;   /* name of the queue that accepted it */
-    gv_str_t service; /* whose targets ran that queue then */
-    gv_str_t spec;    /* passed to every task */
-    int attempts;     /* failed runs of one task that fail the job */
-    int priority;     /* 0 is first */
-    int objective_ms; /* on top of the stretched chain of work */
-    double stretch;   /* allowed time as a multiple of the chain of work */
+    gv_str_t queue;      /* name of the queue that accepted it */
+    gv_str_t service;    /* whose targets ran that queue then */
+    gv_str_t spec;       /* passed to every task */
+    int attempts;        /* failed runs of one task that fail the job */
+    int priority;        /* 0 is first */
+    int objective_ms;    /* on top of the stretched chain of work */
+    double stretch;      /* allowed time as a multiple of the chain of work */
     int64_t accepted_ms; /* wall clock of the entry host that accepted it */
     int n_steps;
     gv_step_t *steps;
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -23,8 +23,7 @@
 step_flags(const gv_step_t *s)
 {
     return (s->checkpoint ? STEP_CHECKPOINT : 0u) |
-           (s->gang ? STEP_GANG : 0u) |
-           (s->same_rack ? STEP_SAME_RACK : 0u) |
+           (s->gang ? STEP_GANG : 0u) | (s->same_rack ? STEP_SAME_RACK : 0u) |
            (s->copies ? STEP_COPIES : 0u) | (s->lasts ? STEP_LASTS : 0u) |
            (s->fills ? STEP_FILLS : 0u);
 }
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -44,8 +44,8 @@
 {
     gv_job_table_t *t = g_new0(gv_job_table_t, 1);
     t->jobs = g_hash_table_new_full(hash_id, equal_id, NULL, free_entry);
-    t->waves = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
-                                     free_bytes);
+    t->waves =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_bytes);
     return t;
 }
 
@@ -186,9 +186,8 @@
     g_snprintf(text, sizeof text, "%.*s", GV_STR_ARG(name));
     GByteArray *copy = g_byte_array_new();
     g_byte_array_append(copy, (const guint8 *)value.p, (guint)value.n);
-    g_hash_table_insert(t->waves,
-                        GSIZE_TO_POINTER(g_ascii_strtoull(text, NULL, 10)),
-                        copy);
+    g_hash_table_insert(
+        t->waves, GSIZE_TO_POINTER(g_ascii_strtoull(text, NULL, 10)), copy);
     return GV_CHANGE_WAVE;
 }
 
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -29,7 +29,7 @@
 
 typedef struct {
     gv_str_t id;
-    gv_job_t *job; /* NULL until its definition is read */
+    gv_job_t *job;        /* NULL until its definition is read */
     GByteArray *progress; /* read before the definition, or NULL */
     bool cancelled;
     uint64_t progress_offset;
--- a/src/limits.h
+++ b/src/limits.h
@@ -279,7 +279,7 @@
 /* Work that will be late anyway asks for hosts with a part of its demand, so
    that it does not keep them from work that can be in time. */
 #define GV_SCHED_LATE_PART 4
-#define GV_SCHED_AVOID_MS 5000
+#define GV_SCHED_AVOID_MS  5000
 
 /* Claims of the lease are spread over this many steps; a step is longer than
    an append of a claim takes to be read by the others. */
@@ -293,27 +293,27 @@
 
 /* Intake: appends of accepted work that may be open at once; further
    submissions wait for the next append. */
-#define GV_INTAKE_APPENDS 2
-#define GV_INTAKE_BATCH   64
+#define GV_INTAKE_APPENDS  2
+#define GV_INTAKE_BATCH    64
 #define GV_INTAKE_RETRY_MS 80
 
 /* Pools. Tasks do not divide evenly over hosts: this much of a host's cpu is
    counted on. */
 #define GV_POOL_FILL_PERCENT 85
-/* A pool keeps this many hosts, so that work that comes anew begins at once. */
+/* A pool keeps this many hosts, so that work that comes anew begins at once.
+ */
 #define GV_POOL_KEEP_HOSTS 2
-/* A host that has been empty for so long is turned off: below about 2 s the
-   two moves cost more than the host. */
-#define GV_POOL_PARK_MS   20000
-/* The same for a pool that has not had much work yet. */
-#define GV_POOL_PARK_UNSEEN_MS 20000
+/* A host that has been empty for so long is turned off: longer than the usual
+   time between bursts, since a host that is off comes too late for the next.
+ */
+#define GV_POOL_PARK_MS 20000
 /* A host that is to move gets no new tasks and waits for so many short ones
    at most, for no longer than most of them take. */
 #define GV_POOL_DONOR_RUNS        4
 #define GV_POOL_EMPTY_PATIENCE_MS 2500
-#define GV_POOL_PLAN_MS   100
-#define GV_POOL_LOG_MS    1000
-#define GV_POOL_MOVES_MAX 64
+#define GV_POOL_PLAN_MS           100
+#define GV_POOL_LOG_MS            1000
+#define GV_POOL_MOVES_MAX         64
 /* A target that is older has not been moved or maintained lately: the lease
    between two holders of orders, and clocks that differ by some seconds. */
 #define GV_POOL_SETTLED_MS 9000
--- a/src/load.c
+++ b/src/load.c
@@ -7,8 +7,8 @@
 
 /* Arrivals of one service in bins of GV_LOAD_BIN_MS. */
 typedef struct {
-    int64_t bin;                     /* number of the newest bin */
-    double work[GV_LOAD_BINS];       /* thousandths of a core x ms */
+    int64_t bin;               /* number of the newest bin */
+    double work[GV_LOAD_BINS]; /* thousandths of a core x ms */
     int jobs[GV_LOAD_BINS];
     double total; /* work since begun_ms */
     int64_t begun_ms;
@@ -170,8 +170,8 @@
     }
     g_hash_table_iter_init(&it, l->services);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        other = MAX(other,
-                    GvRhythm_PeriodMs(&((gv_arrivals_t *)value)->rhythm));
+        other =
+            MAX(other, GvRhythm_PeriodMs(&((gv_arrivals_t *)value)->rhythm));
     }
     return other;
 }
--- a/src/pool.c
+++ b/src/pool.c
@@ -36,9 +36,7 @@
     gv_pools_t *p = g_new0(gv_pools_t, 1);
     p->o = *o;
     p->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_host);
-    p->services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    p->peaks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    p->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     p->waves = g_ptr_array_new_with_free_func(free_wave);
     return p;
 }
@@ -48,7 +46,6 @@
 {
     g_hash_table_destroy(p->hosts);
     g_hash_table_destroy(p->services);
-    g_hash_table_destroy(p->peaks);
     g_ptr_array_free(p->waves, TRUE);
     g_free(p);
 }
@@ -91,10 +88,9 @@
 {
     g_hash_table_remove_all(p->services);
     for (int i = 0; i < n; i++) {
-        g_hash_table_insert(
-            p->services,
-            g_strndup(services[i].name.p, services[i].name.n),
-            GINT_TO_POINTER(services[i].standby ? 2 : 1));
+        g_hash_table_insert(p->services,
+                            g_strndup(services[i].name.p, services[i].name.n),
+                            GINT_TO_POINTER(services[i].standby ? 2 : 1));
     }
 }
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -29,10 +29,10 @@
 typedef enum {
     GV_POOL_DONE,
     GV_POOL_FENCED,
-    GV_POOL_NOT_NOW,  /* nothing done: the host is not up, or not of the wave */
-    GV_POOL_INVALID,  /* nothing done: no such host or pool */
-    GV_POOL_RETRY,    /* nothing done: refused for now */
-    GV_POOL_UNKNOWN   /* it may be done */
+    GV_POOL_NOT_NOW, /* nothing done: the host is not up, or not of the wave */
+    GV_POOL_INVALID, /* nothing done: no such host or pool */
+    GV_POOL_RETRY,   /* nothing done: refused for now */
+    GV_POOL_UNKNOWN  /* it may be done */
 } gv_pool_result_t;
 
 typedef struct {
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -22,19 +22,16 @@
             return (int)i;
         }
     }
-    gv_demand_t d = GvSched_Demand(p->o.sched, GvStr_C(name),
-                                   p->o.move_ms + GV_RHYTHM_AHEAD_MS, now_ms,
-                                   wall_ms);
+    gv_demand_t d =
+        GvSched_Demand(p->o.sched, GvStr_C(name),
+                       p->o.move_ms + GV_RHYTHM_AHEAD_MS, now_ms, wall_ms);
     gv_plan_pool_t pool = {
         .need_cpu = MAX(d.used_cpu + d.wanted_cpu,
                         MAX(d.arriving_cpu, d.expected_cpu)),
         .standby = GvPools_Standby(p, name),
         .keep = GV_POOL_KEEP_HOSTS,
+        .park_after_ms = GV_POOL_PARK_MS,
     };
-    /* What a pool needs at its height is not known before it was there. */
-    int peak = GPOINTER_TO_INT(g_hash_table_lookup(p->peaks, name));
-    pool.park_after_ms =
-        peak > GV_POOL_KEEP_HOSTS ? GV_POOL_PARK_MS : GV_POOL_PARK_UNSEEN_MS;
     if (g_hash_table_lookup(p->services, name) == NULL) {
         pool.keep = G_MAXINT / 2; /* not in the settings: left alone */
     }
@@ -54,8 +51,8 @@
     }
     int pool = pool_index(p, in, name, now_ms, wall_ms);
     gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, pool);
-    bool seen = h->target != NULL &&
-                GvSched_View(p->o.sched, GvStr_C(h->target), &v);
+    bool seen =
+        h->target != NULL && GvSched_View(p->o.sched, GvStr_C(h->target), &v);
     if (h->wave == 0 && (h->state == GV_HOST_UP || h->to != NULL) &&
         !v.draining) {
         pl->hosts++;
@@ -64,7 +61,8 @@
     gv_plan_host_t view = {
         .pool = pool,
         .free = h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP &&
-                now_ms >= h->next_ms && GvPools_Settled(p, h, now_ms, wall_ms) &&
+                now_ms >= h->next_ms &&
+                GvPools_Settled(p, h, now_ms, wall_ms) &&
                 (pl->standby ||
                  (seen && v.lasting == 0 && !v.draining && !v.reserved)),
         .runs = v.runs,
@@ -74,21 +72,6 @@
     g_ptr_array_add(in->hosts, h);
 }
 
-/* Remembers the most hosts that each pool has wanted. */
-static void
-note_peaks(gv_pools_t *p, const gv_plan_input_t *in)
-{
-    for (guint i = 0; i < in->names->len; i++) {
-        const char *name = g_ptr_array_index(in->names, i);
-        int wanted =
-            GvPoolPlan_Wanted(&g_array_index(in->pools, gv_plan_pool_t, i));
-        if (wanted > GPOINTER_TO_INT(g_hash_table_lookup(p->peaks, name))) {
-            g_hash_table_replace(p->peaks, g_strdup(name),
-                                 GINT_TO_POINTER(wanted));
-        }
-    }
-}
-
 /* Logs once a second what each pool has and wants. */
 static void
 log_pools(gv_pools_t *p, const gv_plan_input_t *in, int64_t now_ms)
@@ -98,7 +81,8 @@
     }
     p->logged_ms = now_ms;
     for (guint i = 0; i < in->names->len; i++) {
-        const gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, i);
+        const gv_plan_pool_t *pl =
+            &g_array_index(in->pools, gv_plan_pool_t, i);
         GvEvlog_Write("pool", "pool=%s hosts=%d wanted=%d need_cpu=%lld%s",
                       (const char *)g_ptr_array_index(in->names, i), pl->hosts,
                       GvPoolPlan_Wanted(pl), (long long)pl->need_cpu,
@@ -113,8 +97,7 @@
     int n = GvPoolPlan_Moves((gv_plan_pool_t *)in->pools->data,
                              (int)in->pools->len,
                              (gv_plan_host_t *)in->views->data,
-                             (int)in->views->len, moves,
-                             GV_POOL_MOVES_MAX);
+                             (int)in->views->len, moves, GV_POOL_MOVES_MAX);
     for (int i = 0; i < n; i++) {
         gv_host_t *h = g_ptr_array_index(in->hosts, moves[i].host);
         GvPools_BeginDuty(p, h, 0, g_ptr_array_index(in->names, moves[i].to),
@@ -142,7 +125,6 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         add_host(p, &in, value, now_ms, wall_ms);
     }
-    note_peaks(p, &in);
     log_pools(p, &in, now_ms);
     begin_moves(p, &in, now_ms);
     g_ptr_array_free(in.names, TRUE);
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -77,8 +77,8 @@
    number of moves, at most max. */
 int
 GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
-                 const gv_plan_host_t *hosts, int n_hosts,
-                 gv_plan_move_t *out, int max)
+                 const gv_plan_host_t *hosts, int n_hosts, gv_plan_move_t *out,
+                 int max)
 {
     int n = 0;
     int *have = g_new0(int, (gsize)n_pools + 1);
@@ -102,7 +102,8 @@
     for (int i = 0; off >= 0 && i < n_hosts && n < max; i++) {
         int pool = hosts[i].pool;
         if (used[i] || !hosts[i].free || hosts[i].runs > 0 ||
-            pools[pool].standby || hosts[i].idle_ms < pools[pool].park_after_ms ||
+            pools[pool].standby ||
+            hosts[i].idle_ms < pools[pool].park_after_ms ||
             have[pool] <= GvPoolPlan_Wanted(&pools[pool])) {
             continue;
         }
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -8,16 +8,16 @@
    paid for that nothing needs. Pure: all that it knows comes in. */
 
 typedef struct {
-    int64_t need_cpu; /* of what runs, waits and is about to come */
-    int hosts;        /* that serve it or are on their way there */
-    int64_t host_cpu; /* of one host; thousandths of a core */
-    bool standby;     /* hosts there are off and cost nothing */
-    int keep;         /* never fewer hosts than this */
+    int64_t need_cpu;  /* of what runs, waits and is about to come */
+    int hosts;         /* that serve it or are on their way there */
+    int64_t host_cpu;  /* of one host; thousandths of a core */
+    bool standby;      /* hosts there are off and cost nothing */
+    int keep;          /* never fewer hosts than this */
     int park_after_ms; /* a host that is empty for so long may be turned off */
 } gv_plan_pool_t;
 
 typedef struct {
-    int pool; /* index */
+    int pool;        /* index */
     bool free;       /* without another duty, and nothing there lasts */
     int runs;        /* short tasks that have to end before it moves */
     int64_t idle_ms; /* empty for so long */
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -47,14 +47,13 @@
     gv_pool_opts_t o;
     bool fenced;
     bool listing;
-    bool known; /* the hosts were listed once */
+    bool known;       /* the hosts were listed once */
     int64_t asked_ms; /* of the newest list */
     int64_t listed_ms;
     int64_t planned_ms;
     int64_t logged_ms;
     GHashTable *hosts;    /* id -> gv_host_t * */
     GHashTable *services; /* name -> standby as a pointer */
-    GHashTable *peaks;    /* pool -> most hosts wanted, as a pointer */
     GPtrArray *waves;     /* gv_wave_t * */
 };
 
--- a/src/pool_wave.c
+++ b/src/pool_wave.c
@@ -96,8 +96,8 @@
     if (stored.n > 0) {
         load_wave(w, stored);
     }
-    GvEvlog_Write("wave", "wave=%d hosts=%d cap=%d left_ms=%lld done=%d",
-                  wave, n, w->cap, (long long)(w->deadline_wall_ms - wall_ms),
+    GvEvlog_Write("wave", "wave=%d hosts=%d cap=%d left_ms=%lld done=%d", wave,
+                  n, w->cap, (long long)(w->deadline_wall_ms - wall_ms),
                   w->done);
     g_ptr_array_add(p->waves, w);
 }
--- a/src/rhythm.h
+++ b/src/rhythm.h
@@ -11,7 +11,7 @@
 #define GV_RHYTHM_BURSTS 6
 
 typedef struct {
-    int n; /* bursts seen */
+    int n;                              /* bursts seen */
     int64_t begun_ms[GV_RHYTHM_BURSTS]; /* newest last */
     bool in_burst;
     int64_t low_since_ms; /* within a burst: load has been low since */
--- a/src/sched.c
+++ b/src/sched.c
@@ -241,9 +241,8 @@
     if (seat == NULL || !seat->listed) {
         return;
     }
-    GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld",
-                  seat->id, seat->runs->len,
-                  (long long)(seat->lease_until_ms - now_ms));
+    GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld", seat->id,
+                  seat->runs->len, (long long)(seat->lease_until_ms - now_ms));
     seat->listed = false;
 }
 
--- a/src/sched.h
+++ b/src/sched.h
@@ -120,10 +120,10 @@
 
 typedef struct {
     gv_str_t task; /* full name */
-    uint32_t run;
     gv_str_t saved;
-    int percent;
     double usage; /* tail in ms of a lasting task with a goal, else cores */
+    uint32_t run;
+    int percent;
 } gv_running_t;
 
 typedef struct {
@@ -160,8 +160,8 @@
                      uint32_t run, const gv_order_answer_t *a, int64_t now_ms);
 void GvSched_Stopped(gv_sched_t *s, const char *target, const char *task,
                      uint32_t run, const gv_order_answer_t *a, int64_t now_ms);
-void GvSched_Held(gv_sched_t *s, const char *target,
-                  const gv_hold_answer_t *a, int64_t now_ms);
+void GvSched_Held(gv_sched_t *s, const char *target, const gv_hold_answer_t *a,
+                  int64_t now_ms);
 
 /* Places tasks, renews leases and ends what has lapsed. Returns the time of
    the next call that is needed without an event. */
@@ -189,7 +189,7 @@
     const char *service;
     const char *rack;
     int runs;
-    int lasting;         /* runs that last */
+    int lasting;          /* runs that last */
     bool lasting_movable; /* all of them may be stopped now */
     bool draining;
     bool reserved;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -121,11 +121,11 @@
                     .service = GvSched_ServiceOf(s, job),
                     .first = first,
                     .priority = q == NULL ? job->priority : q->priority,
-                    .deadline_ms = begin + objective + (int64_t)(stretch * whole),
+                    .deadline_ms =
+                        begin + objective + (int64_t)(stretch * whole),
                 };
-                r.late =
-                    (double)s->wall_ms + chain_ms(s, job, i) >
-                    (double)r.deadline_ms;
+                r.late = (double)s->wall_ms + chain_ms(s, job, i) >
+                         (double)r.deadline_ms;
                 g_array_append_val(out, r);
             }
             first += step->count;
@@ -224,8 +224,7 @@
 {
     double left = (double)free->cpu / (double)MAX(seat->info.room.cpu, 1);
     double score = r->step->fills ? left : 1 - left;
-    if (r->step->rack.n > 0 &&
-        GvStr_Equal(r->step->rack, seat->info.rack)) {
+    if (r->step->rack.n > 0 && GvStr_Equal(r->step->rack, seat->info.rack)) {
         score += 8;
     }
     if (r->step->lasts && seat->n_lasting > 0) {
@@ -356,8 +355,7 @@
 {
     gv_demand_t d = {0};
     d.arriving_cpu = GvLoads_ArrivingCpu(s->loads, service, now_ms);
-    d.expected_cpu =
-        GvLoads_ExpectedCpu(s->loads, service, ahead_ms, now_ms);
+    d.expected_cpu = GvLoads_ExpectedCpu(s->loads, service, ahead_ms, now_ms);
     GHashTableIter it;
     gpointer value;
     s->wall_ms = wall_ms;
@@ -370,8 +368,9 @@
         for (int k = 0; k < r->step->count; k++) {
             if (r->job->job->tasks[r->first + k].state == GV_TASK_WAITING) {
                 d.waiting++;
-                d.wanted_cpu += r->late ? r->step->need.cpu / GV_SCHED_LATE_PART
-                                        : r->step->need.cpu;
+                d.wanted_cpu += r->late
+                                    ? r->step->need.cpu / GV_SCHED_LATE_PART
+                                    : r->step->need.cpu;
             }
         }
     }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -25,12 +25,12 @@
     uint32_t run;
     gv_room_t need;
     gv_run_phase_t phase;
-    bool open;          /* an order waits for its answer */
-    bool unsure;        /* an earlier order got no answer */
-    bool listed;        /* in the newest list of its target */
-    int tries;          /* orders sent in this phase */
-    int64_t next_ms;    /* of the next order, while none is open */
-    int64_t known_ms;   /* the target confirmed the newest order */
+    bool open;        /* an order waits for its answer */
+    bool unsure;      /* an earlier order got no answer */
+    bool listed;      /* in the newest list of its target */
+    int tries;        /* orders sent in this phase */
+    int64_t next_ms;  /* of the next order, while none is open */
+    int64_t known_ms; /* the target confirmed the newest order */
     int64_t placed_ms;
     int percent;
 } gv_run_t;
@@ -39,8 +39,8 @@
 struct gv_active_s {
     gv_job_t *job;
     bool lasts;
-    bool dirty;       /* progress differs from what was given out to store */
-    gv_run_t **runs;  /* by task, NULL without one */
+    bool dirty;      /* progress differs from what was given out to store */
+    gv_run_t **runs; /* by task, NULL without one */
     int n_runs;
 };
 
@@ -48,11 +48,11 @@
 struct gv_seat_s {
     const char *id; /* interned */
     gv_target_info_t info;
-    bool listed;   /* the host list has it */
+    bool listed;     /* the host list has it */
     int64_t seen_ms; /* first entry in the list; 0: none yet */
-    bool reserved; /* for a move or maintenance: gets no new tasks */
-    bool synced;   /* it has answered under this fence */
-    bool wanted;   /* placement waits for a newer clock */
+    bool reserved;   /* for a move or maintenance: gets no new tasks */
+    bool synced;     /* it has answered under this fence */
+    bool wanted;     /* placement waits for a newer clock */
     bool hold_open;
     int hold_failures;
     int64_t hold_sent_ms;
@@ -113,6 +113,7 @@
                     int64_t now_ms);
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+int64_t GvSched_NewLease(const gv_sched_t *s, gv_seat_t *seat, int64_t now_ms);
 void GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why);
 bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
 bool GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms);
--- /dev/null
+++ b/src/sched_seat.c
@@ -0,0 +1,145 @@
+#include "evlog.h"
+#include "limits.h"
+#include "sched_private.h"
+
+/* Targets of the scheduler: holding their leases and ending what has
+   lapsed. */
+
+/* Ends all runs on a target whose life has ended. */
+void
+GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why)
+{
+    for (guint i = seat->runs->len; i > 0; i--) {
+        GvSched_DropRun(s, g_ptr_array_index(seat->runs, i - 1), why);
+    }
+    seat->noted = 0;
+    seat->noted_batch = 0;
+    seat->noted_stored = 0;
+    seat->noted_told = 0;
+}
+
+static bool
+needs_hold(const gv_seat_t *seat)
+{
+    return seat->runs->len > 0 || seat->noted_stored > seat->noted_told ||
+           (seat->listed && (!seat->synced || seat->wanted));
+}
+
+static void
+send_hold(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+{
+    bool known = seat->answered_ms > 0;
+    bool unstored = seat->noted > seat->noted_stored;
+    gv_hold_order_t o = {
+        .target = seat->id,
+        .addr = seat->info.addr.p,
+        .noted = seat->noted_stored,
+        .wait_ms = seat->runs->len > 0 && seat->synced && !unstored &&
+                           seat->hold_failures == 0
+                       ? GV_SCHED_HOLD_WAIT_MS
+                       : 0,
+        .retry = seat->hold_failures > 0,
+    };
+    /* A target that did not answer is asked without a new lease: otherwise
+       the lease of one that is gone would never be known to have ended. */
+    if (known && seat->runs->len > 0 && seat->hold_failures == 0) {
+        o.deadline_ms = GvSched_NewLease(s, seat, now_ms);
+    }
+    seat->hold_open = true;
+    seat->hold_sent_ms = now_ms;
+    seat->noted_told = seat->noted_stored;
+    s->o.ops.hold(s->o.ops.user, &o);
+}
+
+/* Drops the runs whose lease has ended for certain; those that were not
+   ordered yet have none. */
+static void
+lapse_runs(gv_sched_t *s, gv_seat_t *seat)
+{
+    for (guint i = seat->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+        if (r->phase != GV_RUN_LOGGING) {
+            GvSched_DropRun(s, r, "lease ended without contact");
+            seat->synced = false;
+        }
+    }
+}
+
+/* Tells whether a lasting run is known to be at work: its target said so
+   lately and answers. */
+static bool
+at_work(const gv_run_t *r, int64_t now_ms)
+{
+    return r != NULL && r->phase == GV_RUN_ACTIVE && r->listed &&
+           r->percent >= 100 && r->seat->hold_failures == 0 &&
+           now_ms - r->seat->held_ms < GV_SCHED_SEEN_MS;
+}
+
+/* Tells whether a run may be stopped by planned work: so few tasks of its
+   step are away that one more is allowed. */
+bool
+GvSched_MayStop(const gv_run_t *r, int64_t now_ms)
+{
+    const gv_active_t *a = r->job;
+    const gv_step_t *step = GvJob_StepOf(a->job, r->task);
+    int first = r->task - GvJob_PlaceOf(a->job, r->task).index;
+    int away = 0;
+    if (step->max_unavailable == 0) {
+        return true;
+    }
+    for (int i = first; i < first + step->count; i++) {
+        away += i != r->task && !at_work(a->runs[i], now_ms) ? 1 : 0;
+    }
+    return away < step->max_unavailable;
+}
+
+/* Ends what has lapsed on one target, repeats its stops and holds it. */
+static void
+step_seat(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+{
+    if (seat->runs->len > 0 && now_ms > seat->lease_until_ms) {
+        lapse_runs(s, seat);
+    }
+    for (guint i = 0; i < seat->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(seat->runs, i);
+        if (r->phase == GV_RUN_STOPPING && !r->open && r->known_ms == 0 &&
+            now_ms >= r->next_ms) {
+            GvSched_SendStop(s, r, now_ms);
+        }
+    }
+    /* While an end is being stored the hold would return at once. */
+    bool storing = seat->noted > seat->noted_stored;
+    int64_t due = storing ? seat->hold_sent_ms + GV_SCHED_HOLD_WAIT_MS
+                          : seat->hold_next_ms;
+    if (!seat->hold_open && needs_hold(seat) && seat->info.addr.n > 0 &&
+        now_ms >= due) {
+        send_hold(s, seat, now_ms);
+    }
+}
+
+/* Steps every target; one that is gone and empty is forgotten. Returns when
+   to come back without an event. */
+int64_t
+GvSched_StepSeats(gv_sched_t *s, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->seats);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_seat_t *seat = value;
+        step_seat(s, seat, now_ms);
+        if (!seat->listed && seat->runs->len == 0 && !seat->hold_open &&
+            now_ms > seat->lease_until_ms) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    return now_ms + GV_SCHED_TICK_MS;
+}
+
+/* Tells whether the target's clock is known well enough to set deadlines. */
+bool
+GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms)
+{
+    return seat->synced && seat->hold_failures == 0 &&
+           now_ms - seat->answered_ms < GV_SCHED_CLOCK_MS;
+}
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -102,8 +102,8 @@
         int n = v == NULL ? 0 : atoi(v + 1);
         s.count = g_str_has_prefix(w[i], "count=") ? n : s.count;
         s.need.cpu = g_str_has_prefix(w[i], "cpu=") ? n : s.need.cpu;
-        s.max_per_target = g_str_has_prefix(w[i], "max=") ? n
-                                                          : s.max_per_target;
+        s.max_per_target =
+            g_str_has_prefix(w[i], "max=") ? n : s.max_per_target;
         s.max_unavailable =
             g_str_has_prefix(w[i], "away=") ? n : s.max_unavailable;
         s.tail_goal_ms = g_str_has_prefix(w[i], "goal=") ? n : s.tail_goal_ms;
@@ -188,10 +188,9 @@
 answer_of(int argc, char **argv, const char *word)
 {
     return (gv_order_answer_t){
-        .result = (gv_order_result_t)INDEX(word, "done", "no-answer",
-                                           "not-sent", "busy", "no-room",
-                                           "old-run", "late", "fenced",
-                                           "other-life", "refused"),
+        .result = (gv_order_result_t)INDEX(
+            word, "done", "no-answer", "not-sent", "busy", "no-room",
+            "old-run", "late", "fenced", "other-life", "refused"),
         .clock_ms = now + 5000,
         .born = OPT("born", 0),
     };
