--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -34,20 +34,19 @@
 } model_run_t;
 
 typedef struct {
-    char id[16];
-    bool up;
     int64_t silent_until_ms;
     int64_t born;
     uint64_t fence;
     int64_t lease_until_ms;
     uint64_t ends;
-    uint64_t noted;
-    int n_runs;
     model_run_t runs[RUNS_MAX];
-    int n_ended;
     gv_ended_t ended[RUNS_MAX];
     char ended_task[RUNS_MAX][64];
     uint32_t highest[JOBS_MAX][TASKS_MAX]; /* run that ended or was stopped */
+    int n_runs;
+    int n_ended;
+    char id[16];
+    bool up;
 } model_target_t;
 
 typedef struct {
@@ -63,28 +62,28 @@
 typedef enum { ORDER_START, ORDER_STOP, ORDER_HOLD } order_kind_t;
 
 typedef struct {
-    bool used;
-    bool answer;      /* the result is on its way to the scheduler */
-    bool lost_answer; /* the target acts, the scheduler hears nothing */
-    bool late;        /* the scheduler has given up waiting for it */
     int64_t sent_ms;
-    order_kind_t kind;
     int64_t at_ms;
-    int target;
-    uint64_t fence;
-    char task[64];
-    uint32_t run;
     int64_t deadline_ms;
+    int64_t born;
+    uint64_t fence;
     uint64_t noted;
-    int life; /* of the scheduler that gave the order */
+    gv_running_t running[RUNS_MAX];
+    gv_ended_t ended[RUNS_MAX];
+    order_kind_t kind;
     gv_order_result_t result;
-    int64_t born;
+    int target;
+    int life; /* of the scheduler that gave the order */
     int n_running;
-    char running_task[RUNS_MAX][64];
-    gv_running_t running[RUNS_MAX];
     int n_ended;
+    uint32_t run;
+    char task[64];
+    char running_task[RUNS_MAX][64];
     char ended_task[RUNS_MAX][64];
-    gv_ended_t ended[RUNS_MAX];
+    bool used;
+    bool answer;      /* the result is on its way to the scheduler */
+    bool lost_answer; /* the target acts, the scheduler hears nothing */
+    bool late;        /* the scheduler has given up waiting for it */
 } event_t;
 
 static GRand *rnd;
