--- a/src/intake.h
+++ b/src/intake.h
@@ -55,14 +55,12 @@
 /* One request. The caller sets the first group of fields and keeps the struct
    until the reply. */
 struct gv_asked_s {
-    gv_ask_t ask;
     gv_str_t id;   /* of the job */
     gv_job_t *job; /* of a submission; owned */
     int64_t by_ms; /* the reply is due by then, monotonic */
-    void *caller;
+    gv_ask_t ask;
 
     bool waiting; /* in a batch */
-    bool synced;
 };
 
 gv_intake_t *GvIntake_New(const gv_intake_ops_t *ops, gv_job_table_t *table);
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -9,11 +9,11 @@
 
 typedef struct {
     int64_t need_cpu;  /* of what runs, waits and is about to come */
-    int hosts;         /* that serve it or are on their way there */
     int64_t host_cpu;  /* of one host; thousandths of a core */
-    bool standby;      /* hosts there are off and cost nothing */
+    int hosts;         /* that serve it or are on their way there */
     int keep;          /* never fewer hosts than this */
     int park_after_ms; /* a host that is empty for so long may be turned off */
+    bool standby;      /* hosts there are off and cost nothing */
 } gv_plan_pool_t;
 
 typedef struct {
--- /dev/null
+++ b/tests/script_intake.c
@@ -0,0 +1,213 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "charge.h"
+#include "error.h"
+#include "intake.h"
+#include "pool_plan.h"
+#include "rhythm.h"
+#include "script.h"
+
+/* Verbs that drive the intake, the lease, the plan of moves and the rhythm of
+   bursts. */
+
+static gv_intake_t *intake;
+static gv_job_table_t *table;
+static int64_t now;
+static bool answers;
+static gv_asked_t asked[8];
+
+static void
+add_record(GByteArray *records, gv_str_t key, gv_str_t value)
+{
+    (void)value;
+    g_byte_array_append(records, (const guint8 *)key.p, (guint)key.n);
+    g_byte_array_append(records, (const guint8 *)" ", 1);
+}
+
+static void
+on_append(void *user, int batch, gv_str_t records, bool fresh)
+{
+    (void)user;
+    printf("  append %d: %.*s%s\n", batch, GV_STR_ARG(records),
+           fresh ? "again" : "");
+}
+
+static void
+on_stored(void *user, gv_str_t key, gv_str_t value)
+{
+    gv_job_t *job;
+    (void)user;
+    (void)GvJobTable_Apply(table, GV_PART_ACCEPTED, 0, key, value, &job);
+}
+
+static void
+on_sync(void *user, gv_asked_t *rq)
+{
+    (void)user;
+    printf("  sync for %.*s\n", GV_STR_ARG(rq->id));
+}
+
+static void
+on_reply(void *user, gv_asked_t *rq, const gv_intake_reply_t *r)
+{
+    static const char *const said[] = {
+        "accepted", "cancelled", "state",   "pending", "no-job",
+        "no-queue", "invalid",   "not-run", "unknown", "unavailable"};
+    (void)user;
+    printf("  reply %.*s: %s %s\n", GV_STR_ARG(rq->id), said[r->said],
+           r->said == GV_SAID_STATE ? GvJob_StateName(r->state)
+           : r->why == NULL         ? ""
+                                    : r->why);
+    GvJob_Free(rq->job);
+    rq->job = NULL;
+}
+
+static bool
+store_answers(void *user, int64_t now_ms)
+{
+    (void)user;
+    (void)now_ms;
+    return answers;
+}
+
+GV_VERB("intake_new", intake_new)
+{
+    gv_intake_ops_t ops = {NULL,    add_record, on_append,    on_stored,
+                           on_sync, on_reply,   store_answers};
+    table = GvJobTable_New();
+    intake = GvIntake_New(&ops, table);
+    answers = true;
+    now = 0;
+}
+
+GV_VERB("store", store)
+{
+    answers = strcmp(argv[1], "answers") == 0;
+}
+
+/* ask SLOT submit|state|cancel ID by=MS */
+GV_VERB("ask", ask)
+{
+    gv_asked_t *rq = &asked[NUM(1)];
+    *rq = (gv_asked_t){
+        .ask = (gv_ask_t)INDEX(argv[2], "submit", "state", "cancel"),
+        .id = GvStr_Dup(ARG(3)),
+        .by_ms = OPT("by", 3000)};
+    if (rq->ask == GV_ASK_SUBMIT) {
+        gv_job_t *j = GvJob_New();
+        j->id = GvStr_Dup(ARG(3));
+        j->n_steps = 1;
+        j->steps = g_new0(gv_step_t, 1);
+        j->steps[0].count = 1;
+        g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+        rq->job = j;
+    }
+    printf("ask %s %s\n", argv[2], argv[3]);
+    GvIntake_Ask(intake, rq, now);
+}
+
+/* appended BATCH done|moved|fenced|sequence|busy|unreached|unknown */
+GV_VERB("appended", appended)
+{
+    gv_append_answer_t a = {.result = (gv_store_result_t)INDEX(
+                                argv[2], "done", "moved", "fenced", "sequence",
+                                "busy", "unreached", "unknown")};
+    printf("appended %s\n", argv[2]);
+    GvIntake_Appended(intake, (int)NUM(1), &a, now);
+}
+
+GV_VERB("synced", synced)
+{
+    GvIntake_Synced(intake, &asked[NUM(1)], strcmp(argv[2], "ok") == 0);
+}
+
+GV_VERB("clock", clock_verb)
+{
+    now = (int64_t)NUM(1);
+    printf("clock %lld\n", (long long)now);
+    GvIntake_Step(intake, now);
+}
+
+/* may_claim NAME holder=H epoch=E resigned=0 heard=MS failed=MS started=MS
+   now=MS current=1 */
+GV_VERB("may_claim", may_claim)
+{
+    gv_lead_t lead = {(uint64_t)OPT("epoch", 1),
+                      GvStr_C(GvScript_Option(argc, argv, "holder", "")),
+                      OPT("resigned", 0) != 0};
+    gv_lead_view_t v = {.self = ARG(1),
+                        .lead = &lead,
+                        .now_ms = OPT("now", 0),
+                        .started_ms = OPT("started", 0),
+                        .heard_ms = OPT("heard", 0),
+                        .failed_ms = OPT("failed", 0),
+                        .current = OPT("current", 1) != 0,
+                        .stopping = OPT("stopping", 0) != 0,
+                        .silence_ms = 2000};
+    printf("may_claim %d\n", GvLead_MayClaim(&v));
+}
+
+static gv_plan_pool_t pools[8];
+static gv_plan_host_t hosts[32];
+static int n_pools;
+static int n_hosts;
+
+/* pool need=CPU standby=0 keep=2 */
+GV_VERB("plan_pool", plan_pool)
+{
+    pools[n_pools++] = (gv_plan_pool_t){.need_cpu = OPT("need", 0),
+                                        .host_cpu = 16000,
+                                        .standby = OPT("standby", 0) != 0,
+                                        .keep = OPT("keep", 2),
+                                        .park_after_ms = 20000};
+}
+
+/* hosts COUNT pool=N free=1 runs=0 idle=MS */
+GV_VERB("plan_hosts", plan_hosts)
+{
+    for (uint64_t i = 0; i < NUM(1); i++) {
+        int pool = OPT("pool", 0);
+        pools[pool].hosts++;
+        hosts[n_hosts++] = (gv_plan_host_t){.pool = pool,
+                                            .free = OPT("free", 1) != 0,
+                                            .runs = OPT("runs", 0),
+                                            .idle_ms = OPT("idle", 0)};
+    }
+}
+
+GV_VERB("plan_moves", plan_moves)
+{
+    gv_plan_move_t moves[32];
+    int n = GvPoolPlan_Moves(pools, n_pools, hosts, n_hosts, moves, 32);
+    printf("plan %d\n", n);
+    for (int i = 0; i < n; i++) {
+        printf("  host %d of pool %d to pool %d\n", moves[i].host,
+               hosts[moves[i].host].pool, moves[i].to);
+    }
+    n_pools = 0;
+    n_hosts = 0;
+}
+
+/* rhythm bursts=MS,MS,... now=MS: bursts of 4 s with load 100 at these times;
+   prints the interval and what is expected in the next 2.3 s. */
+GV_VERB("rhythm", rhythm)
+{
+    gv_rhythm_t r = {0};
+    char **at = g_strsplit(GvScript_Option(argc, argv, "bursts", ""), ",", -1);
+    int64_t until = OPT("now", 0);
+    for (int64_t t = 0; t <= until; t += 100) {
+        double load = 5;
+        for (int i = 0; at[i] != NULL; i++) {
+            int64_t begun = atoi(at[i]);
+            load = t >= begun && t < begun + 4000 ? 100 : load;
+        }
+        GvRhythm_Note(&r, load, 25, t);
+    }
+    g_strfreev(at);
+    int64_t period = GvRhythm_PeriodMs(&r);
+    printf("rhythm period %lld expected %.0f\n", (long long)period,
+           GvRhythm_Expected(&r, period, until - 1500, until + 2300));
+}
