--- a/src/charge.c
+++ b/src/charge.c
@@ -253,6 +253,7 @@
         .current = current,
         .ours = false,
         .stopping = c->resign,
+        .handicap_ms = c->o.handicap_ms,
         .silence_ms = c->o.silence_ms + GV_LEAD_SLOW_CALLS * c->call_ms,
     };
     if (GvLead_MayClaim(&v)) {
--- a/src/charge.h
+++ b/src/charge.h
@@ -37,6 +37,7 @@
     gv_str_t self;
     int renew_ms;
     int silence_ms;
+    int handicap_ms; /* others may claim so much earlier */
     /* Differs between processes. A repeated append is recognised by epoch and
        sequence number alone: claims of two processes must not look like one
        another's repeats. */
--- a/src/lead.c
+++ b/src/lead.c
@@ -21,7 +21,7 @@
         return false;
     }
     int64_t since = MAX(v->started_ms, v->failed_ms);
-    int64_t delay = rank_delay_ms(v->self, v->lead->epoch);
+    int64_t delay = rank_delay_ms(v->self, v->lead->epoch) + v->handicap_ms;
     if (v->lead->epoch == 0 || v->lead->resigned) {
         return v->now_ms - MAX(since, v->heard_ms) >= delay;
     }
--- a/src/lead.h
+++ b/src/lead.h
@@ -17,7 +17,8 @@
     bool current;       /* everything stored was read */
     bool ours;          /* this process is in charge */
     bool stopping;
-    int silence_ms; /* after which another takes over */
+    int silence_ms;  /* after which another takes over */
+    int handicap_ms; /* this host leaves others so much time to claim first */
 } gv_lead_view_t;
 
 bool GvLead_MayClaim(const gv_lead_view_t *v);
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -146,7 +146,8 @@
                         .failed_ms = OPT("failed", 0),
                         .current = OPT("current", 1) != 0,
                         .stopping = OPT("stopping", 0) != 0,
-                        .silence_ms = 2000};
+                        .silence_ms = 2000,
+                        .handicap_ms = OPT("handicap", 0)};
     printf("may_claim %d\n", GvLead_MayClaim(&v));
 }
 
