Ask for advice before tasks of such queues are placed

Cause: a queue with advice was never placed; its jobs would wait for ever. Change: the step is asked about for up to 16 targets, tasks are placed on those with a valid ticket, a ticket that is refused or runs out is asked for again.

--- a/src/limits.h
+++ b/src/limits.h
@@ -350,4 +350,11 @@
 /* Arrivals of an earlier scheduler that a new one learns from. */
 #define GV_LOAD_HISTORY_MS 90000
 
+/* Advice: an answer takes some time for each target asked about, and a machine
+   may have 32 questions waiting. */
+#define GV_ADVICE_TARGETS   16
+#define GV_ADVICE_OPEN_MAX  8
+#define GV_ADVICE_AGAIN_MS  500
+#define GV_ADVICE_MARGIN_MS 200
+
 #endif
--- a/src/sched.c
+++ b/src/sched.c
@@ -72,6 +72,7 @@
     s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
     s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
     s->loads = GvLoads_New();
+    s->advice = GvSched_NewAdvice();
     s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->logging = g_ptr_array_new();
     s->batched = g_ptr_array_new();
@@ -88,6 +89,7 @@
     g_hash_table_destroy(s->seats);
     g_hash_table_destroy(s->queues);
     GvLoads_Free(s->loads);
+    g_hash_table_destroy(s->advice);
     g_hash_table_destroy(s->strays);
     g_free(s);
 }
@@ -471,6 +473,7 @@
                           GV_STR_ARG(a->job->id),
                           GvJob_StateName(GvJob_State(a->job)),
                           (long long)(s->wall_ms - a->job->accepted_ms));
+            GvSched_ForgetAdvice(s, a->job);
             g_hash_table_iter_remove(&it);
         }
     }
--- a/src/sched.h
+++ b/src/sched.h
@@ -55,6 +55,7 @@
     uint32_t run;
     int64_t deadline_ms; /* on the target's clock */
     const char *saved;   /* or NULL */
+    const char *ticket;  /* of the advice service, or NULL */
     bool retry;          /* on a new connection */
 } gv_start_order_t;
 
@@ -74,11 +75,25 @@
     bool retry;
 } gv_hold_order_t;
 
+/* A question whether targets may run a step. */
+typedef struct {
+    const char *step; /* ID.K.STEP */
+    const char *const *targets;
+    int n_targets;
+} gv_advice_order_t;
+
+typedef struct {
+    gv_str_t target;
+    gv_str_t ticket;
+} gv_ticket_row_t;
+
 typedef struct {
     void *user;
     void (*start)(void *user, const gv_start_order_t *o);
     void (*stop)(void *user, const gv_stop_order_t *o);
     void (*hold)(void *user, const gv_hold_order_t *o);
+    /* NULL without an advice service: queues that need it wait. */
+    void (*advise)(void *user, const gv_advice_order_t *o);
 } gv_sched_ops_t;
 
 typedef struct {
@@ -100,6 +115,7 @@
     GV_ORDER_LATE,       /* the deadline had passed */
     GV_ORDER_FENCED,     /* a newer scheduler is in charge */
     GV_ORDER_OTHER_LIFE, /* another target, or life of it, answered */
+    GV_ORDER_NO_TICKET,  /* the target did nothing */
     GV_ORDER_REFUSED     /* any other reason */
 } gv_order_result_t;
 
@@ -163,6 +179,11 @@
 void GvSched_Held(gv_sched_t *s, const char *target, const gv_hold_answer_t *a,
                   int64_t now_ms);
 
+/* Takes the answer about a step; ok false: there is none. */
+void GvSched_Advised(gv_sched_t *s, const char *step, bool ok,
+                     const gv_ticket_row_t *rows, int n, int valid_ms,
+                     int64_t now_ms);
+
 /* Places tasks, renews leases and ends what has lapsed. Returns the time of
    the next call that is needed without an event. */
 int64_t GvSched_Run(gv_sched_t *s, int64_t now_ms, int64_t wall_ms);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -13,6 +13,7 @@
     gv_str_t service;
     int first; /* number of its first task */
     int priority;
+    bool advice;         /* only targets with a ticket may run it */
     bool late;           /* it cannot meet its objective any more */
     int64_t deadline_ms; /* wall clock of the objective */
 } gv_ready_t;
@@ -103,9 +104,6 @@
     const gv_queue_info_t *q = GvSched_QueueOf(s, job);
     int objective = q == NULL ? job->objective_ms : q->objective_ms;
     double stretch = q == NULL ? job->stretch : q->stretch;
-    if (q != NULL && q->advice) {
-        return; /* placed by its own path */
-    }
     double whole = whole_chain_ms(s, job);
     for (int k = 0; k < job->occurrences; k++) {
         int first = k * job->tasks_each;
@@ -121,6 +119,7 @@
                     .service = GvSched_ServiceOf(s, job),
                     .first = first,
                     .priority = q == NULL ? job->priority : q->priority,
+                    .advice = q != NULL && q->advice,
                     .deadline_ms =
                         begin + objective + (int64_t)(stretch * whole),
                 };
@@ -251,7 +250,9 @@
         gv_seat_t *seat = value;
         gv_room_t free = seat->info.room;
         GvRoom_Take(&free, seat->used);
-        if (!may_run(seat, r, &free, now_ms)) {
+        if (!may_run(seat, r, &free, now_ms) ||
+            (r->advice && GvSched_Ticket(s, r->job->job, r->first, seat->id,
+                                         now_ms) == NULL)) {
             continue;
         }
         if (!GvSched_SeatFresh(seat, now_ms)) {
@@ -342,6 +343,9 @@
         else {
             place_tasks(s, r, now_ms);
         }
+        if (r->advice && has_waiting(r->job, r->first, r->step->count)) {
+            GvSched_Ask(s, r->job->job, r->first, r->service, now_ms);
+        }
     }
     g_array_free(ready, TRUE);
     s->place_due = false;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -82,6 +82,8 @@
     GHashTable *jobs;   /* gv_str_t * -> gv_active_t * */
     GHashTable *queues; /* name -> gv_queue_info_t * */
     gv_loads_t *loads;
+    GHashTable *advice; /* step name -> what the advice service said */
+    int advice_open;    /* questions without an answer */
     GHashTable *strays; /* "target task run" -> time of the newest stop */
     GPtrArray *logging; /* gv_run_t * to be ordered after the next batch */
     GPtrArray *batched; /* gv_run_t * to be ordered after this batch */
@@ -119,6 +121,14 @@
 void GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why);
 bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
 bool GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms);
+GHashTable *GvSched_NewAdvice(void);
+const char *GvSched_Ticket(const gv_sched_t *s, const gv_job_t *job, int task,
+                           const char *target, int64_t now_ms);
+void GvSched_DropTicket(gv_sched_t *s, const gv_job_t *job, int task,
+                        const char *target);
+void GvSched_Ask(gv_sched_t *s, const gv_job_t *job, int task,
+                 gv_str_t service, int64_t now_ms);
+void GvSched_ForgetAdvice(gv_sched_t *s, const gv_job_t *job);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
 int64_t GvSched_StepSeats(gv_sched_t *s, int64_t now_ms);
 
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -94,6 +94,13 @@
         GvSched_DropRun(s, r, "job ended before the start");
         return;
     }
+    const gv_queue_info_t *q = GvSched_QueueOf(s, r->job->job);
+    const char *ticket =
+        GvSched_Ticket(s, r->job->job, r->task, r->seat->id, now_ms);
+    if (q != NULL && q->advice && ticket == NULL && !r->unsure) {
+        GvSched_DropRun(s, r, "ticket ran out before the start");
+        return;
+    }
     r->phase = GV_RUN_SENDING;
     r->open = true;
     r->tries++;
@@ -105,6 +112,7 @@
         .run = r->run,
         .deadline_ms = GvSched_NewLease(s, r->seat, now_ms),
         .saved = t->saved,
+        .ticket = ticket,
         .retry = r->tries > 1,
     };
     s->o.ops.start(s->o.ops.user, &o);
@@ -382,6 +390,10 @@
         seat->synced = false;
         start_refused(s, r, "deadline passed on target", 0, now_ms);
         return;
+    case GV_ORDER_NO_TICKET:
+        GvSched_DropTicket(s, r->job->job, r->task, target);
+        start_refused(s, r, "ticket not accepted", 0, now_ms);
+        return;
     case GV_ORDER_REFUSED:
         start_refused(s, r, "refused by target", GV_SCHED_SILENT_MS, now_ms);
         return;
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -17,10 +17,11 @@
 {
     gv_task_place_t at = GvJob_PlaceOf(o->job, o->task);
     (void)user;
-    printf("  start %.*s.%d.%d.%d run %u on %s%s%s%s\n",
-           GV_STR_ARG(o->job->id), at.occurrence, at.step, at.index, o->run,
-           o->target, o->saved == NULL ? "" : " from ",
-           o->saved == NULL ? "" : o->saved, o->retry ? " again" : "");
+    printf(
+        "  start %.*s.%d.%d.%d run %u on %s%s%s%s%s\n", GV_STR_ARG(o->job->id),
+        at.occurrence, at.step, at.index, o->run, o->target,
+        o->saved == NULL ? "" : " from ", o->saved == NULL ? "" : o->saved,
+        o->ticket == NULL ? "" : " with a ticket", o->retry ? " again" : "");
 }
 
 static void
@@ -39,6 +40,13 @@
            o->deadline_ms == 0 ? "" : " lease");
 }
 
+static void
+on_advise(void *user, const gv_advice_order_t *o)
+{
+    (void)user;
+    printf("  advise %s about %d\n", o->step, o->n_targets);
+}
+
 static gv_str_t
 text_of(int argc, char **argv, const char *name)
 {
@@ -51,7 +59,7 @@
         GvSched_Free(sched);
     }
     now = OPT("now", 1000);
-    gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold},
+    gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
                          .epoch = (uint64_t)OPT("epoch", 1),
                          .lease_ms = 4500,
                          .max_lease_ms = 4500,
@@ -67,7 +75,8 @@
                          .attempts = OPT("attempts", 2),
                          .priority = OPT("priority", 0),
                          .objective_ms = OPT("objective", 600),
-                         .stretch = 1.6};
+                         .stretch = 1.6,
+                         .advice = OPT("advice", 0) != 0};
     GvSched_SetQueues(sched, &q, 1);
 }
 
@@ -190,7 +199,7 @@
     return (gv_order_answer_t){
         .result = (gv_order_result_t)INDEX(
             word, "done", "no-answer", "not-sent", "busy", "no-room",
-            "old-run", "late", "fenced", "other-life", "refused"),
+            "old-run", "late", "fenced", "other-life", "no-ticket", "refused"),
         .clock_ms = now + 5000,
         .born = OPT("born", 0),
     };
@@ -254,6 +263,18 @@
     printf("left %d\n", GvSched_Evacuate(sched, ARG(1), false, now));
 }
 
+/* advised STEP ok|none valid=MS TARGET... */
+GV_VERB("advised", advised)
+{
+    gv_ticket_row_t rows[8];
+    int n = 0;
+    for (int i = 4; i < argc; i++) {
+        rows[n++] = (gv_ticket_row_t){ARG(i), GV_STR("ticket")};
+    }
+    GvSched_Advised(sched, argv[1], strcmp(argv[2], "ok") == 0, rows, n,
+                    OPT("valid", 3000), now);
+}
+
 GV_VERB("fenced", fenced)
 {
     printf("fenced %d\n", GvSched_Fenced(sched));
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -492,12 +492,13 @@
     }
     g_hash_table_remove_all(batch);
     life++;
-    gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold},
-                         .epoch = (uint64_t)life,
-                         .lease_ms = LEASE_MS,
-                         .max_lease_ms = LEASE_MS,
-                         .stop_ms = 200,
-                         .now_ms = now};
+    gv_sched_opts_t o = {
+        .ops = {.start = on_start, .stop = on_stop, .hold = on_hold},
+        .epoch = (uint64_t)life,
+        .lease_ms = LEASE_MS,
+        .max_lease_ms = LEASE_MS,
+        .stop_ms = 200,
+        .now_ms = now};
     sched = GvSched_New(&o);
     for (int i = 0; i < n_jobs; i++) {
         char key[20];
