--- a/src/charge.c
+++ b/src/charge.c
@@ -78,13 +78,6 @@
     return c->state == IN_CHARGE;
 }
 
-/* Tells whether nothing is on its way to the store. */
-bool
-GvCharge_Idle(const gv_charge_t *c)
-{
-    return !c->open && c->records->len == 0;
-}
-
 uint64_t
 GvCharge_Epoch(const gv_charge_t *c)
 {
--- a/src/charge.h
+++ b/src/charge.h
@@ -63,7 +63,6 @@
 void GvCharge_Put(gv_charge_t *c, gv_str_t key, gv_str_t value);
 void GvCharge_Resign(gv_charge_t *c);
 bool GvCharge_Holds(const gv_charge_t *c);
-bool GvCharge_Idle(const gv_charge_t *c);
 uint64_t GvCharge_Epoch(const gv_charge_t *c);
 int64_t GvCharge_RenewedMs(const gv_charge_t *c);
 
--- a/src/intake.c
+++ b/src/intake.c
@@ -53,17 +53,6 @@
     g_free(in);
 }
 
-/* Returns the number of requests that wait for the store. */
-int
-GvIntake_Waiting(const gv_intake_t *in)
-{
-    guint n = in->waiting.length;
-    for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
-        n += in->batches[i].asked->len;
-    }
-    return (int)n;
-}
-
 static void
 say(gv_intake_t *in, gv_asked_t *rq, gv_intake_reply_t r)
 {
--- a/src/intake.h
+++ b/src/intake.h
@@ -71,6 +71,5 @@
 void GvIntake_Synced(gv_intake_t *in, gv_asked_t *rq, bool ok);
 /* Sends what waits and ends what is overdue. */
 void GvIntake_Step(gv_intake_t *in, int64_t now_ms);
-int GvIntake_Waiting(const gv_intake_t *in);
 
 #endif
--- a/src/job.c
+++ b/src/job.c
@@ -231,25 +231,6 @@
     return true;
 }
 
-/* Returns the longest chain of declared run times through the steps, in
-   milliseconds. */
-int
-GvJob_ChainMs(const gv_job_t *job)
-{
-    int longest = 0;
-    int *end = g_new0(int, (gsize)job->n_steps);
-    for (int i = 0; i < job->n_steps; i++) {
-        const gv_step_t *s = &job->steps[i];
-        for (int k = 0; k < s->n_after; k++) {
-            end[i] = MAX(end[i], end[s->after[k]]);
-        }
-        end[i] += s->estimate_ms;
-        longest = MAX(longest, end[i]);
-    }
-    g_free(end);
-    return longest;
-}
-
 /* Tells whether need fits into free in every dimension. */
 bool
 GvRoom_Fits(gv_room_t need, gv_room_t free)
--- a/src/job.h
+++ b/src/job.h
@@ -107,7 +107,6 @@
 bool GvJob_StepDone(const gv_job_t *job, int occurrence, int step);
 bool GvJob_StepReady(const gv_job_t *job, int occurrence, int step,
                      int64_t wall_ms);
-int GvJob_ChainMs(const gv_job_t *job);
 
 bool GvRoom_Fits(gv_room_t need, gv_room_t free);
 void GvRoom_Add(gv_room_t *to, gv_room_t add);
--- a/src/pool.c
+++ b/src/pool.c
@@ -50,13 +50,6 @@
     g_free(p);
 }
 
-/* Tells whether another scheduler has given orders with a newer fence. */
-bool
-GvPools_Fenced(const gv_pools_t *p)
-{
-    return p->fenced;
-}
-
 gv_host_t *
 GvPools_Host(const gv_pools_t *p, const char *id)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -77,6 +77,5 @@
    that this process is in charge. */
 void GvPools_Step(gv_pools_t *p, bool may_order, int64_t now_ms,
                   int64_t wall_ms);
-bool GvPools_Fenced(const gv_pools_t *p);
 
 #endif
--- a/src/sched.h
+++ b/src/sched.h
@@ -101,7 +101,6 @@
     uint64_t epoch;   /* fence of every order */
     int lease_ms;     /* what runs ends unless it is held this often */
     int max_lease_ms; /* longest lease that an earlier scheduler gave */
-    int stop_ms;      /* a stop takes at most this long */
     int64_t now_ms;
 } gv_sched_opts_t;
 
@@ -210,8 +209,7 @@
     const char *service;
     const char *rack;
     int runs;
-    int lasting;          /* runs that last */
-    bool lasting_movable; /* all of them may be stopped now */
+    int lasting; /* runs that last */
     bool draining;
     bool reserved;
     gv_room_t room;
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -42,8 +42,8 @@
         with open(conf, "w", encoding="utf-8") as out:
             out.write(f"name: {name}\ndata_centre: a\ncpu_share: 0.5\nfront: {front}\n"
                       f"ready: {ready}\nstore: {self.store.addr}\n"
-                      "store_parts: 2\nmax_lease_ms: 6000\nstop_ms: 200\n"
-                      "lease_wait_ms: 3000\nnotice_ms: 4500\n"
+                      "store_parts: 2\nmax_lease_ms: 6000\n"
+                      "lease_wait_ms: 3000\n"
                       "maintenance_ms: 2000\nmove_ms: 1500\n")
         self.procs.spawn(name, "gvschedd", "--config", conf, addr=front)
         self.fronts[name] = front
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -63,7 +63,6 @@
                          .epoch = (uint64_t)OPT("epoch", 1),
                          .lease_ms = 4500,
                          .max_lease_ms = 4500,
-                         .stop_ms = 200,
                          .now_ms = now};
     sched = GvSched_New(&o);
 }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -497,7 +497,6 @@
         .epoch = (uint64_t)life,
         .lease_ms = LEASE_MS,
         .max_lease_ms = LEASE_MS,
-        .stop_ms = 200,
         .now_ms = now};
     sched = GvSched_New(&o);
     for (int i = 0; i < n_jobs; i++) {
