Name the verbs of the scheduler's scripts apart from those of the queue

Cause: the verb queue of script_sched.c hid the one of script_policy_queue.c: queue_admission, queue_order and queue_shares failed in a run of make check. Change: all verbs of the scheduler begin with sched_.

--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -67,7 +67,7 @@
     sched = GvSched_New(&o);
 }
 
-GV_VERB("queue", queue)
+GV_VERB("sched_queue", sched_queue)
 {
     gv_queue_info_t q = {.name = ARG(1),
                          .service = text_of(argc, argv, "service"),
@@ -79,7 +79,7 @@
     GvSched_SetQueues(sched, &q, 1);
 }
 
-GV_VERB("target", target)
+GV_VERB("sched_target", sched_target)
 {
     gv_target_info_t t = {
         .id = ARG(1),
@@ -94,7 +94,7 @@
     GvSched_SetTarget(sched, &t, now);
 }
 
-GV_VERB("target_gone", target_gone)
+GV_VERB("sched_target_gone", sched_target_gone)
 {
     GvSched_RemoveTarget(sched, ARG(1), now);
 }
@@ -135,7 +135,7 @@
 }
 
 /* job ID queue=Q STEP... with steps as "step:count=4,cpu=500". */
-GV_VERB("job", job)
+GV_VERB("sched_job", sched_job)
 {
     gv_job_t *j = GvJob_New();
     j->id = GvStr_Dup(ARG(1));
@@ -161,13 +161,13 @@
     GvJob_Free(j);
 }
 
-GV_VERB("cancel", cancel)
+GV_VERB("sched_cancel", sched_cancel)
 {
     GvSched_Cancel(sched, ARG(1), now);
 }
 
 /* Advances the time and lets the scheduler act. */
-GV_VERB("at", at)
+GV_VERB("sched_at", sched_at)
 {
     now = (int64_t)NUM(1);
     printf("at %lld\n", (long long)now);
@@ -181,12 +181,12 @@
     printf("  record %.*s%s\n", GV_STR_ARG(key), value.n == 0 ? " empty" : "");
 }
 
-GV_VERB("take", take)
+GV_VERB("sched_take", sched_take)
 {
     printf("take %d\n", GvSched_TakeBatch(sched, on_record, NULL));
 }
 
-GV_VERB("stored", stored)
+GV_VERB("sched_stored", sched_stored)
 {
     printf("stored\n");
     GvSched_Committed(sched, now);
@@ -205,13 +205,13 @@
 }
 
 /* started TARGET TASK RUN RESULT */
-GV_VERB("started", started)
+GV_VERB("sched_started", sched_started)
 {
     gv_order_answer_t a = answer_of(argc, argv, argv[4]);
     GvSched_Started(sched, argv[1], argv[2], (uint32_t)NUM(3), &a, now);
 }
 
-GV_VERB("stopped", stopped)
+GV_VERB("sched_stopped", sched_stopped)
 {
     gv_order_answer_t a = answer_of(argc, argv, argv[4]);
     GvSched_Stopped(sched, argv[1], argv[2], (uint32_t)NUM(3), &a, now);
@@ -225,7 +225,7 @@
 }
 
 /* held TARGET RESULT [run:TASK:RUN:PERCENT]... [end:N:TASK:RUN:HOW]... */
-GV_VERB("held", held)
+GV_VERB("sched_held", sched_held)
 {
     gv_running_t running[16];
     gv_ended_t ended[16];
@@ -256,14 +256,14 @@
     }
 }
 
-GV_VERB("evacuate", evacuate)
+GV_VERB("sched_evacuate", sched_evacuate)
 {
     GvSched_Reserve(sched, ARG(1), true);
     printf("left %d\n", GvSched_Evacuate(sched, ARG(1), false, now));
 }
 
 /* advised STEP ok|none valid=MS TARGET... */
-GV_VERB("advised", advised)
+GV_VERB("sched_advised", sched_advised)
 {
     gv_ticket_row_t rows[8];
     int n = 0;
@@ -274,7 +274,7 @@
                     OPT("valid", 3000), now);
 }
 
-GV_VERB("fenced", fenced)
+GV_VERB("sched_fenced", sched_fenced)
 {
     printf("fenced %d\n", GvSched_Fenced(sched));
 }
