--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -710,7 +710,8 @@
 static void
 test_random(void)
 {
-    int seeds = g_getenv("GV_SEEDS") != NULL ? atoi(g_getenv("GV_SEEDS")) : 200;
+    int seeds =
+        g_getenv("GV_SEEDS") != NULL ? atoi(g_getenv("GV_SEEDS")) : 200;
     int first =
         g_getenv("GV_FIRST") != NULL ? atoi(g_getenv("GV_FIRST")) - 1 : 0;
     for (int i = first; i < seeds; i++) {
