Drop ended jobs from the store

Cause: definitions, cancellations and progress of ended jobs stayed in the keyed topics for ever; at 20 jobs a second the platform's 400 MB last about three hours (docs/CAPACITY.md). Ruled out: dropping all keys of a job in one go. They lie in several partitions; a definition that outlives its progress or its cancellation looks like a job that still has to run. Change: job_retire drops the definition once a job has ended for the time it has to be shown and a minute more, progress and cancellation a minute after the definition was seen to be gone. Times of the platform (maintenance, move, showing of ended jobs) come from its settings instead of constants.

--- /dev/null
+++ b/src/job_retire.c
@@ -0,0 +1,77 @@
+#include "job_retire.h"
+
+#include "limits.h"
+
+static void
+drop_key(const gv_job_entry_t *e, gv_part_t kind, int part,
+         gv_record_key_t letter, gv_drop_t drop, void *user)
+{
+    char key[GV_JOB_ID_BYTES + 2];
+    g_snprintf(key, sizeof key, "%c%.*s", (char)letter, GV_STR_ARG(e->id));
+    drop(user, kind, part, GvStr_C(key));
+}
+
+/* Drops a key from each partition whose bit is set. */
+static void
+drop_from(const gv_job_entry_t *e, uint64_t parts, gv_record_key_t letter,
+          gv_drop_t drop, void *user)
+{
+    for (int part = 0; part < GV_JOB_PARTS_MAX; part++) {
+        if ((parts >> part & 1) != 0) {
+            drop_key(e, GV_PART_ACCEPTED, part, letter, drop, user);
+        }
+    }
+}
+
+/* Returns since when a job may be dropped: it has ended and none of its runs
+   may be live, or its definition is gone. 0: it may not. */
+static int64_t
+note_age(gv_job_entry_t *e, int64_t now_ms)
+{
+    bool over =
+        e->job != NULL && GvJob_Ended(e->job) && !GvJob_HasPlaced(e->job);
+    if (!over) {
+        e->ended_ms = 0;
+    }
+    else if (e->ended_ms == 0) {
+        e->ended_ms = now_ms;
+    }
+    if (e->job != NULL) {
+        e->orphan_ms = 0;
+    }
+    else if (e->orphan_ms == 0) {
+        e->orphan_ms = now_ms;
+    }
+    return over ? e->ended_ms : e->orphan_ms;
+}
+
+int
+GvJobRetire_Run(gv_job_table_t *t, int64_t keep_ms, int64_t now_ms,
+                gv_drop_t drop, void *user)
+{
+    GHashTableIter it;
+    gpointer value;
+    int n = 0;
+    g_hash_table_iter_init(&it, t->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_job_entry_t *e = value;
+        int64_t since = note_age(e, now_ms);
+        int64_t keep = e->job != NULL ? keep_ms : GV_JOB_SETTLE_MS;
+        if (drop == NULL || since == 0 || now_ms - since < keep ||
+            n >= GV_JOB_RETIRE_MAX ||
+            (e->dropped_ms != 0 &&
+             now_ms - e->dropped_ms < GV_JOB_SETTLE_MS)) {
+            continue;
+        }
+        drop_from(e, e->defined_in, GV_KEY_JOB, drop, user);
+        if (e->job == NULL) {
+            drop_from(e, e->cancelled_in, GV_KEY_CANCEL, drop, user);
+        }
+        if (e->job == NULL && e->progress_offset != 0) {
+            drop_key(e, GV_PART_PROGRESS, 0, GV_KEY_PROGRESS, drop, user);
+        }
+        e->dropped_ms = now_ms;
+        n++;
+    }
+    return n;
+}
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -108,12 +108,13 @@
 
 /* Adds a job; a second definition of the same job changes nothing. */
 static gv_change_t
-apply_definition(gv_job_table_t *t, gv_str_t key, gv_str_t id, gv_str_t value,
-                 gv_job_t **out)
+apply_definition(gv_job_table_t *t, gv_record_place_t at, gv_str_t key,
+                 gv_str_t id, gv_str_t value, gv_job_t **out)
 {
     gv_job_t *job = NULL;
     gv_job_entry_t *e = g_hash_table_lookup(t->jobs, &id);
     if (e != NULL && e->job != NULL) {
+        e->defined_in |= UINT64_C(1) << at.part;
         return GV_CHANGE_NONE;
     }
     int rc = GvJobRecord_ReadDefinition(value, &job);
@@ -123,6 +124,7 @@
     }
     e = entry_of(t, id);
     e->job = job;
+    e->defined_in |= UINT64_C(1) << at.part;
     job->cancelled = e->cancelled;
     if (e->progress != NULL) {
         rc = GvJobRecord_ReadProgress(
@@ -191,50 +193,79 @@
     return GV_CHANGE_WAVE;
 }
 
-/* Forgets a job whose key was dropped. */
+/* A key was dropped. A job whose progress is gone is forgotten: that is
+   dropped last. */
 static gv_change_t
-forget(gv_job_table_t *t, gv_str_t id)
+apply_drop(gv_job_table_t *t, gv_record_place_t at, gv_record_key_t kind,
+           gv_str_t id)
 {
     gv_job_entry_t *e = g_hash_table_lookup(t->jobs, &id);
-    if (e != NULL && (e->job == NULL || GvJob_Ended(e->job))) {
+    uint64_t bit = UINT64_C(1) << at.part;
+    if (e == NULL) {
+        return GV_CHANGE_NONE;
+    }
+    if (kind == GV_KEY_JOB) {
+        e->defined_in &= ~bit;
+    }
+    else if (kind == GV_KEY_CANCEL) {
+        e->cancelled_in &= ~bit;
+    }
+    else if (kind == GV_KEY_PROGRESS && at.offset + 1 > e->progress_offset) {
         g_hash_table_remove(t->jobs, &id);
+        return GV_CHANGE_NONE;
+    }
+    if (e->defined_in == 0) {
+        GvJob_Free(e->job);
+        e->job = NULL;
+        if (e->progress_offset == 0 && e->cancelled_in == 0) {
+            g_hash_table_remove(t->jobs, &id);
+        }
     }
     return GV_CHANGE_NONE;
 }
 
+static gv_change_t
+apply_cancellation(gv_job_table_t *t, gv_record_place_t at, gv_str_t id,
+                   gv_job_t **out)
+{
+    gv_job_entry_t *e = entry_of(t, id);
+    e->cancelled = true;
+    e->cancelled_in |= UINT64_C(1) << at.part;
+    if (e->job != NULL) {
+        e->job->cancelled = true;
+        *out = e->job;
+    }
+    return GV_CHANGE_CANCEL;
+}
+
 /* Applies one record; an empty value drops its key. Records of one partition
    may be applied again or out of order after the history was lost: older ones
    change nothing. *job is set for changes of a job. */
 gv_change_t
-GvJobTable_Apply(gv_job_table_t *t, gv_part_t part, uint64_t offset,
-                 gv_str_t key, gv_str_t value, gv_job_t **job)
+GvJobTable_Apply(gv_job_table_t *t, gv_record_place_t at, gv_str_t key,
+                 gv_str_t value, gv_job_t **job)
 {
+    gv_part_t part = at.kind;
     *job = NULL;
-    if (key.n == 0) {
+    if (key.n == 0 || at.part < 0 || at.part >= GV_JOB_PARTS_MAX) {
         return GV_CHANGE_NONE;
     }
     gv_str_t name = GvStr_N(key.p + 1, key.n - 1);
     gv_record_key_t kind = (gv_record_key_t)key.p[0];
     if (value.n == 0) {
-        return kind == GV_KEY_JOB ? forget(t, name) : GV_CHANGE_NONE;
+        return apply_drop(t, at, kind, name);
     }
     if (kind == GV_KEY_JOB && part == GV_PART_ACCEPTED) {
-        return apply_definition(t, key, name, value, job);
+        return apply_definition(t, at, key, name, value, job);
     }
     if (kind == GV_KEY_CANCEL && part == GV_PART_ACCEPTED) {
-        gv_job_entry_t *e = entry_of(t, name);
-        e->cancelled = true;
-        if (e->job != NULL) {
-            e->job->cancelled = true;
-            *job = e->job;
-        }
-        return GV_CHANGE_CANCEL;
+        return apply_cancellation(t, at, name, job);
     }
     if (kind == GV_KEY_PROGRESS && part == GV_PART_PROGRESS) {
-        return apply_progress(t, offset, key, name, value, job);
+        return apply_progress(t, at.offset, key, name, value, job);
     }
     if (kind == GV_KEY_LEAD && part == GV_PART_PROGRESS) {
-        return apply_lead(t, offset, key, value);
+        return apply_lead(t, at.offset, key, value);
     }
     if (kind == GV_KEY_WAVE && part == GV_PART_PROGRESS) {
         return apply_wave(t, name, value);
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -12,6 +12,13 @@
 
 typedef enum { GV_PART_ACCEPTED, GV_PART_PROGRESS, GV_PARTS } gv_part_t;
 
+/* Where a record is stored. */
+typedef struct {
+    gv_part_t kind;
+    int part; /* of those of its kind, below GV_JOB_PARTS_MAX */
+    uint64_t offset;
+} gv_record_place_t;
+
 /* Who is in charge of scheduling, as the store has it. */
 typedef struct {
     uint64_t epoch; /* rises with every change of holder */
@@ -33,6 +40,13 @@
     GByteArray *progress; /* read before the definition, or NULL */
     bool cancelled;
     uint64_t progress_offset;
+    /* Partitions that hold its definition and its cancellation, a bit each: a
+       submission that was repeated elsewhere is stored twice. */
+    uint64_t defined_in;
+    uint64_t cancelled_in;
+    int64_t ended_ms;  /* when this host first found it ended; 0: it has not */
+    int64_t orphan_ms; /* when it was first found without a definition */
+    int64_t dropped_ms; /* when its keys were last dropped from here */
 } gv_job_entry_t;
 
 /* What a record changed, for those that follow the table. */
@@ -47,9 +61,8 @@
 
 gv_job_table_t *GvJobTable_New(void);
 void GvJobTable_Free(gv_job_table_t *t);
-gv_change_t GvJobTable_Apply(gv_job_table_t *t, gv_part_t part,
-                             uint64_t offset, gv_str_t key, gv_str_t value,
-                             gv_job_t **job);
+gv_change_t GvJobTable_Apply(gv_job_table_t *t, gv_record_place_t at,
+                             gv_str_t key, gv_str_t value, gv_job_t **job);
 gv_job_t *GvJobTable_Find(const gv_job_table_t *t, gv_str_t id);
 int GvJobTable_Pending(const gv_job_table_t *t, gv_str_t queue);
 
--- a/src/limits.h
+++ b/src/limits.h
@@ -248,6 +248,22 @@
 /* Of all occurrences together; bounds one progress record to about 250 KB. */
 #define GV_JOB_TASKS_MAX 4096
 
+/* Partitions of accepted work: a bit each of one word. */
+#define GV_JOB_PARTS_MAX 64
+/* Added to the time for which an ended job is shown: a submission may be
+   repeated seconds after its answer, and entry hosts differ by seconds in
+   when they first see the end. */
+#define GV_JOB_KEEP_MORE_MS 60000
+/* Between the drop of a job's definition and that of its progress: by then
+   every entry host has read the first. A definition without progress would
+   run anew. */
+#define GV_JOB_SETTLE_MS 60000
+/* Jobs that have ended are looked for this often, and at most so many are
+   dropped in one go. Drops that were lost are repeated after GV_JOB_SETTLE_MS.
+ */
+#define GV_JOB_RETIRE_MS  10000
+#define GV_JOB_RETIRE_MAX 1000
+
 /* Full name of a task: its job's identifier and three numbers. */
 #define GV_TASK_NAME_BYTES 64
 
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -44,7 +44,7 @@
                       f"ready: {ready}\nstore: {self.store.addr}\n"
                       "store_parts: 2\nmax_lease_ms: 6000\n"
                       "lease_wait_ms: 3000\n"
-                      "maintenance_ms: 2000\nmove_ms: 1500\n")
+                      "maintenance_s: 2\nmove_s: 1.5\nshow_ended_s: 120\n")
         self.procs.spawn(name, "gvschedd", "--config", conf, addr=front)
         self.fronts[name] = front
         wait_until(lambda: call(ready, "GET", "/api/readyz").status == 200, 10,
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -40,7 +40,8 @@
 {
     gv_job_t *job;
     (void)user;
-    (void)GvJobTable_Apply(table, GV_PART_ACCEPTED, 0, key, value, &job);
+    (void)GvJobTable_Apply(table, (gv_record_place_t){GV_PART_ACCEPTED, 0, 0},
+                           key, value, &job);
 }
 
 static void
