Leave unknown runs alone until a new leader has read every job

A new leader knew the progress of a job whose definition it had not read: followers read accepted work every 1.5 s, the store was slow. The ends of its tasks on a target were taken for those of a job long gone and the target was let forget them; when the definition came, the tasks were missing on their target and ran again. Ruled out: the old leader noting ends before they were stored (its last batch was stored at 9.02 s, the end is of 9.12 s); a lost append.

--- a/src/sched.c
+++ b/src/sched.c
@@ -398,6 +398,19 @@
     return seat == NULL ? 0 : seat->info.born;
 }
 
+void
+GvSched_JobsKnown(gv_sched_t *s)
+{
+    s->jobs_known = true;
+    s->place_due = true;
+}
+
+bool
+GvSched_KnowsJobs(const gv_sched_t *s)
+{
+    return s->jobs_known;
+}
+
 /* Cancels a job: nothing of it starts any more, and its runs are stopped. */
 void
 GvSched_Cancel(gv_sched_t *s, gv_str_t id, int64_t now_ms)
--- a/src/sched.h
+++ b/src/sched.h
@@ -224,6 +224,12 @@
     int waiting;          /* tasks */
 } gv_demand_t;
 
+/* Every job that an earlier scheduler may have started has been added. Before
+   this, what targets list of jobs that are not known here is left alone, and
+   nothing is placed: their runs take room, and an end that a target forgets
+   unread would make its task run again. */
+void GvSched_JobsKnown(gv_sched_t *s);
+bool GvSched_KnowsJobs(const gv_sched_t *s);
 bool GvSched_View(const gv_sched_t *s, gv_str_t target, gv_target_view_t *v);
 gv_demand_t GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t ahead_ms,
                            int64_t now_ms, int64_t wall_ms);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -330,7 +330,8 @@
 void
 GvSched_Place(gv_sched_t *s, int64_t now_ms)
 {
-    if (!s->place_due && now_ms - s->placed_ms < GV_SCHED_TICK_MS) {
+    if (!s->jobs_known ||
+        (!s->place_due && now_ms - s->placed_ms < GV_SCHED_TICK_MS)) {
         return;
     }
     s->placed_ms = now_ms;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -77,6 +77,7 @@
     gv_sched_opts_t o;
     bool fenced;
     bool batch_open;
+    bool jobs_known; /* see GvSched_JobsKnown */
     int64_t wall_ms;
     GHashTable *seats;  /* interned id -> gv_seat_t * */
     GHashTable *jobs;   /* gv_str_t * -> gv_active_t * */
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -448,19 +448,26 @@
     s->o.ops.stop(s->o.ops.user, &o);
 }
 
-static void
+/* Takes one end. Returns false for one that has to stay on its target, as its
+   job may still be read: later ends of that target then stay too. */
+static bool
 take_end(gv_sched_t *s, gv_seat_t *seat, const gv_ended_t *e, int64_t now_ms)
 {
     int task;
     if (e->number <= seat->noted) {
-        return;
+        return true;
     }
-    seat->noted = e->number;
     gv_active_t *a = GvSched_TaskByName(s, e->task, &task);
+    if (a == NULL && !s->jobs_known) {
+        GvEvlog_Write("end", "task=%.*s run=%u target=%s job not read yet",
+                      GV_STR_ARG(e->task), e->run, seat->id);
+        return false;
+    }
+    seat->noted = e->number;
     gv_run_t *r = a == NULL ? NULL : a->runs[task];
     if (r != NULL && r->run == e->run && r->seat == seat) {
         GvSched_EndRun(s, r, e, now_ms);
-        return;
+        return true;
     }
     if (a != NULL && e->how == GV_END_DONE &&
         a->job->tasks[task].state != GV_TASK_DONE) {
@@ -472,6 +479,7 @@
             GvSched_StopRun(s, r, "an earlier run was done", now_ms);
         }
     }
+    return true;
 }
 
 static void
@@ -481,6 +489,9 @@
     int task;
     gv_active_t *a = GvSched_TaskByName(s, x->task, &task);
     gv_run_t *r = a == NULL ? NULL : a->runs[task];
+    if (a == NULL && !s->jobs_known) {
+        return;
+    }
     if (r == NULL || r->run != x->run || r->seat != seat) {
         stop_stray(s, seat, x, now_ms);
         return;
@@ -539,12 +550,18 @@
     for (guint i = 0; i < seat->runs->len; i++) {
         ((gv_run_t *)g_ptr_array_index(seat->runs, i))->listed = false;
     }
-    for (int i = 0; i < a->n_ended; i++) {
-        take_end(s, seat, &a->ended[i], now_ms);
+    bool all_ends = true;
+    for (int i = 0; all_ends && i < a->n_ended; i++) {
+        all_ends = take_end(s, seat, &a->ended[i], now_ms);
     }
     for (int i = 0; i < a->n_running; i++) {
         take_running(s, seat, &a->running[i], now_ms);
     }
-    drop_missing(s, seat);
+    if (all_ends) {
+        drop_missing(s, seat);
+    }
+    else {
+        seat->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
+    }
     s->place_due = true;
 }
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -65,6 +65,15 @@
                          .max_lease_ms = 4500,
                          .now_ms = now};
     sched = GvSched_New(&o);
+    if (OPT("known", 1) != 0) {
+        GvSched_JobsKnown(sched);
+    }
+}
+
+GV_VERB("sched_jobs_known", sched_jobs_known)
+{
+    printf("jobs known\n");
+    GvSched_JobsKnown(sched);
 }
 
 GV_VERB("sched_queue", sched_queue)
@@ -134,7 +143,8 @@
     return s;
 }
 
-/* job ID queue=Q STEP... with steps as "step:count=4,cpu=500". */
+/* job ID queue=Q placed=TARGET STEP... with steps as "step:count=4,cpu=500".
+ */
 GV_VERB("sched_job", sched_job)
 {
     gv_job_t *j = GvJob_New();
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -53,6 +53,7 @@
     gv_job_t *job;
     bool cancelled;
     bool lasts;
+    int64_t read_ms; /* the new scheduler reads it then; 0: it has */
     int failures[TASKS_MAX];
     bool noted_done[TASKS_MAX];
     int ends_done[TASKS_MAX];
@@ -484,7 +485,53 @@
     }
 }
 
-/* Another scheduler takes over from what the store has. */
+/* Hands a job over as the store has it. */
+static void
+hand_over(const model_job_t *j)
+{
+    char key[20];
+    gv_job_t *copy = NULL;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackDefinition(j->job, &sb);
+    g_assert_cmpint(
+        GvJobRecord_ReadDefinition(GvStr_N(sb.data, sb.size), &copy), ==,
+        GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+    g_snprintf(key, sizeof key, "P%s", j->job->id.p);
+    GBytes *b = g_hash_table_lookup(stored, key);
+    if (b != NULL) {
+        gsize n;
+        const void *p = g_bytes_get_data(b, &n);
+        g_assert_cmpint(GvJobRecord_ReadProgress(GvStr_N(p, n), copy), ==,
+                        GV_OK);
+    }
+    copy->cancelled = copy->cancelled || j->cancelled;
+    GvSched_AddJob(sched, copy, now);
+    GvJob_Free(copy);
+}
+
+/* The definitions that the new scheduler has not read yet arrive; then it
+   knows all. */
+static void
+hand_over_late(void)
+{
+    for (int i = 0; i < n_jobs; i++) {
+        if (jobs[i].read_ms > now) {
+            return;
+        }
+    }
+    for (int i = 0; i < n_jobs; i++) {
+        if (jobs[i].read_ms != 0) {
+            jobs[i].read_ms = 0;
+            hand_over(&jobs[i]);
+        }
+    }
+    GvSched_JobsKnown(sched);
+}
+
+/* Another scheduler takes over from what the store has. It may not have read
+   all definitions yet. */
 static void
 replace_scheduler(void)
 {
@@ -500,30 +547,19 @@
         .max_lease_ms = LEASE_MS,
         .now_ms = now};
     sched = GvSched_New(&o);
+    bool behind = chance(50);
     for (int i = 0; i < n_jobs; i++) {
-        char key[20];
-        gv_job_t *copy = NULL;
-        msgpack_sbuffer sb;
-        msgpack_sbuffer_init(&sb);
-        GvJobRecord_PackDefinition(jobs[i].job, &sb);
-        g_assert_cmpint(
-            GvJobRecord_ReadDefinition(GvStr_N(sb.data, sb.size), &copy), ==,
-            GV_OK);
-        msgpack_sbuffer_destroy(&sb);
-        g_snprintf(key, sizeof key, "P%s", jobs[i].job->id.p);
-        GBytes *b = g_hash_table_lookup(stored, key);
-        if (b != NULL) {
-            gsize n;
-            const void *p = g_bytes_get_data(b, &n);
-            g_assert_cmpint(GvJobRecord_ReadProgress(GvStr_N(p, n), copy), ==,
-                            GV_OK);
+        jobs[i].read_ms = 0;
+        if (behind && chance(30)) {
+            jobs[i].read_ms = now + g_rand_int_range(rnd, 1, 1500);
+        }
+        else {
+            hand_over(&jobs[i]);
         }
-        copy->cancelled = copy->cancelled || jobs[i].cancelled;
-        GvSched_AddJob(sched, copy, now);
-        GvJob_Free(copy);
     }
     GvSched_Learn(sched, NULL, 0, now, now);
     tell_targets();
+    hand_over_late();
 }
 
 static void
@@ -625,6 +661,7 @@
     if (trouble && n_jobs < JOBS_MAX && chance(5)) {
         add_job();
     }
+    hand_over_late();
     (void)GvSched_Run(sched, now, now);
     if (g_hash_table_size(batch) > 0) {
         if (chance(70)) {
