Give a service without hosts its least before a burst elsewhere

Both hosts of a pool at its least were away for maintenance. A pool without hosts had no size of a host, so it wanted none, and its lasting tasks and jobs waited for 15 s; a burst elsewhere that lacked more was helped first. Ruled out: tasks that could not be placed (18 of 32 cores were wanted). Change: every service of the settings has a pool in the plan, one without hosts is sized like the others, and pools below their least are helped first. Pools that the settings do not name are left alone; before, they wanted all hosts.

--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -29,12 +29,10 @@
         .need_cpu = MAX(d.used_cpu + d.wanted_cpu,
                         MAX(d.arriving_cpu, d.expected_cpu)),
         .standby = GvPools_Standby(p, name),
+        .fixed = g_hash_table_lookup(p->services, name) == NULL,
         .keep = GV_POOL_KEEP_HOSTS,
         .park_after_ms = GV_POOL_PARK_MS,
     };
-    if (g_hash_table_lookup(p->services, name) == NULL) {
-        pool.keep = G_MAXINT / 2; /* not in the settings: left alone */
-    }
     g_array_append_val(in->pools, pool);
     g_ptr_array_add(in->names, (gpointer)name);
     return (int)in->names->len - 1;
@@ -72,6 +70,23 @@
     g_ptr_array_add(in->hosts, h);
 }
 
+/* A pool without hosts is to get hosts like those of the others. */
+static void
+size_pools(gv_plan_input_t *in)
+{
+    int64_t largest = 0;
+    for (guint i = 0; i < in->pools->len; i++) {
+        largest =
+            MAX(largest, g_array_index(in->pools, gv_plan_pool_t, i).host_cpu);
+    }
+    for (guint i = 0; i < in->pools->len; i++) {
+        gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, i);
+        if (pl->host_cpu == 0) {
+            pl->host_cpu = largest;
+        }
+    }
+}
+
 /* Logs once a second what each pool has and wants. */
 static void
 log_pools(gv_pools_t *p, const gv_plan_input_t *in, int64_t now_ms)
@@ -110,6 +125,7 @@
 GvPools_Plan(gv_pools_t *p, int64_t now_ms, int64_t wall_ms)
 {
     GHashTableIter it;
+    gpointer key;
     gpointer value;
     if (now_ms - p->planned_ms < GV_POOL_PLAN_MS) {
         return;
@@ -121,10 +137,16 @@
         .hosts = g_ptr_array_new(),
         .views = g_array_new(FALSE, TRUE, sizeof(gv_plan_host_t)),
     };
+    /* Also a service whose hosts are all away has a pool. */
+    g_hash_table_iter_init(&it, p->services);
+    while (g_hash_table_iter_next(&it, &key, NULL)) {
+        (void)pool_index(p, &in, key, now_ms, wall_ms);
+    }
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         add_host(p, &in, value, now_ms, wall_ms);
     }
+    size_pools(&in);
     log_pools(p, &in, now_ms);
     begin_moves(p, &in, now_ms);
     g_ptr_array_free(in.names, TRUE);
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -9,6 +9,9 @@
 int
 GvPoolPlan_Wanted(const gv_plan_pool_t *pool)
 {
+    if (pool->fixed) {
+        return pool->hosts;
+    }
     if (pool->standby || pool->host_cpu <= 0) {
         return 0;
     }
@@ -17,7 +20,9 @@
     return (int)MAX(wanted, pool->keep);
 }
 
-/* Returns the pool that lacks most hosts, or -1. */
+/* Returns the pool to help first, or -1: one that has fewer hosts than it is
+   to keep, else the one that lacks most. A burst that lacks many must not
+   leave another service without any. */
 static int
 neediest(const gv_plan_pool_t *pools, const int *have, int n_pools)
 {
@@ -25,6 +30,9 @@
     int most = 0;
     for (int i = 0; i < n_pools; i++) {
         int lack = GvPoolPlan_Wanted(&pools[i]) - have[i];
+        if (lack > 0 && have[i] < pools[i].keep) {
+            lack += GV_POOL_MOVES_MAX;
+        }
         if (lack > most) {
             most = lack;
             best = i;
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -13,6 +13,7 @@
     int hosts;         /* that serve it or are on their way there */
     int keep;          /* never fewer hosts than this */
     int park_after_ms; /* a host that is empty for so long may be turned off */
+    bool fixed;        /* gets no hosts and gives none */
     bool standby;      /* hosts there are off and cost nothing */
 } gv_plan_pool_t;
 
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -17,6 +17,7 @@
 static gv_job_table_t *table;
 static int64_t now;
 static bool answers;
+static int64_t age;
 static gv_asked_t asked[8];
 
 static void
@@ -58,14 +59,27 @@
         "accepted", "cancelled", "state",   "pending", "no-job",
         "no-queue", "invalid",   "not-run", "unknown", "unavailable"};
     (void)user;
-    printf("  reply %.*s: %s %s\n", GV_STR_ARG(rq->id), said[r->said],
-           r->said == GV_SAID_STATE ? GvJob_StateName(r->state)
-           : r->why == NULL         ? ""
-                                    : r->why);
+    printf("  reply %.*s: %s ", GV_STR_ARG(rq->id), said[r->said]);
+    if (r->said == GV_SAID_PENDING) {
+        printf("%d\n", r->pending);
+    }
+    else {
+        printf("%s\n", r->said == GV_SAID_STATE ? GvJob_StateName(r->state)
+                       : r->why == NULL         ? ""
+                                                : r->why);
+    }
     GvJob_Free(rq->job);
     rq->job = NULL;
 }
 
+static int64_t
+age_ms(void *user, int64_t now_ms)
+{
+    (void)user;
+    (void)now_ms;
+    return age;
+}
+
 static bool
 store_answers(void *user, int64_t now_ms)
 {
@@ -76,8 +90,8 @@
 
 GV_VERB("intake_new", intake_new)
 {
-    gv_intake_ops_t ops = {NULL,    add_record, on_append,    on_stored,
-                           on_sync, on_reply,   store_answers};
+    gv_intake_ops_t ops = {NULL,    add_record, on_append, on_stored,
+                           on_sync, on_reply,   age_ms,    store_answers};
     table = GvJobTable_New();
     intake = GvIntake_New(&ops, table);
     answers = true;
@@ -89,14 +103,14 @@
     answers = strcmp(argv[1], "answers") == 0;
 }
 
-/* ask SLOT submit|state|cancel ID by=MS */
+/* ask SLOT submit|state|cancel|pending ID by=MS age=MS */
 GV_VERB("ask", ask)
 {
     gv_asked_t *rq = &asked[NUM(1)];
-    *rq = (gv_asked_t){
-        .ask = (gv_ask_t)INDEX(argv[2], "submit", "state", "cancel"),
-        .id = GvStr_Dup(ARG(3)),
-        .by_ms = OPT("by", 3000)};
+    *rq = (gv_asked_t){.ask = (gv_ask_t)INDEX(argv[2], "submit", "state",
+                                              "cancel", "pending"),
+                       .id = GvStr_Dup(ARG(3)),
+                       .by_ms = OPT("by", 3000)};
     if (rq->ask == GV_ASK_SUBMIT) {
         gv_job_t *j = GvJob_New();
         j->id = GvStr_Dup(ARG(3));
@@ -106,6 +120,7 @@
         g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
         rq->job = j;
     }
+    age = OPT("age", 0);
     printf("ask %s %s\n", argv[2], argv[3]);
     GvIntake_Ask(intake, rq, now);
 }
@@ -157,12 +172,13 @@
 static int n_pools;
 static int n_hosts;
 
-/* pool need=CPU standby=0 keep=2 */
+/* pool need=CPU standby=0 fixed=0 keep=2 */
 GV_VERB("plan_pool", plan_pool)
 {
     pools[n_pools++] = (gv_plan_pool_t){.need_cpu = OPT("need", 0),
                                         .host_cpu = 16000,
                                         .standby = OPT("standby", 0) != 0,
+                                        .fixed = OPT("fixed", 0) != 0,
                                         .keep = OPT("keep", 2),
                                         .park_after_ms = 20000};
 }
