Read accepted work before telling an old count of waiting jobs

A host answered the count from what it had last read, however old. Change: a count older than the 2 s that callers may be told is read first, and refused when the store cannot be read.

--- a/src/intake.c
+++ b/src/intake.c
@@ -60,7 +60,8 @@
     static const char *const said[] = {
         "accepted", "cancelled", "state",   "pending", "no-job",
         "no-queue", "invalid",   "not-run", "unknown", "unavailable"};
-    if (rq->ask != GV_ASK_STATE || r.said != GV_SAID_STATE) {
+    bool usual = r.said == GV_SAID_STATE || r.said == GV_SAID_PENDING;
+    if (!usual) {
         GvEvlog_Write(asks[rq->ask], "job=%.*s said=%s why=\"%s\"",
                       GV_STR_ARG(rq->id), said[r.said],
                       r.why == NULL ? "" : r.why);
@@ -103,6 +104,8 @@
             (gv_intake_reply_t){.said = GV_SAID_CANCELLED,
                                 .why = "had ended"});
         return true;
+    case GV_ASK_PENDING:
+        break;
     }
     return false;
 }
@@ -115,11 +118,28 @@
     GvIntake_Step(in, now_ms);
 }
 
+static void
+say_pending(gv_intake_t *in, gv_asked_t *rq)
+{
+    say(in, rq,
+        (gv_intake_reply_t){.said = GV_SAID_PENDING,
+                            .pending = GvJobTable_Pending(in->table, rq->id)});
+}
+
 /* Takes a request. The reply may come from within this call. A submission
    that the store would not answer is refused before anything of it is sent. */
 void
 GvIntake_Ask(gv_intake_t *in, gv_asked_t *rq, int64_t now_ms)
 {
+    if (rq->ask == GV_ASK_PENDING) {
+        if (in->ops.age_ms(in->ops.user, now_ms) <= GV_INTAKE_COUNT_AGE_MS) {
+            say_pending(in, rq);
+        }
+        else {
+            in->ops.sync(in->ops.user, rq);
+        }
+        return;
+    }
     if (answer_known(in, rq)) {
         return;
     }
@@ -144,7 +164,11 @@
 void
 GvIntake_Synced(gv_intake_t *in, gv_asked_t *rq, bool ok)
 {
-    if (answer_known(in, rq)) {
+    if (rq->ask == GV_ASK_PENDING && ok) {
+        say_pending(in, rq);
+        return;
+    }
+    if (rq->ask != GV_ASK_PENDING && answer_known(in, rq)) {
         return;
     }
     if (!ok) {
--- a/src/intake.h
+++ b/src/intake.h
@@ -46,16 +46,23 @@
     /* Reads all that is stored; the answer goes to GvIntake_Synced. */
     void (*sync)(void *user, gv_asked_t *rq);
     void (*reply)(void *user, gv_asked_t *rq, const gv_intake_reply_t *r);
+    /* Returns how old this host's knowledge of accepted work is. */
+    int64_t (*age_ms)(void *user, int64_t now_ms);
     /* Tells whether the store is believed to answer. */
     bool (*store_answers)(void *user, int64_t now_ms);
 } gv_intake_ops_t;
 
-typedef enum { GV_ASK_SUBMIT, GV_ASK_STATE, GV_ASK_CANCEL } gv_ask_t;
+typedef enum {
+    GV_ASK_SUBMIT,
+    GV_ASK_STATE,
+    GV_ASK_CANCEL,
+    GV_ASK_PENDING
+} gv_ask_t;
 
 /* One request. The caller sets the first group of fields and keeps the struct
    until the reply. */
 struct gv_asked_s {
-    gv_str_t id;   /* of the job */
+    gv_str_t id;   /* of the job; for a count, the name of the queue */
     gv_job_t *job; /* of a submission; owned */
     int64_t by_ms; /* the reply is due by then, monotonic */
     gv_ask_t ask;
--- a/src/limits.h
+++ b/src/limits.h
@@ -312,6 +312,8 @@
 #define GV_INTAKE_APPENDS  2
 #define GV_INTAKE_BATCH    64
 #define GV_INTAKE_RETRY_MS 80
+/* A count of waiting jobs may be so old; an older one is read first. */
+#define GV_INTAKE_COUNT_AGE_MS 2000
 
 /* Pools. Tasks do not divide evenly over hosts: this much of a host's cpu is
    counted on. */
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -51,9 +51,9 @@
 
 typedef struct {
     gv_job_t *job;
+    int64_t read_ms; /* the new scheduler reads it then; 0: it has */
     bool cancelled;
     bool lasts;
-    int64_t read_ms; /* the new scheduler reads it then; 0: it has */
     int failures[TASKS_MAX];
     bool noted_done[TASKS_MAX];
     int ends_done[TASKS_MAX];
