Count jobs whose starts were all refused as waiting

Cause: a job counted as begun when a task of it was placed. Change: a job whose starts were all refused, or whose gang was not placed whole, has not begun. Nothing more is stored: such a job is stored anyway.

--- a/src/job.h
+++ b/src/job.h
@@ -77,7 +77,7 @@
     /* Progress */
     bool cancelled;
     bool failed;
-    bool begun; /* some task was placed */
+    bool begun; /* some task was placed and not refused */
     int64_t ended_ms;
     int tasks_each; /* tasks of one occurrence */
     int n_tasks;
--- a/src/sched.c
+++ b/src/sched.c
@@ -345,6 +345,7 @@
     gv_active_t *a = g_new0(gv_active_t, 1);
     a->job = copy;
     a->lasts = GvJob_Lasts(copy);
+    a->started = copy->begun;
     a->runs = g_new0(gv_run_t *, (gsize)copy->n_tasks);
     g_hash_table_insert(s->jobs, &copy->id, a);
     for (int i = 0; i < copy->n_tasks; i++) {
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -39,6 +39,7 @@
 struct gv_active_s {
     gv_job_t *job;
     bool lasts;
+    bool started;    /* a target confirmed a start, or may have before */
     bool dirty;      /* progress differs from what was given out to store */
     gv_run_t **runs; /* by task, NULL without one */
     int n_runs;
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -70,6 +70,9 @@
     g_ptr_array_remove_fast(s->batched, r);
     a->runs[r->task] = NULL;
     a->n_runs--;
+    if (a->n_runs == 0 && !a->started) {
+        a->job->begun = false; /* all its starts were refused */
+    }
     g_free(r);
     s->place_due = true;
 }
@@ -259,6 +262,7 @@
                   GV_STR_ARG(e->task), r->run, r->seat->id, names[e->how],
                   (long long)(now_ms - r->placed_ms));
     judge_seat(r->seat, e->how, now_ms);
+    a->started = true;
     keep_saved(a, task, e->saved);
     if (e->how == GV_END_DONE) {
         settle_done(a, task);
@@ -365,6 +369,7 @@
     case GV_ORDER_DONE:
         r->phase = GV_RUN_ACTIVE;
         r->known_ms = now_ms;
+        r->job->started = true;
         GvEvlog_Write("start", "task=%s run=%u target=%s tries=%d", task, run,
                       target, r->tries);
         return;
@@ -497,6 +502,7 @@
         return;
     }
     r->listed = true;
+    a->started = true;
     r->percent = x->percent;
     keep_saved(a, task, x->saved);
     if (r->phase == GV_RUN_INHERITED ||
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #include "error.h"
+#include "job_record.h"
+#include "job_table.h"
+#include "limits.h"
 #include "sched.h"
 #include "script.h"
 
@@ -11,6 +14,8 @@
 
 static gv_sched_t *sched;
 static int64_t now;
+static gv_job_table_t *table; /* what is stored */
+static uint64_t offset;
 
 static void
 on_start(void *user, const gv_start_order_t *o)
@@ -58,6 +63,10 @@
     if (sched != NULL) {
         GvSched_Free(sched);
     }
+    if (table != NULL) {
+        GvJobTable_Free(table);
+    }
+    table = GvJobTable_New();
     now = OPT("now", 1000);
     gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
                          .epoch = (uint64_t)OPT("epoch", 1),
@@ -143,6 +152,26 @@
     return s;
 }
 
+static void
+store_record(gv_part_t kind, gv_str_t key, gv_str_t value)
+{
+    gv_job_t *job;
+    gv_record_place_t at = {kind, 0, ++offset};
+    (void)GvJobTable_Apply(table, at, key, value, &job);
+}
+
+static void
+store_definition(const gv_job_t *j)
+{
+    char key[GV_JOB_ID_BYTES + 2];
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    g_snprintf(key, sizeof key, "J%.*s", GV_STR_ARG(j->id));
+    GvJobRecord_PackDefinition(j, &sb);
+    store_record(GV_PART_ACCEPTED, GvStr_C(key), GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+}
+
 /* job ID queue=Q placed=TARGET STEP... with steps as "step:count=4,cpu=500".
  */
 GV_VERB("sched_job", sched_job)
@@ -168,9 +197,16 @@
         j->begun = true;
     }
     GvSched_AddJob(sched, j, now);
+    store_definition(j);
     GvJob_Free(j);
 }
 
+/* sched_pending QUEUE: the stored count of jobs of which nothing has begun */
+GV_VERB("sched_pending", sched_pending)
+{
+    printf("pending %d\n", GvJobTable_Pending(table, ARG(1)));
+}
+
 GV_VERB("sched_cancel", sched_cancel)
 {
     GvSched_Cancel(sched, ARG(1), now);
@@ -189,6 +225,7 @@
 {
     (void)user;
     printf("  record %.*s%s\n", GV_STR_ARG(key), value.n == 0 ? " empty" : "");
+    store_record(GV_PART_PROGRESS, key, value);
 }
 
 GV_VERB("sched_take", sched_take)
