--- a/src/sched.c
+++ b/src/sched.c
@@ -1,12 +1,15 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "counter.h"
 #include "error.h"
 #include "evlog.h"
 #include "job_record.h"
 #include "limits.h"
 #include "sched_private.h"
 
+GV_HISTOGRAM(job_ms, "job_ms", "From the acceptance of a job to its end");
+
 static guint
 hash_str(gconstpointer key)
 {
@@ -487,6 +490,9 @@
                           GV_STR_ARG(a->job->id),
                           GvJob_StateName(GvJob_State(a->job)),
                           (long long)(s->wall_ms - a->job->accepted_ms));
+            if (!a->lasts && !a->job->timed) {
+                GvHistogram_Note(&job_ms, s->wall_ms - a->job->accepted_ms);
+            }
             GvSched_ForgetAdvice(s, a->job);
             g_hash_table_iter_remove(&it);
         }
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -1,11 +1,17 @@
 #include <string.h>
 
+#include "counter.h"
 #include "evlog.h"
 #include "limits.h"
 #include "sched_private.h"
 
 /* One run of a task: from its placement to its end. */
 
+GV_HISTOGRAM(start_ms, "run_start_ms",
+             "From the placement of a run to its confirmed start");
+GV_HISTOGRAM(first_start_ms, "job_first_start_ms",
+             "From the acceptance of a job to its first confirmed start");
+
 static gv_room_t
 charged(const gv_step_t *step)
 {
@@ -348,6 +354,17 @@
     GvSched_StopRun(s, r, "start without an answer", now_ms);
 }
 
+static void
+note_start(const gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    GvHistogram_Note(&start_ms, now_ms - r->placed_ms);
+    if (!r->job->started && !r->job->job->timed) {
+        GvHistogram_Note(&first_start_ms,
+                         s->wall_ms - r->job->job->accepted_ms);
+    }
+    r->job->started = true;
+}
+
 /* Takes the answer to a start. */
 void
 GvSched_Started(gv_sched_t *s, const char *target, const char *task,
@@ -369,7 +386,7 @@
     case GV_ORDER_DONE:
         r->phase = GV_RUN_ACTIVE;
         r->known_ms = now_ms;
-        r->job->started = true;
+        note_start(s, r, now_ms);
         GvEvlog_Write("start", "task=%s run=%u target=%s tries=%d", task, run,
                       target, r->tries);
         return;
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -41,6 +41,29 @@
     msgpack_sbuffer_destroy(&sb);
 }
 
+GV_HISTOGRAM(sample_ms, "sample_ms", "A histogram of this test");
+
+/* A histogram whose buckets were not cumulative, or that lost what is longer
+   than the last bucket, would show wrong percentiles. */
+TEST("/base/histogram", test_histogram)
+{
+    GString *out = g_string_new(NULL);
+    GvHistogram_Note(&sample_ms, -5);
+    GvHistogram_Note(&sample_ms, 1);
+    GvHistogram_Note(&sample_ms, 2);
+    GvHistogram_Note(&sample_ms, 3);
+    GvHistogram_Note(&sample_ms, 100000);
+    GvCounter_Render(out);
+    g_assert_nonnull(strstr(out->str, "sample_ms_bucket{le=\"1\"} 2\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_bucket{le=\"2\"} 3\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_bucket{le=\"4\"} 4\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_bucket{le=\"65536\"} 4\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_bucket{le=\"+Inf\"} 5\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_sum 100006\n"));
+    g_assert_nonnull(strstr(out->str, "sample_ms_count 5\n"));
+    g_string_free(out, TRUE);
+}
+
 TEST("/base/outcomes", test_outcomes)
 {
     gv_outcome_t o;
