Spread hosts that are to spare over the pools

Cause: after a burst its pool keeps up to 30 empty hosts while the next burst begins in a pool of 2 to 5; hosts take 1.5 s to move, and a job of 0.85 s has about 1.1 s to spare. Change: hosts that were empty for 1.2 s go from the pool with most to spare to the one with least while these differ by 8.

--- a/src/limits.h
+++ b/src/limits.h
@@ -325,6 +325,10 @@
    time between bursts, since a host that is off comes too late for the next.
  */
 #define GV_POOL_PARK_MS 20000
+/* Hosts that have been empty for so long are spread over the pools while two
+   pools differ by so many in what they have to spare. */
+#define GV_POOL_SPREAD_MS    1200
+#define GV_POOL_SPREAD_HOSTS 8
 /* A host that is to move gets no new tasks and waits for so many short ones
    at most, for no longer than most of them take. */
 #define GV_POOL_DONOR_RUNS        4
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -80,6 +80,76 @@
     return -1;
 }
 
+/* Returns the number of hosts that a pool has beyond what it needs now. */
+static int
+headroom(const gv_plan_pool_t *pool, int have)
+{
+    gv_plan_pool_t least = *pool;
+    least.keep = 0;
+    return have - GvPoolPlan_Wanted(&least);
+}
+
+/* Returns the pool with the least headroom, or with the most, among those
+   that run work; -1 for none. */
+static int
+extreme(const gv_plan_pool_t *pools, const int *have, int n_pools, bool most)
+{
+    int best = -1;
+    for (int i = 0; i < n_pools; i++) {
+        if (pools[i].standby || pools[i].fixed) {
+            continue;
+        }
+        int diff = best < 0 ? 0
+                            : headroom(&pools[i], have[i]) -
+                                  headroom(&pools[best], have[best]);
+        if (best < 0 || (most ? diff > 0 : diff < 0)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Returns an empty host of a pool that was idle for a while, or -1. */
+static int
+idle_host(const gv_plan_host_t *hosts, const bool *used, int n_hosts, int pool)
+{
+    for (int i = 0; i < n_hosts; i++) {
+        if (!used[i] && hosts[i].pool == pool && hosts[i].free &&
+            hosts[i].runs == 0 && hosts[i].idle_ms >= GV_POOL_SPREAD_MS) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Spreads hosts that are to spare over the pools, so that a burst finds some
+   wherever it begins. Returns the number of moves. */
+static int
+spread(const gv_plan_pool_t *pools, int *have, int n_pools,
+       const gv_plan_host_t *hosts, bool *used, int n_hosts,
+       gv_plan_move_t *out, int max)
+{
+    int n = 0;
+    while (n < max) {
+        int from = extreme(pools, have, n_pools, true);
+        int to = extreme(pools, have, n_pools, false);
+        if (from < 0 || headroom(&pools[from], have[from]) -
+                                headroom(&pools[to], have[to]) <
+                            GV_POOL_SPREAD_HOSTS) {
+            break;
+        }
+        int host = idle_host(hosts, used, n_hosts, from);
+        if (host < 0) {
+            break;
+        }
+        used[host] = true;
+        have[from]--;
+        have[to]++;
+        out[n++] = (gv_plan_move_t){host, to};
+    }
+    return n;
+}
+
 /* Plans moves: pools that lack hosts get those that are off or to spare; what
    no pool needs and has been empty for a while is turned off. Returns the
    number of moves, at most max. */
@@ -106,6 +176,7 @@
         out[n++] = (gv_plan_move_t){host, to};
         to = neediest(pools, have, n_pools);
     }
+    n += spread(pools, have, n_pools, hosts, used, n_hosts, out + n, max - n);
     int off = standby_pool(pools, n_pools);
     for (int i = 0; off >= 0 && i < n_hosts && n < max; i++) {
         int pool = hosts[i].pool;
