--- a/src/limits.h
+++ b/src/limits.h
@@ -318,6 +318,9 @@
 /* Pools. Tasks do not divide evenly over hosts: this much of a host's cpu is
    counted on. */
 #define GV_POOL_FILL_PERCENT 85
+/* A pool is sized for so many times the work that arrives: a burst rises for
+   about as long as hosts take to come. */
+#define GV_POOL_RAMP_TIMES 2
 /* A pool keeps this many hosts, so that work that comes anew begins at once.
  */
 #define GV_POOL_KEEP_HOSTS 2
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -26,8 +26,7 @@
         GvSched_Demand(p->o.sched, GvStr_C(name),
                        p->o.move_ms + GV_RHYTHM_AHEAD_MS, now_ms, wall_ms);
     gv_plan_pool_t pool = {
-        .need_cpu = MAX(d.used_cpu + d.wanted_cpu,
-                        MAX(d.arriving_cpu, d.expected_cpu)),
+        .need_cpu = GvPoolPlan_Need(&d),
         .standby = GvPools_Standby(p, name),
         .fixed = g_hash_table_lookup(p->services, name) == NULL,
         .keep = GV_POOL_KEEP_HOSTS,
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -4,6 +4,14 @@
 
 #include "limits.h"
 
+/* Returns the cpu that a pool is sized for, thousandths of a core. */
+int64_t
+GvPoolPlan_Need(const gv_demand_t *d)
+{
+    return MAX(d->used_cpu + d->wanted_cpu,
+               MAX(d->arriving_cpu * GV_POOL_RAMP_TIMES, d->expected_cpu));
+}
+
 /* Returns the number of hosts that a pool should have. Tasks do not divide
    evenly over hosts: a part of each counts as unusable. */
 int
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "sched.h"
+
 /* Which host moves to which pool, so that hosts follow demand and none is
    paid for that nothing needs. Pure: all that it knows comes in. */
 
@@ -29,6 +31,7 @@
     int to;
 } gv_plan_move_t;
 
+int64_t GvPoolPlan_Need(const gv_demand_t *d);
 int GvPoolPlan_Wanted(const gv_plan_pool_t *pool);
 int GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
                      const gv_plan_host_t *hosts, int n_hosts,
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -183,6 +183,16 @@
                                         .park_after_ms = 20000};
 }
 
+/* plan_need used=CPU wanted=CPU arriving=CPU expected=CPU */
+GV_VERB("plan_need", plan_need)
+{
+    gv_demand_t d = {.used_cpu = OPT("used", 0),
+                     .wanted_cpu = OPT("wanted", 0),
+                     .arriving_cpu = OPT("arriving", 0),
+                     .expected_cpu = OPT("expected", 0)};
+    printf("need %lld\n", (long long)GvPoolPlan_Need(&d));
+}
+
 /* hosts COUNT pool=N free=1 runs=0 idle=MS */
 GV_VERB("plan_hosts", plan_hosts)
 {
