--- a/src/job_table.h
+++ b/src/job_table.h
@@ -7,7 +7,7 @@
 
 /* What every entry host knows of the jobs: a fold of the newest records of
    each key in two partitions of the store. Entry hosts write definitions and
-   cancellations to the first, the scheduler in charge writes progress, its
+   cancellations to the first, the leader writes progress, its
    own lease and the state of waves to the second. */
 
 typedef enum { GV_PART_ACCEPTED, GV_PART_PROGRESS, GV_PARTS } gv_part_t;
@@ -19,7 +19,7 @@
     uint64_t offset;
 } gv_record_place_t;
 
-/* Who is in charge of scheduling, as the store has it. */
+/* Which host leads, as the store has it. */
 typedef struct {
     uint64_t epoch; /* rises with every change of holder */
     gv_str_t holder;
--- a/src/lead.h
+++ b/src/lead.h
@@ -3,8 +3,8 @@
 
 #include "job_table.h"
 
-/* When an entry host takes charge of scheduling. The store's record of the
-   lease decides who is in charge; this only says when to try to replace it.
+/* When an entry host claims the lease to schedule. The store's record of the
+   lease decides which host leads; this only says when to try to replace it.
    No input or output and no clock. Times are monotonic milliseconds. */
 
 typedef struct {
@@ -12,10 +12,10 @@
     const gv_lead_t *lead; /* as the store has it */
     int64_t now_ms;
     int64_t started_ms; /* this process, or its return from a pause */
-    int64_t heard_ms;   /* newest record of the one in charge */
+    int64_t heard_ms;   /* newest record of the leader */
     int64_t failed_ms;  /* newest failure of a read of the store; 0: none */
     bool current;       /* everything stored was read */
-    bool ours;          /* this process is in charge */
+    bool ours;          /* this process is the leader */
     bool stopping;
     int silence_ms;  /* after which another takes over */
     int handicap_ms; /* this host leaves others so much time to claim first */
--- a/src/charge.c
+++ b/src/leader.c
@@ -1,18 +1,18 @@
-#include "charge.h"
+#include "leader.h"
 
 #include "counter.h"
 #include "evlog.h"
 #include "limits.h"
 
-GV_GAUGE(in_charge, "in_charge", "1 while this process schedules");
+GV_GAUGE(is_leader, "leader", "1 while this process schedules");
 GV_COUNTER(claims, "lease_claims_total", "Tries to take the lease");
 GV_COUNTER(batches, "progress_batches_total", "Batches of progress stored");
 
-typedef enum { FOLLOWING, CLAIMING, IN_CHARGE } gv_charge_state_t;
+typedef enum { FOLLOWING, CLAIMING, LEADING } gv_leader_state_t;
 
-struct gv_charge_s {
-    gv_charge_opts_t o;
-    gv_charge_state_t state;
+struct gv_leader_s {
+    gv_leader_opts_t o;
+    gv_leader_state_t state;
     gv_sched_t *sched;
     uint64_t epoch; /* claimed or held */
     uint64_t seq;   /* of the open or next append */
@@ -32,11 +32,11 @@
     int64_t next_ms;    /* of the next try */
 };
 
-/* Returns a process that is not in charge. */
-gv_charge_t *
-GvCharge_New(const gv_charge_opts_t *o)
+/* Returns a process that is not the leader. */
+gv_leader_t *
+GvLeader_New(const gv_leader_opts_t *o)
 {
-    gv_charge_t *c = g_new0(gv_charge_t, 1);
+    gv_leader_t *c = g_new0(gv_leader_t, 1);
     c->o = *o;
     c->records = g_byte_array_new();
     c->extra = g_byte_array_new();
@@ -45,85 +45,85 @@
 }
 
 void
-GvCharge_Free(gv_charge_t *c)
+GvLeader_Free(gv_leader_t *c)
 {
     g_byte_array_free(c->records, TRUE);
     g_byte_array_free(c->extra, TRUE);
     g_free(c);
 }
 
-/* A record of whoever is in charge was read. */
+/* A record of the leader was read. */
 void
-GvCharge_Heard(gv_charge_t *c, int64_t now_ms)
+GvLeader_Heard(gv_leader_t *c, int64_t now_ms)
 {
     c->heard_ms = now_ms;
 }
 
 void
-GvCharge_StoreSpeed(gv_charge_t *c, int call_ms)
+GvLeader_StoreSpeed(gv_leader_t *c, int call_ms)
 {
     c->call_ms = call_ms;
 }
 
 /* This process stood still: what it believes of others' silence is void. */
 void
-GvCharge_Paused(gv_charge_t *c, int64_t now_ms)
+GvLeader_Paused(gv_leader_t *c, int64_t now_ms)
 {
     c->started_ms = now_ms;
 }
 
 bool
-GvCharge_Holds(const gv_charge_t *c)
+GvLeader_Holds(const gv_leader_t *c)
 {
-    return c->state == IN_CHARGE;
+    return c->state == LEADING;
 }
 
 uint64_t
-GvCharge_Epoch(const gv_charge_t *c)
+GvLeader_Epoch(const gv_leader_t *c)
 {
     return c->epoch;
 }
 
-/* Returns when the store last confirmed that this process is in charge. */
+/* Returns when the store last confirmed that this process is the leader. */
 int64_t
-GvCharge_RenewedMs(const gv_charge_t *c)
+GvLeader_RenewedMs(const gv_leader_t *c)
 {
     return c->renewed_ms;
 }
 
 /* Gives the lease up with the next append. */
 void
-GvCharge_Resign(gv_charge_t *c)
+GvLeader_Resign(gv_leader_t *c)
 {
     c->resign = true;
 }
 
 void
-GvCharge_Put(gv_charge_t *c, gv_str_t key, gv_str_t value)
+GvLeader_Put(gv_leader_t *c, gv_str_t key, gv_str_t value)
 {
     c->o.ops.add_record(c->extra, key, value);
 }
 
 static void
-lose(gv_charge_t *c, const char *why)
+lose(gv_leader_t *c, const char *why)
 {
-    bool held = c->state == IN_CHARGE;
+    bool held = c->state == LEADING;
     GvEvlog_Write("lead", "lost epoch=%llu why=\"%s\"",
                   (unsigned long long)c->epoch, why);
     c->state = FOLLOWING;
     c->sched = NULL;
     g_byte_array_set_size(c->records, 0);
     g_byte_array_set_size(c->extra, 0);
-    GvCounter_Set(&in_charge, 0);
+    GvCounter_Set(&is_leader, 0);
     if (held) {
         c->o.ops.end(c->o.ops.user, why);
     }
 }
 
 static void
-send(gv_charge_t *c)
+send(gv_leader_t *c)
 {
-    gv_charge_append_t a = {
+    gv_leader_append_t a = {
         .records = GvStr_N(c->records->data, c->records->len),
         .at_end = c->at_end,
         .end = c->end,
@@ -136,7 +136,7 @@
 }
 
 static void
-put_lease(gv_charge_t *c, bool resigned)
+put_lease(gv_leader_t *c, bool resigned)
 {
     GByteArray *value = g_byte_array_new();
     gv_lead_t lead = {c->epoch, c->o.self, resigned};
@@ -149,7 +149,7 @@
 /* Claims the lease by a record that is stored only if nothing was added since
    everything was read: two claims of one epoch cannot both succeed. */
 static void
-claim(gv_charge_t *c, const gv_lead_t *lead, uint64_t next, int64_t now_ms)
+claim(gv_leader_t *c, const gv_lead_t *lead, uint64_t next, int64_t now_ms)
 {
     GvCounter_Add(&claims, 1);
     GvEvlog_Write("lead", "claim epoch=%llu from=%.*s silent_ms=%lld at=%llu",
@@ -170,13 +170,13 @@
 static void
 add_progress(void *user, gv_str_t key, gv_str_t value)
 {
-    gv_charge_t *c = user;
+    gv_leader_t *c = user;
     c->o.ops.add_record(c->records, key, value);
 }
 
 /* Fills and sends the next batch, if there is anything to store. */
 static void
-store_next(gv_charge_t *c, int64_t now_ms)
+store_next(gv_leader_t *c, int64_t now_ms)
 {
     c->with_batch = GvSched_TakeBatch(c->sched, add_progress, c) > 0;
     g_byte_array_append(c->records, c->extra->data, c->extra->len);
@@ -194,9 +194,9 @@
     }
 }
 
-/* Returns why this process no longer is in charge, or NULL. */
+/* Returns why this process no longer is the leader, or NULL. */
 static const char *
-why_lost(const gv_charge_t *c, const gv_lead_t *lead, int64_t now_ms)
+why_lost(const gv_leader_t *c, const gv_lead_t *lead, int64_t now_ms)
 {
     if (lead->epoch > c->epoch) {
         return "another holds the lease";
@@ -211,12 +211,12 @@
 }
 
 /* Carries on: claims the lease when it is free, stores progress while this
-   process is in charge, and steps down when it no longer is. */
+   process is the leader, and steps down when it no longer is. */
 void
-GvCharge_Step(gv_charge_t *c, const gv_lead_t *lead, bool current,
+GvLeader_Step(gv_leader_t *c, const gv_lead_t *lead, bool current,
               uint64_t next, int64_t failed_ms, int64_t now_ms)
 {
-    const char *why = c->state == IN_CHARGE ? why_lost(c, lead, now_ms) : NULL;
+    const char *why = c->state == LEADING ? why_lost(c, lead, now_ms) : NULL;
     if (why != NULL) {
         lose(c, why);
         return;
@@ -224,7 +224,7 @@
     if (c->open || now_ms < c->next_ms) {
         return;
     }
-    if (c->state == IN_CHARGE) {
+    if (c->state == LEADING) {
         if (c->records->len > 0) {
             send(c);
         }
@@ -255,21 +255,20 @@
 }
 
 static void
-take_charge(gv_charge_t *c, int64_t now_ms)
+become_leader(gv_leader_t *c, int64_t now_ms)
 {
-    c->state = IN_CHARGE;
+    c->state = LEADING;
     c->seq++;
     c->renewed_ms = now_ms;
     g_byte_array_set_size(c->records, 0);
-    GvCounter_Set(&in_charge, 1);
-    GvEvlog_Write("lead", "in charge epoch=%llu",
-                  (unsigned long long)c->epoch);
+    GvCounter_Set(&is_leader, 1);
+    GvEvlog_Write("lead", "leader epoch=%llu", (unsigned long long)c->epoch);
     c->sched = c->o.ops.begin(c->o.ops.user, c->epoch);
 }
 
 /* The open batch is stored. */
 static void
-stored(gv_charge_t *c, int64_t now_ms)
+stored(gv_leader_t *c, int64_t now_ms)
 {
     c->seq++;
     c->renewed_ms = now_ms;
@@ -287,10 +286,10 @@
 }
 
 static void
-claim_answered(gv_charge_t *c, const gv_append_answer_t *a, int64_t now_ms)
+claim_answered(gv_leader_t *c, const gv_append_answer_t *a, int64_t now_ms)
 {
     if (a->result == GV_STORE_DONE) {
-        take_charge(c, now_ms);
+        become_leader(c, now_ms);
         return;
     }
     /* Also without an answer: whether the claim was stored shows when the
@@ -302,14 +301,14 @@
 
 /* Takes the result of the open append. */
 void
-GvCharge_Appended(gv_charge_t *c, const gv_append_answer_t *a, int64_t now_ms)
+GvLeader_Appended(gv_leader_t *c, const gv_append_answer_t *a, int64_t now_ms)
 {
     c->open = false;
     if (c->state == CLAIMING) {
         claim_answered(c, a, now_ms);
         return;
     }
-    if (c->state != IN_CHARGE) {
+    if (c->state != LEADING) {
         return;
     }
     switch (a->result) {
--- a/src/limits.h
+++ b/src/limits.h
@@ -267,8 +267,8 @@
 /* Full name of a task: its job's identifier and three numbers. */
 #define GV_TASK_NAME_BYTES 64
 
-/* Scheduler. A lease outlives one lost hold and the change of the scheduler
-   in charge, and is no longer than that: work on a target that falls silent
+/* Scheduler. A lease outlives one lost hold and the change of the leader,
+   and is no longer than that: work on a target that falls silent
    starts again only after it. */
 #define GV_SCHED_LEASE_MS       4500
 #define GV_SCHED_LEASE_SLACK_MS 300
--- a/src/pool.h
+++ b/src/pool.h
@@ -5,7 +5,7 @@
 
 /* Hosts and the pools that they belong to: maintenance waves, and moves that
    let hosts follow demand. One process at a time gives these orders, under
-   the fence of the scheduler in charge. No input or output and no clock:
+   the fence of the leader. No input or output and no clock:
    orders leave through gv_pool_ops_t. All times are milliseconds. */
 
 typedef struct gv_pools_s gv_pools_t;
@@ -74,7 +74,7 @@
 void GvPools_Maintained(gv_pools_t *p, const char *host, int wave,
                         gv_pool_result_t r, int64_t now_ms);
 /* Goes on with waves and moves; may_order: the store has confirmed recently
-   that this process is in charge. */
+   that this process is the leader. */
 void GvPools_Step(gv_pools_t *p, bool may_order, int64_t now_ms,
                   int64_t wall_ms);
 
--- a/src/sched.h
+++ b/src/sched.h
@@ -7,7 +7,7 @@
 
 #include "job.h"
 
-/* The scheduler in charge: places the tasks of jobs on targets, keeps their
+/* The leader: places the tasks of jobs on targets, keeps their
    leases, and takes note of their ends. It performs no input or output and
    reads no clock: events come in as calls with the time, orders leave through
    the functions of gv_sched_ops_t, and every start is written to the store
@@ -112,7 +112,7 @@
     GV_ORDER_NO_ROOM,    /* it has no room */
     GV_ORDER_OLD_RUN,    /* it knows this run or a newer one */
     GV_ORDER_LATE,       /* the deadline had passed */
-    GV_ORDER_FENCED,     /* a newer scheduler is in charge */
+    GV_ORDER_FENCED,     /* a newer scheduler is the leader */
     GV_ORDER_OTHER_LIFE, /* another target, or life of it, answered */
     GV_ORDER_NO_TICKET,  /* the target did nothing */
     GV_ORDER_REFUSED     /* any other reason */
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -121,7 +121,7 @@
 
 
 def survives_leader(fleet):
-    """Guards against jobs that stop, or run twice, when the process in charge
+    """Guards against jobs that stop, or run twice, when the leader
     is killed."""
     jobs = [fleet.submit("host-0", 100 + n)[0] for n in range(6)]
     leader = wait_until(fleet.leader, 10, "a leader")
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "charge.h"
+#include "leader.h"
 #include "error.h"
 #include "intake.h"
 #include "pool_plan.h"
