--- a/src/pool.c
+++ b/src/pool.c
@@ -97,7 +97,7 @@
     *at = text.n == 0 ? NULL : g_strndup(text.p, text.n);
 }
 
-/* Ends the duty of a host that was away. */
+/* Ends the operation of a host that was away. */
 static void
 come_back(gv_pools_t *p, gv_host_t *h, int64_t now_ms)
 {
@@ -105,7 +105,7 @@
                   h->pool, h->target == NULL ? "" : h->target,
                   (long long)(now_ms - h->since_ms));
     h->state = GV_HOST_UP;
-    GvPools_EndDuty(p, h);
+    GvPools_EndOperation(p, h);
 }
 
 /* A target says on which host it runs: a host that was away is back with a
@@ -120,13 +120,13 @@
     if (h == NULL) {
         return;
     }
-    if (h->duty == GV_DUTY_AWAY && h->before != NULL &&
+    if (h->operation == GV_OPERATION_AWAY && h->before != NULL &&
         GvStr_Equal(GvStr_C(h->before), target)) {
         return; /* written by the life that has ended */
     }
     set_text(&h->target, target);
     set_text(&h->pool, pool);
-    if (h->duty == GV_DUTY_AWAY) {
+    if (h->operation == GV_OPERATION_AWAY) {
         come_back(p, h, now_ms);
     }
 }
@@ -170,7 +170,7 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
-        if (h->listed && h->duty != GV_DUTY_ORDERED) {
+        if (h->listed && h->operation != GV_OPERATION_ORDERED) {
             bool up = h->state == GV_HOST_UP && h->target != NULL;
             g_hash_table_insert(now, h->id, up ? h->target : "");
         }
@@ -202,11 +202,11 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
-        if (!h->listed && h->duty != GV_DUTY_ORDERED) {
+        if (!h->listed && h->operation != GV_OPERATION_ORDERED) {
             GvEvlog_Write("host", "host=%s left the fleet", h->id);
             g_hash_table_iter_remove(&it);
         }
-        else if (h->duty == GV_DUTY_AWAY && h->state == GV_HOST_UP &&
+        else if (h->operation == GV_OPERATION_AWAY && h->state == GV_HOST_UP &&
                  now_ms - h->since_ms > GV_POOL_LIST_MS &&
                  g_strcmp0(h->target, h->before) != 0) {
             come_back(p, h, now_ms);
@@ -215,15 +215,17 @@
     p->known = true;
 }
 
-/* Gives a host a duty: maintenance in a wave, or a move to another pool. */
+/* Gives a host an operation: maintenance in a wave, or a move to another pool.
+ */
 void
-GvPools_BeginDuty(gv_pools_t *p, gv_host_t *h, int wave, const char *to,
-                  int64_t now_ms)
+GvPools_BeginOperation(gv_pools_t *p, gv_host_t *h, int wave, const char *to,
+                       int64_t now_ms)
 {
-    GvEvlog_Write("host", "host=%s duty=%s wave=%d pool=%s to=%s target=%s",
+    GvEvlog_Write("host",
+                  "host=%s operation=%s wave=%d pool=%s to=%s target=%s",
                   h->id, to == NULL ? "maintain" : "move", wave, h->pool,
                   to == NULL ? "" : to, h->target == NULL ? "" : h->target);
-    h->duty = GV_DUTY_EMPTYING;
+    h->operation = GV_OPERATION_EMPTYING;
     h->wave = wave;
     h->since_ms = now_ms;
     h->next_ms = now_ms;
@@ -232,12 +234,12 @@
     GvSched_Reserve(p->o.sched, GvStr_C(h->target), true);
 }
 
-/* Ends a host's duty; its target gets tasks again. */
+/* Ends a host's operation; its target gets tasks again. */
 void
-GvPools_EndDuty(gv_pools_t *p, gv_host_t *h)
+GvPools_EndOperation(gv_pools_t *p, gv_host_t *h)
 {
     GvSched_Reserve(p->o.sched, GvStr_C(h->target), false);
-    h->duty = GV_DUTY_NONE;
+    h->operation = GV_OPERATION_NONE;
     h->wave = 0;
     h->idle_ms = 0;
     g_clear_pointer(&h->to, g_free);
@@ -260,25 +262,25 @@
     return GvSched_Evacuate(p->o.sched, GvStr_C(h->target), all, now_ms);
 }
 
-/* Orders the duty of a host that is empty. */
+/* Orders the operation of a host that is empty. */
 static void
 step_host(gv_pools_t *p, gv_host_t *h, int64_t now_ms)
 {
-    if (h->duty != GV_DUTY_EMPTYING || now_ms < h->next_ms) {
+    if (h->operation != GV_OPERATION_EMPTYING || now_ms < h->next_ms) {
         return;
     }
     if (h->state != GV_HOST_UP) {
-        GvPools_EndDuty(p, h);
+        GvPools_EndOperation(p, h);
         return;
     }
     if (runs_left(p, h, now_ms) > 0) {
         if (h->to != NULL &&
             now_ms - h->since_ms > GV_POOL_EMPTY_PATIENCE_MS) {
-            GvPools_EndDuty(p, h); /* a long task is not worth the wait */
+            GvPools_EndOperation(p, h); /* a long task is not worth the wait */
         }
         return;
     }
-    h->duty = GV_DUTY_ORDERED;
+    h->operation = GV_OPERATION_ORDERED;
     g_free(h->before);
     h->before = g_strdup(h->target);
     if (h->to != NULL) {
@@ -299,7 +301,7 @@
                   h->to == NULL ? "maintain" : "move", names[r]);
     switch (r) {
     case GV_POOL_DONE:
-        h->duty = GV_DUTY_AWAY;
+        h->operation = GV_OPERATION_AWAY;
         h->since_ms = now_ms;
         if (h->before != NULL) {
             GvSched_Ended(p->o.sched, GvStr_C(h->before), now_ms);
@@ -310,13 +312,13 @@
         return false;
     case GV_POOL_NOT_NOW:
     case GV_POOL_INVALID:
-        GvPools_EndDuty(p, h);
+        GvPools_EndOperation(p, h);
         h->next_ms = now_ms + GV_POOL_RETRY_MS;
         p->listed_ms = 0;
         return false;
     case GV_POOL_RETRY:
     case GV_POOL_UNKNOWN:
-        h->duty = GV_DUTY_EMPTYING;
+        h->operation = GV_OPERATION_EMPTYING;
         h->next_ms = now_ms + GV_POOL_RETRY_MS;
         return false;
     }
@@ -328,7 +330,7 @@
               int64_t now_ms)
 {
     gv_host_t *h = GvPools_Host(p, host);
-    if (h != NULL && h->duty == GV_DUTY_ORDERED) {
+    if (h != NULL && h->operation == GV_OPERATION_ORDERED) {
         (void)ordered(p, h, r, now_ms);
     }
 }
@@ -338,7 +340,8 @@
                    gv_pool_result_t r, int64_t now_ms)
 {
     gv_host_t *h = GvPools_Host(p, host);
-    if (h == NULL || h->duty != GV_DUTY_ORDERED || !ordered(p, h, r, now_ms)) {
+    if (h == NULL || h->operation != GV_OPERATION_ORDERED ||
+        !ordered(p, h, r, now_ms)) {
         return;
     }
     for (guint i = 0; i < p->waves->len; i++) {
@@ -363,7 +366,7 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         const gv_host_t *h = value;
-        if (h->duty != GV_DUTY_NONE || h->state != GV_HOST_UP) {
+        if (h->operation != GV_OPERATION_NONE || h->state != GV_HOST_UP) {
             return true;
         }
     }
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -57,7 +57,7 @@
     }
     gv_plan_host_t view = {
         .pool = pool,
-        .free = h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP &&
+        .free = h->operation == GV_OPERATION_NONE && h->state == GV_HOST_UP &&
                 now_ms >= h->next_ms &&
                 GvPools_Settled(p, h, now_ms, wall_ms) &&
                 (pl->standby ||
@@ -114,8 +114,8 @@
                              (int)in->views->len, moves, GV_POOL_MOVES_MAX);
     for (int i = 0; i < n; i++) {
         gv_host_t *h = g_ptr_array_index(in->hosts, moves[i].host);
-        GvPools_BeginDuty(p, h, 0, g_ptr_array_index(in->names, moves[i].to),
-                          now_ms);
+        GvPools_BeginOperation(
+            p, h, 0, g_ptr_array_index(in->names, moves[i].to), now_ms);
     }
 }
 
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -21,7 +21,7 @@
 
 typedef struct {
     int pool;        /* index */
-    bool free;       /* without another duty, and nothing there lasts */
+    bool free;       /* without another operation, and nothing there lasts */
     int runs;        /* short tasks that have to end before it moves */
     int64_t idle_ms; /* empty for so long */
 } gv_plan_host_t;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -7,11 +7,12 @@
 /* Shared by the files of pools only. */
 
 typedef enum {
-    GV_DUTY_NONE,
-    GV_DUTY_EMPTYING, /* gets no new tasks; what runs ends or is stopped */
-    GV_DUTY_ORDERED,  /* an order is open */
-    GV_DUTY_AWAY      /* the order is done; the host comes back up */
-} gv_duty_t;
+    GV_OPERATION_NONE,
+    GV_OPERATION_EMPTYING, /* gets no new tasks; what runs ends or is stopped
+                            */
+    GV_OPERATION_ORDERED,  /* an order is open */
+    GV_OPERATION_AWAY      /* the order is done; the host comes back up */
+} gv_operation_t;
 
 typedef struct {
     char *id;
@@ -21,10 +22,10 @@
     char *to;     /* pool of a move in progress; NULL: maintenance */
     gv_host_state_t state;
     int64_t cpu;
-    gv_duty_t duty;
+    gv_operation_t operation;
     int wave;
     bool listed;
-    int64_t since_ms;   /* of the duty */
+    int64_t since_ms;   /* of the operation */
     int64_t next_ms;    /* of the next try */
     int64_t idle_ms;    /* empty since; 0: not empty */
     int64_t arrived_ms; /* in this pool */
@@ -61,9 +62,9 @@
 bool GvPools_Settled(const gv_pools_t *p, const gv_host_t *h, int64_t now_ms,
                      int64_t wall_ms);
 bool GvPools_Standby(const gv_pools_t *p, const char *pool);
-void GvPools_BeginDuty(gv_pools_t *p, gv_host_t *h, int wave, const char *to,
-                       int64_t now_ms);
-void GvPools_EndDuty(gv_pools_t *p, gv_host_t *h);
+void GvPools_BeginOperation(gv_pools_t *p, gv_host_t *h, int wave,
+                            const char *to, int64_t now_ms);
+void GvPools_EndOperation(gv_pools_t *p, gv_host_t *h);
 void GvPools_StepWaves(gv_pools_t *p, int64_t now_ms, int64_t wall_ms);
 void GvPools_StoreWave(gv_pools_t *p, gv_wave_t *w);
 void GvPools_Plan(gv_pools_t *p, int64_t now_ms, int64_t wall_ms);
--- a/src/pool_wave.c
+++ b/src/pool_wave.c
@@ -107,7 +107,8 @@
 is_back(const gv_pools_t *p, const char *id)
 {
     const gv_host_t *h = GvPools_Host(p, id);
-    return h == NULL || (h->duty == GV_DUTY_NONE && h->state == GV_HOST_UP);
+    return h == NULL ||
+           (h->operation == GV_OPERATION_NONE && h->state == GV_HOST_UP);
 }
 
 /* Rates a host for its turn, lowest first: hosts with lasting tasks take
@@ -117,7 +118,7 @@
           int64_t now_ms, int64_t wall_ms)
 {
     gv_target_view_t v;
-    if (h->duty != GV_DUTY_NONE || h->state != GV_HOST_UP ||
+    if (h->operation != GV_OPERATION_NONE || h->state != GV_HOST_UP ||
         !GvPools_Settled(p, h, now_ms, wall_ms)) {
         return -1;
     }
@@ -179,7 +180,7 @@
         if (h == NULL) {
             c.missing++;
         }
-        else if (h->duty != GV_DUTY_NONE && h->wave == w->number) {
+        else if (h->operation != GV_OPERATION_NONE && h->wave == w->number) {
             c.open++;
             if (h->target != NULL &&
                 GvSched_View(p->o.sched, GvStr_C(h->target), &v) &&
@@ -236,7 +237,7 @@
             v.lasting > 0) {
             c.lasting++;
         }
-        GvPools_BeginDuty(p, h, w->number, NULL, now_ms);
+        GvPools_BeginOperation(p, h, w->number, NULL, now_ms);
     }
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -35,12 +35,12 @@
 }
 
 static void
-free_seat(gpointer p)
+free_target(gpointer p)
 {
-    gv_seat_t *seat = p;
-    clear_info(&seat->info);
-    g_ptr_array_free(seat->runs, TRUE);
-    g_free(seat);
+    gv_sched_target_t *tgt = p;
+    clear_info(&tgt->info);
+    g_ptr_array_free(tgt->runs, TRUE);
+    g_free(tgt);
 }
 
 static void
@@ -71,7 +71,8 @@
     gv_sched_t *s = g_new0(gv_sched_t, 1);
     s->o = *o;
     s->learning = true;
-    s->seats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_seat);
+    s->targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
     s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
     s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
     s->loads = GvLoads_New();
@@ -89,7 +90,7 @@
     g_ptr_array_free(s->logging, TRUE);
     g_ptr_array_free(s->batched, TRUE);
     g_hash_table_destroy(s->jobs);
-    g_hash_table_destroy(s->seats);
+    g_hash_table_destroy(s->targets);
     g_hash_table_destroy(s->queues);
     GvLoads_Free(s->loads);
     g_hash_table_destroy(s->advice);
@@ -140,10 +141,10 @@
     return MAX(q == NULL ? job->attempts : q->attempts, 1);
 }
 
-gv_seat_t *
-GvSched_Seat(const gv_sched_t *s, const char *id)
+gv_sched_target_t *
+GvSched_Target(const gv_sched_t *s, const char *id)
 {
-    return g_hash_table_lookup(s->seats, id);
+    return g_hash_table_lookup(s->targets, id);
 }
 
 gv_active_t *
@@ -182,17 +183,17 @@
     return *task < 0 ? NULL : a;
 }
 
-static gv_seat_t *
-seat_of(gv_sched_t *s, const char *id)
+static gv_sched_target_t *
+target_of(gv_sched_t *s, const char *id)
 {
-    gv_seat_t *seat = GvSched_Seat(s, id);
-    if (seat == NULL) {
-        seat = g_new0(gv_seat_t, 1);
-        seat->id = g_intern_string(id);
-        seat->runs = g_ptr_array_new();
-        g_hash_table_insert(s->seats, (gpointer)seat->id, seat);
+    gv_sched_target_t *tgt = GvSched_Target(s, id);
+    if (tgt == NULL) {
+        tgt = g_new0(gv_sched_target_t, 1);
+        tgt->id = g_intern_string(id);
+        tgt->runs = g_ptr_array_new();
+        g_hash_table_insert(s->targets, (gpointer)tgt->id, tgt);
     }
-    return seat;
+    return tgt;
 }
 
 /* Takes what the host list says of a target. */
@@ -200,13 +201,13 @@
 GvSched_SetTarget(gv_sched_t *s, const gv_target_info_t *info, int64_t now_ms)
 {
     char *id = g_strndup(info->id.p, info->id.n);
-    gv_seat_t *seat = seat_of(s, id);
+    gv_sched_target_t *tgt = target_of(s, id);
     g_free(id);
-    bool drains = info->draining && !seat->info.draining;
-    if (!seat->listed || drains ||
-        !GvStr_Equal(seat->info.service, info->service)) {
+    bool drains = info->draining && !tgt->info.draining;
+    if (!tgt->listed || drains ||
+        !GvStr_Equal(tgt->info.service, info->service)) {
         GvEvlog_Write("target", "target=%s service=%.*s draining=%d left=%lld",
-                      seat->id, GV_STR_ARG(info->service), info->draining,
+                      tgt->id, GV_STR_ARG(info->service), info->draining,
                       (long long)info->left_ms);
     }
     gv_target_info_t copy = *info;
@@ -217,15 +218,15 @@
     copy.dc = GvStr_Dup(info->dc);
     copy.rack = GvStr_Dup(info->rack);
     copy.labels = GvStr_Dup(info->labels);
-    clear_info(&seat->info);
-    seat->info = copy;
-    seat->listed = true;
-    seat->seen_ms = seat->seen_ms == 0 ? now_ms : seat->seen_ms;
-    if (info->born != 0 && seat->born != 0 && info->born > seat->born) {
-        GvSched_Reborn(s, seat, info->born, now_ms);
-    }
-    for (guint i = 0; drains && i < seat->runs->len; i++) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i);
+    clear_info(&tgt->info);
+    tgt->info = copy;
+    tgt->listed = true;
+    tgt->seen_ms = tgt->seen_ms == 0 ? now_ms : tgt->seen_ms;
+    if (info->born != 0 && tgt->born != 0 && info->born > tgt->born) {
+        GvSched_Reborn(s, tgt, info->born, now_ms);
+    }
+    for (guint i = 0; drains && i < tgt->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i);
         if (r->job->lasts) {
             GvSched_StopRun(s, r, "target drains", now_ms);
         }
@@ -239,14 +240,14 @@
 GvSched_RemoveTarget(gv_sched_t *s, gv_str_t id, int64_t now_ms)
 {
     char *name = g_strndup(id.p, id.n);
-    gv_seat_t *seat = GvSched_Seat(s, name);
+    gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    if (seat == NULL || !seat->listed) {
+    if (tgt == NULL || !tgt->listed) {
         return;
     }
-    GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld", seat->id,
-                  seat->runs->len, (long long)(seat->lease_until_ms - now_ms));
-    seat->listed = false;
+    GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld", tgt->id,
+                  tgt->runs->len, (long long)(tgt->lease_until_ms - now_ms));
+    tgt->listed = false;
 }
 
 void
@@ -254,11 +255,11 @@
 {
     GHashTableIter it;
     gpointer value;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_seat_t *seat = value;
-        if (!g_hash_table_contains(ids, seat->id)) {
-            GvSched_RemoveTarget(s, GvStr_C(seat->id), now_ms);
+        const gv_sched_target_t *tgt = value;
+        if (!g_hash_table_contains(ids, tgt->id)) {
+            GvSched_RemoveTarget(s, GvStr_C(tgt->id), now_ms);
         }
     }
 }
@@ -269,12 +270,12 @@
 GvSched_Ended(gv_sched_t *s, gv_str_t target, int64_t now_ms)
 {
     char *name = g_strndup(target.p, target.n);
-    gv_seat_t *seat = GvSched_Seat(s, name);
+    gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    if (seat != NULL) {
-        GvSched_LoseSeat(s, seat, "host taken down");
-        seat->listed = false;
-        seat->lease_until_ms = now_ms;
+    if (tgt != NULL) {
+        GvSched_LoseTarget(s, tgt, "host taken down");
+        tgt->listed = false;
+        tgt->lease_until_ms = now_ms;
     }
 }
 
@@ -284,24 +285,24 @@
 {
     GHashTableIter it;
     gpointer value;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        if (seat->info.host.n == 0 || seat->seen_ms >= asked_ms) {
+        gv_sched_target_t *tgt = value;
+        if (tgt->info.host.n == 0 || tgt->seen_ms >= asked_ms) {
             continue;
         }
         const char *target =
-            g_hash_table_lookup(target_of_host, seat->info.host.p);
-        if (target == NULL || strcmp(target, seat->id) == 0) {
+            g_hash_table_lookup(target_of_host, tgt->info.host.p);
+        if (target == NULL || strcmp(target, tgt->id) == 0) {
             continue;
         }
-        if (seat->listed || seat->runs->len > 0) {
+        if (tgt->listed || tgt->runs->len > 0) {
             GvEvlog_Write("target", "target=%s ended with host=%s now=%s",
-                          seat->id, seat->info.host.p, target);
+                          tgt->id, tgt->info.host.p, target);
         }
-        GvSched_LoseSeat(s, seat, "host is down or has another target");
-        seat->listed = false;
-        seat->lease_until_ms = now_ms;
+        GvSched_LoseTarget(s, tgt, "host is down or has another target");
+        tgt->listed = false;
+        tgt->lease_until_ms = now_ms;
     }
 }
 
@@ -311,10 +312,10 @@
     GHashTableIter it;
     gpointer value;
     int n = 0;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_seat_t *seat = value;
-        n += seat->hold_failures > 0 && seat->runs->len > 0 ? 1 : 0;
+        const gv_sched_target_t *tgt = value;
+        n += tgt->hold_failures > 0 && tgt->runs->len > 0 ? 1 : 0;
     }
     return n;
 }
@@ -354,11 +355,11 @@
     for (int i = 0; i < copy->n_tasks; i++) {
         gv_task_t *t = &copy->tasks[i];
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
-            gv_seat_t *seat = seat_of(s, t->target);
-            seat->lease_until_ms =
-                MAX(seat->lease_until_ms,
+            gv_sched_target_t *tgt = target_of(s, t->target);
+            tgt->lease_until_ms =
+                MAX(tgt->lease_until_ms,
                     s->o.now_ms + GV_SCHED_ORPHAN_MS + s->o.max_lease_ms);
-            GvSched_AddRun(s, a, i, seat, GV_RUN_INHERITED, s->o.now_ms);
+            GvSched_AddRun(s, a, i, tgt, GV_RUN_INHERITED, s->o.now_ms);
         }
     }
     if (GvJob_Ended(copy)) {
@@ -397,9 +398,9 @@
 GvSched_Born(const gv_sched_t *s, gv_str_t target)
 {
     char *name = g_strndup(target.p, target.n);
-    const gv_seat_t *seat = GvSched_Seat(s, name);
+    const gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    return seat == NULL ? 0 : seat->info.born;
+    return tgt == NULL ? 0 : tgt->info.born;
 }
 
 void
@@ -459,12 +460,12 @@
         a->dirty = false;
         n++;
     }
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        seat->noted_batch = seat->noted;
+        gv_sched_target_t *tgt = value;
+        tgt->noted_batch = tgt->noted;
         if (n == 0) {
-            seat->noted_stored = seat->noted;
+            tgt->noted_stored = tgt->noted;
         }
     }
     if (n > 0) {
@@ -507,10 +508,10 @@
     GHashTableIter it;
     gpointer value;
     s->batch_open = false;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        seat->noted_stored = seat->noted_batch;
+        gv_sched_target_t *tgt = value;
+        tgt->noted_stored = tgt->noted_batch;
     }
     while (s->batched->len > 0) {
         gv_run_t *r = g_ptr_array_remove_index_fast(s->batched, 0);
@@ -526,24 +527,24 @@
 GvSched_View(const gv_sched_t *s, gv_str_t target, gv_target_view_t *v)
 {
     char *name = g_strndup(target.p, target.n);
-    const gv_seat_t *seat = GvSched_Seat(s, name);
+    const gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    if (seat == NULL || !seat->listed) {
+    if (tgt == NULL || !tgt->listed) {
         return false;
     }
     *v = (gv_target_view_t){
-        .id = seat->id,
-        .service = seat->info.service.p,
-        .rack = seat->info.rack.p,
-        .runs = (int)seat->runs->len,
-        .draining = seat->info.draining,
-        .reserved = seat->reserved,
-        .room = seat->info.room,
-        .free = seat->info.room,
+        .id = tgt->id,
+        .service = tgt->info.service.p,
+        .rack = tgt->info.rack.p,
+        .runs = (int)tgt->runs->len,
+        .draining = tgt->info.draining,
+        .reserved = tgt->reserved,
+        .room = tgt->info.room,
+        .free = tgt->info.room,
     };
-    GvRoom_Take(&v->free, seat->used);
-    for (guint i = 0; i < seat->runs->len; i++) {
-        const gv_run_t *r = g_ptr_array_index(seat->runs, i);
+    GvRoom_Take(&v->free, tgt->used);
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        const gv_run_t *r = g_ptr_array_index(tgt->runs, i);
         v->lasting += r->job->lasts ? 1 : 0;
     }
     return true;
@@ -554,12 +555,12 @@
 GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved)
 {
     char *name = g_strndup(target.p, target.n);
-    gv_seat_t *seat = GvSched_Seat(s, name);
+    gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    if (seat != NULL && seat->reserved != reserved) {
-        GvEvlog_Write("reserve", "target=%s reserved=%d runs=%u", seat->id,
-                      reserved, seat->runs->len);
-        seat->reserved = reserved;
+    if (tgt != NULL && tgt->reserved != reserved) {
+        GvEvlog_Write("reserve", "target=%s reserved=%d runs=%u", tgt->id,
+                      reserved, tgt->runs->len);
+        tgt->reserved = reserved;
         s->place_due = true;
     }
 }
@@ -574,7 +575,7 @@
         s->sampled_ms = now_ms;
         GvLoads_Sample(s->loads, now_ms);
     }
-    int64_t next = GvSched_StepSeats(s, now_ms);
+    int64_t next = GvSched_StepTargets(s, now_ms);
     GvSched_Place(s, now_ms);
     return next;
 }
--- a/src/sched_advice.c
+++ b/src/sched_advice.c
@@ -79,14 +79,14 @@
     GHashTableIter it;
     gpointer value;
     int n = 0;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (n < GV_ADVICE_TARGETS &&
            g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_seat_t *seat = value;
-        if (seat->listed && !seat->info.draining && !seat->reserved &&
-            GvStr_Equal(seat->info.service, service) &&
-            !g_hash_table_contains(a->asked, seat->id)) {
-            out[n++] = seat->id;
+        const gv_sched_target_t *tgt = value;
+        if (tgt->listed && !tgt->info.draining && !tgt->reserved &&
+            GvStr_Equal(tgt->info.service, service) &&
+            !g_hash_table_contains(a->asked, tgt->id)) {
+            out[n++] = tgt->id;
         }
     }
     return n;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -150,12 +150,12 @@
 }
 
 static bool
-has_label(const gv_seat_t *seat, gv_str_t label)
+has_label(const gv_sched_target_t *tgt, gv_str_t label)
 {
     if (label.n == 0) {
         return true;
     }
-    const char *p = seat->info.labels.p;
+    const char *p = tgt->info.labels.p;
     while (p != NULL && *p != '\0') {
         const char *end = strchrnul(p, ' ');
         if (GvStr_Equal(GvStr_N(p, (size_t)(end - p)), label)) {
@@ -167,11 +167,11 @@
 }
 
 static int
-runs_of_step(const gv_seat_t *seat, const gv_ready_t *r)
+runs_of_step(const gv_sched_target_t *tgt, const gv_ready_t *r)
 {
     int n = 0;
-    for (guint i = 0; i < seat->runs->len; i++) {
-        const gv_run_t *run = g_ptr_array_index(seat->runs, i);
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        const gv_run_t *run = g_ptr_array_index(tgt->runs, i);
         n += run->job == r->job && run->task >= r->first &&
                      run->task < r->first + r->step->count
                  ? 1
@@ -183,10 +183,10 @@
 /* Tells whether tasks that fill and tasks with a goal for their response
    times would share the target. */
 static bool
-would_disturb(const gv_seat_t *seat, const gv_step_t *step)
+would_disturb(const gv_sched_target_t *tgt, const gv_step_t *step)
 {
-    for (guint i = 0; i < seat->runs->len; i++) {
-        const gv_run_t *run = g_ptr_array_index(seat->runs, i);
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        const gv_run_t *run = g_ptr_array_index(tgt->runs, i);
         const gv_step_t *other = GvJob_StepOf(run->job->job, run->task);
         if ((step->fills && other->tail_goal_ms > 0) ||
             (step->tail_goal_ms > 0 && other->fills)) {
@@ -198,71 +198,71 @@
 
 /* Tells whether a task of the step may start on the target now. */
 static bool
-may_run(const gv_seat_t *seat, const gv_ready_t *r, const gv_room_t *free,
-        int64_t now_ms)
+may_run(const gv_sched_target_t *tgt, const gv_ready_t *r,
+        const gv_room_t *free, int64_t now_ms)
 {
     gv_room_t need = r->step->need;
     if (r->step->fills) {
         need.cpu = 0;
     }
-    return seat->listed && !seat->info.draining && !seat->reserved &&
-           (!seat->kept || r->job->lasts) && now_ms >= seat->avoid_until_ms &&
-           GvStr_Equal(seat->info.service, r->service) &&
-           GvRoom_Fits(need, *free) && has_label(seat, r->step->label) &&
+    return tgt->listed && !tgt->info.draining && !tgt->reserved &&
+           (!tgt->kept || r->job->lasts) && now_ms >= tgt->avoid_until_ms &&
+           GvStr_Equal(tgt->info.service, r->service) &&
+           GvRoom_Fits(need, *free) && has_label(tgt, r->step->label) &&
            (r->step->max_per_target == 0 ||
-            runs_of_step(seat, r) < r->step->max_per_target) &&
-           !would_disturb(seat, r->step);
+            runs_of_step(tgt, r) < r->step->max_per_target) &&
+           !would_disturb(tgt, r->step);
 }
 
 /* Rates a target that may run a task; the highest is taken. Data on the rack
    counts most, then a target other than the one where the task failed, then
    the least room left over, so that other targets stay empty. */
 static double
-rate(const gv_seat_t *seat, const gv_ready_t *r, const gv_task_t *t,
+rate(const gv_sched_target_t *tgt, const gv_ready_t *r, const gv_task_t *t,
      const gv_room_t *free)
 {
-    double left = (double)free->cpu / (double)MAX(seat->info.room.cpu, 1);
+    double left = (double)free->cpu / (double)MAX(tgt->info.room.cpu, 1);
     double score = r->step->fills ? left : 1 - left;
-    if (r->step->rack.n > 0 && GvStr_Equal(r->step->rack, seat->info.rack)) {
+    if (r->step->rack.n > 0 && GvStr_Equal(r->step->rack, tgt->info.rack)) {
         score += 8;
     }
-    if (r->step->lasts && seat->n_lasting > 0) {
+    if (r->step->lasts && tgt->n_lasting > 0) {
         score += 2; /* lasting tasks on few hosts let the others move */
     }
-    if (t->failures > 0 && t->target == seat->id) {
+    if (t->failures > 0 && t->target == tgt->id) {
         score -= 4;
     }
-    if (seat->failures > 0) {
+    if (tgt->failures > 0) {
         score -= 2;
     }
     return score;
 }
 
-static gv_seat_t *
+static gv_sched_target_t *
 choose(gv_sched_t *s, const gv_ready_t *r, const gv_task_t *t, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
-    gv_seat_t *best = NULL;
+    gv_sched_target_t *best = NULL;
     double best_score = 0;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        gv_room_t free = seat->info.room;
-        GvRoom_Take(&free, seat->used);
-        if (!may_run(seat, r, &free, now_ms) ||
-            (r->advice && GvSched_Ticket(s, r->job->job, r->first, seat->id,
+        gv_sched_target_t *tgt = value;
+        gv_room_t free = tgt->info.room;
+        GvRoom_Take(&free, tgt->used);
+        if (!may_run(tgt, r, &free, now_ms) ||
+            (r->advice && GvSched_Ticket(s, r->job->job, r->first, tgt->id,
                                          now_ms) == NULL)) {
             continue;
         }
-        if (!GvSched_SeatFresh(seat, now_ms)) {
-            seat->wanted = true;
+        if (!GvSched_TargetFresh(tgt, now_ms)) {
+            tgt->wanted = true;
             continue;
         }
-        double score = rate(seat, r, t, &free);
+        double score = rate(tgt, r, t, &free);
         if (best == NULL || score > best_score ||
-            (score == best_score && strcmp(seat->id, best->id) < 0)) {
-            best = seat;
+            (score == best_score && strcmp(tgt->id, best->id) < 0)) {
+            best = tgt;
             best_score = score;
         }
     }
@@ -288,14 +288,14 @@
     int placed = 0;
     while (placed < r->step->count) {
         gv_task_t *t = &tasks[r->first + placed];
-        gv_seat_t *seat = choose(s, r, t, now_ms);
-        if (seat == NULL) {
+        gv_sched_target_t *tgt = choose(s, r, t, now_ms);
+        if (tgt == NULL) {
             break;
         }
         t->run = run + 1;
         g_free(t->saved);
         t->saved = g_strdup(state);
-        GvSched_AddRun(s, r->job, r->first + placed, seat, GV_RUN_LOGGING,
+        GvSched_AddRun(s, r->job, r->first + placed, tgt, GV_RUN_LOGGING,
                        now_ms);
         placed++;
     }
@@ -315,12 +315,12 @@
         if (t->state != GV_TASK_WAITING) {
             continue;
         }
-        gv_seat_t *seat = choose(s, r, t, now_ms);
-        if (seat == NULL) {
+        gv_sched_target_t *tgt = choose(s, r, t, now_ms);
+        if (tgt == NULL) {
             return;
         }
         t->run++;
-        GvSched_AddRun(s, r->job, r->first + i, seat, GV_RUN_LOGGING, now_ms);
+        GvSched_AddRun(s, r->job, r->first + i, tgt, GV_RUN_LOGGING, now_ms);
     }
 }
 
@@ -333,22 +333,22 @@
 {
     GHashTableIter it;
     gpointer value;
-    gv_seat_t *best = NULL;
+    gv_sched_target_t *best = NULL;
     int64_t most = 0;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        gv_room_t free = seat->info.room;
-        if (seat->kept && GvStr_Equal(seat->info.service, r->service)) {
+        gv_sched_target_t *tgt = value;
+        gv_room_t free = tgt->info.room;
+        if (tgt->kept && GvStr_Equal(tgt->info.service, r->service)) {
             return;
         }
-        if (!may_run(seat, r, &free, now_ms)) {
+        if (!may_run(tgt, r, &free, now_ms)) {
             continue;
         }
-        GvRoom_Take(&free, seat->used);
+        GvRoom_Take(&free, tgt->used);
         if (best == NULL || free.cpu > most ||
-            (free.cpu == most && strcmp(seat->id, best->id) < 0)) {
-            best = seat;
+            (free.cpu == most && strcmp(tgt->id, best->id) < 0)) {
+            best = tgt;
             most = free.cpu;
         }
     }
@@ -362,9 +362,9 @@
 {
     GHashTableIter it;
     gpointer value;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        ((gv_seat_t *)value)->kept = false;
+        ((gv_sched_target_t *)value)->kept = false;
     }
 }
 
@@ -429,11 +429,11 @@
         }
     }
     g_array_free(ready, TRUE);
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_seat_t *seat = value;
-        if (GvStr_Equal(seat->info.service, service)) {
-            d.used_cpu += seat->used.cpu;
+        const gv_sched_target_t *tgt = value;
+        if (GvStr_Equal(tgt->info.service, service)) {
+            d.used_cpu += tgt->used.cpu;
         }
     }
     return d;
@@ -447,18 +447,18 @@
                  int64_t now_ms)
 {
     char *name = g_strndup(target.p, target.n);
-    gv_seat_t *seat = GvSched_Seat(s, name);
+    gv_sched_target_t *tgt = GvSched_Target(s, name);
     g_free(name);
-    if (seat == NULL) {
+    if (tgt == NULL) {
         return 0;
     }
-    for (guint i = seat->runs->len; i > 0; i--) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         if (r->phase == GV_RUN_STOPPING ||
             (r->job->lasts ? !GvSched_MayStop(r, now_ms) : !short_too)) {
             continue;
         }
         GvSched_StopRun(s, r, "target is emptied", now_ms);
     }
-    return (int)seat->runs->len;
+    return (int)tgt->runs->len;
 }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -14,12 +14,12 @@
     GV_RUN_INHERITED, /* an earlier scheduler may have ordered it */
 } gv_run_phase_t;
 
-typedef struct gv_seat_s gv_seat_t;
+typedef struct gv_sched_target_s gv_sched_target_t;
 typedef struct gv_active_s gv_active_t;
 
 /* A run that is on a target, or may be. */
 typedef struct {
-    gv_seat_t *seat;
+    gv_sched_target_t *tgt;
     gv_active_t *job;
     int task;
     uint32_t run;
@@ -46,7 +46,7 @@
 };
 
 /* A target with what runs on it. */
-struct gv_seat_s {
+struct gv_sched_target_s {
     const char *id; /* interned */
     gv_target_info_t info;
     bool listed;     /* the host list has it */
@@ -81,9 +81,9 @@
     bool batch_open;
     bool jobs_known; /* see GvSched_JobsKnown */
     int64_t wall_ms;
-    GHashTable *seats;  /* interned id -> gv_seat_t * */
-    GHashTable *jobs;   /* gv_str_t * -> gv_active_t * */
-    GHashTable *queues; /* name -> gv_queue_info_t * */
+    GHashTable *targets; /* interned id -> gv_sched_target_t * */
+    GHashTable *jobs;    /* gv_str_t * -> gv_active_t * */
+    GHashTable *queues;  /* name -> gv_queue_info_t * */
     gv_loads_t *loads;
     GHashTable *advice; /* step name -> what the advice service said */
     int advice_open;    /* questions without an answer */
@@ -97,7 +97,7 @@
     int64_t sampled_ms;
 };
 
-gv_seat_t *GvSched_Seat(const gv_sched_t *s, const char *id);
+gv_sched_target_t *GvSched_Target(const gv_sched_t *s, const char *id);
 gv_active_t *GvSched_Job(const gv_sched_t *s, gv_str_t id);
 gv_str_t GvSched_ServiceOf(const gv_sched_t *s, const gv_job_t *job);
 const gv_queue_info_t *GvSched_QueueOf(const gv_sched_t *s,
@@ -107,7 +107,7 @@
 gv_active_t *GvSched_TaskByName(const gv_sched_t *s, gv_str_t name, int *task);
 
 gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_t *a, int task,
-                         gv_seat_t *seat, gv_run_phase_t phase,
+                         gv_sched_target_t *tgt, gv_run_phase_t phase,
                          int64_t now_ms);
 void GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why);
 void GvSched_StopRun(gv_sched_t *s, gv_run_t *r, const char *why,
@@ -118,12 +118,14 @@
                     int64_t now_ms);
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
-int64_t GvSched_NewLease(const gv_sched_t *s, gv_seat_t *seat, int64_t now_ms);
-void GvSched_Reborn(gv_sched_t *s, gv_seat_t *seat, int64_t born,
+int64_t GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt,
+                         int64_t now_ms);
+void GvSched_Reborn(gv_sched_t *s, gv_sched_target_t *tgt, int64_t born,
                     int64_t now_ms);
-void GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why);
+void GvSched_LoseTarget(gv_sched_t *s, gv_sched_target_t *tgt,
+                        const char *why);
 bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
-bool GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms);
+bool GvSched_TargetFresh(const gv_sched_target_t *tgt, int64_t now_ms);
 GHashTable *GvSched_NewAdvice(void);
 const char *GvSched_Ticket(const gv_sched_t *s, const gv_job_t *job, int task,
                            const char *target, int64_t now_ms);
@@ -133,6 +135,6 @@
                  gv_str_t service, int64_t now_ms);
 void GvSched_ForgetAdvice(gv_sched_t *s, const gv_job_t *job);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
-int64_t GvSched_StepSeats(gv_sched_t *s, int64_t now_ms);
+int64_t GvSched_StepTargets(gv_sched_t *s, int64_t now_ms);
 
 #endif
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -25,12 +25,12 @@
 /* Adds a run of a task on a target. For a new placement the task gets the
    next run number. */
 gv_run_t *
-GvSched_AddRun(gv_sched_t *s, gv_active_t *a, int task, gv_seat_t *seat,
+GvSched_AddRun(gv_sched_t *s, gv_active_t *a, int task, gv_sched_target_t *tgt,
                gv_run_phase_t phase, int64_t now_ms)
 {
     gv_task_t *t = &a->job->tasks[task];
     gv_run_t *r = g_new0(gv_run_t, 1);
-    r->seat = seat;
+    r->tgt = tgt;
     r->job = a;
     r->task = task;
     r->need = charged(GvJob_StepOf(a->job, task));
@@ -38,7 +38,7 @@
     r->placed_ms = now_ms;
     if (phase == GV_RUN_LOGGING) {
         t->state = GV_TASK_PLACED;
-        t->target = seat->id;
+        t->target = tgt->id;
         a->job->begun = true;
         a->dirty = true;
         g_ptr_array_add(s->logging, r);
@@ -46,9 +46,9 @@
     r->run = t->run;
     a->runs[task] = r;
     a->n_runs++;
-    GvRoom_Add(&seat->used, r->need);
-    seat->n_lasting += a->lasts ? 1 : 0;
-    g_ptr_array_add(seat->runs, r);
+    GvRoom_Add(&tgt->used, r->need);
+    tgt->n_lasting += a->lasts ? 1 : 0;
+    g_ptr_array_add(tgt->runs, r);
     return r;
 }
 
@@ -63,15 +63,15 @@
         char name[GV_TASK_NAME_BYTES];
         GvSched_TaskName(a->job, r->task, name, sizeof name);
         GvEvlog_Write("dropped", "task=%s run=%u target=%s why=\"%s\"", name,
-                      r->run, r->seat->id, why);
+                      r->run, r->tgt->id, why);
     }
     if (t->state == GV_TASK_PLACED) {
         t->state = GV_TASK_WAITING;
         a->dirty = true;
     }
-    GvRoom_Take(&r->seat->used, r->need);
-    r->seat->n_lasting -= a->lasts ? 1 : 0;
-    g_ptr_array_remove_fast(r->seat->runs, r);
+    GvRoom_Take(&r->tgt->used, r->need);
+    r->tgt->n_lasting -= a->lasts ? 1 : 0;
+    g_ptr_array_remove_fast(r->tgt->runs, r);
     g_ptr_array_remove_fast(s->logging, r);
     g_ptr_array_remove_fast(s->batched, r);
     a->runs[r->task] = NULL;
@@ -86,12 +86,12 @@
 /* Returns the deadline of a lease that begins now, on the target's clock, and
    notes until when the target may act on it. */
 int64_t
-GvSched_NewLease(const gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
     int64_t until =
         now_ms + s->o.lease_ms + s->o.lease_ms / 50 + GV_SCHED_LEASE_SLACK_MS;
-    seat->lease_until_ms = MAX(seat->lease_until_ms, until);
-    return now_ms + seat->clock_delta + s->o.lease_ms;
+    tgt->lease_until_ms = MAX(tgt->lease_until_ms, until);
+    return now_ms + tgt->clock_delta + s->o.lease_ms;
 }
 
 /* Orders a start whose record is stored. */
@@ -105,7 +105,7 @@
     }
     const gv_queue_info_t *q = GvSched_QueueOf(s, r->job->job);
     const char *ticket =
-        GvSched_Ticket(s, r->job->job, r->task, r->seat->id, now_ms);
+        GvSched_Ticket(s, r->job->job, r->task, r->tgt->id, now_ms);
     if (q != NULL && q->advice && ticket == NULL && !r->unsure) {
         GvSched_DropRun(s, r, "ticket ran out before the start");
         return;
@@ -114,12 +114,12 @@
     r->open = true;
     r->tries++;
     gv_start_order_t o = {
-        .target = r->seat->id,
-        .addr = r->seat->info.addr.p,
+        .target = r->tgt->id,
+        .addr = r->tgt->info.addr.p,
         .job = r->job->job,
         .task = r->task,
         .run = r->run,
-        .deadline_ms = GvSched_NewLease(s, r->seat, now_ms),
+        .deadline_ms = GvSched_NewLease(s, r->tgt, now_ms),
         .saved = t->saved,
         .ticket = ticket,
         .retry = r->tries > 1,
@@ -136,8 +136,8 @@
     r->open = true;
     r->tries++;
     r->next_ms = now_ms + GV_SCHED_STOP_REPEAT_MS;
-    gv_stop_order_t o = {.target = r->seat->id,
-                         .addr = r->seat->info.addr.p,
+    gv_stop_order_t o = {.target = r->tgt->id,
+                         .addr = r->tgt->info.addr.p,
                          .task = name,
                          .run = r->run};
     s->o.ops.stop(s->o.ops.user, &o);
@@ -157,7 +157,7 @@
     char name[GV_TASK_NAME_BYTES];
     GvSched_TaskName(r->job->job, r->task, name, sizeof name);
     GvEvlog_Write("stop", "task=%s run=%u target=%s why=\"%s\"", name, r->run,
-                  r->seat->id, why);
+                  r->tgt->id, why);
     r->phase = GV_RUN_STOPPING;
     r->tries = 0;
     r->known_ms = 0;
@@ -240,19 +240,19 @@
 /* Judges a target by how its runs end: one that fails run after run gets no
    more work for a while. */
 static void
-judge_seat(gv_seat_t *seat, gv_end_t how, int64_t now_ms)
+judge_target(gv_sched_target_t *tgt, gv_end_t how, int64_t now_ms)
 {
     if (how == GV_END_DONE) {
-        seat->failures = 0;
+        tgt->failures = 0;
     }
     if (how != GV_END_FAILED) {
         return;
     }
-    seat->failures++;
-    if (seat->failures >= GV_SCHED_FAILURES) {
-        seat->avoid_until_ms = now_ms + GV_SCHED_AVOID_MS;
-        GvEvlog_Write("avoid", "target=%s failures=%d for_ms=%d", seat->id,
-                      seat->failures, GV_SCHED_AVOID_MS);
+    tgt->failures++;
+    if (tgt->failures >= GV_SCHED_FAILURES) {
+        tgt->avoid_until_ms = now_ms + GV_SCHED_AVOID_MS;
+        GvEvlog_Write("avoid", "target=%s failures=%d for_ms=%d", tgt->id,
+                      tgt->failures, GV_SCHED_AVOID_MS);
     }
 }
 
@@ -265,9 +265,9 @@
     gv_active_t *a = r->job;
     int task = r->task;
     GvEvlog_Write("end", "task=%.*s run=%u target=%s how=%s ms=%lld",
-                  GV_STR_ARG(e->task), r->run, r->seat->id, names[e->how],
+                  GV_STR_ARG(e->task), r->run, r->tgt->id, names[e->how],
                   (long long)(now_ms - r->placed_ms));
-    judge_seat(r->seat, e->how, now_ms);
+    judge_target(r->tgt, e->how, now_ms);
     a->started = true;
     keep_saved(a, task, e->saved);
     if (e->how == GV_END_DONE) {
@@ -281,35 +281,35 @@
 }
 
 static bool
-take_answer(gv_sched_t *s, gv_seat_t *seat, const gv_order_answer_t *a,
+take_answer(gv_sched_t *s, gv_sched_target_t *tgt, const gv_order_answer_t *a,
             int64_t now_ms)
 {
     if (a->result == GV_ORDER_FENCED) {
-        GvEvlog_Write("fenced", "target=%s epoch=%llu", seat->id,
+        GvEvlog_Write("fenced", "target=%s epoch=%llu", tgt->id,
                       (unsigned long long)s->o.epoch);
         s->fenced = true;
         return false;
     }
-    bool reborn = a->born != 0 && seat->born != 0 && a->born != seat->born;
+    bool reborn = a->born != 0 && tgt->born != 0 && a->born != tgt->born;
     if (a->result == GV_ORDER_OTHER_LIFE) {
-        GvSched_LoseSeat(s, seat, "another target answers");
-        seat->synced = false;
-        seat->listed = false;
+        GvSched_LoseTarget(s, tgt, "another target answers");
+        tgt->synced = false;
+        tgt->listed = false;
         return false;
     }
-    if (reborn && a->born < seat->born) {
+    if (reborn && a->born < tgt->born) {
         return false; /* the answer of a former life */
     }
     if (reborn) {
-        GvSched_Reborn(s, seat, a->born, now_ms);
+        GvSched_Reborn(s, tgt, a->born, now_ms);
         return false;
     }
     if (a->born != 0) {
-        seat->born = a->born;
+        tgt->born = a->born;
     }
     if (a->clock_ms != 0) {
-        seat->clock_delta = a->clock_ms - now_ms;
-        seat->answered_ms = now_ms;
+        tgt->clock_delta = a->clock_ms - now_ms;
+        tgt->answered_ms = now_ms;
     }
     return true;
 }
@@ -321,7 +321,7 @@
     int task;
     gv_active_t *a = GvSched_TaskByName(s, GvStr_C(name), &task);
     gv_run_t *r = a == NULL ? NULL : a->runs[task];
-    if (r == NULL || r->run != run || strcmp(r->seat->id, target) != 0) {
+    if (r == NULL || r->run != run || strcmp(r->tgt->id, target) != 0) {
         return NULL;
     }
     return r;
@@ -333,7 +333,7 @@
 start_refused(gv_sched_t *s, gv_run_t *r, const char *why, int avoid_ms,
               int64_t now_ms)
 {
-    r->seat->avoid_until_ms = MAX(r->seat->avoid_until_ms, now_ms + avoid_ms);
+    r->tgt->avoid_until_ms = MAX(r->tgt->avoid_until_ms, now_ms + avoid_ms);
     if (r->unsure) {
         GvSched_StopRun(s, r, why, now_ms);
     }
@@ -350,7 +350,7 @@
         GvSched_SendStart(s, r, now_ms);
         return;
     }
-    r->seat->avoid_until_ms = now_ms + GV_SCHED_SILENT_MS;
+    r->tgt->avoid_until_ms = now_ms + GV_SCHED_SILENT_MS;
     GvSched_StopRun(s, r, "start without an answer", now_ms);
 }
 
@@ -370,8 +370,8 @@
 GvSched_Started(gv_sched_t *s, const char *target, const char *task,
                 uint32_t run, const gv_order_answer_t *a, int64_t now_ms)
 {
-    gv_seat_t *seat = GvSched_Seat(s, target);
-    if (seat == NULL || !take_answer(s, seat, a, now_ms)) {
+    gv_sched_target_t *tgt = GvSched_Target(s, target);
+    if (tgt == NULL || !take_answer(s, tgt, a, now_ms)) {
         return;
     }
     gv_run_t *r = find_run(s, target, task, run);
@@ -409,7 +409,7 @@
         start_refused(s, r, "no room on target", GV_SCHED_ROOM_MS, now_ms);
         return;
     case GV_ORDER_LATE:
-        seat->synced = false;
+        tgt->synced = false;
         start_refused(s, r, "deadline passed on target", 0, now_ms);
         return;
     case GV_ORDER_NO_TICKET:
@@ -431,8 +431,8 @@
 GvSched_Stopped(gv_sched_t *s, const char *target, const char *task,
                 uint32_t run, const gv_order_answer_t *a, int64_t now_ms)
 {
-    gv_seat_t *seat = GvSched_Seat(s, target);
-    if (seat == NULL || !take_answer(s, seat, a, now_ms)) {
+    gv_sched_target_t *tgt = GvSched_Target(s, target);
+    if (tgt == NULL || !take_answer(s, tgt, a, now_ms)) {
         return;
     }
     gv_run_t *r = find_run(s, target, task, run);
@@ -448,23 +448,23 @@
 /* Stops a run that this scheduler does not know, once in a while until it is
    gone. */
 static void
-stop_stray(gv_sched_t *s, gv_seat_t *seat, const gv_running_t *run,
+stop_stray(gv_sched_t *s, gv_sched_target_t *tgt, const gv_running_t *run,
            int64_t now_ms)
 {
     char key[2 * GV_TASK_NAME_BYTES];
     char name[GV_TASK_NAME_BYTES];
     g_snprintf(name, sizeof name, "%.*s", GV_STR_ARG(run->task));
-    g_snprintf(key, sizeof key, "%s %s %u", seat->id, name, run->run);
+    g_snprintf(key, sizeof key, "%s %s %u", tgt->id, name, run->run);
     int64_t *last = g_hash_table_lookup(s->strays, key);
     if (last != NULL && now_ms < *last + GV_SCHED_STOP_REPEAT_MS) {
         return;
     }
     GvEvlog_Write("stray", "task=%s run=%u target=%s", name, run->run,
-                  seat->id);
+                  tgt->id);
     g_hash_table_replace(s->strays, g_strdup(key),
                          g_memdup2(&now_ms, sizeof now_ms));
-    gv_stop_order_t o = {.target = seat->id,
-                         .addr = seat->info.addr.p,
+    gv_stop_order_t o = {.target = tgt->id,
+                         .addr = tgt->info.addr.p,
                          .task = name,
                          .run = run->run};
     s->o.ops.stop(s->o.ops.user, &o);
@@ -473,21 +473,22 @@
 /* Takes one end. Returns false for one that has to stay on its target, as its
    job may still be read: later ends of that target then stay too. */
 static bool
-take_end(gv_sched_t *s, gv_seat_t *seat, const gv_ended_t *e, int64_t now_ms)
+take_end(gv_sched_t *s, gv_sched_target_t *tgt, const gv_ended_t *e,
+         int64_t now_ms)
 {
     int task;
-    if (e->number <= seat->noted) {
+    if (e->number <= tgt->noted) {
         return true;
     }
     gv_active_t *a = GvSched_TaskByName(s, e->task, &task);
     if (a == NULL && !s->jobs_known) {
         GvEvlog_Write("end", "task=%.*s run=%u target=%s job not read yet",
-                      GV_STR_ARG(e->task), e->run, seat->id);
+                      GV_STR_ARG(e->task), e->run, tgt->id);
         return false;
     }
-    seat->noted = e->number;
+    tgt->noted = e->number;
     gv_run_t *r = a == NULL ? NULL : a->runs[task];
-    if (r != NULL && r->run == e->run && r->seat == seat) {
+    if (r != NULL && r->run == e->run && r->tgt == tgt) {
         GvSched_EndRun(s, r, e, now_ms);
         return true;
     }
@@ -495,7 +496,7 @@
         a->job->tasks[task].state != GV_TASK_DONE) {
         /* An earlier run that was taken for lost was done after all. */
         GvEvlog_Write("end", "task=%.*s run=%u target=%s how=done late=1",
-                      GV_STR_ARG(e->task), e->run, seat->id);
+                      GV_STR_ARG(e->task), e->run, tgt->id);
         settle_done(a, task);
         if (r != NULL) {
             GvSched_StopRun(s, r, "an earlier run was done", now_ms);
@@ -505,7 +506,7 @@
 }
 
 static void
-take_running(gv_sched_t *s, gv_seat_t *seat, const gv_running_t *x,
+take_running(gv_sched_t *s, gv_sched_target_t *tgt, const gv_running_t *x,
              int64_t now_ms)
 {
     int task;
@@ -514,8 +515,8 @@
     if (a == NULL && !s->jobs_known) {
         return;
     }
-    if (r == NULL || r->run != x->run || r->seat != seat) {
-        stop_stray(s, seat, x, now_ms);
+    if (r == NULL || r->run != x->run || r->tgt != tgt) {
+        stop_stray(s, tgt, x, now_ms);
         return;
     }
     r->listed = true;
@@ -532,14 +533,14 @@
 /* Drops the runs that the target should list and does not: those whose newest
    order it had confirmed before this list was asked for. */
 static void
-drop_missing(gv_sched_t *s, gv_seat_t *seat)
+drop_missing(gv_sched_t *s, gv_sched_target_t *tgt)
 {
-    for (guint i = seat->runs->len; i > 0; i--) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         bool settled =
             r->phase == GV_RUN_INHERITED ||
             ((r->phase == GV_RUN_ACTIVE || r->phase == GV_RUN_STOPPING) &&
-             r->known_ms > 0 && r->known_ms < seat->hold_sent_ms);
+             r->known_ms > 0 && r->known_ms < tgt->hold_sent_ms);
         if (!r->listed && settled) {
             GvSched_DropRun(s, r, "not on its target");
         }
@@ -551,40 +552,40 @@
 GvSched_Held(gv_sched_t *s, const char *target, const gv_hold_answer_t *a,
              int64_t now_ms)
 {
-    gv_seat_t *seat = GvSched_Seat(s, target);
-    if (seat == NULL) {
+    gv_sched_target_t *tgt = GvSched_Target(s, target);
+    if (tgt == NULL) {
         return;
     }
-    seat->hold_open = false;
-    bool ours = take_answer(s, seat, &a->answer, now_ms);
+    tgt->hold_open = false;
+    bool ours = take_answer(s, tgt, &a->answer, now_ms);
     if (!ours || a->answer.result != GV_ORDER_DONE) {
-        if (seat->hold_failures++ == 0) {
-            GvEvlog_Write("target", "target=%s hold failed result=%d",
-                          seat->id, a->answer.result);
+        if (tgt->hold_failures++ == 0) {
+            GvEvlog_Write("target", "target=%s hold failed result=%d", tgt->id,
+                          a->answer.result);
         }
-        seat->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
+        tgt->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
         return;
     }
-    seat->hold_failures = 0;
-    seat->held_ms = now_ms;
-    seat->synced = true;
-    seat->wanted = false;
-    seat->hold_next_ms = now_ms;
-    for (guint i = 0; i < seat->runs->len; i++) {
-        ((gv_run_t *)g_ptr_array_index(seat->runs, i))->listed = false;
+    tgt->hold_failures = 0;
+    tgt->held_ms = now_ms;
+    tgt->synced = true;
+    tgt->wanted = false;
+    tgt->hold_next_ms = now_ms;
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        ((gv_run_t *)g_ptr_array_index(tgt->runs, i))->listed = false;
     }
     bool all_ends = true;
     for (int i = 0; all_ends && i < a->n_ended; i++) {
-        all_ends = take_end(s, seat, &a->ended[i], now_ms);
+        all_ends = take_end(s, tgt, &a->ended[i], now_ms);
     }
     for (int i = 0; i < a->n_running; i++) {
-        take_running(s, seat, &a->running[i], now_ms);
+        take_running(s, tgt, &a->running[i], now_ms);
     }
     if (all_ends) {
-        drop_missing(s, seat);
+        drop_missing(s, tgt);
     }
     else {
-        seat->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
+        tgt->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
     }
     s->place_due = true;
 }
--- a/src/sched_seat.c
+++ b/src/sched_target.c
@@ -6,33 +6,34 @@
    lapsed. */
 
 static void
-forget_ends(gv_seat_t *seat)
+forget_ends(gv_sched_target_t *tgt)
 {
-    seat->noted = 0;
-    seat->noted_batch = 0;
-    seat->noted_stored = 0;
-    seat->noted_told = 0;
+    tgt->noted = 0;
+    tgt->noted_batch = 0;
+    tgt->noted_stored = 0;
+    tgt->noted_told = 0;
 }
 
 /* Ends all runs on a target that is gone, and whose orders no other target
    will carry out. */
 void
-GvSched_LoseSeat(gv_sched_t *s, gv_seat_t *seat, const char *why)
+GvSched_LoseTarget(gv_sched_t *s, gv_sched_target_t *tgt, const char *why)
 {
-    for (guint i = seat->runs->len; i > 0; i--) {
-        GvSched_DropRun(s, g_ptr_array_index(seat->runs, i - 1), why);
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        GvSched_DropRun(s, g_ptr_array_index(tgt->runs, i - 1), why);
     }
-    forget_ends(seat);
+    forget_ends(tgt);
 }
 
 /* A target was started anew under its identifier. Confirmed runs ended with
    its former life. An order that was on its way may be carried out by the new
    life: that run is stopped there, or looked for in its first list. */
 void
-GvSched_Reborn(gv_sched_t *s, gv_seat_t *seat, int64_t born, int64_t now_ms)
+GvSched_Reborn(gv_sched_t *s, gv_sched_target_t *tgt, int64_t born,
+               int64_t now_ms)
 {
-    for (guint i = seat->runs->len; i > 0; i--) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         switch (r->phase) {
         case GV_RUN_ACTIVE:
             GvSched_DropRun(s, r, "target was started anew");
@@ -48,54 +49,54 @@
             break;
         }
     }
-    forget_ends(seat);
-    seat->born = born;
-    seat->synced = false;
+    forget_ends(tgt);
+    tgt->born = born;
+    tgt->synced = false;
 }
 
 static bool
-needs_hold(const gv_seat_t *seat)
+needs_hold(const gv_sched_target_t *tgt)
 {
-    return seat->runs->len > 0 || seat->noted_stored > seat->noted_told ||
-           (seat->listed && (!seat->synced || seat->wanted));
+    return tgt->runs->len > 0 || tgt->noted_stored > tgt->noted_told ||
+           (tgt->listed && (!tgt->synced || tgt->wanted));
 }
 
 static void
-send_hold(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+send_hold(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    bool known = seat->answered_ms > 0;
-    bool unstored = seat->noted > seat->noted_stored;
+    bool known = tgt->answered_ms > 0;
+    bool unstored = tgt->noted > tgt->noted_stored;
     gv_hold_order_t o = {
-        .target = seat->id,
-        .addr = seat->info.addr.p,
-        .noted = seat->noted_stored,
-        .wait_ms = seat->runs->len > 0 && seat->synced && !unstored &&
-                           seat->hold_failures == 0
+        .target = tgt->id,
+        .addr = tgt->info.addr.p,
+        .noted = tgt->noted_stored,
+        .wait_ms = tgt->runs->len > 0 && tgt->synced && !unstored &&
+                           tgt->hold_failures == 0
                        ? GV_SCHED_HOLD_WAIT_MS
                        : 0,
-        .retry = seat->hold_failures > 0,
+        .retry = tgt->hold_failures > 0,
     };
     /* A target that did not answer is asked without a new lease: otherwise
        the lease of one that is gone would never be known to have ended. */
-    if (known && seat->runs->len > 0 && seat->hold_failures == 0) {
-        o.deadline_ms = GvSched_NewLease(s, seat, now_ms);
+    if (known && tgt->runs->len > 0 && tgt->hold_failures == 0) {
+        o.deadline_ms = GvSched_NewLease(s, tgt, now_ms);
     }
-    seat->hold_open = true;
-    seat->hold_sent_ms = now_ms;
-    seat->noted_told = seat->noted_stored;
+    tgt->hold_open = true;
+    tgt->hold_sent_ms = now_ms;
+    tgt->noted_told = tgt->noted_stored;
     s->o.ops.hold(s->o.ops.user, &o);
 }
 
 /* Drops the runs whose lease has ended for certain; those that were not
    ordered yet have none. */
 static void
-lapse_runs(gv_sched_t *s, gv_seat_t *seat)
+lapse_runs(gv_sched_t *s, gv_sched_target_t *tgt)
 {
-    for (guint i = seat->runs->len; i > 0; i--) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i - 1);
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         if (r->phase != GV_RUN_LOGGING) {
             GvSched_DropRun(s, r, "lease ended without contact");
-            seat->synced = false;
+            tgt->synced = false;
         }
     }
 }
@@ -106,8 +107,8 @@
 at_work(const gv_run_t *r, int64_t now_ms)
 {
     return r != NULL && r->phase == GV_RUN_ACTIVE && r->listed &&
-           r->percent >= 100 && r->seat->hold_failures == 0 &&
-           now_ms - r->seat->held_ms < GV_SCHED_SEEN_MS;
+           r->percent >= 100 && r->tgt->hold_failures == 0 &&
+           now_ms - r->tgt->held_ms < GV_SCHED_SEEN_MS;
 }
 
 /* Tells whether a run may be stopped by planned work: so few tasks of its
@@ -130,41 +131,41 @@
 
 /* Ends what has lapsed on one target, repeats its stops and holds it. */
 static void
-step_seat(gv_sched_t *s, gv_seat_t *seat, int64_t now_ms)
+step_target(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    if (seat->runs->len > 0 && now_ms > seat->lease_until_ms) {
-        lapse_runs(s, seat);
+    if (tgt->runs->len > 0 && now_ms > tgt->lease_until_ms) {
+        lapse_runs(s, tgt);
     }
-    for (guint i = 0; i < seat->runs->len; i++) {
-        gv_run_t *r = g_ptr_array_index(seat->runs, i);
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i);
         if (r->phase == GV_RUN_STOPPING && !r->open && r->known_ms == 0 &&
             now_ms >= r->next_ms) {
             GvSched_SendStop(s, r, now_ms);
         }
     }
     /* While an end is being stored the hold would return at once. */
-    bool storing = seat->noted > seat->noted_stored;
-    int64_t due = storing ? seat->hold_sent_ms + GV_SCHED_HOLD_WAIT_MS
-                          : seat->hold_next_ms;
-    if (!seat->hold_open && needs_hold(seat) && seat->info.addr.n > 0 &&
+    bool storing = tgt->noted > tgt->noted_stored;
+    int64_t due = storing ? tgt->hold_sent_ms + GV_SCHED_HOLD_WAIT_MS
+                          : tgt->hold_next_ms;
+    if (!tgt->hold_open && needs_hold(tgt) && tgt->info.addr.n > 0 &&
         now_ms >= due) {
-        send_hold(s, seat, now_ms);
+        send_hold(s, tgt, now_ms);
     }
 }
 
 /* Steps every target; one that is gone and empty is forgotten. Returns when
    to come back without an event. */
 int64_t
-GvSched_StepSeats(gv_sched_t *s, int64_t now_ms)
+GvSched_StepTargets(gv_sched_t *s, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
-    g_hash_table_iter_init(&it, s->seats);
+    g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_seat_t *seat = value;
-        step_seat(s, seat, now_ms);
-        if (!seat->listed && seat->runs->len == 0 && !seat->hold_open &&
-            now_ms > seat->lease_until_ms) {
+        gv_sched_target_t *tgt = value;
+        step_target(s, tgt, now_ms);
+        if (!tgt->listed && tgt->runs->len == 0 && !tgt->hold_open &&
+            now_ms > tgt->lease_until_ms) {
             g_hash_table_iter_remove(&it);
         }
     }
@@ -173,8 +174,8 @@
 
 /* Tells whether the target's clock is known well enough to set deadlines. */
 bool
-GvSched_SeatFresh(const gv_seat_t *seat, int64_t now_ms)
+GvSched_TargetFresh(const gv_sched_target_t *tgt, int64_t now_ms)
 {
-    return seat->synced && seat->hold_failures == 0 &&
-           now_ms - seat->answered_ms < GV_SCHED_CLOCK_MS;
+    return tgt->synced && tgt->hold_failures == 0 &&
+           now_ms - tgt->answered_ms < GV_SCHED_CLOCK_MS;
 }
