Keep the progress of a job whose definition cannot be read here

A host of an older version that leads would take a definition that it cannot read for one that is gone, and drop the progress; a newer host would then run the job anew. The line about a refused count of waiting jobs read past the end of the list of names. Change: the partition of an unreadable definition is remembered; the list has its fourth name. Before, after: job_retire, last part: the progress is dropped at 100 s before, never now.

--- a/src/intake.c
+++ b/src/intake.c
@@ -56,7 +56,7 @@
 static void
 say(gv_intake_t *in, gv_asked_t *rq, gv_intake_reply_t r)
 {
-    static const char *const asks[] = {"submit", "state", "cancel"};
+    static const char *const asks[] = {"submit", "state", "cancel", "count"};
     static const char *const said[] = {
         "accepted", "cancelled", "state",   "pending", "no-job",
         "no-queue", "invalid",   "not-run", "unknown", "unavailable"};
--- a/src/job_retire.c
+++ b/src/job_retire.c
@@ -36,7 +36,8 @@
     else if (e->ended_ms == 0) {
         e->ended_ms = now_ms;
     }
-    if (e->job != NULL) {
+    /* A definition that cannot be read here may be read by another host. */
+    if (e->job != NULL || e->defined_in != 0) {
         e->orphan_ms = 0;
     }
     else if (e->orphan_ms == 0) {
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -118,13 +118,13 @@
         return GV_CHANGE_NONE;
     }
     int rc = GvJobRecord_ReadDefinition(value, &job);
+    e = entry_of(t, id);
+    e->defined_in |= UINT64_C(1) << at.part;
     if (rc != GV_OK || !GvStr_Equal(job->id, id)) {
         GvJob_Free(job);
         return malformed(t, key, rc == GV_OK ? GV_EINVAL : rc);
     }
-    e = entry_of(t, id);
     e->job = job;
-    e->defined_in |= UINT64_C(1) << at.part;
     job->cancelled = e->cancelled;
     if (e->progress != NULL) {
         rc = GvJobRecord_ReadProgress(
--- a/src/leader.c
+++ b/src/leader.c
@@ -262,7 +262,8 @@
     c->renewed_ms = now_ms;
     g_byte_array_set_size(c->records, 0);
     GvCounter_Set(&is_leader, 1);
-    GvEvlog_Write("lead", "leader epoch=%llu", (unsigned long long)c->epoch);
+    GvEvlog_Write("lead", "became leader epoch=%llu",
+                  (unsigned long long)c->epoch);
     c->sched = c->o.ops.begin(c->o.ops.user, c->epoch);
 }
 
--- a/tests/script_retire.c
+++ b/tests/script_retire.c
@@ -94,19 +94,23 @@
     printf("jobs_new\n");
 }
 
-/* job define|cancel|end ID part=N */
+/* job define|cancel|end|garble ID part=N: the last is a definition that
+   cannot be read */
 GV_VERB("job", job_verb)
 {
     char key[GV_JOB_ID_BYTES + 2];
     msgpack_sbuffer sb;
-    int what = INDEX(argv[1], "define", "cancel", "end");
+    int what = INDEX(argv[1], "define", "cancel", "end", "garble");
     gv_job_t *j = job_of(argv[2], what == 2);
     msgpack_sbuffer_init(&sb);
-    g_snprintf(key, sizeof key, "%c%s", "JCP"[what], argv[2]);
+    g_snprintf(key, sizeof key, "%c%s", "JCPJ"[what], argv[2]);
     printf("job %s %s\n", argv[1], argv[2]);
     if (what == 2) {
         GvJobRecord_PackProgress(j, &sb);
     }
+    else if (what == 3) {
+        msgpack_sbuffer_write(&sb, "?", 1);
+    }
     else {
         GvJobRecord_PackDefinition(j, &sb);
     }
