--- a/src/leader.h
+++ b/src/leader.h
@@ -6,10 +6,10 @@
 #include "sched.h"
 #include "store_result.h"
 
-/* Leading: claims the lease, stores the progress of
-   jobs in order under its epoch, renews the lease, and gives it up. One
-   append is open at a time and is repeated unchanged until its result is
-   known. No input or output: appends leave through gv_leader_ops_t. */
+/* The leader: claims the lease to schedule, stores the progress of jobs in
+   order under its epoch, renews the lease, and gives it up. One append is open
+   at a time and is repeated unchanged until its result is known. No input or
+   output: appends leave through gv_leader_ops_t. */
 
 typedef struct gv_leader_s gv_leader_t;
 
@@ -52,8 +52,8 @@
    was read at heard_ms. */
 void GvLeader_Step(gv_leader_t *c, const gv_lead_t *lead, bool current,
                    uint64_t next, int64_t failed_ms, int64_t now_ms);
-/* A slow store delays the records of the leader: call_ms is how
-   long its calls take at present. */
+/* A slow store delays the leader's records: call_ms is how long its calls take
+   at present. */
 void GvLeader_StoreSpeed(gv_leader_t *c, int call_ms);
 void GvLeader_Heard(gv_leader_t *c, int64_t now_ms);
 void GvLeader_Paused(gv_leader_t *c, int64_t now_ms);
