Close claims without a test: pools without hosts, unread jobs, old counts

Read once more: pool_moves passed with the sizing of pools without hosts switched off, as the script gave every pool the size of a host; the adapter's part of two mechanisms had no test. Change: the sizing is in the pure plan and a mutant of it is caught. proc_jobs kills a leader whose jobs no other host has read, and asks for a count while accepted work cannot be read; both mutants are caught. Four copies of the hash functions for keys are one in str.c. Run: all scripts, test_base, test_sched, proc_jobs (7 scenarios), lint.

--- a/src/estimate.c
+++ b/src/estimate.c
@@ -22,18 +22,6 @@
     row_t all;        /* the service's mean */
 };
 
-static guint
-hash_str(gconstpointer p)
-{
-    return GvStr_Hash(*(const gv_str_t *)p);
-}
-
-static gboolean
-equal_str(gconstpointer a, gconstpointer b)
-{
-    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
-}
-
 static void
 free_row(gpointer p)
 {
@@ -49,7 +37,8 @@
     gv_estimate_t *e = g_new0(gv_estimate_t, 1);
     e->short_ms = o->short_ms;
     e->max_kinds = o->max_kinds > 0 ? o->max_kinds : GV_ESTIMATE_KINDS;
-    e->rows = g_hash_table_new_full(hash_str, equal_str, NULL, free_row);
+    e->rows =
+        g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL, free_row);
     return e;
 }
 
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -8,18 +8,6 @@
 #include "log.h"
 #include "pack.h"
 
-static guint
-hash_id(gconstpointer key)
-{
-    return GvStr_Hash(*(const gv_str_t *)key);
-}
-
-static gboolean
-equal_id(gconstpointer a, gconstpointer b)
-{
-    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
-}
-
 static void
 free_entry(gpointer p)
 {
@@ -43,7 +31,8 @@
 GvJobTable_New(void)
 {
     gv_job_table_t *t = g_new0(gv_job_table_t, 1);
-    t->jobs = g_hash_table_new_full(hash_id, equal_id, NULL, free_entry);
+    t->jobs = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
+                                    free_entry);
     t->waves =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_bytes);
     return t;
--- a/src/once.c
+++ b/src/once.c
@@ -32,18 +32,6 @@
     int64_t now_ms;
 };
 
-static guint
-hash_id(gconstpointer p)
-{
-    return GvStr_Hash(*(const gv_str_t *)p);
-}
-
-static gboolean
-equal_ids(gconstpointer a, gconstpointer b)
-{
-    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
-}
-
 static void
 free_entry(gpointer p)
 {
@@ -63,7 +51,8 @@
     gv_once_t *o = g_new0(gv_once_t, 1);
     o->entry = GvStr_Dup(entry);
     o->incarnation = incarnation;
-    o->entries = g_hash_table_new_full(hash_id, equal_ids, NULL, free_entry);
+    o->entries = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
+                                       free_entry);
     return o;
 }
 
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -69,23 +69,6 @@
     g_ptr_array_add(in->hosts, h);
 }
 
-/* A pool without hosts is to get hosts like those of the others. */
-static void
-size_pools(gv_plan_input_t *in)
-{
-    int64_t largest = 0;
-    for (guint i = 0; i < in->pools->len; i++) {
-        largest =
-            MAX(largest, g_array_index(in->pools, gv_plan_pool_t, i).host_cpu);
-    }
-    for (guint i = 0; i < in->pools->len; i++) {
-        gv_plan_pool_t *pl = &g_array_index(in->pools, gv_plan_pool_t, i);
-        if (pl->host_cpu == 0) {
-            pl->host_cpu = largest;
-        }
-    }
-}
-
 /* Logs once a second what each pool has and wants. */
 static void
 log_pools(gv_pools_t *p, const gv_plan_input_t *in, int64_t now_ms)
@@ -145,7 +128,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         add_host(p, &in, value, now_ms, wall_ms);
     }
-    size_pools(&in);
+    GvPoolPlan_Size((gv_plan_pool_t *)in.pools->data, (int)in.pools->len);
     log_pools(p, &in, now_ms);
     begin_moves(p, &in, now_ms);
     g_ptr_array_free(in.names, TRUE);
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -12,6 +12,22 @@
                MAX(d->arriving_cpu * GV_POOL_RAMP_TIMES, d->expected_cpu));
 }
 
+/* Sizes the hosts of pools without any like the largest of the others: such a
+   pool would want none. */
+void
+GvPoolPlan_Size(gv_plan_pool_t *pools, int n_pools)
+{
+    int64_t largest = 0;
+    for (int i = 0; i < n_pools; i++) {
+        largest = MAX(largest, pools[i].host_cpu);
+    }
+    for (int i = 0; i < n_pools; i++) {
+        if (pools[i].host_cpu == 0) {
+            pools[i].host_cpu = largest;
+        }
+    }
+}
+
 /* Returns the number of hosts that a pool should have. Tasks do not divide
    evenly over hosts: a part of each counts as unusable. */
 int
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -32,6 +32,7 @@
 } gv_plan_move_t;
 
 int64_t GvPoolPlan_Need(const gv_demand_t *d);
+void GvPoolPlan_Size(gv_plan_pool_t *pools, int n_pools);
 int GvPoolPlan_Wanted(const gv_plan_pool_t *pool);
 int GvPoolPlan_Moves(const gv_plan_pool_t *pools, int n_pools,
                      const gv_plan_host_t *hosts, int n_hosts,
--- a/src/sched.c
+++ b/src/sched.c
@@ -10,18 +10,6 @@
 
 GV_HISTOGRAM(job_ms, "job_ms", "From the acceptance of a job to its end");
 
-static guint
-hash_str(gconstpointer key)
-{
-    return GvStr_Hash(*(const gv_str_t *)key);
-}
-
-static gboolean
-equal_str(gconstpointer a, gconstpointer b)
-{
-    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
-}
-
 static void
 clear_info(gv_target_info_t *i)
 {
@@ -73,8 +61,10 @@
     s->learning = true;
     s->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_target);
-    s->jobs = g_hash_table_new_full(hash_str, equal_str, NULL, free_active);
-    s->queues = g_hash_table_new_full(hash_str, equal_str, NULL, free_queue);
+    s->jobs = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
+                                    free_active);
+    s->queues = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
+                                      free_queue);
     s->loads = GvLoads_New();
     s->advice = GvSched_NewAdvice();
     s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/str.c
+++ b/src/str.c
@@ -66,6 +66,18 @@
     return (unsigned)XXH3_64bits(s.p, s.n);
 }
 
+unsigned
+GvStr_HashKey(const void *key)
+{
+    return GvStr_Hash(*(const gv_str_t *)key);
+}
+
+int
+GvStr_EqualKeys(const void *a, const void *b)
+{
+    return GvStr_Equal(*(const gv_str_t *)a, *(const gv_str_t *)b);
+}
+
 /* Tells whether s is a valid name: 1 to GV_NAME_MAX_BYTES letters, digits,
    '-' or '_'. '.' is left out because tickets use it as a separator. */
 bool
--- a/src/str.h
+++ b/src/str.h
@@ -22,6 +22,9 @@
 bool GvStr_Equal(gv_str_t a, gv_str_t b);
 int GvStr_Compare(gv_str_t a, gv_str_t b);
 unsigned GvStr_Hash(gv_str_t s);
+/* For hash tables of GLib whose keys are gv_str_t *. */
+unsigned GvStr_HashKey(const void *key);
+int GvStr_EqualKeys(const void *a, const void *b);
 bool GvStr_IsName(gv_str_t s);
 
 #endif
--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -59,6 +59,7 @@
         self.lock = threading.Condition()
         self.parts = collections.defaultdict(list)  # (topic, part) -> records
         self.producers = {}  # (topic, part, producer) -> [epoch, seq, answers]
+        self.refused = ""  # reads of topics that end so are answered 503
         self.mode = "up"  # busy: 503; silent: no answer; lost: done, no answer
         self.server, self.addr = serve(self.handle)
 
@@ -77,6 +78,8 @@
         if path == "/api/log-append":
             answer = self.append(at, query, body)
             return None if self.mode == "lost" else answer
+        if self.refused and at[0].endswith(self.refused):
+            return 503, b""
         if path == "/api/log-read":
             return self.read(at, query)
         if path == "/api/log-newest":
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -168,6 +168,41 @@
     target.silent = False
 
 
+def unread_jobs(fleet):
+    """Guards against a new leader that takes the end of a job which it has not
+    read for that of one long gone: the job would run again."""
+    leader = wait_until(fleet.leader, 10, "a leader")
+    fleet.store.refused = "-accepted"
+    jobs = [fleet.submit(leader, 600 + n, steps=1)[0] for n in range(4)]
+    wait_until(lambda: sum(what == "start" and task.startswith(tuple(jobs))
+                           for _, what, _, task, _ in fleet.history) == 8,
+               5, "tasks start")
+    fleet.procs.kill(leader)
+    rest = next(name for name in fleet.fronts if name != leader)
+    wait_until(lambda: fleet.leader() != leader, 10, "another leader")
+    time.sleep(1.5)  # it holds the targets, which list the ends
+    fleet.store.refused = ""
+    wait_until(lambda: all(fleet.state(rest, job) == "done" for job in jobs),
+               20, "jobs done")
+    fleet.start(leader)
+    starts = [task for _, what, _, task, _ in fleet.history
+              if what == "start" and task.startswith(tuple(jobs))]
+    assert len(starts) == len(set(starts)), "a task ran again"
+
+
+def old_count(fleet):
+    """Guards against a count of waiting jobs by a host that has read nothing
+    for seconds."""
+    count = lambda: call(fleet.fronts["host-1"], "GET", "/q/",
+                         headers={"Host": HOST}).status
+    assert count() == 200
+    fleet.store.refused = "-accepted"
+    time.sleep(4)  # a read that was open ends, then 2 s
+    assert count() == 503, "an old count is told"
+    fleet.store.refused = ""
+    wait_until(lambda: count() == 200, 5, "counted again")
+
+
 def graceful_stop(fleet):
     """Guards against a planned stop that loses work or ends uncleanly."""
     leader = fleet.leader()
@@ -183,7 +218,8 @@
     fleet = Fleet(sys.argv[1])
     try:
         for scenario in (accepts_and_runs, survives_leader, refuses_truly,
-                         silent_target, graceful_stop):
+                         silent_target, unread_jobs, old_count,
+                         graceful_stop):
             try:
                 begun = time.monotonic()
                 scenario(fleet)
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -176,7 +176,6 @@
 GV_VERB("plan_pool", plan_pool)
 {
     pools[n_pools++] = (gv_plan_pool_t){.need_cpu = OPT("need", 0),
-                                        .host_cpu = 16000,
                                         .standby = OPT("standby", 0) != 0,
                                         .fixed = OPT("fixed", 0) != 0,
                                         .keep = OPT("keep", 2),
@@ -199,6 +198,7 @@
     for (uint64_t i = 0; i < NUM(1); i++) {
         int pool = OPT("pool", 0);
         pools[pool].hosts++;
+        pools[pool].host_cpu = 16000;
         hosts[n_hosts++] = (gv_plan_host_t){.pool = pool,
                                             .free = OPT("free", 1) != 0,
                                             .runs = OPT("runs", 0),
@@ -209,6 +209,7 @@
 GV_VERB("plan_moves", plan_moves)
 {
     gv_plan_move_t moves[32];
+    GvPoolPlan_Size(pools, n_pools);
     int n = GvPoolPlan_Moves(pools, n_pools, hosts, n_hosts, moves, 32);
     printf("plan %d\n", n);
     for (int i = 0; i < n; i++) {
