Host lists: an early one is kept, an older one says nothing of a host

Cause: GvKernel on_list dropped a list that arrived before the entry host was ready, and the next one comes only when the list changes. Maintenance reported a host as gone from a list that was requested before another entry host had added that host's new boot. Ruled out: a lagging platform in the test (the newer list was served already). Change: the list goes to the maintenance module, which exists before the prober; a list remembers when it was requested, an unchanged answer renews that time, and GONE needs a request later than the boot's first sight in the ledger. After: test_maintain fails without either mechanism (mutants list-before-the-host, early-host-list), passes with them.

--- a/src/hostlist.h
+++ b/src/hostlist.h
@@ -28,6 +28,7 @@
 
 typedef struct {
     uint64_t version;
+    int64_t asked_ms; /* when it was requested, monotonic; not in the body */
     gv_listed_host_t *hosts;
     int n;
 } gv_hostlist_t;
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -208,14 +208,21 @@
     GvTargets_UpdateHealth(k->targets, host, boot, leaving, healthy);
 }
 
-/* Passes a new host list to the maintenance thread. */
+/* Passes a new host list to the maintenance module, which exists before the
+   prober reads the first one. */
+void
+GvKernel_OnList(void *user, const gv_hostlist_t *list)
+{
+    gv_kernel_t *k = user;
+    GvMaintain_OnList(k->maintain, list);
+}
+
+/* Passes on that the newest host list is still the current one. */
 static void
-on_list(void *user, const gv_hostlist_t *list)
+on_list_current(void *user, int64_t asked_ms)
 {
     gv_kernel_t *k = user;
-    if (atomic_load(&k->private->ready)) {
-        GvMaintain_OnList(k->maintain, list);
-    }
+    GvMaintain_OnListCurrent(k->maintain, asked_ms);
 }
 
 /* Answers paths outside /svc/. */
@@ -392,7 +399,8 @@
         .platform_addr = k->conf.platform_addr,
         .self = k->conf.name,
         .on_health = on_health,
-        .on_list = on_list,
+        .on_list = GvKernel_OnList,
+        .on_list_current = on_list_current,
         .user = k,
     };
     return GvProber_Start(&o, &k->prober);
--- a/src/kernel_private.h
+++ b/src/kernel_private.h
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 
 #include "checkpointer.h"
+#include "hostlist.h"
 #include "kernel.h"
 
 struct gv_kernel_private_s {
@@ -46,6 +47,8 @@
 /* Callback of the peer module; user is the gv_kernel_t. */
 void GvKernel_OnMessage(void *user, gv_str_t from, uint64_t from_incarnation,
                         const gv_message_t *m);
+/* Callback of the prober; user is the gv_kernel_t. */
+void GvKernel_OnList(void *user, const gv_hostlist_t *list);
 /* Pass the addresses of the current view's peers and targets to the peer
    module and the prober. */
 void GvKernel_SetPeers(gv_kernel_t *k);
--- a/src/maintain.c
+++ b/src/maintain.c
@@ -219,6 +219,7 @@
     m->pending = new_string_table();
     m->next_append_ms = new_string_table();
     m->health_since = new_string_table();
+    m->known_since = new_string_table();
     m->demands = new_string_table();
     m->peer_loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_array_unref);
@@ -254,6 +255,7 @@
     g_hash_table_destroy(m->pending);
     g_hash_table_destroy(m->next_append_ms);
     g_hash_table_destroy(m->health_since);
+    g_hash_table_destroy(m->known_since);
     g_hash_table_destroy(m->demands);
     g_hash_table_destroy(m->peer_loads);
     g_ptr_array_free(m->live_peers, TRUE);
@@ -287,6 +289,17 @@
     pthread_mutex_lock(&m->lock);
     gv_hostlist_t old = m->host_list;
     m->host_list = own;
+    m->list_asked_ms = list->asked_ms;
     pthread_mutex_unlock(&m->lock);
     GvHostList_Clear(&old);
 }
+
+/* Notes that the newest list was still the current one at asked_ms,
+   monotonic. */
+void
+GvMaintain_OnListCurrent(gv_maintain_t *m, int64_t asked_ms)
+{
+    pthread_mutex_lock(&m->lock);
+    m->list_asked_ms = asked_ms;
+    pthread_mutex_unlock(&m->lock);
+}
--- a/src/maintain_hosts.c
+++ b/src/maintain_hosts.c
@@ -85,6 +85,37 @@
     return h;
 }
 
+/* Returns true if the platform's list was requested before the ledger had this
+   boot of the host, as far as this process saw. Such a list may show the host
+   as gone although it has come back since. The caller holds m->lock. */
+static bool
+is_list_older(gv_maintain_t *m, const gv_ledger_host_t *known, int64_t now_ms)
+{
+    char key[2 * GV_NAME_MAX_BYTES + 2];
+    g_snprintf(key, sizeof key, "%.*s %.*s", GV_STR_ARG(known->name),
+               GV_STR_ARG(known->boot));
+    gint64 *since = g_hash_table_lookup(m->known_since, key);
+    if (since == NULL) {
+        since = g_new(gint64, 1);
+        *since = now_ms;
+        g_hash_table_insert(m->known_since, g_strdup(key), since);
+    }
+    return m->list_asked_ms < *since;
+}
+
+/* Selects the entries of known_since whose boot of a host the ledger no longer
+   has. */
+static gboolean
+has_left_ledger(gpointer key, gpointer value, gpointer user)
+{
+    const gv_ledger_t *l = user;
+    const char *boot = strchr(key, ' ');
+    (void)value;
+    const gv_ledger_host_t *h =
+        GvLedger_Host(l, GvStr_N(key, (size_t)(boot - (char *)key)));
+    return h == NULL || !GvStr_Equal(h->boot, GvStr_C(boot + 1));
+}
+
 /* Proposes the record that is due for one host, if any. known is its state in
    the ledger, listed its entry in the platform's list; one may be NULL. */
 static void
@@ -116,7 +147,15 @@
         h.slots = listed->slots;
         h.boot = listed->boot.n > 0 ? listed->boot : h.boot;
     }
-    switch (GvMaintain_Report(known, listed, healthy, age, declared)) {
+    gv_host_facts_t facts = {
+        .known = known,
+        .listed = listed,
+        .list_older = known != NULL && is_list_older(m, known, now_ms),
+        .healthy = healthy,
+        .health_ms = age,
+        .pool_declared = declared,
+    };
+    switch (GvMaintain_Report(&facts)) {
     case GV_REPORT_NONE:
         break;
     case GV_REPORT_ADD:
@@ -170,7 +209,7 @@
 {
     const gv_ledger_host_t *known = GvLedger_Host(l, listed->host);
     if (known == NULL || listed->state != GV_LISTED_GONE ||
-        !in_region(m, known->dc)) {
+        is_list_older(m, known, now_ms) || !in_region(m, known->dc)) {
         return;
     }
     const GPtrArray *members = GvLedger_Members(l);
@@ -247,5 +286,6 @@
         }
     }
     pthread_mutex_unlock(&m->lock);
+    g_hash_table_foreach_remove(m->known_since, has_left_ledger, (gpointer)l);
     g_hash_table_destroy(listed);
 }
--- a/src/maintain_plan.c
+++ b/src/maintain_plan.c
@@ -92,16 +92,17 @@
    list is used only if the list has the host as live, because the list lags
    behind. */
 gv_report_t
-GvMaintain_Report(const gv_ledger_host_t *known,
-                  const gv_listed_host_t *listed, bool healthy,
-                  int64_t health_ms, bool pool_declared)
+GvMaintain_Report(const gv_host_facts_t *f)
 {
+    const gv_ledger_host_t *known = f->known;
+    const gv_listed_host_t *listed = f->listed;
     if (listed != NULL && listed->state == GV_LISTED_GONE) {
-        return known != NULL ? GV_REPORT_GONE : GV_REPORT_NONE;
+        return known != NULL && !f->list_older ? GV_REPORT_GONE
+                                               : GV_REPORT_NONE;
     }
     bool live = listed != NULL && listed->state == GV_LISTED_LIVE;
     if (known == NULL) {
-        return live && pool_declared ? GV_REPORT_ADD : GV_REPORT_NONE;
+        return live && f->pool_declared ? GV_REPORT_ADD : GV_REPORT_NONE;
     }
     if (known->claim != NULL && known->claim->phase == GV_PHASE_STOPPING) {
         return GV_REPORT_NONE;
@@ -109,12 +110,12 @@
     if (live && differs(known, listed)) {
         return GV_REPORT_CHANGE;
     }
-    if (known->state == GV_HOST_UP && !healthy &&
-        health_ms >= GV_HOST_UNHEALTHY_MS) {
+    if (known->state == GV_HOST_UP && !f->healthy &&
+        f->health_ms >= GV_HOST_UNHEALTHY_MS) {
         return GV_REPORT_FAILED;
     }
-    if (known->state == GV_HOST_FAILED && healthy &&
-        health_ms >= GV_HOST_HEALTHY_MS) {
+    if (known->state == GV_HOST_FAILED && f->healthy &&
+        f->health_ms >= GV_HOST_HEALTHY_MS) {
         return GV_REPORT_UP;
     }
     return GV_REPORT_NONE;
--- a/src/maintain_plan.h
+++ b/src/maintain_plan.h
@@ -53,12 +53,17 @@
     GV_REPORT_UP
 } gv_report_t;
 
-/* known: the host in the ledger, or NULL; listed: its entry in the platform's
-   list, or NULL; healthy: its current health state, since health_ms;
-   pool_declared: the settings have the listed pool. */
-gv_report_t GvMaintain_Report(const gv_ledger_host_t *known,
-                              const gv_listed_host_t *listed, bool healthy,
-                              int64_t health_ms, bool pool_declared);
+typedef struct {
+    const gv_ledger_host_t *known;  /* the host in the ledger, or NULL */
+    const gv_listed_host_t *listed; /* in the platform's list, or NULL */
+    /* The list was requested before the ledger had this boot of the host. */
+    bool list_older;
+    bool healthy;       /* its current health state */
+    int64_t health_ms;  /* since when, as a duration */
+    bool pool_declared; /* the settings have the listed pool */
+} gv_host_facts_t;
+
+gv_report_t GvMaintain_Report(const gv_host_facts_t *f);
 
 /* Returns the rank of self among the entry hosts for a key, from 0, by
    rendezvous hashing. */
--- a/src/maintain_private.h
+++ b/src/maintain_private.h
@@ -57,11 +57,15 @@
     GHashTable *next_append_ms; /* key -> earliest time of a repetition, ms */
     /* "u HOST" (up) or "f HOST" (failed) -> monotonic time since when */
     GHashTable *health_since;
+    /* "HOST BOOT" -> monotonic time since when the ledger has it */
+    GHashTable *known_since;
     GHashTable *demands;     /* pool -> gv_pool_demand_t */
     GPtrArray *live_peers;   /* names of live peers of the own data centre */
     pthread_mutex_t lock;    /* protects the fields below */
     gv_hostlist_t host_list; /* see GvMaintain_OnList */
-    GHashTable *peer_loads;  /* peer -> GArray of peer_load_t */
+    /* Newest request that the platform has answered with host_list. */
+    int64_t list_asked_ms;
+    GHashTable *peer_loads; /* peer -> GArray of peer_load_t */
 };
 
 /* Adds a proposal to out and takes ownership of the payload buffer sb. The key
--- a/src/platform.c
+++ b/src/platform.c
@@ -235,7 +235,7 @@
     gv_http_response_t a;
     int res = call(p, &rq, &a);
     if (res == GV_OK && a.status == 204) {
-        res = 1;
+        res = GV_PLATFORM_UNCHANGED;
     }
     else if (res == GV_OK) {
         char why[160];
--- a/src/platform.h
+++ b/src/platform.h
@@ -44,9 +44,10 @@
 /* Reads the host list. Returns 0, GV_EIO for a malformed list, or a connection
    error. */
 int GvPlatform_Hosts(gv_platform_t *p, gv_hostlist_t *list);
-/* As GvPlatform_Hosts, but returns 1 and an empty list if the platform's
-   newest list has the version `known`. This saves the transfer of a whole
-   list, about 400 KB at the fleet size this program is made for. */
+enum { GV_PLATFORM_UNCHANGED = 1 };
+/* As GvPlatform_Hosts, but returns GV_PLATFORM_UNCHANGED and an empty list if
+   the platform's newest list has the version `known`. This saves the transfer
+   of a whole list, about 400 KB at the fleet size this program is made for. */
 int GvPlatform_HostsSince(gv_platform_t *p, uint64_t known,
                           gv_hostlist_t *list);
 typedef enum {
--- a/src/prober.c
+++ b/src/prober.c
@@ -371,10 +371,17 @@
     while (more) {
         gv_hostlist_t list;
         uint64_t known = GvProber_ListVersion(p);
-        if (GvPlatform_HostsSince(platform, known, &list) == GV_OK) {
+        int64_t asked_ms = GvClock_MonoMs();
+        int rc = GvPlatform_HostsSince(platform, known, &list);
+        if (rc == GV_OK) {
+            list.asked_ms = asked_ms;
             apply_list(p, &list);
             GvHostList_Clear(&list);
         }
+        else if (rc == GV_PLATFORM_UNCHANGED &&
+                 p->opts.on_list_current != NULL) {
+            p->opts.on_list_current(p->opts.user, asked_ms);
+        }
         pthread_mutex_lock(&p->lock);
         /* The jitter keeps the entry hosts from reading at the same time. */
         int64_t jitter = g_random_int_range(0, GV_HOSTLIST_INTERVAL_MS / 4);
--- a/src/prober.h
+++ b/src/prober.h
@@ -25,6 +25,9 @@
     /* Called for each host list newer than all before; the list is valid
        during the call. May be NULL. */
     void (*on_list)(void *user, const gv_hostlist_t *list);
+    /* Called when a read shows that the newest list is still the current one.
+       May be NULL. */
+    void (*on_list_current)(void *user, int64_t asked_ms);
     void *user;
     /* Age at which a target's kept connection is replaced; 0:
        GV_PROBE_RENEW_MS. */
--- a/tests/script_health.c
+++ b/tests/script_health.c
@@ -39,7 +39,9 @@
 GV_VERB("health.list", run_list)
 {
     gv_listed_host_t hosts[8] = {0};
-    gv_hostlist_t list = {(uint64_t)atoi(argv[1]), hosts, (argc - 2) / 3};
+    gv_hostlist_t list = {.version = (uint64_t)atoi(argv[1]),
+                          .hosts = hosts,
+                          .n = (argc - 2) / 3};
     for (int i = 0; i < list.n; i++) {
         char **item = argv + 2 + 3 * i;
         hosts[i].host = GvStr_C(item[0]);
--- a/tests/script_maintain.c
+++ b/tests/script_maintain.c
@@ -40,7 +40,8 @@
    about a host. KNOWN is its state in the ledger: none, up, failed or stopping
    (under a claim). LISTED is its state in the platform's list: none, live,
    leaving or gone. Both may have ",BOOT" appended. HEALTH is healthy or not,
-   since MS. With a fifth argument the settings lack its pool. */
+   since MS. A fifth argument: "undeclared", the settings lack its pool;
+   "older", the list was requested before the ledger had this boot. */
 GV_VERB("report", verb_report)
 {
     static const char *const names[] = {"none", "add",    "change",
@@ -61,10 +62,16 @@
                  : strcmp(listed[0], "leaving") == 0 ? GV_LISTED_LEAVING
                                                      : GV_LISTED_GONE,
     };
-    gv_report_t r = GvMaintain_Report(
-        strcmp(known[0], "none") == 0 ? NULL : &k,
-        strcmp(listed[0], "none") == 0 ? NULL : &l,
-        strcmp(argv[3], "healthy") == 0, atol(argv[4]), argc < 6);
+    const char *word = argc < 6 ? "" : argv[5];
+    gv_host_facts_t f = {
+        .known = strcmp(known[0], "none") == 0 ? NULL : &k,
+        .listed = strcmp(listed[0], "none") == 0 ? NULL : &l,
+        .list_older = strcmp(word, "older") == 0,
+        .healthy = strcmp(argv[3], "healthy") == 0,
+        .health_ms = atol(argv[4]),
+        .pool_declared = strcmp(word, "undeclared") != 0,
+    };
+    gv_report_t r = GvMaintain_Report(&f);
     printf("%s %s %s %s -> %s\n", argv[1], argv[2], argv[3], argv[4],
            names[r]);
     g_strfreev(known);
--- a/tests/test_prober.c
+++ b/tests/test_prober.c
@@ -102,6 +102,13 @@
     atomic_fetch_add(&list_calls, 1);
 }
 
+static void
+on_list_current(void *user, int64_t asked_ms)
+{
+    (void)user;
+    (void)asked_ms;
+}
+
 static void
 wait_reported(int i, int want)
 {
@@ -155,12 +162,9 @@
 static gv_prober_t *
 start_prober(int renew_ms)
 {
-    gv_prober_opts_t o = {GvStr_C(addrs[TARGETS]),
-                          GV_STR("e1"),
-                          on_health,
-                          on_list,
-                          NULL,
-                          renew_ms};
+    gv_prober_opts_t o = {
+        GvStr_C(addrs[TARGETS]), GV_STR("e1"), on_health, on_list,
+        on_list_current,         NULL,         renew_ms};
     gv_prober_t *p;
     g_assert_cmpint(GvProber_Start(&o, &p), ==, GV_OK);
     return p;
