A permission to give orders that ends before another host may lead

An answer that waited through a pause renewed a permission that had ended; a planned stop resigned with orders on their way. Change: GvLeader_OrdersEndMs and GvLeader_HoldsEndMs, counted from the sending of the newest stored append on the clock that goes on through a suspend. A resigning leader sends no more and waits for its open orders. Wave reports repeat until stored, also those of a wave that an earlier leader ended.

--- a/src/leader.c
+++ b/src/leader.c
@@ -28,7 +28,8 @@
     int call_ms;            /* duration of a call of the store */
     int64_t started_ms;     /* start of the process or end of its last pause */
     int64_t record_read_ms; /* when a record of the leader was last read */
-    int64_t renewed_ms;     /* when an append was last stored */
+    int64_t sent_ms;        /* when the current append was first sent */
+    int64_t renewed_ms;     /* sent_ms of the newest append that was stored */
     int64_t next_ms;        /* earliest time of the next append */
 };
 
@@ -87,15 +88,24 @@
     return c->epoch;
 }
 
-/* Returns when an append of this process was last stored, which confirms that
-   it is the leader. */
+/* Returns the time from which on no order may be sent and none may be on its
+   way; 0 without leadership, and once the lease is to be given up. */
 int64_t
-GvLeader_RenewedMs(const gv_leader_t *c)
+GvLeader_OrdersEndMs(const gv_leader_t *c)
 {
-    return c->renewed_ms;
+    return c->state == LEADING && !c->resign
+               ? c->renewed_ms + c->opts.orders_ms
+               : 0;
 }
 
-/* Asks for the lease to be given up with the next append. */
+/* The same for holds. */
+int64_t
+GvLeader_HoldsEndMs(const gv_leader_t *c)
+{
+    return c->state == LEADING ? c->renewed_ms + c->opts.holds_ms : 0;
+}
+
+/* Stops orders and gives the lease up as soon as none is on its way. */
 void
 GvLeader_Resign(gv_leader_t *c)
 {
@@ -170,6 +180,7 @@
     c->state = CLAIMING;
     c->epoch = lease->epoch + 1;
     c->seq = c->opts.first_seq;
+    c->sent_ms = now_ms;
     c->at_end = true;
     c->end = next_offset;
     c->new_connection = false;
@@ -193,7 +204,7 @@
     g_byte_array_append(c->records, c->next_records->data,
                         c->next_records->len);
     g_byte_array_set_size(c->next_records, 0);
-    if (c->resign) {
+    if (c->resign && c->opts.ops.open_orders(c->opts.ops.user) == 0) {
         put_lease(c, true);
         c->resigning = true;
     }
@@ -203,6 +214,7 @@
     }
     if (c->records->len > 0) {
         c->at_end = false;
+        c->sent_ms = now_ms;
         send(c);
     }
 }
@@ -217,7 +229,7 @@
     if (GvSched_IsFenced(c->sched)) {
         return "a target has seen the fence of a newer leader";
     }
-    if (now_ms - c->renewed_ms > c->opts.max_unconfirmed_ms) {
+    if (now_ms >= GvLeader_HoldsEndMs(c)) {
         return "store has not confirmed the lease in time";
     }
     return NULL;
@@ -271,11 +283,11 @@
 }
 
 static void
-become_leader(gv_leader_t *c, int64_t now_ms)
+become_leader(gv_leader_t *c)
 {
     c->state = LEADING;
     c->seq++;
-    c->renewed_ms = now_ms;
+    c->renewed_ms = c->sent_ms;
     g_byte_array_set_size(c->records, 0);
     GvCounter_Set(&is_leader, 1);
     GvEvlog_Write("lead", "became leader epoch=%llu",
@@ -288,7 +300,7 @@
 stored(gv_leader_t *c, int64_t now_ms)
 {
     c->seq++;
-    c->renewed_ms = now_ms;
+    c->renewed_ms = c->sent_ms;
     c->new_connection = false;
     g_byte_array_set_size(c->records, 0);
     GvCounter_Add(&batches, 1);
@@ -307,7 +319,7 @@
 claim_answered(gv_leader_t *c, const gv_append_answer_t *a, int64_t now_ms)
 {
     if (a->result == GV_STORE_DONE) {
-        become_leader(c, now_ms);
+        become_leader(c);
         return;
     }
     /* Also without an answer: reading the partition shows whether the claim
--- a/src/leader.h
+++ b/src/leader.h
@@ -10,7 +10,15 @@
    progress of jobs in order under the epoch of the lease, renews the lease and
    gives it up. One append is in flight at a time; it is repeated unchanged
    until its result is known. This module does no input or output: appends go
-   through gv_leader_ops_t. */
+   through gv_leader_ops_t. All times are milliseconds of a clock that goes on
+   while the host is suspended.
+
+   Not every receiver of orders checks the epoch, so a leader must have stopped
+   before another one begins. Its permission to give orders is counted from the
+   moment at which it sent the newest append that was stored, and ends before
+   any other entry host, which counts from the reading of that append, may
+   claim the lease. Holds, which only keep running tasks alive, go on for
+   longer: the store may be down for everybody. */
 
 typedef struct gv_leader_s gv_leader_t;
 
@@ -32,6 +40,8 @@
     gv_sched_t *(*begin)(void *user, uint64_t epoch);
     /* Called when this process is no longer the leader. */
     void (*end)(void *user, const char *why);
+    /* Returns how many orders, without holds, may still be on their way. */
+    int (*open_orders)(void *user);
 } gv_leader_ops_t;
 
 typedef struct {
@@ -44,8 +54,9 @@
        store recognises a repeated append by epoch and sequence number alone,
        so a claim must not look like a repeat of another process's claim. */
     uint32_t first_seq;
-    /* A leader that stored no append for this long steps down. */
-    int max_unconfirmed_ms;
+    int orders_ms; /* permission to give orders, less than
+                      leader_timeout_ms */
+    int holds_ms;  /* permission to hold targets; then the leader steps down */
     int64_t now_ms;
 } gv_leader_opts_t;
 
@@ -62,6 +73,7 @@
 void GvLeader_Resign(gv_leader_t *c);
 bool GvLeader_IsLeader(const gv_leader_t *c);
 uint64_t GvLeader_Epoch(const gv_leader_t *c);
-int64_t GvLeader_RenewedMs(const gv_leader_t *c);
+int64_t GvLeader_OrdersEndMs(const gv_leader_t *c);
+int64_t GvLeader_HoldsEndMs(const gv_leader_t *c);
 
 #endif
--- a/src/limits.h
+++ b/src/limits.h
@@ -348,9 +348,6 @@
 /* A target's list of running tasks counts as current for this long: one hold
    and its time-out. */
 #define GV_SCHED_LIST_MAX_AGE_MS 2000
-/* Longest time for which a scheduler that cannot reach the store renews the
-   leases of targets. */
-#define GV_SCHED_UNCONFIRMED_MAX_MS 6000
 /* An unconfirmed stop order is repeated after this time. */
 #define GV_SCHED_STOP_REPEAT_MS 300
 /* Start orders sent for a run before an unanswered one is given up. */
@@ -370,6 +367,23 @@
 #define GV_SCHED_LATE_DIVISOR 4
 #define GV_SCHED_AVOID_MS     5000
 
+/* A leader appends at least every GV_LEAD_RENEW_MS. From the sending of an
+   append that was stored it may give orders for GV_LEAD_ORDERS_MS and hold
+   targets for GV_LEAD_HOLDS_MS. Another host claims the lease no sooner than
+   GV_LEAD_TIMEOUT_MS after it has read the newest record. The difference
+   covers clocks that differ by GV_LEAD_DRIFT_PERCENT, one turn of the event
+   loop (GV_LEAD_TURN_MS) and the way of the last bytes (GV_LEAD_WAY_MS). */
+#define GV_LEAD_RENEW_MS      500
+#define GV_LEAD_ORDERS_MS     1500
+#define GV_LEAD_HOLDS_MS      6000
+#define GV_LEAD_TIMEOUT_MS    2000
+#define GV_LEAD_DRIFT_PERCENT 2
+#define GV_LEAD_TURN_MS       150
+#define GV_LEAD_WAY_MS        250
+_Static_assert(GV_LEAD_TIMEOUT_MS *(100 - GV_LEAD_DRIFT_PERCENT) / 100 >
+                   GV_LEAD_ORDERS_MS + GV_LEAD_TURN_MS + GV_LEAD_WAY_MS,
+               "two leaders could give orders at the same time");
+
 /* Claims of leadership by different entry hosts are delayed by up to this many
    steps; a step is longer than it takes until the others have read a claim. */
 #define GV_LEAD_RANKS   8
--- a/src/pool.h
+++ b/src/pool.h
@@ -43,7 +43,8 @@
     /* Orders; results go to GvPools_Moved and GvPools_Maintained. */
     void (*move)(void *user, const char *host, const char *pool);
     void (*maintain)(void *user, const char *host, int wave);
-    /* Reports to the platform that a wave runs or is done. */
+    /* Reports to the platform that a wave runs or is done; the result goes to
+       GvPools_Reported. */
     void (*report)(void *user, int wave, bool done);
     /* Stores the progress of a wave. */
     void (*store)(void *user, int wave, gv_str_t bytes);
@@ -73,6 +74,8 @@
                    int64_t now_ms);
 void GvPools_Maintained(gv_pools_t *p, const char *host, int wave,
                         gv_pool_result_t r, int64_t now_ms);
+void GvPools_Reported(gv_pools_t *p, int wave, bool done, bool stored,
+                      int64_t now_ms);
 void GvPools_Step(gv_pools_t *p, bool may_order, int64_t now_ms,
                   int64_t wall_ms);
 
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -37,6 +37,12 @@
     GV_WAVE_HOST_DONE     /* is up again, or has left the fleet */
 } gv_wave_host_state_t;
 
+typedef enum {
+    GV_WAVE_NOT_REPORTED,
+    GV_WAVE_REPORTED_RUNNING,
+    GV_WAVE_REPORTED_DONE
+} gv_wave_report_t;
+
 typedef struct {
     int number;
     int cap; /* hosts in maintenance at once, at most */
@@ -45,7 +51,9 @@
     char **hosts;
     gv_wave_host_state_t *host_states; /* same order as hosts */
     bool done;
-    bool reported_running; /* by this process */
+    gv_wave_report_t reported; /* newest stored report of this process */
+    bool report_pending;       /* a report has no result yet */
+    int64_t report_next_ms;    /* earliest time of the next report */
 } gv_wave_t;
 
 struct gv_pools_s {
--- a/src/pool_wave.c
+++ b/src/pool_wave.c
@@ -106,6 +106,9 @@
                   n, w->cap, (long long)(w->deadline_wall_ms - wall_ms),
                   w->done);
     g_ptr_array_add(p->waves, w);
+    if (stored.n == 0) {
+        GvPools_StoreWave(p, w);
+    }
 }
 
 /* Returns true if a host whose maintenance was ordered is up again, or is no
@@ -218,24 +221,50 @@
     return (int)MIN((waiting + rounds - 1) / rounds + 1, w->cap);
 }
 
+/* Reports the state of a wave until that is stored. A wave that an earlier
+   scheduler has ended is reported again: it may have died before. */
+static void
+report_wave(gv_pools_t *p, gv_wave_t *w, int64_t now_ms)
+{
+    gv_wave_report_t want =
+        w->done ? GV_WAVE_REPORTED_DONE : GV_WAVE_REPORTED_RUNNING;
+    if (w->reported != want && !w->report_pending &&
+        now_ms >= w->report_next_ms) {
+        w->report_pending = true;
+        p->opts.ops.report(p->opts.ops.user, w->number, w->done);
+    }
+}
+
+/* Handles the result of a report: whether it is stored. */
+void
+GvPools_Reported(gv_pools_t *p, int wave, bool done, bool stored,
+                 int64_t now_ms)
+{
+    gv_wave_t *w = find_wave(p, wave);
+    if (w == NULL) {
+        return;
+    }
+    w->report_pending = false;
+    if (stored) {
+        w->reported = done ? GV_WAVE_REPORTED_DONE : GV_WAVE_REPORTED_RUNNING;
+        return;
+    }
+    w->report_next_ms = now_ms + GV_POOL_RETRY_MS;
+    GvEvlog_Write("wave", "wave=%d report not stored, retrying", wave);
+}
+
 /* Ends a wave whose hosts are all done; else begins the maintenance of the
    next hosts. */
 static void
 step_wave(gv_pools_t *p, gv_wave_t *w, int64_t now_ms, int64_t wall_ms)
 {
     gv_wave_count_t c = count_hosts(p, w);
-    if (!w->reported_running) {
-        w->reported_running = true;
-        p->opts.ops.report(p->opts.ops.user, w->number, false);
-        GvPools_StoreWave(p, w);
-    }
     if (c.waiting - c.missing == 0 && c.open == 0) {
         /* Missing hosts have left the fleet and are not waited for. */
         GvEvlog_Write("wave", "wave=%d done hosts=%d missing=%d", w->number,
                       w->n_hosts, c.missing);
         w->done = true;
         GvPools_StoreWave(p, w);
-        p->opts.ops.report(p->opts.ops.user, w->number, true);
         return;
     }
     int host_ms = p->opts.maintenance_ms + GV_POOL_WAVE_WAIT_MS;
@@ -264,5 +293,6 @@
         if (!w->done) {
             step_wave(p, w, now_ms, wall_ms);
         }
+        report_wave(p, w, now_ms);
     }
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -360,9 +360,9 @@
         gv_task_t *t = &copy->tasks[i];
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
             gv_sched_target_t *tgt = find_or_add_target(s, t->target);
-            tgt->lease_until_ms = MAX(
-                tgt->lease_until_ms,
-                s->o.now_ms + GV_SCHED_UNCONFIRMED_MAX_MS + s->o.max_lease_ms);
+            tgt->lease_until_ms =
+                MAX(tgt->lease_until_ms,
+                    s->o.now_ms + GV_LEAD_HOLDS_MS + s->o.max_lease_ms);
             GvSched_AddRun(s, a, i, tgt, GV_RUN_INHERITED, s->o.now_ms);
         }
     }
