--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -169,6 +169,9 @@
         self.fence = self.ends = 0
         self.lease = 0.0
         self.silent = False
+        self.checks_fence = True
+        # (path, fence) of the orders received, in their order.
+        self.orders = []
         # Numbers of the ends that the scheduler had not acknowledged when the
         # lease expired; a later acknowledgement of them does not count.
         self.expired_ends = set()
@@ -215,9 +218,10 @@
             return self.answer(421)
         rq = unpack(body)
         with self.lock:
-            if rq.get("fence", 0) < self.fence:
+            self.orders.append((path, rq.get("fence", 0)))
+            if self.checks_fence and rq.get("fence", 0) < self.fence:
                 return self.answer(409, reason="fence")
-            self.fence = rq.get("fence", 0)
+            self.fence = max(self.fence, rq.get("fence", 0))
             if rq.get("deadlineMs"):
                 self.lease = max(self.lease, rq["deadlineMs"])
             if path == "/api/run-start":
@@ -260,9 +264,54 @@
             200, finished=self.ended,
             running=[[t, r, "", 100] for t, (r, _) in self.running.items()])
 
-    def entry(self, service):
-        """Returns the target's record in the list of hosts, packed."""
-        return pack({"service": service, "addr": self.addr, "zone": "a",
+    def entry(self, service, addr=None):
+        """Returns the target's record in the list of hosts, packed. addr: of a
+        relay in front of it."""
+        return pack({"service": service, "addr": addr or self.addr, "zone": "a",
                      "state": "ready", "seq": 1, "born": self.born,
                      "machine": "m-" + self.name, "labels": ["a", "r1-1"],
                      "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}})
+
+
+class HostApi:
+    """The interface to the hosts of the targets. Maintenance replaces the
+    target of a host by a new one after away_s seconds."""
+
+    def __init__(self, store, targets, away_s=0.5):
+        self.store, self.away_s = store, away_s
+        self.lock = threading.Lock()
+        self.targets = {"m-" + t.name: t for t in targets}
+        self.states = {host: "up" for host in self.targets}
+        self.maintained = []  # (host, fence), in the order of the calls
+        self.server, self.addr = serve(self.handle)
+
+    def handle(self, method, path, query, headers, body):
+        with self.lock:
+            if path == "/api/machines":
+                return 200, pack({"machines": [
+                    {"machine": host, "pool": "s", "state": state,
+                     "id": self.targets[host].name if state == "up" else "",
+                     "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}}
+                    for host, state in self.states.items()]})
+            if path != "/api/machine-upkeep":
+                return 400, b""
+            host = unpack(body)["machine"]
+            if self.states[host] != "up":
+                return 409, pack({"reason": "busy"})
+            self.maintained.append((host, int(headers["Fencing-Token"])))
+            self.states[host] = "upkeep"
+            self.store.put("keyed.servers", self.targets[host].name, b"")
+            threading.Timer(self.away_s, self.finish, (host,)).start()
+            return 200, b""
+
+    def finish(self, host):
+        with self.lock:
+            old = self.targets[host]
+            old.silent = True
+            new = Target(old.name + "n", old.run_s, old.history)
+            new.checks_fence = old.checks_fence
+            self.targets[host] = new
+            self.states[host] = "up"
+            entry = unpack(new.entry("s"))
+            entry["machine"] = host
+            self.store.put("keyed.servers", new.name, pack(entry))
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -18,6 +18,8 @@
 class Fleet:
     """A store, targets and scheduler daemons."""
 
+    more_conf = ""  # lines of every daemon's settings
+
     def __init__(self, build, run_s=0.3, targets=3):
         self.store = Store()
         self.history = []
@@ -38,6 +40,10 @@
         for n in range(HOSTS):
             self.start(f"host-{n}")
 
+    def store_addr(self, name):
+        """Returns the address at which a daemon reaches the store."""
+        return self.store.addr
+
     def start(self, name):
         """Starts a daemon and waits until it is ready."""
         front, ready = free_addr(), free_addr()
@@ -45,7 +51,8 @@
         with open(conf, "w", encoding="utf-8") as out:
             out.write(f"name: {name}\ndata_centre: a\ncpu_share: 0.5\n"
                       f"front: {front}\n"
-                      f"ready: {ready}\nstore: {self.store.addr}\n"
+                      f"ready: {ready}\nstore: {self.store_addr(name)}\n"
+                      f"{self.more_conf}"
                       "store_parts: 2\nmax_lease_ms: 6000\n"
                       "lease_wait_ms: 3000\n"
                       "maintenance_s: 2\nmove_s: 1.5\nshow_ended_s: 120\n")
@@ -225,13 +232,12 @@
     all_done(fleet, rest, jobs, 20)
 
 
-def main():
+def run_scenarios(fleet, scenarios):
+    """Runs each scenario on the fleet and closes that. Returns the exit
+    status."""
     failed = 0
-    fleet = Fleet(sys.argv[1])
     try:
-        for scenario in (accepts_and_runs, survives_leader,
-                         refusals_match_store, silent_target, unread_jobs,
-                         outdated_count, graceful_stop):
+        for scenario in scenarios:
             try:
                 begun = time.monotonic()
                 scenario(fleet)
@@ -248,5 +254,11 @@
     return 1 if failed else 0
 
 
+def main():
+    return run_scenarios(Fleet(sys.argv[1]), (
+        accepts_and_runs, survives_leader, refusals_match_store,
+        silent_target, unread_jobs, outdated_count, graceful_stop))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -3,8 +3,10 @@
 on and they stay open, also after the cut, as when a device on the network path
 loses its state."""
 import contextlib
+import select
 import socket
 import threading
+import time
 
 
 class Relay:
@@ -83,3 +85,57 @@
         for near, far, _ in self.sockets:
             near.close()
             far.close()
+
+
+class HoldingRelay:
+    """Forwards connections like a network that can hold up what clients send.
+    While held is set, nothing reaches to_addr; afterwards everything does,
+    except data of connections that the client has reset meanwhile."""
+
+    def __init__(self, to_addr):
+        host, port = to_addr.rsplit(":", 1)
+        self.to_addr = (host, int(port))
+        self.held = False
+        self.late = []  # data delivered after its connection had ended
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.addr = f"127.0.0.1:{self.server.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.server.accept()
+                far = socket.create_connection(self.to_addr, 2)
+            except OSError:
+                return
+            threading.Thread(target=self.send, args=(near, far),
+                             daemon=True).start()
+            threading.Thread(target=self.answer, args=(near, far),
+                             daemon=True).start()
+
+    def send(self, near, far):
+        """Passes on what the client sends."""
+        waiting, ended = b"", False
+        with contextlib.suppress(OSError):  # a reset drops what waits
+            while not (ended and not waiting):
+                if not ended and select.select([near], [], [], 0.01)[0]:
+                    data = near.recv(65536)
+                    waiting, ended = waiting + data, not data
+                if waiting and not self.held:
+                    if ended:
+                        self.late.append(waiting)
+                    far.sendall(waiting)
+                    waiting = b""
+                elif ended:
+                    time.sleep(0.01)
+        for s in (near, far):
+            with contextlib.suppress(OSError):
+                s.shutdown(socket.SHUT_RDWR)
+
+    @staticmethod
+    def answer(near, far):
+        with contextlib.suppress(OSError):
+            while data := far.recv(65536):
+                near.sendall(data)
+        with contextlib.suppress(OSError):
+            near.shutdown(socket.SHUT_WR)
