--- /dev/null
+++ b/tests/script_pool.c
@@ -0,0 +1,135 @@
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool.h"
+#include "script.h"
+
+/* Verbs for maintenance waves. Each order and report is printed when it is
+   given. Hosts have no runs. Times are in ms. */
+
+static gv_sched_t *sched;
+static gv_pools_t *pools;
+static int64_t now;
+
+static void
+on_list(void *user)
+{
+    (void)user;
+    printf("  list\n");
+}
+
+static void
+on_move(void *user, const char *host, const char *pool)
+{
+    (void)user;
+    printf("  move %s to %s\n", host, pool);
+}
+
+static void
+on_maintain(void *user, const char *host, int wave)
+{
+    (void)user;
+    printf("  maintain %s in wave %d\n", host, wave);
+}
+
+static void
+on_report(void *user, int wave, bool done)
+{
+    (void)user;
+    printf("  report wave %d %s\n", wave, done ? "done" : "running");
+}
+
+static GByteArray *stored; /* newest progress of a wave */
+
+static void
+on_store(void *user, int wave, gv_str_t bytes)
+{
+    (void)user;
+    printf("  store wave %d\n", wave);
+    g_byte_array_set_size(stored, 0);
+    g_byte_array_append(stored, (const guint8 *)bytes.p, (guint)bytes.n);
+}
+
+/* pool_new [now=MS]: replaces the pools; what is stored about waves is kept.
+ */
+GV_VERB("pool_new", pool_new)
+{
+    now = OPT("now", 1000);
+    if (pools != NULL) {
+        GvPools_Free(pools);
+        GvSched_Free(sched);
+    }
+    stored = stored == NULL ? g_byte_array_new() : stored;
+    gv_sched_opts_t so = {.now_ms = now};
+    sched = GvSched_New(&so);
+    gv_pool_opts_t o = {
+        .ops = {NULL, on_list, on_move, on_maintain, on_report, on_store},
+        .sched = sched,
+        .now_ms = now,
+        .maintenance_ms = 2000,
+        .move_ms = 1500};
+    pools = GvPools_New(&o);
+}
+
+/* pool_list HOST:TARGET:STATE ...: the answer to a list. STATE is up, moving,
+   maintenance or down. */
+GV_VERB("pool_list", pool_list)
+{
+    gv_host_info_t hosts[8] = {0};
+    char **words[8];
+    for (int i = 1; i < argc; i++) {
+        char **w = words[i - 1] = g_strsplit(argv[i], ":", 3);
+        hosts[i - 1] = (gv_host_info_t){
+            .id = GvStr_C(w[0]),
+            .pool = GV_STR("s"),
+            .target = GvStr_C(w[1]),
+            .state = (gv_host_state_t)INDEX(w[2], "up", "moving",
+                                            "maintenance", "down"),
+            .cpu = 4000,
+        };
+    }
+    GvPools_Listed(pools, hosts, argc - 1, true, now);
+    for (int i = 1; i < argc; i++) {
+        g_strfreev(words[i - 1]);
+    }
+}
+
+/* pool_wave N CAP HOST ...: a wave is requested; it continues from what is
+   stored. */
+GV_VERB("pool_wave", pool_wave)
+{
+    gv_str_t hosts[8];
+    for (int i = 3; i < argc; i++) {
+        hosts[i - 3] = ARG(i);
+    }
+    GvPools_SetWave(pools, (int)NUM(1), hosts, argc - 3, 30000, (int)NUM(2),
+                    GvStr_N(stored->data, stored->len), now, now);
+}
+
+/* pool_at MS [may_order=0|1]: sets the time and steps the pools. */
+GV_VERB("pool_at", pool_at)
+{
+    now = (int64_t)NUM(1);
+    printf("at %lld\n", (long long)now);
+    GvPools_Step(pools, OPT("may_order", 1) != 0, now, now);
+}
+
+/* pool_maintained HOST WAVE done|fenced|not-now|invalid|retry|unknown: the
+   result of an order. */
+GV_VERB("pool_maintained", pool_maintained)
+{
+    GvPools_Maintained(pools, argv[1], (int)NUM(2),
+                       (gv_pool_result_t)INDEX(argv[3], "done", "fenced",
+                                               "not-now", "invalid", "retry",
+                                               "unknown"),
+                       now);
+}
+
+/* pool_reported WAVE running|done stored|lost: the result of a report. */
+GV_VERB("pool_reported", pool_reported)
+{
+    GvPools_Reported(pools, (int)NUM(1), strcmp(argv[2], "done") == 0,
+                     strcmp(argv[3], "stored") == 0, now);
+}
