Scheduler: planning limited to what events have changed

Cause: an event walked over all jobs, all targets and, for each waiting task, all targets again; on small entry hosts the leader's processor bound the large and grown deployments. Change: jobs and targets are kept by service; a pass of placement covers the services that an event concerns; a task that found no target ends the search for like ones in that pass; critical paths are kept for a second; batches, ends and removals use lists of what changed; targets are updated on events and every 25 ms; pools step every 50 ms; task names are parsed without sscanf.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -46,5 +46,6 @@
 void GvBench_RunWave(const gv_bench_t *b);
 void GvBench_RunReserve(const gv_bench_t *b);
 void GvBench_RunFold(const gv_bench_t *b);
+void GvBench_RunSched(const gv_bench_t *b);
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -118,7 +118,8 @@
     } groups[] = {{"queue", GvBench_RunQueue},     {"teams", GvBench_RunTeams},
                   {"place", GvBench_RunPlace},     {"spill", GvBench_RunSpill},
                   {"retry", GvBench_RunRetry},     {"wave", GvBench_RunWave},
-                  {"reserve", GvBench_RunReserve}, {"fold", GvBench_RunFold}};
+                  {"reserve", GvBench_RunReserve}, {"fold", GvBench_RunFold},
+                  {"sched", GvBench_RunSched}};
     if (argc < 3) {
         fprintf(stderr, "usage: bench DATA_DIR RESULTS [GROUP ...]\n");
         return 2;
--- a/src/job.c
+++ b/src/job.c
@@ -233,6 +233,12 @@
     return true;
 }
 
+bool
+GvResources_Equal(gv_resources_t a, gv_resources_t b)
+{
+    return a.cpu == b.cpu && a.memory == b.memory && a.gpu == b.gpu;
+}
+
 /* Returns true if no resource of need exceeds that of free. */
 bool
 GvResources_Fit(gv_resources_t need, gv_resources_t free)
--- a/src/job.h
+++ b/src/job.h
@@ -112,6 +112,7 @@
 bool GvJob_StepReady(const gv_job_t *job, int occurrence, int step,
                      int64_t wall_ms);
 
+bool GvResources_Equal(gv_resources_t a, gv_resources_t b);
 bool GvResources_Fit(gv_resources_t need, gv_resources_t free);
 void GvResources_Add(gv_resources_t *to, gv_resources_t add);
 void GvResources_Subtract(gv_resources_t *from, gv_resources_t take);
--- a/src/limits.h
+++ b/src/limits.h
@@ -343,8 +343,14 @@
    Clocks of targets may run 2% slow; the error is then 0.2 s, which the lease
    slack covers. */
 #define GV_SCHED_CLOCK_VALID_MS 10000
-/* Longest time between two steps of the scheduler without an event. */
+/* Longest time between two passes of placement over all services. */
 #define GV_SCHED_TICK_MS 100
+/* Time between two updates of all targets; those that an event concerns are
+   updated at once. */
+#define GV_SCHED_SWEEP_MS 25
+/* The critical paths of a job are computed again after this time, as run times
+   are learned. */
+#define GV_SCHED_PATH_MS 1000
 /* A target's list of running tasks counts as current for this long: one hold
    and its time-out. */
 #define GV_SCHED_LIST_MAX_AGE_MS 2000
@@ -426,6 +432,8 @@
    in which most short tasks end. */
 #define GV_POOL_MOVE_RUNS_MAX 4
 #define GV_POOL_MOVE_WAIT_MS  2500
+/* Time between two steps of the operations of all hosts. */
+#define GV_POOL_STEP_MS 50
 /* Time between two plans and between two log lines of pool sizes; most moves
    in one plan. */
 #define GV_POOL_PLAN_MS   100
--- a/src/pool.c
+++ b/src/pool.c
@@ -425,15 +425,17 @@
 {
     GHashTableIter it;
     gpointer value;
-    int every = any_host_changing(p) ? GV_POOL_LIST_MS : GV_POOL_LIST_IDLE_MS;
-    if (!p->listing && (p->listed_ms == 0 || now_ms - p->listed_ms >= every)) {
+    if (!p->listing &&
+        (p->listed_ms == 0 || now_ms - p->listed_ms >= GV_POOL_LIST_IDLE_MS ||
+         (now_ms - p->listed_ms >= GV_POOL_LIST_MS && any_host_changing(p)))) {
         p->listing = true;
         p->list_sent_ms = now_ms;
         p->opts.ops.list(p->opts.ops.user);
     }
-    if (!p->hosts_known) {
+    if (!p->hosts_known || now_ms - p->stepped_ms < GV_POOL_STEP_MS) {
         return;
     }
+    p->stepped_ms = now_ms;
     update_idle(p, now_ms);
     if (!may_order || p->fenced) {
         return;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -63,6 +63,7 @@
     bool hosts_known;     /* a list of the hosts was read */
     int64_t list_sent_ms; /* when the newest list was asked for */
     int64_t listed_ms;    /* when its answer came; 0: list at once */
+    int64_t stepped_ms;   /* newest step of all hosts */
     int64_t planned_ms;   /* newest plan of moves */
     int64_t logged_ms;    /* newest log of the pools */
     GHashTable *hosts;    /* id -> gv_host_t * */
--- a/src/sched.c
+++ b/src/sched.c
@@ -38,7 +38,11 @@
     for (int i = 0; i < a->job->n_tasks; i++) {
         g_free(a->runs[i]);
     }
+    if (a->service != NULL) {
+        g_hash_table_remove(a->service->jobs, a);
+    }
     g_free(a->runs);
+    g_free(a->rest_ms);
     GvJob_Free(a->job);
     g_free(a);
 }
@@ -65,6 +69,13 @@
                                     free_active);
     s->queues = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
                                       free_queue);
+    s->services = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
+                                        GvSched_FreeService);
+    s->due_targets = g_ptr_array_new();
+    s->ended_targets = g_ptr_array_new();
+    s->batched_targets = g_ptr_array_new();
+    s->dirty_jobs = g_ptr_array_new();
+    s->ended_jobs = g_ptr_array_new();
     s->loads = GvLoads_New();
     s->advice = GvSched_NewAdvice();
     s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -79,8 +90,14 @@
 {
     g_ptr_array_free(s->unbatched, TRUE);
     g_ptr_array_free(s->batched, TRUE);
+    g_ptr_array_free(s->due_targets, TRUE);
+    g_ptr_array_free(s->ended_targets, TRUE);
+    g_ptr_array_free(s->batched_targets, TRUE);
+    g_ptr_array_free(s->dirty_jobs, TRUE);
+    g_ptr_array_free(s->ended_jobs, TRUE);
     g_hash_table_destroy(s->jobs);
     g_hash_table_destroy(s->targets);
+    g_hash_table_destroy(s->services);
     g_hash_table_destroy(s->queues);
     GvLoads_Free(s->loads);
     g_hash_table_destroy(s->advice);
@@ -107,7 +124,12 @@
         q->service = GvStr_Dup(q->service);
         g_hash_table_replace(s->queues, &q->name, q);
     }
-    s->place_due = true;
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        GvSched_AssignJob(s, value);
+    }
 }
 
 /* Returns the job's queue, or NULL if the settings no longer have it. */
@@ -154,23 +176,48 @@
              at.step, at.index);
 }
 
+/* Reads a dot and a decimal number at *used, which is moved behind them.
+   Returns false if there is something else. */
+static bool
+read_part(gv_str_t name, size_t *used, int *out)
+{
+    size_t i = *used;
+    int value = 0;
+    if (i >= name.n || name.p[i] != '.') {
+        return false;
+    }
+    size_t first = ++i;
+    for (; i < name.n && g_ascii_isdigit(name.p[i]); i++) {
+        if (value > GV_JOB_TASKS_MAX) {
+            return false;
+        }
+        value = value * 10 + (name.p[i] - '0');
+    }
+    *used = i;
+    *out = value;
+    return i > first;
+}
+
 /* Returns the job of a task with this full name and sets its number. Returns
    NULL if the job is not active here or the name is not one of its tasks. */
 gv_active_job_t *
 GvSched_FindTask(const gv_sched_t *s, gv_str_t name, int *task)
 {
-    char text[GV_TASK_NAME_BYTES];
-    gv_task_place_t at;
-    char end;
-    if (name.n <= GV_JOB_ID_BYTES || name.n >= sizeof text) {
+    int parts[3];
+    size_t used = GV_JOB_ID_BYTES;
+    if (name.n <= GV_JOB_ID_BYTES || name.n >= GV_TASK_NAME_BYTES) {
         return NULL;
     }
     gv_active_job_t *a = GvSched_FindJob(s, GvStr_N(name.p, GV_JOB_ID_BYTES));
-    g_snprintf(text, sizeof text, "%.*s", GV_STR_ARG(name));
-    if (a == NULL || sscanf(text + GV_JOB_ID_BYTES, ".%d.%d.%d%c",
-                            &at.occurrence, &at.step, &at.index, &end) != 3) {
+    for (int i = 0; i < 3; i++) {
+        if (!read_part(name, &used, &parts[i])) {
+            return NULL;
+        }
+    }
+    if (a == NULL || used != name.n) {
         return NULL;
     }
+    gv_task_place_t at = {parts[0], parts[1], parts[2]};
     *task = GvJob_TaskOf(a->job, at);
     return *task < 0 ? NULL : a;
 }
@@ -203,6 +250,11 @@
                       tgt->id, GV_STR_ARG(info->service), info->draining,
                       (long long)info->remaining_ms);
     }
+    bool changed = !tgt->listed || drains ||
+                   tgt->info.draining != info->draining ||
+                   !GvStr_Equal(tgt->info.service, info->service) ||
+                   !GvResources_Equal(tgt->info.room, info->room) ||
+                   !GvStr_Equal(tgt->info.labels, info->labels);
     gv_target_info_t copy = *info;
     copy.id = GvStr_Dup(info->id);
     copy.host = GvStr_Dup(info->host);
@@ -214,6 +266,8 @@
     clear_info(&tgt->info);
     tgt->info = copy;
     tgt->listed = true;
+    GvSched_AssignTarget(s, tgt);
+    GvSched_UpdateSoon(s, tgt);
     tgt->first_listed_ms =
         tgt->first_listed_ms == 0 ? now_ms : tgt->first_listed_ms;
     if (tgt->started_ms == 0) {
@@ -228,7 +282,9 @@
             GvSched_StopRun(s, r, "target is draining", now_ms);
         }
     }
-    s->place_due = true;
+    if (changed) {
+        GvSched_PlaceSoon(tgt->service);
+    }
 }
 
 /* Marks a target as no longer listed. Its runs may still be live: they are
@@ -356,8 +412,10 @@
     a->started = copy->begun;
     a->runs = g_new0(gv_run_t *, (gsize)copy->n_tasks);
     g_hash_table_insert(s->jobs, &copy->id, a);
+    GvSched_AssignJob(s, a);
     for (int i = 0; i < copy->n_tasks; i++) {
         gv_task_t *t = &copy->tasks[i];
+        a->n_waiting += t->state == GV_TASK_WAITING ? 1 : 0;
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
             gv_sched_target_t *tgt = find_or_add_target(s, t->target);
             tgt->lease_until_ms =
@@ -372,7 +430,6 @@
     else if (!a->long_running && !s->replay_pending) {
         GvLoads_AddJob(s->loads, copy, GvSched_ServiceOf(s, copy), now_ms);
     }
-    s->place_due = true;
 }
 
 /* Adds the arrivals of jobs that an earlier scheduler has handled, in the
@@ -418,7 +475,7 @@
 GvSched_SetJobsLoaded(gv_sched_t *s)
 {
     s->jobs_loaded = true;
-    s->place_due = true;
+    GvSched_PlaceAllSoon(s);
 }
 
 bool
@@ -437,52 +494,78 @@
     }
     GvEvlog_Write("cancel", "job=%.*s runs=%d", GV_STR_ARG(id), a->n_runs);
     a->job->cancelled = true;
-    a->dirty = true;
+    GvSched_MarkDirty(s, a);
     GvSched_StopJob(s, a, "cancelled", now_ms);
 }
 
+/* Packs the progress of a job and passes it to `add`. */
+static void
+add_progress(const gv_sched_t *s, gv_active_job_t *a, gv_sched_add_t add,
+             void *user)
+{
+    msgpack_sbuffer sb;
+    char key[GV_JOB_ID_BYTES + 2];
+    msgpack_sbuffer_init(&sb);
+    g_snprintf(key, sizeof key, "P%.*s", GV_STR_ARG(a->job->id));
+    if (GvJob_Ended(a->job) && a->job->ended_ms == 0) {
+        a->job->ended_ms = s->wall_ms;
+    }
+    GvJobRecord_PackProgress(a->job, &sb);
+    add(user, GvStr_C(key), GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+}
+
+static void
+swap_arrays(GPtrArray **a, GPtrArray **b)
+{
+    GPtrArray *swap = *a;
+    *a = *b;
+    *b = swap;
+}
+
+/* Notes that the applied ends of targets are in the batch, or stored at once
+   if nothing has to be stored. */
+static void
+batch_ends(gv_sched_t *s, bool stored)
+{
+    for (guint i = 0; i < s->ended_targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(s->ended_targets, i);
+        tgt->end_listed = false;
+        tgt->ends_batched = tgt->ends_applied;
+        if (stored) {
+            tgt->ends_stored = tgt->ends_applied;
+            GvSched_UpdateSoon(s, tgt);
+        }
+        else if (!tgt->end_batched) {
+            tgt->end_batched = true;
+            g_ptr_array_add(s->batched_targets, tgt);
+        }
+    }
+    g_ptr_array_set_size(s->ended_targets, 0);
+}
+
 /* Passes the progress of every job that has changed to `add`. Returns the
    number of records; 0 while the batch before is not confirmed. */
 int
 GvSched_TakeBatch(gv_sched_t *s, gv_sched_add_t add, void *user)
 {
-    GHashTableIter it;
-    gpointer value;
-    int n = 0;
+    int n = (int)s->dirty_jobs->len;
     if (s->batch_pending) {
         return 0;
     }
-    g_hash_table_iter_init(&it, s->jobs);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_active_job_t *a = value;
-        if (!a->dirty) {
-            continue;
-        }
-        msgpack_sbuffer sb;
-        char key[GV_JOB_ID_BYTES + 2];
-        msgpack_sbuffer_init(&sb);
-        g_snprintf(key, sizeof key, "P%.*s", GV_STR_ARG(a->job->id));
-        if (GvJob_Ended(a->job) && a->job->ended_ms == 0) {
-            a->job->ended_ms = s->wall_ms;
-        }
-        GvJobRecord_PackProgress(a->job, &sb);
-        add(user, GvStr_C(key), GvStr_N(sb.data, sb.size));
-        msgpack_sbuffer_destroy(&sb);
+    for (int i = 0; i < n; i++) {
+        gv_active_job_t *a = g_ptr_array_index(s->dirty_jobs, i);
+        add_progress(s, a, add, user);
         a->dirty = false;
-        n++;
-    }
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_sched_target_t *tgt = value;
-        tgt->ends_batched = tgt->ends_applied;
-        if (n == 0) {
-            tgt->ends_stored = tgt->ends_applied;
+        if (!a->end_due) {
+            a->end_due = true;
+            g_ptr_array_add(s->ended_jobs, a);
         }
     }
+    g_ptr_array_set_size(s->dirty_jobs, 0);
+    batch_ends(s, n == 0);
     if (n > 0) {
-        GPtrArray *swap = s->batched;
-        s->batched = s->unbatched;
-        s->unbatched = swap;
+        swap_arrays(&s->batched, &s->unbatched);
         s->batch_pending = true;
     }
     return n;
@@ -492,23 +575,23 @@
 static void
 remove_ended_jobs(gv_sched_t *s)
 {
-    GHashTableIter it;
-    gpointer value;
-    g_hash_table_iter_init(&it, s->jobs);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_active_job_t *a = value;
-        if (!a->dirty && a->n_runs == 0 && GvJob_Ended(a->job)) {
-            GvEvlog_Write("ended", "job=%.*s state=%s age=%lld",
-                          GV_STR_ARG(a->job->id),
-                          GvJob_StateName(GvJob_State(a->job)),
-                          (long long)(s->wall_ms - a->job->accepted_ms));
-            if (!a->long_running && !a->job->timed) {
-                GvHistogram_Observe(&job_ms, s->wall_ms - a->job->accepted_ms);
-            }
-            GvSched_ForgetAdvice(s, a->job);
-            g_hash_table_iter_remove(&it);
+    for (guint i = 0; i < s->ended_jobs->len; i++) {
+        gv_active_job_t *a = g_ptr_array_index(s->ended_jobs, i);
+        a->end_due = false;
+        if (a->dirty || a->n_runs > 0 || !GvJob_Ended(a->job)) {
+            continue;
+        }
+        GvEvlog_Write("ended", "job=%.*s state=%s age=%lld",
+                      GV_STR_ARG(a->job->id),
+                      GvJob_StateName(GvJob_State(a->job)),
+                      (long long)(s->wall_ms - a->job->accepted_ms));
+        if (!a->long_running && !a->job->timed) {
+            GvHistogram_Observe(&job_ms, s->wall_ms - a->job->accepted_ms);
         }
+        GvSched_ForgetAdvice(s, a->job);
+        g_hash_table_remove(s->jobs, &a->job->id);
     }
+    g_ptr_array_set_size(s->ended_jobs, 0);
 }
 
 /* The newest batch is stored: orders the starts that it records, and lets
@@ -516,14 +599,14 @@
 void
 GvSched_ConfirmBatch(gv_sched_t *s, int64_t now_ms)
 {
-    GHashTableIter it;
-    gpointer value;
     s->batch_pending = false;
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_sched_target_t *tgt = value;
+    for (guint i = 0; i < s->batched_targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(s->batched_targets, i);
+        tgt->end_batched = false;
         tgt->ends_stored = tgt->ends_batched;
+        GvSched_UpdateSoon(s, tgt);
     }
+    g_ptr_array_set_size(s->batched_targets, 0);
     while (s->batched->len > 0) {
         gv_run_t *r = g_ptr_array_remove_index_fast(s->batched, 0);
         if (r->phase == GV_RUN_STORING) {
@@ -555,10 +638,7 @@
         .free = tgt->info.room,
     };
     GvResources_Subtract(&v->free, tgt->used);
-    for (guint i = 0; i < tgt->runs->len; i++) {
-        const gv_run_t *r = g_ptr_array_index(tgt->runs, i);
-        v->n_long_running += r->active->long_running ? 1 : 0;
-    }
+    v->n_long_running = tgt->n_long_running;
     return true;
 }
 
@@ -573,7 +653,7 @@
         GvEvlog_Write("reserve", "target=%s reserved=%d runs=%u", tgt->id,
                       reserved, tgt->runs->len);
         tgt->reserved = reserved;
-        s->place_due = true;
+        GvSched_PlaceSoon(tgt->service);
     }
 }
 
--- a/src/sched_advice.c
+++ b/src/sched_advice.c
@@ -74,20 +74,16 @@
 
 /* Chooses targets to ask about: up to GV_ADVICE_TARGETS of those that serve
    the service, may get new tasks and were not asked about in this round, in
-   the order of the table. Returns their number. */
+   the order in which they were added. Returns their number. */
 static int
-choose_targets(const gv_sched_t *s, const gv_advice_t *a, gv_str_t service,
+choose_targets(const gv_sched_service_t *service, const gv_advice_t *a,
                const char **out)
 {
-    GHashTableIter it;
-    gpointer value;
     int n = 0;
-    g_hash_table_iter_init(&it, s->targets);
-    while (n < GV_ADVICE_TARGETS &&
-           g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_sched_target_t *tgt = value;
+    for (guint i = 0; i < service->targets->len && n < GV_ADVICE_TARGETS;
+         i++) {
+        const gv_sched_target_t *tgt = g_ptr_array_index(service->targets, i);
         if (tgt->listed && !tgt->info.draining && !tgt->reserved &&
-            GvStr_Equal(tgt->info.service, service) &&
             !g_hash_table_contains(a->asked, tgt->id)) {
             out[n++] = tgt->id;
         }
@@ -99,12 +95,12 @@
    many are, or it is too early for the next one. Once every target was asked
    about, a new round begins after GV_ADVICE_RETRY_MS. */
 void
-GvSched_RequestAdvice(gv_sched_t *s, const gv_job_t *job, int task,
-                      gv_str_t service, int64_t now_ms)
+GvSched_RequestAdvice(gv_sched_t *s, const gv_active_job_t *active, int task,
+                      int64_t now_ms)
 {
     char name[GV_TASK_NAME_BYTES];
     const char *targets[GV_ADVICE_TARGETS];
-    step_name(job, task, name, sizeof name);
+    step_name(active->job, task, name, sizeof name);
     gv_advice_t *a = g_hash_table_lookup(s->advice, name);
     if (a == NULL) {
         a = g_new0(gv_advice_t, 1);
@@ -121,7 +117,7 @@
         g_hash_table_remove_all(a->tickets);
         g_hash_table_remove_all(a->asked);
     }
-    int n = choose_targets(s, a, service, targets);
+    int n = choose_targets(active->service, a, targets);
     if (n == 0) {
         g_hash_table_remove_all(a->asked);
         a->next_request_ms = now_ms + GV_ADVICE_RETRY_MS;
@@ -170,7 +166,7 @@
         a->valid_until_ms =
             a->valid_until_ms > now_ms ? MIN(a->valid_until_ms, until) : until;
     }
-    s->place_due = true;
+    GvSched_PlaceAllSoon(s);
 }
 
 /* Drops the advice for all steps of a job that has ended. */
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -73,6 +73,9 @@
     if (r != NULL) {
         r->order_pending = false; /* also if an earlier incarnation answers */
     }
+    if (tgt != NULL) {
+        GvSched_UpdateSoon(s, tgt);
+    }
     if (tgt == NULL || !apply_answer(s, tgt, a, now_ms)) {
         return NULL;
     }
@@ -234,6 +237,10 @@
         return false;
     }
     tgt->ends_applied = e->number;
+    if (!tgt->end_listed) {
+        tgt->end_listed = true;
+        g_ptr_array_add(s->ended_targets, tgt);
+    }
     gv_run_t *r = a == NULL ? NULL : a->runs[task];
     if (r != NULL && r->run == e->run && r->tgt == tgt) {
         GvSched_EndRun(s, r, e, now_ms);
@@ -244,7 +251,7 @@
         /* An earlier run, dropped as lost, had ended as done. */
         GvEvlog_Write("end", "task=%.*s run=%u target=%s how=done late=1",
                       GV_STR_ARG(e->task), e->run, tgt->id);
-        GvSched_MarkDone(a, task);
+        GvSched_MarkDone(s, a, task);
         if (r != NULL) {
             GvSched_StopRun(s, r, "an earlier run had ended as done", now_ms);
         }
@@ -310,7 +317,10 @@
     if (tgt == NULL) {
         return;
     }
+    bool was_usable = GvSched_IsClockFresh(tgt, now_ms) &&
+                      tgt->n_strays == 0 && tgt->n_unread == 0;
     tgt->hold_pending = false;
+    GvSched_UpdateSoon(s, tgt);
     bool ours = apply_answer(s, tgt, &a->answer, now_ms);
     if (!ours || a->answer.result != GV_ORDER_DONE) {
         if (tgt->hold_failures++ == 0) {
@@ -346,5 +356,7 @@
     else {
         tgt->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
     }
-    s->place_due = true;
+    if (!was_usable) {
+        GvSched_PlaceSoon(tgt->service);
+    }
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -10,7 +10,6 @@
 typedef struct {
     gv_active_job_t *active;
     const gv_step_t *step;
-    gv_str_t service;
     int first; /* number of its first task */
     int priority;
     bool needs_advice;   /* only targets with a ticket may run its tasks */
@@ -43,6 +42,9 @@
 static bool
 has_waiting(const gv_active_job_t *a, int first, int count)
 {
+    if (a->n_waiting == 0) {
+        return false;
+    }
     for (int i = 0; i < count; i++) {
         if (a->job->tasks[first + i].state == GV_TASK_WAITING) {
             return true;
@@ -51,61 +53,45 @@
     return false;
 }
 
-/* Returns the expected run time of a step's tasks in ms: the mean of its queue
-   if that is known, else the job's own estimate. */
-static double
-task_run_ms(const gv_sched_t *s, const gv_job_t *job, int step)
+/* Sets the critical paths of a job, unless they were set lately: the longest
+   chains of dependent steps' run times. A step's run time is the mean of its
+   queue if that is known, else the job's own estimate. */
+static void
+set_paths(const gv_sched_t *s, gv_active_job_t *a, int64_t now_ms)
 {
+    const gv_job_t *job = a->job;
+    if (a->path_set_ms != 0 && now_ms - a->path_set_ms < GV_SCHED_PATH_MS) {
+        return;
+    }
     double learned = GvLoads_RunMs(s->loads, job->queue);
-    return learned > 0 ? learned : job->steps[step].estimate_ms;
-}
-
-/* Returns the length in ms of the critical path from the start of a step to
-   the end of the job: the longest chain of dependent steps' run times. */
-static double
-critical_path_ms(const gv_sched_t *s, const gv_job_t *job, int from)
-{
-    double longest = 0;
-    double end[GV_JOB_STEPS_MAX];
-    for (int i = from; i < job->n_steps; i++) {
+    if (a->rest_ms == NULL) {
+        a->rest_ms = g_new0(double, (gsize)job->n_steps);
+    }
+    a->path_set_ms = now_ms;
+    a->path_ms = 0;
+    memset(a->rest_ms, 0, sizeof(double) * (size_t)job->n_steps);
+    for (int i = job->n_steps - 1; i >= 0; i--) {
         const gv_step_t *step = &job->steps[i];
-        double begin = 0;
-        bool follows = i == from;
+        a->rest_ms[i] += learned > 0 ? learned : step->estimate_ms;
         for (int k = 0; k < step->n_after; k++) {
             int before = step->after[k];
-            if (before >= from && end[before] > 0) {
-                follows = true;
-                begin = MAX(begin, end[before]);
-            }
+            a->rest_ms[before] = MAX(a->rest_ms[before], a->rest_ms[i]);
         }
-        end[i] = follows ? begin + task_run_ms(s, job, i) : 0;
-        longest = MAX(longest, end[i]);
-    }
-    return longest;
-}
-
-/* Returns the length in ms of the critical path of a whole job. */
-static double
-job_critical_path_ms(const gv_sched_t *s, const gv_job_t *job)
-{
-    double longest = 0;
-    for (int i = 0; i < job->n_steps; i++) {
-        if (job->steps[i].n_after == 0) {
-            longest = MAX(longest, critical_path_ms(s, job, i));
+        if (step->n_after == 0) {
+            a->path_ms = MAX(a->path_ms, a->rest_ms[i]);
         }
     }
-    return longest;
 }
 
 /* Appends the steps of a job that may start now and have waiting tasks. */
 static void
-add_ready(gv_sched_t *s, gv_active_job_t *a, GArray *out)
+add_ready(const gv_sched_t *s, gv_active_job_t *a, int64_t now_ms, GArray *out)
 {
     gv_job_t *job = a->job;
     const gv_queue_info_t *q = GvSched_QueueOf(s, job);
     int objective = q == NULL ? job->objective_ms : q->objective_ms;
     double stretch = q == NULL ? job->stretch : q->stretch;
-    double path_ms = job_critical_path_ms(s, job);
+    set_paths(s, a, now_ms);
     for (int k = 0; k < job->occurrences; k++) {
         int first = k * job->tasks_per_occurrence;
         int64_t begin = job->timed ? job->first_ms + k * job->interval_ms
@@ -117,15 +103,14 @@
                 gv_ready_t r = {
                     .active = a,
                     .step = step,
-                    .service = GvSched_ServiceOf(s, job),
                     .first = first,
                     .priority = q == NULL ? job->priority : q->priority,
                     .needs_advice = q != NULL && q->needs_advice,
                     .deadline_ms =
-                        begin + objective + (int64_t)(stretch * path_ms),
+                        begin + objective + (int64_t)(stretch * a->path_ms),
                 };
-                r.late = (double)s->wall_ms + critical_path_ms(s, job, i) >
-                         (double)r.deadline_ms;
+                r.late =
+                    (double)s->wall_ms + a->rest_ms[i] > (double)r.deadline_ms;
                 g_array_append_val(out, r);
             }
             first += step->count;
@@ -133,22 +118,21 @@
     }
 }
 
-/* Returns the steps of all jobs that may start now, in the order in which they
-   are to be placed. */
+/* Returns the steps of a service's jobs that may start now and have waiting
+   tasks. */
 static GArray *
-ready_steps(gv_sched_t *s)
+ready_steps(const gv_sched_t *s, const gv_sched_service_t *sv, int64_t now_ms)
 {
     GHashTableIter it;
-    gpointer value;
+    gpointer key;
     GArray *out = g_array_new(FALSE, FALSE, sizeof(gv_ready_t));
-    g_hash_table_iter_init(&it, s->jobs);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_active_job_t *a = value;
-        if (!GvJob_Ended(a->job)) {
-            add_ready(s, a, out);
+    g_hash_table_iter_init(&it, sv->jobs);
+    while (g_hash_table_iter_next(&it, &key, NULL)) {
+        gv_active_job_t *a = key;
+        if (a->n_waiting > 0 && !GvJob_Ended(a->job)) {
+            add_ready(s, a, now_ms, out);
         }
     }
-    g_array_sort(out, compare_ready);
     return out;
 }
 
@@ -214,9 +198,8 @@
     return tgt->listed && !tgt->info.draining && !tgt->reserved &&
            (!tgt->room_kept || r->active->long_running) &&
            tgt->n_strays == 0 && tgt->n_unread == 0 &&
-           now_ms >= tgt->avoid_until_ms &&
-           GvStr_Equal(tgt->info.service, r->service) &&
-           GvResources_Fit(need, *free) && has_label(tgt, r->step->label) &&
+           now_ms >= tgt->avoid_until_ms && GvResources_Fit(need, *free) &&
+           has_label(tgt, r->step->label) &&
            (r->step->max_per_target == 0 ||
             runs_of_step(tgt, r) < r->step->max_per_target) &&
            !would_interfere(tgt, r->step);
@@ -253,13 +236,11 @@
 choose_target(gv_sched_t *s, const gv_ready_t *r, const gv_task_t *t,
               int64_t now_ms)
 {
-    GHashTableIter it;
-    gpointer value;
+    const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     double best_score = 0;
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_sched_target_t *tgt = value;
+    for (guint i = 0; i < targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
         GvResources_Subtract(&free, tgt->used);
         if (!may_run(tgt, r, &free, now_ms) ||
@@ -269,6 +250,7 @@
         }
         if (!GvSched_IsClockFresh(tgt, now_ms)) {
             tgt->clock_needed = true;
+            GvSched_UpdateSoon(s, tgt);
             continue;
         }
         double score = score_target(tgt, r, t, &free);
@@ -281,6 +263,39 @@
     return best;
 }
 
+/* Returns true if any target with enough room may run the step's tasks. */
+static bool
+is_plain(const gv_ready_t *r)
+{
+    return r->step->label.n == 0 && r->step->max_per_target == 0 &&
+           r->step->tail_latency_goal_ms == 0 && !r->step->uses_leftover_cpu &&
+           !r->needs_advice;
+}
+
+/* Returns true if a task like those of this step, or a smaller one, found no
+   target in this pass. */
+static bool
+is_known_full(const gv_ready_t *r)
+{
+    const gv_sched_service_t *sv = r->active->service;
+    int kind = r->active->long_running ? 1 : 0;
+    return is_plain(r) && sv->is_full[kind] &&
+           GvResources_Fit(sv->full_for[kind], r->step->need);
+}
+
+/* Notes that the tasks of this step found no target in this pass. */
+static void
+note_full(const gv_ready_t *r)
+{
+    gv_sched_service_t *sv = r->active->service;
+    int kind = r->active->long_running ? 1 : 0;
+    if (is_plain(r) && (!sv->is_full[kind] ||
+                        GvResources_Fit(r->step->need, sv->full_for[kind]))) {
+        sv->is_full[kind] = true;
+        sv->full_for[kind] = r->step->need;
+    }
+}
+
 /* Places all tasks of a gang, with the same run number and the same state to
    resume from. If one finds no target, none is placed. */
 static void
@@ -324,6 +339,9 @@
 static void
 place_tasks(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
 {
+    if (is_known_full(r)) {
+        return;
+    }
     for (int i = 0; i < r->step->count; i++) {
         gv_task_t *t = &r->active->job->tasks[r->first + i];
         if (t->state != GV_TASK_WAITING) {
@@ -331,6 +349,7 @@
         }
         gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
         if (tgt == NULL) {
+            note_full(r);
             return;
         }
         t->run++;
@@ -344,17 +363,15 @@
    is one target of a service at a time, and the same one in each pass, as its
    free cpu only grows. */
 static void
-keep_room_free(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+keep_room_free(const gv_ready_t *r, int64_t now_ms)
 {
-    GHashTableIter it;
-    gpointer value;
+    const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     int64_t most = 0;
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        gv_sched_target_t *tgt = value;
+    for (guint i = 0; i < targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
-        if (tgt->room_kept && GvStr_Equal(tgt->info.service, r->service)) {
+        if (tgt->room_kept) {
             return;
         }
         if (!may_run(tgt, r, &free, now_ms)) {
@@ -372,31 +389,26 @@
     }
 }
 
-/* Ends what keep_room_free did in the pass before. */
+/* Ends what keep_room_free and note_full did in the pass before. */
 static void
-clear_kept_rooms(gv_sched_t *s)
+begin_pass(gv_sched_service_t *sv)
 {
-    GHashTableIter it;
-    gpointer value;
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        ((gv_sched_target_t *)value)->room_kept = false;
+    for (guint i = 0; i < sv->targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
+        tgt->room_kept = false;
     }
+    sv->is_full[0] = false;
+    sv->is_full[1] = false;
 }
 
-/* Places every waiting task that may start and finds a target. Without an
-   event this is done once in GV_SCHED_TICK_MS, because occurrences become due
-   and targets stop being avoided with time alone. */
-void
-GvSched_Place(gv_sched_t *s, int64_t now_ms)
+/* Places every waiting task of a service that may start and finds a target. */
+static void
+place_service(gv_sched_t *s, gv_sched_service_t *sv, int64_t now_ms)
 {
-    if (!s->jobs_loaded ||
-        (!s->place_due && now_ms - s->placed_ms < GV_SCHED_TICK_MS)) {
-        return;
-    }
-    s->placed_ms = now_ms;
-    clear_kept_rooms(s);
-    GArray *ready = ready_steps(s);
+    begin_pass(sv);
+    sv->place_due = false;
+    GArray *ready = ready_steps(s, sv, now_ms);
+    g_array_sort(ready, compare_ready);
     for (guint i = 0; i < ready->len; i++) {
         const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
         if (r->step->gang) {
@@ -407,16 +419,36 @@
         }
         if (r->needs_advice &&
             has_waiting(r->active, r->first, r->step->count)) {
-            GvSched_RequestAdvice(s, r->active->job, r->first, r->service,
-                                  now_ms);
+            GvSched_RequestAdvice(s, r->active, r->first, now_ms);
         }
         else if (r->active->long_running &&
                  has_waiting(r->active, r->first, r->step->count)) {
-            keep_room_free(s, r, now_ms);
+            keep_room_free(r, now_ms);
         }
     }
     g_array_free(ready, TRUE);
-    s->place_due = false;
+}
+
+/* Places the waiting tasks of the services that an event has changed and,
+   every GV_SCHED_TICK_MS, of all: occurrences become due and targets stop
+   being avoided with time alone. */
+void
+GvSched_Place(gv_sched_t *s, int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    bool all = now_ms - s->placed_ms >= GV_SCHED_TICK_MS;
+    if (!s->jobs_loaded) {
+        return;
+    }
+    s->placed_ms = all ? now_ms : s->placed_ms;
+    g_hash_table_iter_init(&it, s->services);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_sched_service_t *sv = value;
+        if (sv->place_due || all) {
+            place_service(s, sv, now_ms);
+        }
+    }
 }
 
 /* Returns the demand of a service: of running tasks, of waiting tasks that may
@@ -430,13 +462,12 @@
     d.arriving_cpu = GvLoads_ArrivingCpu(s->loads, service, now_ms);
     d.expected_cpu =
         GvLoads_ExpectedBurstCpu(s->loads, service, ahead_ms, now_ms);
-    GHashTableIter it;
-    gpointer value;
+    const gv_sched_service_t *sv = GvSched_Service(s, service);
     s->wall_ms = wall_ms;
-    GArray *ready = ready_steps(s);
+    GArray *ready = ready_steps(s, sv, now_ms);
     for (guint i = 0; i < ready->len; i++) {
         const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
-        if (!GvStr_Equal(r->service, service) || r->step->uses_leftover_cpu) {
+        if (r->step->uses_leftover_cpu) {
             continue;
         }
         for (int k = 0; k < r->step->count; k++) {
@@ -449,12 +480,9 @@
         }
     }
     g_array_free(ready, TRUE);
-    g_hash_table_iter_init(&it, s->targets);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        const gv_sched_target_t *tgt = value;
-        if (GvStr_Equal(tgt->info.service, service)) {
-            d.used_cpu += tgt->used.cpu;
-        }
+    for (guint i = 0; i < sv->targets->len; i++) {
+        const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
+        d.used_cpu += tgt->used.cpu;
     }
     return d;
 }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -17,6 +17,18 @@
 typedef struct gv_sched_target_s gv_sched_target_t;
 typedef struct gv_active_job_s gv_active_job_t;
 
+/* A service: only its targets run its jobs. */
+typedef struct {
+    gv_str_t name;
+    GPtrArray *targets; /* gv_sched_target_t * */
+    GHashTable *jobs;   /* set of gv_active_job_t * */
+    bool place_due;     /* an event may allow new placements */
+    /* In this pass of placement, by whether the task is long-running: no
+       target had this much free for a task without further conditions. */
+    bool is_full[2];
+    gv_resources_t full_for[2];
+} gv_sched_service_t;
+
 /* A run that is live on a target or may become so. */
 typedef struct {
     gv_sched_target_t *tgt;
@@ -40,6 +52,14 @@
 /* A job that has not ended or still has runs. */
 struct gv_active_job_s {
     gv_job_t *job;
+    gv_sched_service_t *service;
+    int n_waiting; /* tasks in state GV_TASK_WAITING */
+    /* Critical path in ms, of the whole job and from the start of each step;
+       by the run times known at path_set_ms. */
+    double path_ms;
+    double *rest_ms;
+    int64_t path_set_ms; /* 0: not set */
+    bool end_due;        /* in ended_jobs of the scheduler */
     bool long_running;
     bool started;    /* a target has confirmed a start, or may have done so
                         under an earlier scheduler */
@@ -50,7 +70,11 @@
 
 /* A target, its runs and the state of its holds. */
 struct gv_sched_target_s {
-    const char *id; /* interned */
+    const char *id;              /* interned */
+    gv_sched_service_t *service; /* NULL: not known yet */
+    bool update_due;             /* in due_targets of the scheduler */
+    bool end_listed;             /* in ended_targets of the scheduler */
+    bool end_batched;            /* in batched_targets of the scheduler */
     gv_target_info_t info;
     bool listed;             /* the platform's list of targets has it */
     int64_t first_listed_ms; /* when it was first listed; 0: never */
@@ -92,9 +116,16 @@
     bool batch_pending; /* a batch of progress is being stored */
     bool jobs_loaded;   /* see GvSched_SetJobsLoaded */
     int64_t wall_ms;
-    GHashTable *targets; /* interned id -> gv_sched_target_t * */
-    GHashTable *jobs;    /* gv_str_t * -> gv_active_job_t * */
-    GHashTable *queues;  /* name -> gv_queue_info_t * */
+    GHashTable *targets;        /* interned id -> gv_sched_target_t * */
+    GHashTable *jobs;           /* gv_str_t * -> gv_active_job_t * */
+    GHashTable *queues;         /* name -> gv_queue_info_t * */
+    GHashTable *services;       /* gv_str_t * -> gv_sched_service_t * */
+    GPtrArray *due_targets;     /* to be updated: an event has changed them */
+    GPtrArray *ended_targets;   /* ends were applied since the newest batch */
+    GPtrArray *batched_targets; /* ends are in the present batch */
+    GPtrArray *dirty_jobs; /* progress has changed since the newest batch */
+    GPtrArray *ended_jobs; /* to be checked whether they can be removed */
+    int64_t swept_ms;      /* newest update of all targets */
     gv_loads_t *loads;
     GHashTable *advice;   /* step name -> gv_advice_t * */
     int n_advice_pending; /* requests for advice without an answer */
@@ -102,7 +133,6 @@
                              run that is not known here */
     GPtrArray *unbatched; /* gv_run_t * to start after the next batch */
     GPtrArray *batched;   /* gv_run_t * to start after the present batch */
-    bool place_due;       /* an event may allow new placements */
     bool replay_pending;  /* until GvSched_ReplayArrivals: jobs that are added
                              are not counted as arriving now */
     int64_t placed_ms;    /* newest pass of placement */
@@ -119,6 +149,17 @@
 gv_active_job_t *GvSched_FindTask(const gv_sched_t *s, gv_str_t name,
                                   int *task);
 
+gv_sched_service_t *GvSched_Service(gv_sched_t *s, gv_str_t name);
+void GvSched_FreeService(gpointer service);
+void GvSched_AssignTarget(gv_sched_t *s, gv_sched_target_t *tgt);
+void GvSched_AssignJob(gv_sched_t *s, gv_active_job_t *a);
+void GvSched_RemoveFromService(gv_sched_target_t *tgt);
+void GvSched_PlaceSoon(gv_sched_service_t *sv);
+void GvSched_PlaceAllSoon(gv_sched_t *s);
+void GvSched_UpdateSoon(gv_sched_t *s, gv_sched_target_t *tgt);
+void GvSched_MarkDirty(gv_sched_t *s, gv_active_job_t *a);
+void GvSched_SetTaskState(gv_active_job_t *a, int task, gv_task_state_t state);
+
 gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
                          gv_sched_target_t *tgt, gv_run_phase_t phase,
                          int64_t now_ms);
@@ -129,7 +170,7 @@
                      int64_t now_ms);
 void GvSched_EndRun(gv_sched_t *s, gv_run_t *r, const gv_ended_t *e,
                     int64_t now_ms);
-void GvSched_MarkDone(gv_active_job_t *a, int task);
+void GvSched_MarkDone(gv_sched_t *s, gv_active_job_t *a, int task);
 void GvSched_SetSavedState(gv_active_job_t *a, int task, gv_str_t saved);
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
@@ -147,8 +188,8 @@
                                int task, const char *target, int64_t now_ms);
 void GvSched_DropTicket(gv_sched_t *s, const gv_job_t *job, int task,
                         const char *target);
-void GvSched_RequestAdvice(gv_sched_t *s, const gv_job_t *job, int task,
-                           gv_str_t service, int64_t now_ms);
+void GvSched_RequestAdvice(gv_sched_t *s, const gv_active_job_t *active,
+                           int task, int64_t now_ms);
 void GvSched_ForgetAdvice(gv_sched_t *s, const gv_job_t *job);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
 int64_t GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -33,10 +33,10 @@
     r->phase = phase;
     r->placed_ms = now_ms;
     if (phase == GV_RUN_STORING) {
-        t->state = GV_TASK_PLACED;
+        GvSched_SetTaskState(a, task, GV_TASK_PLACED);
         t->target = tgt->id;
         a->job->begun = true;
-        a->dirty = true;
+        GvSched_MarkDirty(s, a);
         g_ptr_array_add(s->unbatched, r);
     }
     r->run = t->run;
@@ -45,6 +45,7 @@
     GvResources_Add(&tgt->used, r->need);
     tgt->n_long_running += a->long_running ? 1 : 0;
     g_ptr_array_add(tgt->runs, r);
+    GvSched_UpdateSoon(s, tgt);
     return r;
 }
 
@@ -61,8 +62,8 @@
                       r->run, r->tgt->id, why);
     }
     if (t->state == GV_TASK_PLACED) {
-        t->state = GV_TASK_WAITING;
-        a->dirty = true;
+        GvSched_SetTaskState(a, r->task, GV_TASK_WAITING);
+        GvSched_MarkDirty(s, a);
     }
     GvResources_Subtract(&r->tgt->used, r->need);
     r->tgt->n_long_running -= a->long_running ? 1 : 0;
@@ -74,8 +75,14 @@
     if (a->n_runs == 0 && !a->started) {
         a->job->begun = false; /* no start was carried out */
     }
+    if (a->n_runs == 0 && GvJob_Ended(a->job) && !a->end_due) {
+        a->end_due = true;
+        g_ptr_array_add(s->ended_jobs, a);
+    }
+    GvSched_PlaceSoon(a->service);
+    GvSched_PlaceSoon(r->tgt->service);
+    GvSched_UpdateSoon(s, r->tgt);
     g_free(r);
-    s->place_due = true;
 }
 
 /* Returns the end of a lease that begins now, on the target's clock, and sets
@@ -173,29 +180,29 @@
 }
 
 static void
-mark_done(gv_active_job_t *a, int task)
+mark_done(gv_sched_t *s, gv_active_job_t *a, int task)
 {
-    gv_task_t *t = &a->job->tasks[task];
-    if (t->state != GV_TASK_DONE) {
-        t->state = GV_TASK_DONE;
+    if (a->job->tasks[task].state != GV_TASK_DONE) {
+        GvSched_SetTaskState(a, task, GV_TASK_DONE);
         a->job->n_done++;
-        a->dirty = true;
+        GvSched_MarkDirty(s, a);
+        GvSched_PlaceSoon(a->service);
     }
 }
 
 /* Marks a task as done, or every task of its gang. */
 void
-GvSched_MarkDone(gv_active_job_t *a, int task)
+GvSched_MarkDone(gv_sched_t *s, gv_active_job_t *a, int task)
 {
     const gv_step_t *step = GvJob_StepOf(a->job, task);
     if (!step->gang) {
-        mark_done(a, task);
+        mark_done(s, a, task);
         return;
     }
     gv_task_place_t at = GvJob_PlaceOf(a->job, task);
     int first = task - at.index;
     for (int i = 0; i < step->count; i++) {
-        mark_done(a, first + i);
+        mark_done(s, a, first + i);
     }
 }
 
@@ -213,7 +220,7 @@
             failures += a->job->tasks[first + i].failures;
         }
     }
-    a->dirty = true;
+    GvSched_MarkDirty(s, a);
     if (!step->long_running && failures >= GvSched_AttemptsOf(s, a->job) &&
         !GvJob_Ended(a->job)) {
         GvEvlog_Write("failed", "job=%.*s failures=%d attempts=%d",
@@ -269,7 +276,7 @@
     a->started = true;
     GvSched_SetSavedState(a, task, e->saved);
     if (e->how == GV_END_DONE) {
-        GvSched_MarkDone(a, task);
+        GvSched_MarkDone(s, a, task);
         GvLoads_AddRun(s->loads, a->job->queue, now_ms - r->placed_ms);
     }
     GvSched_DropRun(s, r, NULL);
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -183,23 +183,37 @@
     }
 }
 
-/* Updates every target and removes those that are not listed and have no runs
-   and no lease. Returns when to call again if no event comes before. */
+/* Updates the targets that an event has changed. Every GV_SCHED_SWEEP_MS
+   updates all, because leases end with time alone, and removes those that are
+   not listed and have no runs and no lease. Returns when to call again if no
+   event comes before. */
 int64_t
 GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
+    for (guint i = 0; i < s->due_targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(s->due_targets, i);
+        tgt->update_due = false; /* updates may add it again, at the end */
+        update_target(s, tgt, now_ms);
+    }
+    g_ptr_array_set_size(s->due_targets, 0);
+    if (now_ms - s->swept_ms < GV_SCHED_SWEEP_MS) {
+        return s->swept_ms + GV_SCHED_SWEEP_MS;
+    }
+    s->swept_ms = now_ms;
     g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_target_t *tgt = value;
         update_target(s, tgt, now_ms);
         if (!tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
+            !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
             now_ms > tgt->lease_until_ms) {
+            GvSched_RemoveFromService(tgt);
             g_hash_table_iter_remove(&it);
         }
     }
-    return now_ms + GV_SCHED_TICK_MS;
+    return now_ms + GV_SCHED_SWEEP_MS;
 }
 
 /* Returns true if the target's clock was read so lately that deadlines on it
