Malformed and older records: progress is kept, waves do not go back

Change: progress is decoded aside and replaced only when whole; the offset of a wave's record is compared; such a step is refused.

--- a/src/job_record.c
+++ b/src/job_record.c
@@ -89,7 +89,10 @@
     s->need.gpu = GvUnpack_Int(&f);
     s->estimate_ms = (int)GvUnpack_Int(&f);
     gv_unpack_t after = GvUnpack_Sub(&f, 0);
-    if (f.err == GV_OK && after.array->size <= GV_JOB_STEPS_MAX) {
+    if (f.err == GV_OK && after.array->size > GV_JOB_STEPS_MAX) {
+        f.err = GV_EINVAL;
+    }
+    if (f.err == GV_OK) {
         s->after = g_new0(int, after.array->size + 1);
         while (GvUnpack_HasNext(&after)) {
             s->after[s->n_after++] = (int)GvUnpack_Int(&after);
@@ -256,16 +259,13 @@
     g_free(name);
 }
 
-/* Decodes progress and replaces that of a job; a job that is cancelled stays
-   cancelled. Returns 0 or a negative error, after which no task has
-   progress. */
-int
-GvJobRecord_ReadProgress(gv_str_t bytes, gv_job_t *job)
+/* Decodes progress into a job without any. Returns 0 or a negative error. */
+static int
+read_progress(gv_str_t bytes, gv_job_t *job)
 {
     msgpack_unpacked un;
     int rc = GvUnpack_Root(&un, bytes);
     gv_unpack_t u = GvUnpack_Array(rc == GV_OK ? &un.data : NULL, 5);
-    clear_progress(job);
     if (u.err == GV_OK && GvUnpack_Uint(&u) == FORMAT_VERSION) {
         uint64_t flags = GvUnpack_Uint(&u);
         job->cancelled = job->cancelled || (flags & JOB_CANCELLED) != 0;
@@ -289,8 +289,26 @@
         rc = GV_EINVAL;
     }
     msgpack_unpacked_destroy(&un);
+    return rc;
+}
+
+/* Decodes progress and replaces that of a job; a job that is cancelled stays
+   cancelled. Returns 0 or a negative error, after which the job is as before:
+   without its progress its tasks would run again. */
+int
+GvJobRecord_ReadProgress(gv_str_t bytes, gv_job_t *job)
+{
+    gv_job_t former = *job;
+    job->tasks = g_new0(gv_task_t, (gsize)job->n_tasks);
+    job->n_done = 0;
+    int rc = read_progress(bytes, job);
     if (rc != GV_OK) {
         clear_progress(job);
+        g_free(job->tasks);
+        *job = former;
+        return rc;
     }
-    return rc;
+    clear_progress(&former);
+    g_free(former.tasks);
+    return GV_OK;
 }
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -32,6 +32,7 @@
     gv_job_table_t *t = g_new0(gv_job_table_t, 1);
     t->jobs = g_hash_table_new_full(GvStr_HashKey, GvStr_EqualKeys, NULL,
                                     free_entry);
+    t->wave_offsets = g_hash_table_new(g_direct_hash, g_direct_equal);
     t->waves =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_bytes);
     return t;
@@ -43,6 +44,7 @@
 {
     g_hash_table_destroy(t->jobs);
     g_hash_table_destroy(t->waves);
+    g_hash_table_destroy(t->wave_offsets);
     GvStr_Free(&t->lease.holder);
     g_free(t);
 }
@@ -176,16 +178,23 @@
     return rc == GV_OK ? GV_CHANGE_LEASE : malformed(t, key, rc);
 }
 
-/* Replaces the stored state of a wave; offsets are not compared. */
+/* Replaces the stored state of a wave, unless the record is older than the
+   newest one. */
 static gv_change_t
-apply_wave(gv_job_table_t *t, gv_str_t name, gv_str_t value)
+apply_wave(gv_job_table_t *t, uint64_t offset, gv_str_t name, gv_str_t value)
 {
     char text[24];
     g_snprintf(text, sizeof text, "%.*s", GV_STR_ARG(name));
+    gpointer number = GSIZE_TO_POINTER(g_ascii_strtoull(text, NULL, 10));
+    uint64_t newest =
+        GPOINTER_TO_SIZE(g_hash_table_lookup(t->wave_offsets, number));
+    if (offset + 1 <= newest) {
+        return GV_CHANGE_NONE;
+    }
+    g_hash_table_insert(t->wave_offsets, number, GSIZE_TO_POINTER(offset + 1));
     GByteArray *copy = g_byte_array_new();
     g_byte_array_append(copy, (const guint8 *)value.p, (guint)value.n);
-    g_hash_table_insert(
-        t->waves, GSIZE_TO_POINTER(g_ascii_strtoull(text, NULL, 10)), copy);
+    g_hash_table_insert(t->waves, number, copy);
     return GV_CHANGE_WAVE;
 }
 
@@ -237,8 +246,8 @@
 
 /* Applies one record; an empty value drops its key. Records of one partition
    may be applied again or out of order after the store lost its history: older
-   ones of progress and of the lease are recognised by their offsets and change
-   nothing. Sets *job to the job that changed, or to NULL. */
+   ones of progress, of the lease and of waves are recognised by their offsets
+   and change nothing. Sets *job to the job that changed, or to NULL. */
 gv_change_t
 GvJobTable_Apply(gv_job_table_t *t, gv_record_place_t at, gv_str_t key,
                  gv_str_t value, gv_job_t **job)
@@ -266,7 +275,7 @@
         return apply_lease(t, at.offset, key, value);
     }
     if (kind == GV_KEY_WAVE && part == GV_PARTITION_PROGRESS) {
-        return apply_wave(t, name, value);
+        return apply_wave(t, at.offset, name, value);
     }
     return malformed(t, key, GV_EINVAL);
 }
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -33,6 +33,9 @@
 typedef struct {
     GHashTable *jobs;  /* gv_str_t * -> gv_job_entry_t * */
     GHashTable *waves; /* wave number as a pointer -> GByteArray * */
+    /* Wave number as a pointer -> offset of its record, plus 1, as a pointer
+     */
+    GHashTable *wave_offsets;
     gv_lease_t lease;
     uint64_t lease_offset; /* of the lease's record, plus 1; 0: none */
     int malformed;         /* records that could not be read */
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -254,9 +254,22 @@
     return 1 if failed else 0
 
 
+def malformed_submission(fleet):
+    """Guards against a job that is accepted without its list of dependencies,
+    which is too long to be kept, so that a step starts too early."""
+    job = "e" * 16
+    body = pack({"spec": "s", "steps": [
+        {"count": 1, "cpu": 500, "memMb": 10},
+        {"count": 1, "cpu": 500, "memMb": 10, "dependsOn": [0] * 300}]})
+    answer = call(fleet.fronts["host-0"], "POST", f"/q/{job}", body,
+                  {"Host": HOST})
+    assert answer.status == 400, answer.status
+    assert fleet.state("host-0", job) == 410
+
+
 def main():
     return run_scenarios(Fleet(sys.argv[1]), (
-        accepts_and_runs, survives_leader, refusals_match_store,
+        accepts_and_runs, malformed_submission, survives_leader, refusals_match_store,
         silent_target, unread_jobs, outdated_count, graceful_stop))
 
 
--- /dev/null
+++ b/tests/test_jobs.c
@@ -0,0 +1,122 @@
+#include <glib.h>
+
+#include "error.h"
+#include "job_record.h"
+#include "job_table.h"
+#include "limits.h"
+#include "support.h"
+
+/* Records of jobs and waves that are malformed or arrive out of order. */
+
+#define ID "00000000000000a1"
+
+/* Returns a job of one step with two tasks. */
+static gv_job_t *
+new_job(void)
+{
+    gv_job_t *j = GvJob_New();
+    j->id = GvStr_Dup(GV_STR(ID));
+    j->queue = GvStr_Dup(GV_STR("q"));
+    j->service = GvStr_Dup(GV_STR("s"));
+    j->attempts = 2;
+    j->n_steps = 1;
+    j->steps = g_new0(gv_step_t, 1);
+    j->steps[0].count = 2;
+    g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    return j;
+}
+
+static gv_change_t
+apply(gv_job_table_t *t, gv_partition_kind_t kind, uint64_t offset,
+      gv_str_t key, gv_str_t value)
+{
+    gv_job_t *job;
+    gv_record_place_t at = {kind, 0, offset};
+    return GvJobTable_Apply(t, at, key, value, &job);
+}
+
+/* Returns a table with a job whose first task is done. */
+static gv_job_table_t *
+table_with_job(void)
+{
+    msgpack_sbuffer sb;
+    gv_job_table_t *t = GvJobTable_New();
+    gv_job_t *j = new_job();
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackDefinition(j, &sb);
+    g_assert_cmpint(apply(t, GV_PARTITION_ACCEPTED, 1, GV_STR("J" ID),
+                          GvStr_N(sb.data, sb.size)),
+                    ==, GV_CHANGE_JOB);
+    sb.size = 0;
+    j->tasks[0].state = GV_TASK_DONE;
+    j->n_done = 1;
+    j->tasks[1].run = 3;
+    GvJobRecord_PackProgress(j, &sb);
+    g_assert_cmpint(apply(t, GV_PARTITION_PROGRESS, 5, GV_STR("P" ID),
+                          GvStr_N(sb.data, sb.size)),
+                    ==, GV_CHANGE_PROGRESS);
+    msgpack_sbuffer_destroy(&sb);
+    GvJob_Free(j);
+    return t;
+}
+
+/* Guards against a malformed record of progress that makes finished tasks run
+   again. */
+TEST("/jobs/malformed-progress", test_malformed_progress)
+{
+    gv_job_table_t *t = table_with_job();
+    msgpack_sbuffer sb;
+    gv_job_t *j = new_job();
+    msgpack_sbuffer_init(&sb);
+    j->tasks[1].run = 9;
+    GvJobRecord_PackProgress(j, &sb);
+    for (size_t n = 1; n < sb.size; n++) {
+        (void)apply(t, GV_PARTITION_PROGRESS, 5 + n, GV_STR("P" ID),
+                    GvStr_N(sb.data, n));
+        const gv_job_t *kept = GvJobTable_Find(t, GV_STR(ID));
+        g_assert_cmpint(kept->n_done, ==, 1);
+        g_assert_cmpint(kept->tasks[0].state, ==, GV_TASK_DONE);
+        g_assert_cmpint(kept->tasks[1].run, ==, 3);
+    }
+    g_assert_cmpint(t->malformed, ==, (int)sb.size - 1);
+    msgpack_sbuffer_destroy(&sb);
+    GvJob_Free(j);
+    GvJobTable_Free(t);
+}
+
+/* Guards against an older record of a wave, read again after the newest one,
+   that makes a new leader maintain hosts a second time. */
+TEST("/jobs/older-wave-record", test_older_wave)
+{
+    gv_job_table_t *t = GvJobTable_New();
+    g_assert_cmpint(
+        apply(t, GV_PARTITION_PROGRESS, 8, GV_STR("W7"), GV_STR("newer")), ==,
+        GV_CHANGE_WAVE);
+    g_assert_cmpint(
+        apply(t, GV_PARTITION_PROGRESS, 4, GV_STR("W7"), GV_STR("older")), ==,
+        GV_CHANGE_NONE);
+    const GByteArray *b = g_hash_table_lookup(t->waves, GSIZE_TO_POINTER(7));
+    g_assert_cmpmem(b->data, b->len, "newer", 5);
+    GvJobTable_Free(t);
+}
+
+/* Guards against a step that starts before those that it depends on because
+   its list of them is too long to be kept. */
+TEST("/jobs/too-many-dependencies", test_dependencies)
+{
+    msgpack_sbuffer sb;
+    gv_job_t *read = NULL;
+    gv_job_t *j = new_job();
+    j->steps[0].n_after = GV_JOB_STEPS_MAX + 1;
+    j->steps[0].after = g_new0(int, GV_JOB_STEPS_MAX + 1);
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackDefinition(j, &sb);
+    g_assert_cmpint(
+        GvJobRecord_ReadDefinition(GvStr_N(sb.data, sb.size), &read), ==,
+        GV_EINVAL);
+    g_assert_null(read);
+    msgpack_sbuffer_destroy(&sb);
+    GvJob_Free(j);
+}
+
+TEST_MAIN
