--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -190,7 +190,8 @@
 {
     host_t *h = user;
     (void)why;
-    g_clear_pointer(&h->sched, GvSched_Free);
+    GvSched_Free(h->sched);
+    h->sched = NULL;
 }
 
 static int
