--- a/src/sched_batch.c
+++ b/src/sched_batch.c
@@ -1,6 +1,7 @@
 #include "counter.h"
 #include "evlog.h"
 #include "job_record.h"
+#include "limits.h"
 #include "sched_private.h"
 
 /* Batches of progress: what has changed since the one before, and what follows
