Scheduler: why runs are lost with their target, in the log and counters

Logs and metrics could not tell the hypotheses of the incident apart: one reason stood for a crash, a planned move and a departure, and nothing said how long a lost run had run or what ran beside it.

ev=lost names the loss, whether the start was confirmed, the time to the target's silence and the runs beside; counters for crashed targets and lost runs by cause. What is scheduled does not change.

--- a/src/pool.c
+++ b/src/pool.c
@@ -170,20 +170,24 @@
     h->listed = true;
 }
 
-/* Passes the scheduler the target of each listed host; "" if the host is not
-   up. Hosts with an order in flight are left out. */
+/* Passes the scheduler the state of each listed host. Hosts with an order in
+   flight are left out. */
 static void
 report_targets(gv_pools_t *p, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
-    GHashTable *now = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *now =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
         if (h->listed && h->operation != GV_OPERATION_ORDERED) {
             bool up = h->state == GV_HOST_UP && h->target != NULL;
-            g_hash_table_insert(now, h->id, up ? h->target : "");
+            gv_listed_host_t *listed = g_new0(gv_listed_host_t, 1);
+            listed->target = up ? h->target : "";
+            listed->down = h->state == GV_HOST_DOWN;
+            g_hash_table_insert(now, h->id, listed);
         }
     }
     GvSched_CheckHosts(p->opts.sched, now, p->list_sent_ms, now_ms);
--- a/src/sched.c
+++ b/src/sched.c
@@ -324,18 +324,19 @@
     gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
     g_free(name);
     if (tgt != NULL) {
-        GvSched_DropTargetRuns(s, tgt, "host was taken down");
+        GvSched_DropTargetRuns(s, tgt, GV_LOSS_PLANNED, "host was taken down",
+                               now_ms);
         tgt->listed = false;
         tgt->lease_until_ms = now_ms;
     }
 }
 
 /* Drops the runs of targets that the platform's list of hosts shows to be
-   gone, without waiting for their leases to end. The table has the present
-   target of each host, empty while the host is down. Targets that were first
-   listed after asked_ms, when the list was requested, are skipped. */
+   gone, without waiting for their leases to end. The table has a
+   gv_listed_host_t for each host. Targets that were first listed after
+   asked_ms, when the list was requested, are skipped. */
 void
-GvSched_CheckHosts(gv_sched_t *s, GHashTable *target_of_host, int64_t asked_ms,
+GvSched_CheckHosts(gv_sched_t *s, GHashTable *listed_hosts, int64_t asked_ms,
                    int64_t now_ms)
 {
     GHashTableIter it;
@@ -346,16 +347,20 @@
         if (tgt->info.host.n == 0 || tgt->first_listed_ms >= asked_ms) {
             continue;
         }
-        const char *target =
-            g_hash_table_lookup(target_of_host, tgt->info.host.p);
-        if (target == NULL || strcmp(target, tgt->id) == 0) {
+        const gv_listed_host_t *h =
+            g_hash_table_lookup(listed_hosts, tgt->info.host.p);
+        if (h == NULL || strcmp(h->target, tgt->id) == 0) {
             continue;
         }
+        bool ordered_away = !h->down && *h->target == '\0';
+        gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
         if (tgt->listed || tgt->runs->len > 0) {
-            GvEvlog_Write("target", "target=%s ended with host=%s now=%s",
-                          tgt->id, tgt->info.host.p, target);
+            GvEvlog_Write("target",
+                          "target=%s ended with host=%s now=%s down=%d",
+                          tgt->id, tgt->info.host.p, h->target, h->down);
         }
-        GvSched_DropTargetRuns(s, tgt, "host is down or has another target");
+        GvSched_DropTargetRuns(s, tgt, loss,
+                               "host is down or has another target", now_ms);
         tgt->listed = false;
         tgt->lease_until_ms = now_ms;
     }
--- a/src/sched.h
+++ b/src/sched.h
@@ -209,7 +209,13 @@
 
 bool GvSched_IsFenced(const gv_sched_t *s);
 
-void GvSched_CheckHosts(gv_sched_t *s, GHashTable *target_of_host,
+/* What the platform's list of hosts says of one host. */
+typedef struct {
+    const char *target; /* that is up on it; empty for none */
+    bool down;          /* it has failed; else it is up, or was ordered away */
+} gv_listed_host_t;
+
+void GvSched_CheckHosts(gv_sched_t *s, GHashTable *listed_hosts,
                         int64_t asked_ms, int64_t now_ms);
 int GvSched_CountUnresponsive(const gv_sched_t *s);
 
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -24,10 +24,19 @@
         s->fenced = true;
         return false;
     }
+    bool silent =
+        a->result == GV_ORDER_NO_ANSWER || a->result == GV_ORDER_NOT_SENT;
+    if (!silent) {
+        tgt->silent_since_ms = 0;
+    }
+    else if (tgt->silent_since_ms == 0) {
+        tgt->silent_since_ms = now_ms;
+    }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
-        GvSched_DropTargetRuns(s, tgt, "another target answers");
+        GvSched_DropTargetRuns(s, tgt, GvSched_LossOf(tgt),
+                               "another target answers", now_ms);
         tgt->synced = false;
         tgt->listed = false;
         return false;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -14,6 +14,13 @@
     GV_RUN_INHERITED, /* an earlier scheduler may have ordered its start */
 } gv_run_phase_t;
 
+/* Why the runs on a target are lost. */
+typedef enum {
+    GV_LOSS_CRASHED,    /* its incarnation ended without an order or notice */
+    GV_LOSS_PLANNED,    /* its host was moved or maintained, or it drained */
+    GV_LOSS_UNANSWERED, /* the leases ended; it may have been unreachable */
+} gv_loss_t;
+
 typedef struct gv_sched_target_s gv_sched_target_t;
 typedef struct gv_active_job_s gv_active_job_t;
 
@@ -46,6 +53,7 @@
     int64_t next_stop_ms; /* an unconfirmed stop is not repeated before */
     int64_t confirmed_ms; /* when the newest order was confirmed; 0: not yet */
     int64_t placed_ms;
+    int64_t sent_ms; /* when its start was first sent; 0: not by this leader */
     int percent;
 } gv_run_t;
 
@@ -85,6 +93,8 @@
     bool clock_needed;       /* a start waits until its clock is read again */
     bool hold_pending;
     int hold_failures;
+    int64_t silent_since_ms; /* first unanswered order since its last answer;
+                                0: it has answered since */
     int64_t hold_sent_ms;
     int64_t hold_next_ms;
     int64_t clock_read_ms;    /* when its clock was last read */
@@ -179,7 +189,11 @@
 void GvSched_HandleRestart(gv_sched_t *s, gv_sched_target_t *tgt,
                            int64_t started_ms, int64_t now_ms);
 void GvSched_DropTargetRuns(gv_sched_t *s, gv_sched_target_t *tgt,
-                            const char *why);
+                            gv_loss_t loss, const char *why, int64_t now_ms);
+void GvSched_LoseRun(gv_sched_t *s, gv_run_t *r, gv_loss_t loss,
+                     const char *why, int64_t now_ms);
+gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
+void GvSched_ResetEnds(gv_sched_target_t *tgt);
 bool GvSched_IsSettling(const gv_sched_target_t *tgt);
 bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
 bool GvSched_IsClockFresh(const gv_sched_target_t *tgt, int64_t now_ms);
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -1,4 +1,3 @@
-#include "evlog.h"
 #include "limits.h"
 #include "sched_private.h"
 
@@ -6,8 +5,8 @@
    and drops runs whose lease has ended. */
 
 /* Forgets the numbers of ends: a new incarnation starts again at the first. */
-static void
-reset_ends(gv_sched_target_t *tgt)
+void
+GvSched_ResetEnds(gv_sched_target_t *tgt)
 {
     tgt->ends_applied = 0;
     tgt->ends_batched = 0;
@@ -15,17 +14,6 @@
     tgt->ends_acked = 0;
 }
 
-/* Drops all runs on a target that is gone. Orders to it that are still on
-   their way must not be carried out by any other target. */
-void
-GvSched_DropTargetRuns(gv_sched_t *s, gv_sched_target_t *tgt, const char *why)
-{
-    for (guint i = tgt->runs->len; i > 0; i--) {
-        GvSched_DropRun(s, g_ptr_array_index(tgt->runs, i - 1), why);
-    }
-    reset_ends(tgt);
-}
-
 /* A target was restarted under the same identifier. Confirmed runs ended with
    its former incarnation. A start that was on its way may be carried out by
    the new one, so that run is stopped there; a run of an earlier scheduler is
@@ -41,7 +29,8 @@
         switch (r->phase) {
         case GV_RUN_ACTIVE:
         case GV_RUN_STORING:
-            GvSched_DropRun(s, r, "target was restarted");
+            GvSched_LoseRun(s, r, GvSched_LossOf(tgt), "target was restarted",
+                            now_ms);
             break;
         case GV_RUN_SENDING:
             GvSched_StopRun(s, r, "target was restarted", now_ms);
@@ -53,7 +42,7 @@
             break;
         }
     }
-    reset_ends(tgt);
+    GvSched_ResetEnds(tgt);
     tgt->started_ms = started_ms;
     tgt->synced = false;
 }
@@ -116,13 +105,14 @@
 /* Drops the runs of a target whose leases have ended. Those whose start was
    not ordered yet have no lease and stay. */
 static void
-drop_expired_runs(gv_sched_t *s, gv_sched_target_t *tgt)
+drop_expired_runs(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
     for (guint i = tgt->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         if (r->phase != GV_RUN_STORING) {
-            GvSched_DropRun(s, r,
-                            "lease ended without an answer from the target");
+            GvSched_LoseRun(s, r, GV_LOSS_UNANSWERED,
+                            "lease ended without an answer from the target",
+                            now_ms);
             tgt->synced = false;
         }
     }
@@ -163,7 +153,7 @@
 update_target(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
     if (tgt->runs->len > 0 && now_ms > tgt->lease_until_ms) {
-        drop_expired_runs(s, tgt);
+        drop_expired_runs(s, tgt, now_ms);
     }
     for (guint i = 0; i < tgt->runs->len; i++) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i);
