--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -83,6 +83,23 @@
     }
 }
 
+/* sched_replace epoch=N JOB ...: a new leader's scheduler takes over, with the
+   stored progress of these jobs. */
+GV_VERB("sched_replace", sched_replace)
+{
+    gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
+                         .epoch = (uint64_t)OPT("epoch", 2),
+                         .lease_ms = 4500,
+                         .max_lease_ms = 4500,
+                         .now_ms = now};
+    GvSched_Free(sched);
+    sched = GvSched_New(&o);
+    for (int i = 2; i < argc; i++) {
+        GvSched_AddJob(sched, GvJobTable_Find(table, ARG(i)), now);
+    }
+    GvSched_SetJobsLoaded(sched);
+}
+
 /* sched_jobs_loaded: all stored jobs have now been read. */
 GV_VERB("sched_jobs_loaded", sched_jobs_loaded)
 {
@@ -104,12 +121,13 @@
     GvSched_SetQueues(sched, &q, 1);
 }
 
-/* sched_target ID [service=S rack=R labels=L cpu=N mem=N draining=0|1
+/* sched_target ID [service=S host=H rack=R labels=L cpu=N mem=N draining=0|1
    started=MS]: adds or updates a target; started is the time of its start. */
 GV_VERB("sched_target", sched_target)
 {
     gv_target_info_t t = {
         .id = ARG(1),
+        .host = text_of(argc, argv, "host"),
         .addr = GV_STR("127.0.0.1:1"),
         .service = text_of(argc, argv, "service"),
         .rack = text_of(argc, argv, "rack"),
@@ -127,6 +145,28 @@
     GvSched_RemoveTarget(sched, ARG(1), now);
 }
 
+/* sched_hosts HOST=TARGET|down|away ...: the platform's list of hosts, with
+   the target on each, or none as it has failed or was ordered away. */
+GV_VERB("sched_hosts", sched_hosts)
+{
+    gv_listed_host_t listed[16];
+    char **kept[16];
+    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    for (int i = 1; i < argc; i++) {
+        char **w = g_strsplit(argv[i], "=", 2);
+        bool down = strcmp(w[1], "down") == 0;
+        bool none = down || strcmp(w[1], "away") == 0;
+        kept[i] = w;
+        listed[i] = (gv_listed_host_t){none ? "" : w[1], down};
+        g_hash_table_insert(hosts, w[0], &listed[i]);
+    }
+    GvSched_CheckHosts(sched, hosts, now, now);
+    g_hash_table_destroy(hosts);
+    while (argc > 1) {
+        g_strfreev(kept[--argc]);
+    }
+}
+
 /* Parses a step, which is words separated by commas: count=N, cpu=N, max=N
    (per target), max_unavailable=N, goal=MS (of the tail latency),
    after=N (index of a step), label=L, rack=R, and the flags long_running,
@@ -225,6 +265,13 @@
     printf("pending %d\n", GvJobTable_Pending(table, ARG(1)));
 }
 
+/* sched_state ID: prints the state of a job as it is stored. */
+GV_VERB("sched_state", sched_state)
+{
+    printf("state %s\n",
+           GvJob_StateName(GvJob_State(GvJobTable_Find(table, ARG(1)))));
+}
+
 /* sched_cancel ID: cancels a job. */
 GV_VERB("sched_cancel", sched_cancel)
 {
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -10,11 +10,14 @@
 
 /* Random runs of the scheduler against simulated targets. Orders and answers
    are lost, late and repeated; targets become unreachable, crash and restart;
-   the scheduler is replaced; jobs are cancelled. Guards against a start that
-   exceeds the CPU of a target, a second live run of a task, a run after the
-   task's end as done was stored, a start before the steps that it depends on,
-   more failed runs than allowed, and tasks of a cancelled job that keep
-   running. Gangs are not covered: no step here is one. */
+   some tasks crash each target that starts them; the CPU of targets shrinks
+   and grows; the store is slow; the scheduler is replaced; jobs are cancelled.
+   Guards against a start that exceeds the CPU of a target, a second live run
+   of a task, a run after the task's end as done was stored, a start before the
+   steps that it depends on, more failed runs than allowed, a task that crashes
+   target after target, a job that is failed without a cause, and tasks of a
+   cancelled job that keep running. Gangs are not covered: no step here is
+   one. */
 
 #define TARGETS       4
 #define TARGET_CPU    4000
@@ -24,6 +27,13 @@
 #define EVENTS_MAX    512
 #define LEASE_MS      4500
 #define ORDER_WAIT_MS 700
+/* A target whose CPU has shrunk reports it within REPORT_MS; starts count
+   against the smaller CPU from SHRUNK_MS on. */
+#define REPORT_MS 1500
+#define SHRUNK_MS 4500
+#define DOWN_MS   3000 /* a target that was crashed by a task is back then */
+#define LIST_MS   300  /* between two lists of the hosts */
+#define ROOMS_MAX 64
 
 typedef struct {
     char task[64];
@@ -32,8 +42,14 @@
     int index;
     int64_t ends_ms;
     gv_end_kind_t how;
+    bool crashes; /* it ends with a crash of its target */
 } model_run_t;
 
+typedef struct {
+    int64_t since_ms;
+    int64_t cpu;
+} model_room_t;
+
 typedef struct {
     int64_t silent_until_ms;
     int64_t started_ms;
@@ -48,6 +64,12 @@
     int n_runs;
     int n_ended;
     char id[16];
+    char host[16];
+    model_room_t rooms[ROOMS_MAX]; /* oldest first */
+    int n_rooms;
+    int64_t report_ms;    /* when it reports its present CPU */
+    int64_t reported_cpu; /* as the scheduler has read it */
+    int64_t back_ms;      /* when it is up again after a crash by a task */
     bool up;
 } model_target_t;
 
@@ -60,6 +82,9 @@
     bool done_stored[TASKS_MAX];
     int ends_done[TASKS_MAX];
     int ends_failed[TASKS_MAX];
+    int deadly;             /* this task crashes its targets; -1: none does */
+    int crashes[TASKS_MAX]; /* of targets, while it ran there */
+    int starts_after[TASKS_MAX]; /* starts after three such crashes */
 } model_job_t;
 
 typedef enum { ORDER_START, ORDER_STOP, ORDER_HOLD } order_kind_t;
@@ -107,6 +132,8 @@
 static bool targets_check_cpu;
 /* Targets refuse orders with a lower fence than they have seen. */
 static bool targets_check_fence;
+static bool hosts_listed; /* the platform's list of hosts can be read */
+static int64_t store_slow_until_ms;
 
 /* Returns true with this probability. */
 static bool
@@ -227,6 +254,26 @@
     return cpu;
 }
 
+/* Returns the CPU that a target has now. */
+static int64_t
+room_of(const model_target_t *t)
+{
+    return t->rooms[t->n_rooms - 1].cpu;
+}
+
+/* Returns the largest CPU that the target has had since then. */
+static int64_t
+largest_room(const model_target_t *t, int64_t since_ms)
+{
+    int64_t cpu = room_of(t);
+    for (int i = 0; i + 1 < t->n_rooms; i++) {
+        if (t->rooms[i + 1].since_ms > since_ms) {
+            cpu = MAX(cpu, t->rooms[i].cpu);
+        }
+    }
+    return cpu;
+}
+
 /* Returns how many runs of a task are live on all targets. */
 static int
 live_runs(int job, int index)
@@ -244,23 +291,32 @@
 }
 
 /* Checks, before a run starts on a target, that no other run of the task is
-   live, that the CPU suffices and that the steps before it are done; unless it
-   is long-running, also that no end as done and fewer failed ends than allowed
-   were stored. */
+   live, that the CPU suffices, that it has not crashed too many targets and
+   that the steps before it are done; unless it is long-running, also that no
+   end as done and fewer failed ends than allowed were stored. */
 static void
-check_start(const model_target_t *t, int job, int index)
+check_start(const model_target_t *t, int job, int index, const event_t *e)
 {
-    const model_job_t *j = &jobs[job];
+    model_job_t *j = &jobs[job];
+    int64_t from_ms = (e->late ? e->sent_ms : now) - SHRUNK_MS;
     const gv_step_t *step = GvJob_StepOf(j->job, index);
     if (live_runs(job, index) > 0) {
         GvEvlog_Flush();
         g_error("%s %d starts on %s while it runs", j->job->id.p, index,
                 t->id);
     }
-    if (used_cpu(t) + step->need.cpu > TARGET_CPU) {
+    if (used_cpu(t) + step->need.cpu > largest_room(t, from_ms)) {
         GvEvlog_Flush();
         g_error("%s %d exceeds the CPU of %s", j->job->id.p, index, t->id);
     }
+    j->starts_after[index] +=
+        j->deadly == index && j->crashes[index] >= 3 ? 1 : 0;
+    if (j->starts_after[index] >= 3) {
+        GvEvlog_Flush();
+        g_error("%s %d started three times more after it had crashed three "
+                "targets",
+                j->job->id.p, index);
+    }
     if (!step->long_running) {
         if (j->done_stored[index]) {
             GvEvlog_Flush();
@@ -317,10 +373,10 @@
         return GV_ORDER_LATE;
     }
     const gv_step_t *step = GvJob_StepOf(jobs[job].job, index);
-    if (targets_check_cpu && used_cpu(t) + step->need.cpu > TARGET_CPU) {
+    if (targets_check_cpu && used_cpu(t) + step->need.cpu > room_of(t)) {
         return GV_ORDER_NO_ROOM;
     }
-    check_start(t, job, index);
+    check_start(t, job, index, e);
     n_started++;
     model_run_t *r = &t->runs[t->n_runs++];
     g_strlcpy(r->task, e->task, sizeof r->task);
@@ -332,6 +388,10 @@
     if (step->long_running && chance(90)) {
         r->ends_ms = G_MAXINT64;
     }
+    r->crashes = jobs[job].deadly == index;
+    if (r->crashes) {
+        r->ends_ms = now + 10;
+    }
     return GV_ORDER_DONE;
 }
 
@@ -524,13 +584,13 @@
 {
     for (int i = 0; i < TARGETS; i++) {
         if (!targets[i].up) {
-            GvSched_RemoveTarget(sched, GvStr_C(targets[i].id), now);
-            continue;
+            continue; /* its record is still there */
         }
         gv_target_info_t t = {.id = GvStr_C(targets[i].id),
+                              .host = GvStr_C(targets[i].host),
                               .addr = GV_STR("127.0.0.1:1"),
                               .service = GV_STR("s"),
-                              .room = {TARGET_CPU, 100000, 0},
+                              .room = {targets[i].reported_cpu, 100000, 0},
                               .started_ms = targets[i].started_ms};
         GvSched_SetTarget(sched, &t, now);
     }
@@ -613,7 +673,22 @@
     add_late_jobs();
 }
 
-/* Adds a random job of 1 to 3 steps. */
+/* Passes the scheduler the list of the hosts. */
+static void
+list_hosts(void)
+{
+    gv_listed_host_t listed[TARGETS];
+    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    for (int i = 0; i < TARGETS; i++) {
+        listed[i] = (gv_listed_host_t){targets[i].up ? targets[i].id : "",
+                                       !targets[i].up};
+        g_hash_table_insert(hosts, targets[i].host, &listed[i]);
+    }
+    GvSched_CheckHosts(sched, hosts, now, now);
+    g_hash_table_destroy(hosts);
+}
+
+/* Adds a random job of 1 to 3 steps; in one of ten a task is deadly. */
 static void
 add_job(void)
 {
@@ -641,28 +716,90 @@
         }
     }
     g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
-    jobs[n_jobs++] = (model_job_t){.job = j, .long_running = long_running};
+    int deadly = chance(10) ? g_rand_int_range(rnd, 0, j->n_tasks) : -1;
+    jobs[n_jobs++] = (model_job_t){
+        .job = j, .long_running = long_running, .deadly = deadly};
     GvSched_AddJob(sched, j, now);
 }
 
-/* Makes a target unreachable or crash, replaces the scheduler or cancels a
-   job. */
+/* A target crashes: it loses its runs, its list of ends and its fence. Holds
+   that it has not answered are broken off. */
+static void
+crash(model_target_t *t)
+{
+    for (int i = 0; i < t->n_runs; i++) {
+        jobs[t->runs[i].job].crashes[t->runs[i].index]++;
+    }
+    for (int i = 0; i < EVENTS_MAX; i++) {
+        event_t *e = &events[i];
+        if (e->used && e->is_waiting && &targets[e->target] == t) {
+            e->at_ms = now;
+        }
+    }
+    t->n_runs = 0;
+    t->n_ended = 0;
+    t->last_end = 0;
+    t->fence = 0;
+    memset(t->highest_run, 0, sizeof t->highest_run);
+}
+
+/* Brings up the targets that were down, passes on what targets report, and
+   lists the hosts when that is due. */
+static void
+report_targets(void)
+{
+    bool changed = false;
+    for (int i = 0; i < TARGETS; i++) {
+        model_target_t *t = &targets[i];
+        if (!t->up && now >= t->back_ms) {
+            t->up = true;
+            t->started_ms = now;
+            changed = true;
+        }
+        if (now >= t->report_ms && t->reported_cpu != room_of(t)) {
+            t->reported_cpu = room_of(t);
+            changed = true;
+        }
+    }
+    if (changed) {
+        update_targets();
+    }
+    if (hosts_listed && now % LIST_MS == 0) {
+        list_hosts();
+    }
+}
+
+/* Changes the CPU of a target; its runs go on. */
+static void
+resize(model_target_t *t)
+{
+    if (t->n_rooms < ROOMS_MAX) {
+        int64_t cpu = TARGET_CPU / 4 * g_rand_int_range(rnd, 1, 5);
+        t->rooms[t->n_rooms++] = (model_room_t){now, cpu};
+        t->report_ms = now + g_rand_int_range(rnd, 0, REPORT_MS);
+    }
+}
+
+/* Makes a target unreachable or crash or changes its CPU, slows the store,
+   replaces the scheduler or cancels a job. */
 static void
 inject_fault(void)
 {
     model_target_t *t = &targets[g_rand_int_range(rnd, 0, TARGETS)];
-    if (chance(30)) {
+    if (chance(20)) {
+        resize(t);
+    }
+    else if (chance(10)) {
+        store_slow_until_ms = now + g_rand_int_range(rnd, 500, 8000);
+    }
+    else if (chance(30)) {
         t->silent_until_ms = now + g_rand_int_range(rnd, 100, 8000);
     }
     else if (chance(30)) {
-        /* A crash: the target loses its runs, its list of ends and its
-           fence. */
-        t->n_runs = 0;
-        t->n_ended = 0;
-        t->last_end = 0;
-        t->fence = 0;
-        t->started_ms = now;
-        memset(t->highest_run, 0, sizeof t->highest_run);
+        crash(t);
+        if (t->up) {
+            t->started_ms = now;
+        }
         update_targets();
     }
     else if (chance(40)) {
@@ -687,6 +824,12 @@
             if (now > t->lease_until_ms) {
                 end_run(t, k - 1, GV_END_LAPSED);
             }
+            else if (now >= t->runs[k - 1].ends_ms && t->runs[k - 1].crashes) {
+                crash(t);
+                t->up = false;
+                t->back_ms = now + DOWN_MS;
+                break;
+            }
             else if (now >= t->runs[k - 1].ends_ms) {
                 end_run(t, k - 1, t->runs[k - 1].how);
             }
@@ -701,6 +844,7 @@
 {
     now += 10;
     step_targets();
+    report_targets();
     for (int i = 0; i < EVENTS_MAX; i++) {
         event_t *e = &events[i];
         if (!e->used || now < e->at_ms) {
@@ -725,7 +869,7 @@
     add_late_jobs();
     (void)GvSched_Run(sched, now, now);
     if (g_hash_table_size(batch) > 0) {
-        if (chance(70)) {
+        if (now >= store_slow_until_ms && chance(70)) {
             store_batch();
             GvSched_ConfirmBatch(sched, now);
         }
@@ -735,17 +879,41 @@
     }
 }
 
+/* Returns true if the stored progress of a job says that it has failed. */
+static bool
+failed_in_store(const model_job_t *j)
+{
+    char key[20];
+    gsize n;
+    g_snprintf(key, sizeof key, "P%s", j->job->id.p);
+    GBytes *b = g_hash_table_lookup(stored, key);
+    if (b == NULL) {
+        return false;
+    }
+    const void *p = g_bytes_get_data(b, &n);
+    g_assert_cmpint(GvJobRecord_ReadProgress(GvStr_N(p, n), j->job), ==,
+                    GV_OK);
+    return j->job->failed;
+}
+
 /* Checks after the time without faults: every task ended as done, except those
    of cancelled or failed jobs, which have no live run, and long-running ones,
-   which have at most one. */
+   which have at most one. A job has failed only if a task has failed too often
+   or two targets have crashed under a task. */
 static void
 check_end(void)
 {
     for (int i = 0; i < n_jobs; i++) {
         const model_job_t *j = &jobs[i];
-        bool failed = false;
+        bool may_fail = false;
         for (int k = 0; k < j->job->n_tasks; k++) {
-            failed = failed || j->ends_failed[k] >= j->job->attempts;
+            may_fail = may_fail || j->ends_failed[k] >= j->job->attempts ||
+                       j->crashes[k] >= 2;
+        }
+        bool failed = failed_in_store(j);
+        if (failed && !may_fail) {
+            GvEvlog_Flush();
+            g_error("%s has failed without a cause", j->job->id.p);
         }
         for (int k = 0; k < j->job->n_tasks; k++) {
             if (j->cancelled || failed) {
@@ -774,6 +942,8 @@
     rnd = g_rand_new_with_seed(seed);
     targets_check_cpu = seed % 2 == 0;
     targets_check_fence = seed % 4 < 2;
+    hosts_listed = seed % 8 < 4;
+    store_slow_until_ms = 0;
     now = 1000;
     epoch = 0;
     n_jobs = 0;
@@ -786,6 +956,10 @@
                                   (GDestroyNotify)g_bytes_unref);
     for (int i = 0; i < TARGETS; i++) {
         g_snprintf(targets[i].id, sizeof targets[i].id, "t%d", i);
+        g_snprintf(targets[i].host, sizeof targets[i].host, "h%d", i);
+        targets[i].rooms[0].cpu = TARGET_CPU;
+        targets[i].n_rooms = 1;
+        targets[i].reported_cpu = TARGET_CPU;
         targets[i].up = true;
         targets[i].started_ms = 1;
     }
@@ -801,6 +975,12 @@
             GvSched_Cancel(sched, jobs[i].job->id, now);
         }
     }
+    for (int i = 0; i < TARGETS; i++) {
+        if (room_of(&targets[i]) < TARGET_CPU) {
+            targets[i].rooms[targets[i].n_rooms - 1] =
+                (model_room_t){now, TARGET_CPU};
+        }
+    }
     for (int i = 0; i < 6000; i++) {
         step(false);
     }
