Scheduler: a task that crashes its targets runs alone, then its job fails

Callers saw half of all jobs late or lost while one task was started 136 times.

Cause: a run that is lost with its target has no end, so nothing was counted: the task waited again and was placed first, beside the same others. Class of fault: an attempt without an answer is taken for no attempt.

Change: a crash of a target counts against the tasks that may have run there, in their stored progress, so that a new leader knows it. Crashes at other times, or beside others, fail it later. Moves, maintenance, departures and leases that end in silence do not count; a long-running task that has served does not either. A target that appears on a host ends the runs of the one before, also when the list of hosts cannot be read.

--- a/src/job.h
+++ b/src/job.h
@@ -46,9 +46,13 @@
 typedef struct {
     gv_task_state_t state;
     int failures;       /* number of failed runs */
+    int crashes;        /* of its target, soon after its start */
+    int doubtful;       /* other crashes of its target */
+    bool suspect;       /* it may crash its targets: it gets one for itself */
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
-    char *saved;        /* state to resume from, or NULL */
+    int64_t target_started_ms; /* of its incarnation then; 0: unknown */
+    char *saved;               /* state to resume from, or NULL */
 } gv_task_t;
 
 typedef enum {
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -213,13 +213,17 @@
         if (!has_row(t)) {
             continue;
         }
-        msgpack_pack_array(&pk, 6);
+        msgpack_pack_array(&pk, 10);
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
         GvPack_Int(&pk, t->failures);
         GvPack_Str(&pk, GvStr_C(t->target));
         GvPack_Str(&pk, GvStr_C(t->saved));
+        GvPack_Int(&pk, t->crashes);
+        GvPack_Int(&pk, t->doubtful);
+        GvPack_Bool(&pk, t->suspect);
+        GvPack_Int(&pk, t->target_started_ms);
     }
 }
 
@@ -248,6 +252,12 @@
     t->failures = (int)GvUnpack_Int(&f);
     gv_str_t target = GvUnpack_Str(&f);
     gv_str_t saved = GvUnpack_Str(&f);
+    if (GvUnpack_HasNext(&f)) { /* earlier versions end here */
+        t->crashes = (int)GvUnpack_Int(&f);
+        t->doubtful = (int)GvUnpack_Int(&f);
+        t->suspect = GvUnpack_Bool(&f);
+        t->target_started_ms = GvUnpack_Int(&f);
+    }
     if (f.err != GV_OK || state > GV_TASK_PLACED) {
         rows->err = GV_EINVAL;
         return;
--- a/src/sched.c
+++ b/src/sched.c
@@ -73,6 +73,8 @@
     s->batched_targets = g_ptr_array_new();
     s->dirty_jobs = g_ptr_array_new();
     s->ended_jobs = g_ptr_array_new();
+    s->failing = g_ptr_array_new();
+    s->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->loads = GvLoads_New();
     s->advice = GvSched_NewAdvice();
     s->strays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -92,6 +94,8 @@
     g_ptr_array_free(s->batched_targets, TRUE);
     g_ptr_array_free(s->dirty_jobs, TRUE);
     g_ptr_array_free(s->ended_jobs, TRUE);
+    g_ptr_array_free(s->failing, TRUE);
+    g_hash_table_destroy(s->by_host);
     g_hash_table_destroy(s->jobs);
     g_hash_table_destroy(s->targets);
     g_hash_table_destroy(s->services);
@@ -232,6 +236,29 @@
     return tgt;
 }
 
+/* Notes that a target is the newest one of its host. The one before has then
+   ended, and its runs with it. */
+static void
+replace_on_host(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    if (tgt->info.host.n == 0) {
+        return;
+    }
+    gv_sched_target_t *other =
+        g_hash_table_lookup(s->by_host, tgt->info.host.p);
+    if (other == tgt ||
+        (other != NULL && other->info.started_ms >= tgt->info.started_ms)) {
+        return;
+    }
+    if (other != NULL) {
+        GvSched_DropTargetRuns(s, other, GvSched_LossOf(other),
+                               "host has another target", now_ms);
+        other->listed = false;
+        other->lease_until_ms = now_ms;
+    }
+    g_hash_table_replace(s->by_host, g_strdup(tgt->info.host.p), tgt);
+}
+
 /* Adds or updates a listed target. A later start than before means that it was
    restarted. If it begins to drain, its long-running tasks are stopped. */
 void
@@ -263,6 +290,7 @@
     clear_info(&tgt->info);
     tgt->info = copy;
     tgt->listed = true;
+    replace_on_host(s, tgt, now_ms);
     GvSched_AssignTarget(s, tgt);
     GvSched_UpdateSoon(s, tgt);
     tgt->first_listed_ms =
@@ -417,6 +445,7 @@
     GvSched_AssignJob(s, a);
     for (int i = 0; i < copy->n_tasks; i++) {
         gv_task_t *t = &copy->tasks[i];
+        a->has_suspects = a->has_suspects || t->suspect;
         a->n_waiting += t->state == GV_TASK_WAITING ? 1 : 0;
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
             gv_sched_target_t *tgt = find_or_add_target(s, t->target);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -128,6 +128,7 @@
                             s->wall_ms - r->active->job->accepted_ms);
     }
     r->active->started = true;
+    r->started_ms = now_ms;
 }
 
 /* Handles the answer to a start. */
@@ -158,6 +159,7 @@
         /* This run was started before; the next hold shows if it has ended. */
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
+        r->started_ms = now_ms;
         return;
     case GV_ORDER_NOT_SENT:
         start_refused(s, r, "target not reached", GV_SCHED_TARGET_BACKOFF_MS,
@@ -285,8 +287,10 @@
         return;
     }
     r->listed = true;
+    r->started_ms = r->started_ms == 0 ? now_ms : r->started_ms;
     a->started = true;
     r->percent = x->percent;
+    GvSched_ClearSuspect(s, r, now_ms);
     GvSched_SetSavedState(a, task, x->saved);
     if (r->phase == GV_RUN_INHERITED ||
         (r->phase == GV_RUN_SENDING && !r->order_pending)) {
@@ -309,6 +313,7 @@
             r->confirmed_ms > 0 && r->confirmed_ms < tgt->hold_sent_ms;
         if (!r->listed && r->phase == GV_RUN_INHERITED) {
             r->withdrawn = true;
+            GvSched_CountEarlierCrash(s, r, now_ms);
             GvSched_StopRun(s, r, "not listed, may be started late", now_ms);
         }
         else if (!r->listed && settled) {
@@ -358,6 +363,7 @@
     }
     if (all_ends) {
         drop_missing(s, tgt, now_ms);
+        GvSched_FailCrashers(s, now_ms);
         if (GvSched_IsSettling(tgt)) {
             tgt->hold_next_ms = now_ms + GV_SCHED_SETTLE_MS;
         }
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -3,7 +3,10 @@
 #include "limits.h"
 #include "sched_private.h"
 
-/* Runs that are lost with their target, and why. */
+/* Runs that are lost with their target, and tasks that crash it. Answers loads
+   in which one task crashes each target that starts it: every other run there
+   is lost as well, and started again beside the same task. A suspect is run
+   alone, so that its next crash harms no other task and proves it. */
 
 GV_COUNTER(targets_crashed, "targets_crashed_total",
            "Targets that ended without an order or notice");
@@ -55,13 +58,144 @@
     GvEvlog_Write("lost",
                   "task=%s run=%u target=%s loss=%s started=%d ran_ms=%lld "
                   "beside=%u why=\"%s\"",
-                  name, r->run, r->tgt->id, names[loss], r->confirmed_ms > 0,
+                  name, r->run, r->tgt->id, names[loss], r->started_ms != 0,
                   (long long)(r->sent_ms == 0 ? -1 : end_ms - r->sent_ms),
                   r->tgt->runs->len - 1, why);
     count_loss(loss);
     GvSched_DropRun(s, r, NULL);
 }
 
+/* Returns true if no other run was live on the target of this one. */
+static bool
+was_alone(const gv_run_t *r)
+{
+    const gv_sched_target_t *tgt = r->tgt;
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        const gv_run_t *other = g_ptr_array_index(tgt->runs, i);
+        if (other != r && other->phase != GV_RUN_STORING) {
+            return false;
+        }
+    }
+    return tgt->n_strays == 0 && tgt->n_unread == 0;
+}
+
+/* Returns true if a task is to be given up after a crash of its target: this
+   crash and an earlier one came soon after its start, now with no other task
+   on the target; or there were too many crashes. */
+static bool
+is_proven(const gv_task_t *t, bool soon, bool alone)
+{
+    return (soon && alone && t->crashes >= 2) ||
+           t->crashes >= GV_SCHED_CRASHES_MAX ||
+           t->crashes + t->doubtful >= GV_SCHED_DOUBTFUL_MAX;
+}
+
+/* Returns true if a run of a long-running task has served for long enough, so
+   that it is not what crashes the target. */
+static bool
+has_served(const gv_run_t *r, int64_t now_ms)
+{
+    return r->active->long_running && r->percent >= 100 &&
+           r->started_ms != 0 && now_ms - r->started_ms >= GV_SCHED_SERVED_MS;
+}
+
+/* Counts a crash of a run's target against its task. One soon after its start,
+   or after a start by an earlier leader, makes it a suspect; any other may
+   have another cause, or come after an unknown end of the run, and makes it
+   one the second time. */
+static void
+count_crash(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    gv_active_job_t *a = r->active;
+    gv_task_t *t = &a->job->tasks[r->task];
+    const gv_sched_target_t *tgt = r->tgt;
+    int64_t end_ms = tgt->silent_since_ms == 0 ? now_ms : tgt->silent_since_ms;
+    if (r->phase == GV_RUN_STORING || r->crash_counted ||
+        has_served(r, end_ms) || GvJob_Ended(a->job)) {
+        return;
+    }
+    bool soon = r->started_ms != 0 && r->sent_ms != 0 &&
+                end_ms - r->sent_ms <= GV_SCHED_CRASH_SOON_MS;
+    bool alone = was_alone(r);
+    r->crash_counted = true;
+    if (soon) {
+        t->crashes++;
+    }
+    else {
+        t->doubtful++;
+    }
+    t->suspect =
+        t->suspect || soon || r->sent_ms == 0 || t->crashes + t->doubtful >= 2;
+    a->has_suspects = a->has_suspects || t->suspect;
+    GvSched_MarkDirty(s, a);
+    if (t->suspect) {
+        char name[GV_TASK_NAME_BYTES];
+        GvSched_TaskName(a->job, r->task, name, sizeof name);
+        GvEvlog_Write("suspect",
+                      "task=%s target=%s crashes=%d doubtful=%d alone=%d",
+                      name, tgt->id, t->crashes, t->doubtful, alone);
+    }
+    if (is_proven(t, soon, alone)) {
+        GvEvlog_Write("failed", "job=%.*s crashes=%d doubtful=%d",
+                      GV_STR_ARG(a->job->id), t->crashes, t->doubtful);
+        g_ptr_array_add(s->failing, a);
+    }
+}
+
+/* Counts a crash of the target of a run that an earlier leader has placed, if
+   the target was restarted since then. */
+void
+GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    const gv_task_t *t = &r->active->job->tasks[r->task];
+    if (t->target_started_ms != 0 &&
+        r->tgt->started_ms > t->target_started_ms) {
+        count_crash(s, r, now_ms);
+    }
+}
+
+/* Counts the crash of a target against the tasks that may have run there.
+   GvSched_FailCrashers has to follow, once no run of the target is used any
+   more. */
+void
+GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        count_crash(s, g_ptr_array_index(tgt->runs, i), now_ms);
+    }
+}
+
+/* Fails the jobs with a task that crashes its targets. */
+void
+GvSched_FailCrashers(gv_sched_t *s, int64_t now_ms)
+{
+    for (guint i = 0; i < s->failing->len; i++) {
+        GvSched_FailJob(s, g_ptr_array_index(s->failing, i),
+                        "a task crashes its targets", now_ms);
+    }
+    g_ptr_array_set_size(s->failing, 0);
+}
+
+/* A run is listed. If its long-running task has served for long enough, it is
+   no longer a suspect: earlier crashes had another cause. */
+void
+GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+{
+    gv_task_t *t = &r->active->job->tasks[r->task];
+    if (t->crashes + t->doubtful == 0 || !has_served(r, now_ms)) {
+        return;
+    }
+    t->crashes = 0;
+    t->doubtful = 0;
+    t->suspect = false;
+    if (r->isolated) {
+        r->isolated = false;
+        r->tgt->n_isolated--;
+        GvSched_PlaceSoon(r->tgt->service);
+    }
+    GvSched_MarkDirty(s, r->active);
+}
+
 /* Drops all runs on a target that is gone. Orders to it that are still on
    their way must not be carried out by any other target. */
 void
@@ -71,9 +205,13 @@
     if (loss == GV_LOSS_CRASHED && tgt->listed) {
         GvCounter_Add(&targets_crashed, 1);
     }
+    if (loss == GV_LOSS_CRASHED) {
+        GvSched_CountCrashes(s, tgt, now_ms);
+    }
     for (guint i = tgt->runs->len; i > 0; i--) {
         GvSched_LoseRun(s, g_ptr_array_index(tgt->runs, i - 1), loss, why,
                         now_ms);
     }
     GvSched_ResetEnds(tgt);
+    GvSched_FailCrashers(s, now_ms);
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -196,6 +196,7 @@
         need.cpu = 0;
     }
     return tgt->listed && !tgt->info.draining && !tgt->reserved &&
+           tgt->n_isolated == 0 &&
            (!tgt->room_kept || r->active->long_running) &&
            tgt->n_strays == 0 && tgt->n_unread == 0 &&
            now_ms >= tgt->avoid_until_ms && GvResources_Fit(need, *free) &&
@@ -230,12 +231,23 @@
     return score;
 }
 
-/* Returns the best target on which a task may start now, or NULL. A target
-   whose clock has to be read first is marked for a hold and not chosen. */
+/* Returns true if a suspect may share a target with other tasks: none has
+   become empty for GV_SCHED_ALONE_WAIT_MS. */
+static bool
+may_share(const gv_active_job_t *a, int64_t now_ms)
+{
+    return a->alone_since_ms != 0 &&
+           now_ms - a->alone_since_ms >= GV_SCHED_ALONE_WAIT_MS;
+}
+
+/* Returns the best target on which a task may start now, or NULL; for a
+   suspect an empty one. A target whose clock has to be read first is marked
+   for a hold and not chosen. */
 static gv_sched_target_t *
 choose_target(gv_sched_t *s, const gv_ready_t *r, const gv_task_t *t,
               int64_t now_ms)
 {
+    bool alone = t->suspect && !may_share(r->active, now_ms);
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     double best_score = 0;
@@ -243,7 +255,8 @@
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
         GvResources_Subtract(&free, tgt->used);
-        if (!may_run(tgt, r, &free, now_ms) ||
+        if ((t->suspect ? alone && tgt->runs->len > 0 : tgt->kept_empty) ||
+            !may_run(tgt, r, &free, now_ms) ||
             (r->needs_advice && GvSched_FindTicket(s, r->active->job, r->first,
                                                    tgt->id, now_ms) == NULL)) {
             continue;
@@ -296,6 +309,45 @@
     }
 }
 
+/* Keeps one more target of the service for suspects: the one with the fewest
+   runs, if none of these is of a long-running task. */
+static void
+keep_empty(const gv_ready_t *r, int64_t now_ms)
+{
+    const GPtrArray *targets = r->active->service->targets;
+    gv_sched_target_t *best = NULL;
+    guint kept = 0;
+    for (guint i = 0; i < targets->len; i++) {
+        gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
+        gv_resources_t free = tgt->info.room;
+        kept += tgt->kept_empty ? 1 : 0;
+        if (!tgt->kept_empty && tgt->n_long_running == 0 &&
+            may_run(tgt, r, &free, now_ms) &&
+            (best == NULL || tgt->runs->len < best->runs->len ||
+             (tgt->runs->len == best->runs->len &&
+              strcmp(tgt->id, best->id) < 0))) {
+            best = tgt;
+        }
+    }
+    if (best != NULL &&
+        kept < MAX(targets->len / GV_SCHED_EMPTIED_DIVISOR, 1)) {
+        best->kept_empty = true;
+    }
+}
+
+/* Notes that a suspect of the job has found a target or has not. */
+static void
+note_suspect(const gv_ready_t *r, bool placed, int64_t now_ms)
+{
+    gv_active_job_t *a = r->active;
+    if (placed) {
+        a->alone_since_ms = 0;
+        return;
+    }
+    a->alone_since_ms = a->alone_since_ms == 0 ? now_ms : a->alone_since_ms;
+    keep_empty(r, now_ms);
+}
+
 /* Places all tasks of a gang, with the same run number and the same state to
    resume from. If one finds no target, none is placed. */
 static void
@@ -328,6 +380,9 @@
         placed++;
     }
     bool whole = placed == r->step->count;
+    if (r->active->has_suspects) {
+        note_suspect(r, whole, now_ms);
+    }
     while (!whole && placed > 0) {
         placed--;
         GvSched_DropRun(s, r->active->runs[r->first + placed], NULL);
@@ -344,7 +399,7 @@
     }
     for (int i = 0; i < r->step->count; i++) {
         gv_task_t *t = &r->active->job->tasks[r->first + i];
-        if (t->state != GV_TASK_WAITING) {
+        if (t->state != GV_TASK_WAITING || t->suspect) {
             continue;
         }
         gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
@@ -358,6 +413,25 @@
     }
 }
 
+/* Places the suspects of a step, each on an empty target. */
+static void
+place_suspects(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+{
+    for (int i = 0; i < r->step->count; i++) {
+        gv_task_t *t = &r->active->job->tasks[r->first + i];
+        if (t->state != GV_TASK_WAITING || !t->suspect) {
+            continue;
+        }
+        gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
+        note_suspect(r, tgt != NULL, now_ms);
+        if (tgt != NULL) {
+            t->run++;
+            GvSched_AddRun(s, r->active, r->first + i, tgt, GV_RUN_STORING,
+                           now_ms);
+        }
+    }
+}
+
 /* Keeps the target with the most free cpu for a long-running task that found
    none with enough: short tasks would otherwise take what becomes free. This
    is one target of a service at a time, and the same one in each pass, as its
@@ -389,13 +463,15 @@
     }
 }
 
-/* Ends what keep_room_free and note_full did in the pass before. */
+/* Ends what keep_room_free, keep_empty and note_full did in the pass
+   before. */
 static void
 begin_pass(gv_sched_service_t *sv)
 {
     for (guint i = 0; i < sv->targets->len; i++) {
         gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
         tgt->room_kept = false;
+        tgt->kept_empty = false;
     }
     sv->is_full[0] = false;
     sv->is_full[1] = false;
@@ -409,6 +485,12 @@
     sv->place_due = false;
     GArray *ready = ready_steps(s, sv, now_ms);
     g_array_sort(ready, compare_ready);
+    for (guint i = 0; i < ready->len; i++) {
+        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
+        if (r->active->has_suspects && !r->step->gang) {
+            place_suspects(s, r, now_ms);
+        }
+    }
     for (guint i = 0; i < ready->len; i++) {
         const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
         if (r->step->gang) {
@@ -486,28 +568,3 @@
     }
     return d;
 }
-
-/* Stops runs on a target to empty it: those of long-running tasks as far as
-   the limit of their step allows, and with short_too also all others. Returns
-   the number of runs that are left. */
-int
-GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
-                 int64_t now_ms)
-{
-    char *name = g_strndup(target.p, target.n);
-    gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
-    g_free(name);
-    if (tgt == NULL) {
-        return 0;
-    }
-    for (guint i = tgt->runs->len; i > 0; i--) {
-        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
-        if (r->phase == GV_RUN_STOPPING ||
-            (r->active->long_running ? !GvSched_MayStop(r, now_ms)
-                                     : !short_too)) {
-            continue;
-        }
-        GvSched_StopRun(s, r, "target is being emptied", now_ms);
-    }
-    return (int)tgt->runs->len;
-}
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -47,6 +47,10 @@
     bool order_pending;   /* the newest order has no answer yet */
     bool maybe_started;   /* an order to start it got no answer */
     bool listed;          /* the newest hold answer has it as running */
+    int64_t started_ms;   /* when the target was first known to have started
+                             it; 0: not yet */
+    bool isolated;        /* its target gets no other tasks */
+    bool crash_counted;   /* against its task */
     bool withdrawn;       /* its start by an earlier scheduler may still
                              arrive; it is stopped to rule that out */
     int tries;            /* orders sent in this phase */
@@ -69,6 +73,9 @@
     int64_t path_set_ms; /* 0: not set */
     bool end_due;        /* in ended_jobs of the scheduler */
     bool long_running;
+    bool has_suspects;      /* some task is or was one */
+    int64_t alone_since_ms; /* since when a suspect finds no empty target;
+                               0: none does */
     bool started;    /* a target has confirmed a start, or may have done so
                         under an earlier scheduler */
     bool dirty;      /* progress has changed since the newest batch */
@@ -116,6 +123,8 @@
     int n_strays;
     int n_unread;
     bool room_kept;         /* in this pass: it gets long-running tasks only */
+    bool kept_empty;        /* in this pass: it gets suspects only */
+    int n_isolated;         /* runs that must be alone here */
     int failures;           /* failed runs since the last one that was done */
     int64_t avoid_until_ms; /* gets no new tasks before */
 };
@@ -126,16 +135,19 @@
     bool batch_pending; /* a batch of progress is being stored */
     bool jobs_loaded;   /* see GvSched_SetJobsLoaded */
     int64_t wall_ms;
-    GHashTable *targets;        /* interned id -> gv_sched_target_t * */
-    GHashTable *jobs;           /* gv_str_t * -> gv_active_job_t * */
-    GHashTable *queues;         /* name -> gv_queue_info_t * */
+    GHashTable *targets; /* interned id -> gv_sched_target_t * */
+    GHashTable
+        *by_host;       /* host -> its newest gv_sched_target_t *, not owned */
+    GHashTable *jobs;   /* gv_str_t * -> gv_active_job_t * */
+    GHashTable *queues; /* name -> gv_queue_info_t * */
     GHashTable *services;       /* gv_str_t * -> gv_sched_service_t * */
     GPtrArray *due_targets;     /* to be updated: an event has changed them */
     GPtrArray *ended_targets;   /* ends were applied since the newest batch */
     GPtrArray *batched_targets; /* ends are in the present batch */
     GPtrArray *dirty_jobs; /* progress has changed since the newest batch */
     GPtrArray *ended_jobs; /* to be checked whether they can be removed */
-    int64_t swept_ms;      /* newest update of all targets */
+    GPtrArray *failing; /* gv_active_job_t * to fail: a task crashes targets */
+    int64_t swept_ms;   /* newest update of all targets */
     gv_loads_t *loads;
     GHashTable *advice;   /* step name -> gv_advice_t * */
     int n_advice_pending; /* requests for advice without an answer */
@@ -193,6 +205,13 @@
 void GvSched_LoseRun(gv_sched_t *s, gv_run_t *r, gv_loss_t loss,
                      const char *why, int64_t now_ms);
 gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
+void GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt,
+                          int64_t now_ms);
+void GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+void GvSched_FailCrashers(gv_sched_t *s, int64_t now_ms);
+void GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+void GvSched_FailJob(gv_sched_t *s, gv_active_job_t *a, const char *why,
+                     int64_t now_ms);
 void GvSched_ResetEnds(gv_sched_target_t *tgt);
 bool GvSched_IsSettling(const gv_sched_target_t *tgt);
 bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -35,11 +35,14 @@
     if (phase == GV_RUN_STORING) {
         GvSched_SetTaskState(a, task, GV_TASK_PLACED);
         t->target = tgt->id;
+        t->target_started_ms = tgt->started_ms;
         a->job->begun = true;
         GvSched_MarkDirty(s, a);
         g_ptr_array_add(s->unbatched, r);
     }
     r->run = t->run;
+    r->isolated = t->suspect;
+    tgt->n_isolated += r->isolated ? 1 : 0;
     a->runs[task] = r;
     a->n_runs++;
     GvResources_Add(&tgt->used, r->need);
@@ -67,6 +70,7 @@
     }
     GvResources_Subtract(&r->tgt->used, r->need);
     r->tgt->n_long_running -= a->long_running ? 1 : 0;
+    r->tgt->n_isolated -= r->isolated ? 1 : 0;
     g_ptr_array_remove_fast(r->tgt->runs, r);
     g_ptr_array_remove_fast(s->unbatched, r);
     g_ptr_array_remove_fast(s->batched, r);
@@ -207,6 +211,18 @@
     }
 }
 
+/* A job fails: its runs are stopped and no more are started. */
+void
+GvSched_FailJob(gv_sched_t *s, gv_active_job_t *a, const char *why,
+                int64_t now_ms)
+{
+    if (!GvJob_Ended(a->job)) {
+        a->job->failed = true;
+        GvSched_MarkDirty(s, a);
+        GvSched_StopJob(s, a, why, now_ms);
+    }
+}
+
 /* Counts a failed run. The job fails if its task, or all tasks of a gang
    together, have failed as often as the queue allows. */
 static void
@@ -227,8 +243,7 @@
         GvEvlog_Write("failed", "job=%.*s failures=%d attempts=%d",
                       GV_STR_ARG(a->job->id), failures,
                       GvSched_AttemptsOf(s, a->job));
-        a->job->failed = true;
-        GvSched_StopJob(s, a, "job failed", now_ms);
+        GvSched_FailJob(s, a, "job failed", now_ms);
     }
 }
 
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -24,13 +24,16 @@
 GvSched_HandleRestart(gv_sched_t *s, gv_sched_target_t *tgt,
                       int64_t started_ms, int64_t now_ms)
 {
+    gv_loss_t loss = GvSched_LossOf(tgt);
+    if (loss == GV_LOSS_CRASHED) {
+        GvSched_CountCrashes(s, tgt, now_ms);
+    }
     for (guint i = tgt->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         switch (r->phase) {
         case GV_RUN_ACTIVE:
         case GV_RUN_STORING:
-            GvSched_LoseRun(s, r, GvSched_LossOf(tgt), "target was restarted",
-                            now_ms);
+            GvSched_LoseRun(s, r, loss, "target was restarted", now_ms);
             break;
         case GV_RUN_SENDING:
             GvSched_StopRun(s, r, "target was restarted", now_ms);
@@ -45,6 +48,7 @@
     GvSched_ResetEnds(tgt);
     tgt->started_ms = started_ms;
     tgt->synced = false;
+    GvSched_FailCrashers(s, now_ms);
 }
 
 /* Returns true if a target has to be sent holds: it has runs, has to be told
@@ -147,6 +151,31 @@
     return away < step->max_unavailable;
 }
 
+/* Stops runs on a target to empty it: those of long-running tasks as far as
+   the limit of their step allows, and with short_too also all others. Returns
+   the number of runs that are left. */
+int
+GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
+                 int64_t now_ms)
+{
+    char *name = g_strndup(target.p, target.n);
+    gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
+    g_free(name);
+    if (tgt == NULL) {
+        return 0;
+    }
+    for (guint i = tgt->runs->len; i > 0; i--) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
+        if (r->phase == GV_RUN_STOPPING ||
+            (r->active->long_running ? !GvSched_MayStop(r, now_ms)
+                                     : !short_too)) {
+            continue;
+        }
+        GvSched_StopRun(s, r, "target is being emptied", now_ms);
+    }
+    return (int)tgt->runs->len;
+}
+
 /* Drops the runs of a target if their leases have ended, repeats stops that
    were not confirmed, and sends a hold if one is due. */
 static void
@@ -200,6 +229,10 @@
             !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
             now_ms > tgt->lease_until_ms) {
             GvSched_RemoveFromService(tgt);
+            if (tgt->info.host.n > 0 &&
+                g_hash_table_lookup(s->by_host, tgt->info.host.p) == tgt) {
+                g_hash_table_remove(s->by_host, tgt->info.host.p);
+            }
             g_hash_table_iter_remove(&it);
         }
     }
