Scheduler: no start on a target that has shrunk, drained or left since

A target that does not check its CPU is over it, and all that runs there is slow (LIMIT). A start waits for its record to be stored, and a repeated one for an answer; the target's resources were looked at only when it was placed.

Change: they, and whether it still takes tasks, are looked at again before each start order; one that was ordered before is stopped, as it may have arrived.

--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -100,21 +100,42 @@
     return now_ms + tgt->clock_offset_ms + s->o.lease_ms;
 }
 
-/* Orders a start whose record is stored, unless its job or ticket has ended.
- */
+/* Returns why the first order to start a run must not be sent any more, or
+   NULL: things may have changed while its record was being stored. */
+static const char *
+start_obstacle(const gv_sched_t *s, const gv_run_t *r, const char *ticket)
+{
+    const gv_queue_info_t *q = GvSched_QueueOf(s, r->active->job);
+    if (GvJob_Ended(r->active->job)) {
+        return "job ended before the start";
+    }
+    if (q != NULL && q->needs_advice && ticket == NULL) {
+        return "ticket expired before the start";
+    }
+    if (!r->tgt->listed || r->tgt->info.draining) {
+        return "target left before the start";
+    }
+    if (!GvResources_Fit(r->tgt->used, r->tgt->info.room)) {
+        return "target shrank before the start";
+    }
+    return NULL;
+}
+
+/* Orders a start whose record is stored, unless something has changed since
+   its placement. */
 void
 GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     gv_task_t *t = &r->active->job->tasks[r->task];
-    if (GvJob_Ended(r->active->job)) {
-        GvSched_DropRun(s, r, "job ended before the start");
-        return;
-    }
-    const gv_queue_info_t *q = GvSched_QueueOf(s, r->active->job);
     const char *ticket =
         GvSched_FindTicket(s, r->active->job, r->task, r->tgt->id, now_ms);
-    if (q != NULL && q->needs_advice && ticket == NULL && !r->maybe_started) {
-        GvSched_DropRun(s, r, "ticket expired before the start");
+    const char *obstacle = start_obstacle(s, r, ticket);
+    if (obstacle != NULL && r->maybe_started) {
+        GvSched_StopRun(s, r, obstacle, now_ms);
+        return;
+    }
+    if (obstacle != NULL) {
+        GvSched_DropRun(s, r, obstacle);
         return;
     }
     r->phase = GV_RUN_SENDING;
