--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -118,6 +118,7 @@
                 end_ms - r->sent_ms <= GV_SCHED_CRASH_SOON_MS;
     bool alone = was_alone(r);
     r->crash_counted = true;
+    t->target_started_ms = 0; /* a new leader must not count it again */
     if (soon) {
         t->crashes++;
     }
