Scheduler: no start on targets that do not check their room while their records are old

A target that does not check its room and shrinks while the leader cannot read the targets' records, but can store progress, would be brought over it (LIMIT).

Change: the settings' word whether the targets of a service check their room is read; for the others, nothing is placed and no start sent once the records were last read over 2 s ago.

--- a/src/limits.h
+++ b/src/limits.h
@@ -377,6 +377,11 @@
    it. */
 #define GV_SCHED_CRASHES_MAX  3
 #define GV_SCHED_DOUBTFUL_MAX 5
+/* A target that does not check its room gets no start while the records of the
+   targets were read longer ago than this. One that has shrunk reports it within
+   1.5 s, and starts count against the smaller room 4.5 s after it has shrunk;
+   this leaves an order one second to arrive. */
+#define GV_SCHED_RECORDS_MAX_AGE_MS 2000
 /* A long-running task that has served for so long does not crash its target:
    twenty times the time in which one that does is expected to. */
 #define GV_SCHED_SERVED_MS 2000
--- a/src/sched.h
+++ b/src/sched.h
@@ -51,7 +51,8 @@
 
 typedef struct {
     gv_str_t name;
-    bool standby; /* its hosts are powered off and cost nothing */
+    bool standby;     /* its hosts are powered off and cost nothing */
+    bool checks_room; /* its targets refuse starts that exceed their room */
 } gv_service_info_t;
 
 typedef struct {
@@ -111,6 +112,9 @@
     uint64_t epoch;   /* of this leader; fencing token of every order */
     int lease_ms;     /* a target ends runs that no hold renews for so long */
     int max_lease_ms; /* longest lease that an earlier scheduler set */
+    /* Targets that do not check their room get no starts while their records
+       were read longer ago than this; 0: no limit. */
+    int records_max_age_ms;
     int64_t now_ms;
 } gv_sched_opts_t;
 
@@ -178,6 +182,9 @@
 
 /* State of the outside world: settings, targets and jobs */
 void GvSched_SetQueues(gv_sched_t *s, const gv_queue_info_t *queues, int n);
+void GvSched_SetServices(gv_sched_t *s, const gv_service_info_t *services,
+                         int n);
+void GvSched_SetRecordsRead(gv_sched_t *s, int64_t read_ms);
 void GvSched_SetTarget(gv_sched_t *s, const gv_target_info_t *info,
                        int64_t now_ms);
 void GvSched_RemoveTarget(gv_sched_t *s, gv_str_t id, int64_t now_ms);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -527,7 +527,7 @@
     g_hash_table_iter_init(&it, s->services);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_service_t *sv = value;
-        if (sv->place_due || all) {
+        if ((sv->place_due || all) && GvSched_KnowsRoom(s, sv, now_ms)) {
             place_service(s, sv, now_ms);
         }
     }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -30,6 +30,7 @@
     GPtrArray *targets; /* gv_sched_target_t * */
     GHashTable *jobs;   /* set of gv_active_job_t * */
     bool place_due;     /* an event may allow new placements */
+    bool checks_room;   /* its targets refuse starts that exceed their room */
     /* In this pass of placement, by whether the task is long-running: no
        target had this much free for a task without further conditions. */
     bool is_full[2];
@@ -135,7 +136,8 @@
     bool batch_pending; /* a batch of progress is being stored */
     bool jobs_loaded;   /* see GvSched_SetJobsLoaded */
     int64_t wall_ms;
-    GHashTable *targets; /* interned id -> gv_sched_target_t * */
+    int64_t records_read_ms; /* see GvSched_SetRecordsRead */
+    GHashTable *targets;     /* interned id -> gv_sched_target_t * */
     GHashTable
         *by_host;       /* host -> its newest gv_sched_target_t *, not owned */
     GHashTable *jobs;   /* gv_str_t * -> gv_active_job_t * */
@@ -172,6 +174,8 @@
                                   int *task);
 
 gv_sched_service_t *GvSched_Service(gv_sched_t *s, gv_str_t name);
+bool GvSched_KnowsRoom(const gv_sched_t *s, const gv_sched_service_t *sv,
+                       int64_t now_ms);
 void GvSched_FreeService(gpointer service);
 void GvSched_AssignTarget(gv_sched_t *s, gv_sched_target_t *tgt);
 void GvSched_AssignJob(gv_sched_t *s, gv_active_job_t *a);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -103,7 +103,8 @@
 /* Returns why the first order to start a run must not be sent any more, or
    NULL: things may have changed while its record was being stored. */
 static const char *
-start_obstacle(const gv_sched_t *s, const gv_run_t *r, const char *ticket)
+start_obstacle(const gv_sched_t *s, const gv_run_t *r, const char *ticket,
+               int64_t now_ms)
 {
     const gv_queue_info_t *q = GvSched_QueueOf(s, r->active->job);
     if (GvJob_Ended(r->active->job)) {
@@ -115,6 +116,9 @@
     if (!r->tgt->listed || r->tgt->info.draining) {
         return "target left before the start";
     }
+    if (!GvSched_KnowsRoom(s, r->tgt->service, now_ms)) {
+        return "records of targets too old";
+    }
     if (!GvResources_Fit(r->tgt->used, r->tgt->info.room)) {
         return "target shrank before the start";
     }
@@ -129,7 +133,7 @@
     gv_task_t *t = &r->active->job->tasks[r->task];
     const char *ticket =
         GvSched_FindTicket(s, r->active->job, r->task, r->tgt->id, now_ms);
-    const char *obstacle = start_obstacle(s, r, ticket);
+    const char *obstacle = start_obstacle(s, r, ticket, now_ms);
     if (obstacle != NULL && r->maybe_started) {
         GvSched_StopRun(s, r, obstacle, now_ms);
         return;
--- a/src/sched_service.c
+++ b/src/sched_service.c
@@ -19,6 +19,40 @@
     return sv;
 }
 
+/* Sets which services have targets that check their room; the others do not.
+ */
+void
+GvSched_SetServices(gv_sched_t *s, const gv_service_info_t *services, int n)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->services);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        ((gv_sched_service_t *)value)->checks_room = false;
+    }
+    for (int i = 0; i < n; i++) {
+        GvSched_Service(s, services[i].name)->checks_room =
+            services[i].checks_room;
+    }
+}
+
+/* Sets when the records of the targets were last read. */
+void
+GvSched_SetRecordsRead(gv_sched_t *s, int64_t read_ms)
+{
+    s->records_read_ms = read_ms;
+}
+
+/* Returns true if the room of a service's targets is known as far as starts
+   need it: they check it, or their records were read lately enough. */
+bool
+GvSched_KnowsRoom(const gv_sched_t *s, const gv_sched_service_t *sv,
+                  int64_t now_ms)
+{
+    return s->o.records_max_age_ms == 0 || (sv != NULL && sv->checks_room) ||
+           now_ms - s->records_read_ms <= s->o.records_max_age_ms;
+}
+
 /* Releases a service; its targets and jobs are not touched. */
 void
 GvSched_FreeService(gpointer service)
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -60,8 +60,9 @@
     return GvStr_C(GvScript_Option(argc, argv, name, ""));
 }
 
-/* sched_new [now=MS epoch=N jobs_loaded=0|1]: replaces the scheduler and
-   empties the store. jobs_loaded: all stored jobs have been read. */
+/* sched_new [now=MS epoch=N jobs_loaded=0|1 max_age=MS]: replaces the
+   scheduler and empties the store. jobs_loaded: all stored jobs have been
+   read; max_age: of the targets' records. */
 GV_VERB("sched_new", sched_new)
 {
     if (sched != NULL) {
@@ -76,6 +77,7 @@
                          .epoch = (uint64_t)OPT("epoch", 1),
                          .lease_ms = 4500,
                          .max_lease_ms = 4500,
+                         .records_max_age_ms = (int)OPT("max_age", 0),
                          .now_ms = now};
     sched = GvSched_New(&o);
     if (OPT("jobs_loaded", 1) != 0) {
@@ -139,6 +141,16 @@
     GvSched_SetTarget(sched, &t, now);
 }
 
+/* sched_records_read SERVICE checks_room=0|1: the records of the targets have
+   just been read; the targets of this service check their room or do not. */
+GV_VERB("sched_records_read", sched_records_read)
+{
+    gv_service_info_t s = {.name = ARG(1),
+                           .checks_room = OPT("checks_room", 0) != 0};
+    GvSched_SetServices(sched, &s, 1);
+    GvSched_SetRecordsRead(sched, now);
+}
+
 /* sched_target_gone ID: removes a target. */
 GV_VERB("sched_target_gone", sched_target_gone)
 {
