proc_targets: targets that crash and change their size, with real processes

The stand-in's targets crash under a task with the spec deadly, come back on their host under another name, and change their room.

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -155,10 +155,16 @@
                               "end": len(self.parts[log_id])})
 
 
+# A target that has shrunk may take starts for its former room for so long: the
+# time of contact and one beat.
+SHRUNK_S = 4.5
+
+
 class Target:
     """One target. A task runs for run_s seconds. history gets a tuple (time in
     s, event, target, task, run id) for each start, end and acknowledged end;
-    an end's event is done, stopped or lapsed (the lease expired)."""
+    an end's event is done, stopped, lapsed (the lease expired) or gone (the
+    target crashed). A task with the spec "deadly" crashes its target."""
 
     def __init__(self, name, run_s, history):
         self.name, self.run_s, self.history = name, run_s, history
@@ -170,6 +176,11 @@
         self.lease = 0.0
         self.silent = False
         self.checks_fence = True
+        self.checks_room = True
+        self.crashed = False
+        self.on_crash = lambda: None
+        self.rooms = [(0.0, 4000)]  # (time in s, cpu), oldest first
+        self.over = []  # starts that exceeded the room
         # (path, fence) of the orders received, in their order.
         self.orders = []
         # Numbers of the ends that the scheduler had not acknowledged when the
@@ -196,6 +207,34 @@
         self.history.append((time.monotonic(), how, self.name, task, run))
         self.lock.notify_all()
 
+    def crash(self):
+        """Loses all runs and connections."""
+        with self.lock:
+            self.crashed = True
+            for task, (run, _) in self.running.items():
+                self.history.append((time.monotonic(), "gone", self.name,
+                                     task, run))
+            self.running = {}
+            self.lock.notify_all()
+        self.on_crash()
+        self.server.shutdown()
+        self.server.server_close()
+
+    def resize(self, cpu):
+        """Changes the target's room; its runs go on."""
+        with self.lock:
+            self.rooms.append((time.monotonic(), cpu))
+
+    def count_room(self, task):
+        """Notes a start that exceeds every room of the last SHRUNK_S seconds;
+        every task needs 500."""
+        since = time.monotonic() - SHRUNK_S
+        largest = max([cpu for (at, cpu), after in zip(
+            self.rooms, self.rooms[1:]) if after[0] > since]
+            + [self.rooms[-1][1]])
+        if 500 * len(self.running) > largest:
+            self.over.append(f"{task} on {self.name}, over {largest}")
+
     def work(self):
         """Ends tasks whose run time is over or whose lease has expired."""
         while True:
@@ -214,6 +253,8 @@
         if self.silent:
             time.sleep(3)
             return None
+        if self.crashed:
+            return None
         if headers.get("Expect-Instance") != self.name:
             return self.answer(421)
         rq = unpack(body)
@@ -240,10 +281,13 @@
             return self.answer(200)
         if run <= self.highest[task]:
             return self.answer(409, reason="old")
-        if len(self.running) >= 4:
+        if self.checks_room and len(self.running) >= 4:
             return self.answer(409, reason="room")
         self.running[task] = (run, time.monotonic() + self.run_s)
         self.history.append((time.monotonic(), "start", self.name, task, run))
+        self.count_room(task)
+        if rq["spec"] == "deadly":
+            threading.Timer(0.01, self.crash).start()
         return self.answer(200)
 
     def hold(self, rq):
@@ -258,8 +302,10 @@
         end = time.monotonic() + rq.get("waitMs", 0) / 1000
         while not self.ended:
             left = end - time.monotonic()
-            if left <= 0 or not self.lock.wait(left):
+            if left <= 0 or self.crashed or not self.lock.wait(left):
                 break
+        if self.crashed:
+            return None
         return self.answer(
             200, finished=self.ended,
             running=[[t, r, "", 100] for t, (r, _) in self.running.items()])
@@ -270,12 +316,13 @@
         return pack({"service": service, "addr": addr or self.addr, "zone": "a",
                      "state": "ready", "seq": 1, "born": self.born,
                      "machine": "m-" + self.name, "labels": ["a", "r1-1"],
-                     "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}})
+                     "capacity": {"cpu": self.rooms[-1][1], "memMb": 4000,
+                                  "gpu": 0}})
 
 
 class HostApi:
-    """The interface to the hosts of the targets. Maintenance replaces the
-    target of a host by a new one after away_s seconds."""
+    """The interface to the hosts of the targets. Maintenance or a crash
+    replaces the target of a host by a new one after away_s seconds."""
 
     def __init__(self, store, targets, away_s=0.5):
         self.store, self.away_s = store, away_s
@@ -283,6 +330,8 @@
         self.targets = {"m-" + t.name: t for t in targets}
         self.states = {host: "up" for host in self.targets}
         self.maintained = []  # (host, fence), in the order of the calls
+        for host, target in self.targets.items():
+            target.on_crash = lambda h=host: self.crash(h)
         self.server, self.addr = serve(self.handle)
 
     def handle(self, method, path, query, headers, body):
@@ -304,12 +353,21 @@
             threading.Timer(self.away_s, self.finish, (host,)).start()
             return 200, b""
 
+    def crash(self, host):
+        """The target of a host has crashed."""
+        with self.lock:
+            self.states[host] = "down"
+            threading.Timer(self.away_s, self.finish, (host,)).start()
+
     def finish(self, host):
         with self.lock:
             old = self.targets[host]
-            old.silent = True
+            old.silent = not old.crashed
+            if old.crashed:
+                self.store.put("keyed.servers", old.name, b"")
             new = Target(old.name + "n", old.run_s, old.history)
             new.checks_fence = old.checks_fence
+            new.on_crash = lambda: self.crash(host)
             self.targets[host] = new
             self.states[host] = "up"
             entry = unpack(new.entry("s"))
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -61,11 +61,11 @@
         wait_until(lambda: call(ready, "GET", "/api/readyz").status == 200, 10,
                    f"{name} ready")
 
-    def submit(self, name, n, count=2, steps=2):
+    def submit(self, name, n, count=2, steps=2, spec="s"):
         """Submits job n through a daemon: steps of count tasks each, one after
         the other. Returns the job's id and the response's status."""
         job = f"{n:016x}"
-        body = pack({"spec": "s", "steps": [
+        body = pack({"spec": spec, "steps": [
             {"count": count, "cpu": 500, "memMb": 10, "estimateMs": 300,
              **({"dependsOn": [k - 1]} if k else {})}
             for k in range(steps)]})
