--- a/src/limits.h
+++ b/src/limits.h
@@ -369,8 +369,8 @@
    chance are one in 30,000. */
 #define GV_SCHED_FAILURES 3
 /* A crash of a target comes soon after the start of a run if it falls silent
-   within this time: the way of the start and of its answer, and one turn of the
-   event loop. A task that crashes targets mostly does so then. */
+   within this time: the way of the start and of its answer, and one turn of
+   the event loop. A task that crashes targets mostly does so then. */
 #define GV_SCHED_CRASH_SOON_MS 100
 /* A job fails after so many crashes of targets soon after starts of one task,
    and after so many with those at other times, also if other tasks ran beside
@@ -378,9 +378,9 @@
 #define GV_SCHED_CRASHES_MAX  3
 #define GV_SCHED_DOUBTFUL_MAX 5
 /* A target that does not check its room gets no start while the records of the
-   targets were read longer ago than this. One that has shrunk reports it within
-   1.5 s, and starts count against the smaller room 4.5 s after it has shrunk;
-   this leaves an order one second to arrive. */
+   targets were read longer ago than this. One that has shrunk reports it
+   within 1.5 s, and starts count against the smaller room 4.5 s after it has
+   shrunk; this leaves an order one second to arrive. */
 #define GV_SCHED_RECORDS_MAX_AGE_MS 2000
 /* A long-running task that has served for so long does not crash its target:
    twenty times the time in which one that does is expected to. */
