Scheduler: a crash of a target that is to be emptied is a crash

This leader orders a host away only once its target has no runs, so a run that is lost was not lost by that order.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -17,12 +17,13 @@
 GV_COUNTER(runs_lost_unanswered, "runs_lost_unanswered_total",
            "Runs whose lease ended without an answer from the target");
 
-/* Returns why the runs of a target are lost whose incarnation has ended. */
+/* Returns why the runs of a target are lost whose incarnation has ended. Its
+   host was not ordered away by this leader, which waits until it has no runs.
+ */
 gv_loss_t
 GvSched_LossOf(const gv_sched_target_t *tgt)
 {
-    return tgt->info.draining || tgt->reserved ? GV_LOSS_PLANNED
-                                               : GV_LOSS_CRASHED;
+    return tgt->info.draining ? GV_LOSS_PLANNED : GV_LOSS_CRASHED;
 }
 
 static void
