Scheduler: what proves a crash is a connection that breaks off soon after a start

Change: an answer says whether its connection was refused or broken off. A crash comes soon after a start if that was within 250 ms of the newest order to start, or if the target answered until the crash was known. Silence proves nothing. Crashes at other times make a suspect after three.

--- a/src/limits.h
+++ b/src/limits.h
@@ -368,13 +368,17 @@
    GV_SCHED_AVOID_MS. On a healthy target 3% fail, so that three in a row by
    chance are one in 30,000. */
 #define GV_SCHED_FAILURES 3
-/* A crash of a target comes soon after the start of a run if it falls silent
-   within this time: the way of the start and of its answer, and one turn of
-   the event loop. A task that crashes targets mostly does so then. */
-#define GV_SCHED_CRASH_SOON_MS 100
+/* A crash of a target comes soon after the start of a run if its connections
+   break off within this time: the way of the start and of its answer, and a
+   turn of the event loop of a busy host. A task that crashes targets mostly
+   does so then.
+ */
+#define GV_SCHED_CRASH_SOON_MS 250
+/* Crashes at any time after which a task runs alone. */
+#define GV_SCHED_SUSPECT_CRASHES 3
 /* A job fails after so many crashes of targets soon after starts of one task,
    and after so many with those at other times, also if other tasks ran beside
-   it. */
+   it; the last one counts twice if none did. */
 #define GV_SCHED_CRASHES_MAX  3
 #define GV_SCHED_DOUBTFUL_MAX 5
 /* A target that does not check its room gets no start while the records of the
@@ -385,8 +389,11 @@
 /* A long-running task that has served for so long does not crash its target:
    twenty times the time in which one that does is expected to. */
 #define GV_SCHED_SERVED_MS 2000
-/* A suspect that finds no empty target for this long may run beside others. */
-#define GV_SCHED_ALONE_WAIT_MS 1500
+/* A suspect that finds no empty target for this long may run beside others
+   where most room is free, and after the longer time anywhere: no task waits
+   for ever if long-running ones are on every target. */
+#define GV_SCHED_ALONE_WAIT_MS     2500
+#define GV_SCHED_ALONE_WAIT_MAX_MS 10000
 /* Targets of a service, divided by this, that are emptied for suspects at the
    same time. */
 #define GV_SCHED_EMPTIED_DIVISOR 4
--- a/src/sched.h
+++ b/src/sched.h
@@ -137,6 +137,8 @@
     gv_order_result_t result;
     int64_t clock_ms;   /* of the target; 0: not in the answer */
     int64_t started_ms; /* of its incarnation; 0: not in the answer */
+    bool broken;        /* without an answer: its connection was refused or
+                           broken off, as when its process has ended */
 } gv_order_answer_t;
 
 /* How a run ended, as its target reports it. */
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -28,10 +28,14 @@
         a->result == GV_ORDER_NO_ANSWER || a->result == GV_ORDER_NOT_SENT;
     if (!silent) {
         tgt->silent_since_ms = 0;
+        tgt->broken_ms = 0;
     }
     else if (tgt->silent_since_ms == 0) {
         tgt->silent_since_ms = now_ms;
     }
+    if (silent && a->broken && tgt->broken_ms == 0) {
+        tgt->broken_ms = now_ms;
+    }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -88,7 +88,7 @@
 {
     return (soon && alone && t->crashes >= 2) ||
            t->crashes >= GV_SCHED_CRASHES_MAX ||
-           t->crashes + t->doubtful >= GV_SCHED_DOUBTFUL_MAX;
+           t->crashes + t->doubtful + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
 }
 
 /* Returns true if a run of a long-running task has served for long enough, so
@@ -100,10 +100,22 @@
            r->started_ms != 0 && now_ms - r->started_ms >= GV_SCHED_SERVED_MS;
 }
 
+/* Returns true if the crash of its target came soon after the start of a run:
+   its connections broke off then, or it has answered until now. If it fell
+   silent instead, the time of the crash is not known. */
+static bool
+came_soon(const gv_run_t *r, int64_t now_ms)
+{
+    const gv_sched_target_t *tgt = r->tgt;
+    int64_t crash_ms = tgt->silent_since_ms == 0 ? now_ms : tgt->broken_ms;
+    return r->started_ms != 0 && r->sent_ms != 0 && crash_ms != 0 &&
+           crash_ms - r->sent_ms <= GV_SCHED_CRASH_SOON_MS;
+}
+
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
-   one the second time. */
+   one after GV_SCHED_SUSPECT_CRASHES. */
 static void
 count_crash(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
@@ -115,8 +127,7 @@
         has_served(r, end_ms) || GvJob_Ended(a->job)) {
         return;
     }
-    bool soon = r->started_ms != 0 && r->sent_ms != 0 &&
-                end_ms - r->sent_ms <= GV_SCHED_CRASH_SOON_MS;
+    bool soon = came_soon(r, now_ms);
     bool alone = was_alone(r);
     r->crash_counted = true;
     t->target_started_ms = 0; /* a new leader must not count it again */
@@ -126,8 +137,8 @@
     else {
         t->doubtful++;
     }
-    t->suspect =
-        t->suspect || soon || r->sent_ms == 0 || t->crashes + t->doubtful >= 2;
+    t->suspect = t->suspect || soon || r->sent_ms == 0 ||
+                 t->crashes + t->doubtful >= GV_SCHED_SUSPECT_CRASHES;
     a->has_suspects = a->has_suspects || t->suspect;
     GvSched_MarkDirty(s, a);
     if (t->suspect) {
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -58,7 +58,7 @@
     int64_t next_stop_ms; /* an unconfirmed stop is not repeated before */
     int64_t confirmed_ms; /* when the newest order was confirmed; 0: not yet */
     int64_t placed_ms;
-    int64_t sent_ms; /* when its start was first sent; 0: not by this leader */
+    int64_t sent_ms; /* when its start was last sent; 0: not by this leader */
     int percent;
 } gv_run_t;
 
@@ -103,6 +103,8 @@
     int hold_failures;
     int64_t silent_since_ms; /* first unanswered order since its last answer;
                                 0: it has answered since */
+    int64_t
+        broken_ms; /* first broken connection since its last answer, or 0 */
     int64_t hold_sent_ms;
     int64_t hold_next_ms;
     int64_t clock_read_ms;    /* when its clock was last read */
@@ -163,6 +165,17 @@
     int64_t sampled_ms;   /* newest sample of the arrival rates */
 };
 
+/* A step of an occurrence that may start now and has waiting tasks. */
+typedef struct {
+    gv_active_job_t *active;
+    const gv_step_t *step;
+    int first; /* number of its first task */
+    int priority;
+    bool needs_advice;   /* only targets with a ticket may run its tasks */
+    bool late;           /* the job can no longer meet its objective */
+    int64_t deadline_ms; /* when the job has to end, wall clock */
+} gv_ready_step_t;
+
 gv_sched_target_t *GvSched_FindTarget(const gv_sched_t *s, const char *id);
 gv_active_job_t *GvSched_FindJob(const gv_sched_t *s, gv_str_t id);
 gv_str_t GvSched_ServiceOf(const gv_sched_t *s, const gv_job_t *job);
@@ -228,6 +241,9 @@
 void GvSched_RequestAdvice(gv_sched_t *s, const gv_active_job_t *active,
                            int task, int64_t now_ms);
 void GvSched_ForgetAdvice(gv_sched_t *s, const gv_job_t *job);
+bool GvSched_HasWaiting(const gv_active_job_t *a, int first, int count);
+GArray *GvSched_ReadySteps(const gv_sched_t *s, const gv_sched_service_t *sv,
+                           int64_t now_ms);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
 int64_t GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms);
 
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -145,7 +145,7 @@
     r->phase = GV_RUN_SENDING;
     r->order_pending = true;
     r->tries++;
-    r->sent_ms = r->sent_ms == 0 ? now_ms : r->sent_ms;
+    r->sent_ms = now_ms;
     gv_start_order_t o = {
         .target = r->tgt->id,
         .addr = r->tgt->info.addr.p,
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -331,10 +331,12 @@
             "refused"),
         .clock_ms = now + 5000,
         .started_ms = OPT("started", 0),
+        .broken = OPT("broken", 0) != 0,
     };
 }
 
-/* sched_started TARGET TASK RUN RESULT [started=MS]: the answer to a start. */
+/* sched_started TARGET TASK RUN RESULT [started=MS broken=0|1]: the answer to
+ * a start. */
 GV_VERB("sched_started", sched_started)
 {
     gv_order_answer_t a = answer_of(argc, argv, argv[4]);
@@ -342,7 +344,8 @@
                               now);
 }
 
-/* sched_stopped TARGET TASK RUN RESULT [started=MS]: the answer to a stop. */
+/* sched_stopped TARGET TASK RUN RESULT [started=MS broken=0|1]: the answer to
+ * a stop. */
 GV_VERB("sched_stopped", sched_stopped)
 {
     gv_order_answer_t a = answer_of(argc, argv, argv[4]);
@@ -357,7 +360,7 @@
                                 "broken", "alone");
 }
 
-/* sched_held TARGET RESULT [started=MS] [run:TASK:RUN:PERCENT]...
+/* sched_held TARGET RESULT [started=MS broken=0|1] [run:TASK:RUN:PERCENT]...
    [end:N:TASK:RUN:HOW]...: the answer to a hold, with the live and the ended
    runs. N is the number of the end. */
 GV_VERB("sched_held", sched_held)
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -113,6 +113,7 @@
     bool is_waiting;  /* a hold that its target has not answered yet */
     bool is_answer;   /* the result is on its way to the scheduler */
     bool lost_answer; /* the target acts, but its answer is lost */
+    bool broken;      /* the connection was broken off by a crash */
     bool late;        /* reaches the target after the scheduler's wait for the
                          answer has ended */
 } event_t;
@@ -337,6 +338,18 @@
     }
 }
 
+/* Makes a target answer the holds that it delays. */
+static void
+answer_holds(const model_target_t *t)
+{
+    for (int i = 0; i < EVENTS_MAX; i++) {
+        event_t *e = &events[i];
+        if (e->used && e->is_waiting && &targets[e->target] == t) {
+            e->at_ms = now;
+        }
+    }
+}
+
 /* Ends run i of a target and adds it to the ends that the target lists. */
 static void
 end_run(model_target_t *t, int i, gv_end_kind_t how)
@@ -352,6 +365,7 @@
         MAX(t->highest_run[r.job][r.index], r.run);
     jobs[r.job].ends_done[r.index] += how == GV_END_DONE ? 1 : 0;
     jobs[r.job].ends_failed[r.index] += how == GV_END_FAILED ? 1 : 0;
+    answer_holds(t);
 }
 
 /* Carries out or refuses a start as a target does. */
@@ -491,6 +505,7 @@
         }
     }
     e->started_ms = t->started_ms;
+    e->broken = !t->up;
     if (e->late) {
         e->used = false;
         return;
@@ -516,6 +531,7 @@
     e->at_ms = now + g_rand_int_range(rnd, 1, 5);
     if (!t->up || t->started_ms != e->started_ms) {
         e->result = GV_ORDER_NO_ANSWER;
+        e->broken = true;
         return;
     }
     list_runs(t, e);
@@ -530,7 +546,8 @@
     bool silent = e->result == GV_ORDER_NO_ANSWER;
     gv_order_answer_t a = {.result = e->result,
                            .clock_ms = silent ? 0 : now,
-                           .started_ms = silent ? 0 : e->started_ms};
+                           .started_ms = silent ? 0 : e->started_ms,
+                           .broken = e->broken};
     g_snprintf(id, sizeof id, "t%d", e->target);
     if (e->epoch != epoch) {
         e->used = false;
@@ -722,20 +739,14 @@
     GvSched_AddJob(sched, j, now);
 }
 
-/* A target crashes: it loses its runs, its list of ends and its fence. Holds
-   that it has not answered are broken off. */
+/* A target crashes: it loses its runs, its list of ends and its fence. */
 static void
 crash(model_target_t *t)
 {
     for (int i = 0; i < t->n_runs; i++) {
         jobs[t->runs[i].job].crashes[t->runs[i].index]++;
     }
-    for (int i = 0; i < EVENTS_MAX; i++) {
-        event_t *e = &events[i];
-        if (e->used && e->is_waiting && &targets[e->target] == t) {
-            e->at_ms = now;
-        }
-    }
+    answer_holds(t); /* they are broken off */
     t->n_runs = 0;
     t->n_ended = 0;
     t->last_end = 0;
