--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -6,24 +6,13 @@
 
 /* Chooses which waiting tasks start on which targets. */
 
-/* A step of an occurrence that may start now and has waiting tasks. */
-typedef struct {
-    gv_active_job_t *active;
-    const gv_step_t *step;
-    int first; /* number of its first task */
-    int priority;
-    bool needs_advice;   /* only targets with a ticket may run its tasks */
-    bool late;           /* the job can no longer meet its objective */
-    int64_t deadline_ms; /* when the job has to end, wall clock */
-} gv_ready_t;
-
 /* Orders long-running jobs before others, then by priority, then steps whose
    job can still meet its objective before late ones, then by deadline. */
 static int
 compare_ready(gconstpointer pa, gconstpointer pb)
 {
-    const gv_ready_t *a = pa;
-    const gv_ready_t *b = pb;
+    const gv_ready_step_t *a = pa;
+    const gv_ready_step_t *b = pb;
     if (a->active->long_running != b->active->long_running) {
         return a->active->long_running ? -1 : 1;
     }
@@ -39,103 +28,6 @@
     return GvStr_Compare(a->active->job->id, b->active->job->id);
 }
 
-static bool
-has_waiting(const gv_active_job_t *a, int first, int count)
-{
-    if (a->n_waiting == 0) {
-        return false;
-    }
-    for (int i = 0; i < count; i++) {
-        if (a->job->tasks[first + i].state == GV_TASK_WAITING) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Sets the critical paths of a job, unless they were set lately: the longest
-   chains of dependent steps' run times. A step's run time is the mean of its
-   queue if that is known, else the job's own estimate. */
-static void
-set_paths(const gv_sched_t *s, gv_active_job_t *a, int64_t now_ms)
-{
-    const gv_job_t *job = a->job;
-    if (a->path_set_ms != 0 && now_ms - a->path_set_ms < GV_SCHED_PATH_MS) {
-        return;
-    }
-    double learned = GvLoads_RunMs(s->loads, job->queue);
-    if (a->rest_ms == NULL) {
-        a->rest_ms = g_new0(double, (gsize)job->n_steps);
-    }
-    a->path_set_ms = now_ms;
-    a->path_ms = 0;
-    memset(a->rest_ms, 0, sizeof(double) * (size_t)job->n_steps);
-    for (int i = job->n_steps - 1; i >= 0; i--) {
-        const gv_step_t *step = &job->steps[i];
-        a->rest_ms[i] += learned > 0 ? learned : step->estimate_ms;
-        for (int k = 0; k < step->n_after; k++) {
-            int before = step->after[k];
-            a->rest_ms[before] = MAX(a->rest_ms[before], a->rest_ms[i]);
-        }
-        if (step->n_after == 0) {
-            a->path_ms = MAX(a->path_ms, a->rest_ms[i]);
-        }
-    }
-}
-
-/* Appends the steps of a job that may start now and have waiting tasks. */
-static void
-add_ready(const gv_sched_t *s, gv_active_job_t *a, int64_t now_ms, GArray *out)
-{
-    gv_job_t *job = a->job;
-    const gv_queue_info_t *q = GvSched_QueueOf(s, job);
-    int objective = q == NULL ? job->objective_ms : q->objective_ms;
-    double stretch = q == NULL ? job->stretch : q->stretch;
-    set_paths(s, a, now_ms);
-    for (int k = 0; k < job->occurrences; k++) {
-        int first = k * job->tasks_per_occurrence;
-        int64_t begin = job->timed ? job->first_ms + k * job->interval_ms
-                                   : job->accepted_ms;
-        for (int i = 0; i < job->n_steps; i++) {
-            const gv_step_t *step = &job->steps[i];
-            if (has_waiting(a, first, step->count) &&
-                GvJob_StepReady(job, k, i, s->wall_ms)) {
-                gv_ready_t r = {
-                    .active = a,
-                    .step = step,
-                    .first = first,
-                    .priority = q == NULL ? job->priority : q->priority,
-                    .needs_advice = q != NULL && q->needs_advice,
-                    .deadline_ms =
-                        begin + objective + (int64_t)(stretch * a->path_ms),
-                };
-                r.late =
-                    (double)s->wall_ms + a->rest_ms[i] > (double)r.deadline_ms;
-                g_array_append_val(out, r);
-            }
-            first += step->count;
-        }
-    }
-}
-
-/* Returns the steps of a service's jobs that may start now and have waiting
-   tasks. */
-static GArray *
-ready_steps(const gv_sched_t *s, const gv_sched_service_t *sv, int64_t now_ms)
-{
-    GHashTableIter it;
-    gpointer key;
-    GArray *out = g_array_new(FALSE, FALSE, sizeof(gv_ready_t));
-    g_hash_table_iter_init(&it, sv->jobs);
-    while (g_hash_table_iter_next(&it, &key, NULL)) {
-        gv_active_job_t *a = key;
-        if (a->n_waiting > 0 && !GvJob_Ended(a->job)) {
-            add_ready(s, a, now_ms, out);
-        }
-    }
-    return out;
-}
-
 /* Returns true if the target has the label or the label is empty. */
 static bool
 has_label(const gv_sched_target_t *tgt, gv_str_t label)
@@ -156,7 +48,7 @@
 
 /* Returns how many tasks of this step have a run on the target. */
 static int
-runs_of_step(const gv_sched_target_t *tgt, const gv_ready_t *r)
+runs_of_step(const gv_sched_target_t *tgt, const gv_ready_step_t *r)
 {
     int n = 0;
     for (guint i = 0; i < tgt->runs->len; i++) {
@@ -188,7 +80,7 @@
 /* Returns true if a task of the step may start on the target now. A task that
    uses leftover cpu needs no free cpu. */
 static bool
-may_run(const gv_sched_target_t *tgt, const gv_ready_t *r,
+may_run(const gv_sched_target_t *tgt, const gv_ready_step_t *r,
         const gv_resources_t *free, int64_t now_ms)
 {
     gv_resources_t need = r->step->need;
@@ -211,7 +103,7 @@
    one where the task last failed, then the least free cpu, so that other
    targets stay empty. Tasks that use leftover cpu prefer the most free cpu. */
 static double
-score_target(const gv_sched_target_t *tgt, const gv_ready_t *r,
+score_target(const gv_sched_target_t *tgt, const gv_ready_step_t *r,
              const gv_task_t *t, const gv_resources_t *free)
 {
     double left = (double)free->cpu / (double)MAX(tgt->info.room.cpu, 1);
@@ -231,20 +123,35 @@
     return score;
 }
 
-/* Returns true if a suspect may share a target with other tasks: none has
-   become empty for GV_SCHED_ALONE_WAIT_MS. */
+/* Returns true if most of a service's cpu is free. */
+static bool
+is_mostly_free(const gv_sched_service_t *sv)
+{
+    int64_t used = 0;
+    int64_t room = 0;
+    for (guint i = 0; i < sv->targets->len; i++) {
+        const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
+        used += tgt->used.cpu;
+        room += tgt->listed ? tgt->info.room.cpu : 0;
+    }
+    return 2 * used < room;
+}
+
+/* Returns true if a suspect may share a target with other tasks, as it has
+   found no empty one for long. */
 static bool
 may_share(const gv_active_job_t *a, int64_t now_ms)
 {
-    return a->alone_since_ms != 0 &&
-           now_ms - a->alone_since_ms >= GV_SCHED_ALONE_WAIT_MS;
+    int64_t waited = a->alone_since_ms == 0 ? 0 : now_ms - a->alone_since_ms;
+    return waited >= GV_SCHED_ALONE_WAIT_MAX_MS ||
+           (waited >= GV_SCHED_ALONE_WAIT_MS && is_mostly_free(a->service));
 }
 
 /* Returns the best target on which a task may start now, or NULL; for a
    suspect an empty one. A target whose clock has to be read first is marked
    for a hold and not chosen. */
 static gv_sched_target_t *
-choose_target(gv_sched_t *s, const gv_ready_t *r, const gv_task_t *t,
+choose_target(gv_sched_t *s, const gv_ready_step_t *r, const gv_task_t *t,
               int64_t now_ms)
 {
     bool alone = t->suspect && !may_share(r->active, now_ms);
@@ -278,7 +185,7 @@
 
 /* Returns true if any target with enough room may run the step's tasks. */
 static bool
-is_plain(const gv_ready_t *r)
+is_plain(const gv_ready_step_t *r)
 {
     return r->step->label.n == 0 && r->step->max_per_target == 0 &&
            r->step->tail_latency_goal_ms == 0 && !r->step->uses_leftover_cpu &&
@@ -288,7 +195,7 @@
 /* Returns true if a task like those of this step, or a smaller one, found no
    target in this pass. */
 static bool
-is_known_full(const gv_ready_t *r)
+is_known_full(const gv_ready_step_t *r)
 {
     const gv_sched_service_t *sv = r->active->service;
     int kind = r->active->long_running ? 1 : 0;
@@ -298,7 +205,7 @@
 
 /* Notes that the tasks of this step found no target in this pass. */
 static void
-note_full(const gv_ready_t *r)
+note_full(const gv_ready_step_t *r)
 {
     gv_sched_service_t *sv = r->active->service;
     int kind = r->active->long_running ? 1 : 0;
@@ -312,7 +219,7 @@
 /* Keeps one more target of the service for suspects: the one with the fewest
    runs, if none of these is of a long-running task. */
 static void
-keep_empty(const gv_ready_t *r, int64_t now_ms)
+keep_empty(const gv_ready_step_t *r, int64_t now_ms)
 {
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
@@ -337,7 +244,7 @@
 
 /* Notes that a suspect of the job has found a target or has not. */
 static void
-note_suspect(const gv_ready_t *r, bool placed, int64_t now_ms)
+note_suspect(const gv_ready_step_t *r, bool placed, int64_t now_ms)
 {
     gv_active_job_t *a = r->active;
     if (placed) {
@@ -351,7 +258,7 @@
 /* Places all tasks of a gang, with the same run number and the same state to
    resume from. If one finds no target, none is placed. */
 static void
-place_gang(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+place_gang(gv_sched_t *s, const gv_ready_step_t *r, int64_t now_ms)
 {
     gv_task_t *tasks = r->active->job->tasks;
     uint32_t run = 0;
@@ -392,7 +299,7 @@
 
 /* Places the waiting tasks of a step until one finds no target. */
 static void
-place_tasks(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+place_tasks(gv_sched_t *s, const gv_ready_step_t *r, int64_t now_ms)
 {
     if (is_known_full(r)) {
         return;
@@ -415,7 +322,7 @@
 
 /* Places the suspects of a step, each on an empty target. */
 static void
-place_suspects(gv_sched_t *s, const gv_ready_t *r, int64_t now_ms)
+place_suspects(gv_sched_t *s, const gv_ready_step_t *r, int64_t now_ms)
 {
     for (int i = 0; i < r->step->count; i++) {
         gv_task_t *t = &r->active->job->tasks[r->first + i];
@@ -437,7 +344,7 @@
    is one target of a service at a time, and the same one in each pass, as its
    free cpu only grows. */
 static void
-keep_room_free(const gv_ready_t *r, int64_t now_ms)
+keep_room_free(const gv_ready_step_t *r, int64_t now_ms)
 {
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
@@ -483,16 +390,16 @@
 {
     begin_pass(sv);
     sv->place_due = false;
-    GArray *ready = ready_steps(s, sv, now_ms);
+    GArray *ready = GvSched_ReadySteps(s, sv, now_ms);
     g_array_sort(ready, compare_ready);
     for (guint i = 0; i < ready->len; i++) {
-        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
+        const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
         if (r->active->has_suspects && !r->step->gang) {
             place_suspects(s, r, now_ms);
         }
     }
     for (guint i = 0; i < ready->len; i++) {
-        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
+        const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
         if (r->step->gang) {
             place_gang(s, r, now_ms);
         }
@@ -500,11 +407,11 @@
             place_tasks(s, r, now_ms);
         }
         if (r->needs_advice &&
-            has_waiting(r->active, r->first, r->step->count)) {
+            GvSched_HasWaiting(r->active, r->first, r->step->count)) {
             GvSched_RequestAdvice(s, r->active, r->first, now_ms);
         }
         else if (r->active->long_running &&
-                 has_waiting(r->active, r->first, r->step->count)) {
+                 GvSched_HasWaiting(r->active, r->first, r->step->count)) {
             keep_room_free(r, now_ms);
         }
     }
@@ -532,39 +439,3 @@
         }
     }
 }
-
-/* Returns the demand of a service: of running tasks, of waiting tasks that may
-   start now, and expected within ahead_ms. Late tasks count with a part of
-   their cpu only; tasks that use leftover cpu don't count as waiting. */
-gv_demand_t
-GvSched_Demand(gv_sched_t *s, gv_str_t service, int64_t ahead_ms,
-               int64_t now_ms, int64_t wall_ms)
-{
-    gv_demand_t d = {0};
-    d.arriving_cpu = GvLoads_ArrivingCpu(s->loads, service, now_ms);
-    d.expected_cpu =
-        GvLoads_ExpectedBurstCpu(s->loads, service, ahead_ms, now_ms);
-    const gv_sched_service_t *sv = GvSched_Service(s, service);
-    s->wall_ms = wall_ms;
-    GArray *ready = ready_steps(s, sv, now_ms);
-    for (guint i = 0; i < ready->len; i++) {
-        const gv_ready_t *r = &g_array_index(ready, gv_ready_t, i);
-        if (r->step->uses_leftover_cpu) {
-            continue;
-        }
-        for (int k = 0; k < r->step->count; k++) {
-            if (r->active->job->tasks[r->first + k].state == GV_TASK_WAITING) {
-                d.waiting++;
-                d.wanted_cpu += r->late
-                                    ? r->step->need.cpu / GV_SCHED_LATE_DIVISOR
-                                    : r->step->need.cpu;
-            }
-        }
-    }
-    g_array_free(ready, TRUE);
-    for (guint i = 0; i < sv->targets->len; i++) {
-        const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
-        d.used_cpu += tgt->used.cpu;
-    }
-    return d;
-}
