--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -55,7 +55,11 @@
     int64_t started_ms;
     uint64_t fence;
     int64_t lease_until_ms;
-    uint64_t last_end; /* number of the newest end */
+    uint64_t last_end;    /* number of the newest end */
+    int64_t report_ms;    /* when it reports its present CPU */
+    int64_t reported_cpu; /* as the scheduler has read it */
+    int64_t back_ms;      /* when it is up again after a crash by a task */
+    model_room_t rooms[ROOMS_MAX]; /* oldest first */
     model_run_t runs[RUNS_MAX];
     gv_ended_t ended[RUNS_MAX];
     char ended_task[RUNS_MAX][64];
@@ -63,13 +67,9 @@
                                               stopped */
     int n_runs;
     int n_ended;
+    int n_rooms;
     char id[16];
     char host[16];
-    model_room_t rooms[ROOMS_MAX]; /* oldest first */
-    int n_rooms;
-    int64_t report_ms;    /* when it reports its present CPU */
-    int64_t reported_cpu; /* as the scheduler has read it */
-    int64_t back_ms;      /* when it is up again after a crash by a task */
     bool up;
 } model_target_t;
 
