Requests: a request is not in progress once its caller may have the answer

proc_path test_metrics saw requests_in_progress at 1 right after an answer (known red). end_request passed the answer on and lowered the count afterwards, so that the caller's next request could be served in between. The count stays, as a stop waits for the callbacks; the gauge counts requests that have not ended.

test_request open_until_answered; with the order of before (mutant open-until-answered) it fails.

--- a/src/admin.c
+++ b/src/admin.c
@@ -156,7 +156,7 @@
     GvJson_AddBool(b, "stopping", GvKernel_IsStopping(k));
     GvJson_AddBool(b, "platform_ok", GvLogReader_PlatformOk(k->reader));
     GvAdmin_PutLedger(b, k);
-    GvJson_AddInt(b, "in_progress", GvRequests_Count(k->requests));
+    GvJson_AddInt(b, "in_progress", GvRequests_CountOpen(k->requests));
     put_requests(b, k, now);
     put_services(b, k, now);
     put_targets(b, k, now);
@@ -211,7 +211,7 @@
 static gv_answer_t
 metrics_page(gv_kernel_t *k)
 {
-    GvCounter_Set(&in_progress, GvRequests_Count(k->requests));
+    GvCounter_Set(&in_progress, GvRequests_CountOpen(k->requests));
     GvCounter_Set(&exchanges, GvTargets_CountBusy(k->targets));
     GString *text = g_string_new(NULL);
     GvCounter_Render(text);
--- a/src/request.c
+++ b/src/request.c
@@ -29,6 +29,7 @@
     shard_t shards[GV_SHARDS];
     atomic_uint_fast64_t next_id;
     atomic_int count; /* requests in progress */
+    atomic_int open;  /* requests that have not ended */
     int max;
 };
 
@@ -79,13 +80,20 @@
     g_free(t);
 }
 
-/* Returns the number of requests in progress. */
+/* Returns the number of requests whose callbacks have not all returned. */
 int
 GvRequests_Count(gv_requests_t *t)
 {
     return atomic_load(&t->count);
 }
 
+/* Returns the number of requests that have not ended. */
+int
+GvRequests_CountOpen(gv_requests_t *t)
+{
+    return atomic_load(&t->open);
+}
+
 /* Returns the shard of an id. Ids are consecutive, so requests spread evenly
    over the shards. */
 static shard_t *
@@ -151,6 +159,7 @@
         GvStr_Free(&body);
         return GV_EFULL;
     }
+    atomic_fetch_add(&t->open, 1);
     gv_request_t *rq = g_new0(gv_request_t, 1);
     rq->opts = *o;
     copy_strings(&rq->opts);
@@ -239,6 +248,7 @@
         return false;
     }
     rq->ended = true;
+    atomic_fetch_sub(&rq->table->open, 1);
     if (a->outcome == GV_OUTCOME_NOT_RUN && (rq->active || rq->may_have_run)) {
         a->outcome = GV_OUTCOME_UNKNOWN;
     }
--- a/src/request.h
+++ b/src/request.h
@@ -73,8 +73,10 @@
 gv_requests_t *GvRequests_New(int max);
 /* Frees the table; every request must have ended. */
 void GvRequests_Free(gv_requests_t *t);
-/* Returns the number of requests in progress. */
+/* Returns the number of requests whose callbacks have not all returned. */
 int GvRequests_Count(gv_requests_t *t);
+/* Returns the number of requests that have not ended. */
+int GvRequests_CountOpen(gv_requests_t *t);
 typedef struct {
     uint64_t id;
     char service[GV_NAME_MAX_BYTES + 1];
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -10,6 +10,8 @@
     int ended_calls; /* calls of on_ended() */
     gv_outcome_t outcome;
     int status;
+    gv_requests_t *table; /* NULL: open is not set */
+    int open;             /* requests that had not ended in on_done() */
 } callbacks_t;
 
 static void
@@ -20,6 +22,7 @@
     s->done++;
     s->outcome = a->outcome;
     s->status = a->status;
+    s->open = s->table == NULL ? -1 : GvRequests_CountOpen(s->table);
 }
 
 static void
@@ -66,6 +69,21 @@
     GvRequests_Free(t);
 }
 
+/* Guards against a request that still counts as open once its caller may have
+   the answer. */
+TEST("/request/open_until_answered", test_open_until_answered)
+{
+    gv_requests_t *t = GvRequests_New(8);
+    callbacks_t s = {.table = t};
+    gv_request_t *rq = new_request(t, &s, 100);
+    g_assert_cmpint(GvRequests_CountOpen(t), ==, 1);
+    gv_answer_t a = {.outcome = GV_OUTCOME_RUN, .status = 200};
+    g_assert_true(GvRequest_End(rq, &a));
+    g_assert_cmpint(s.open, ==, 0);
+    GvRequest_Unref(rq);
+    GvRequests_Free(t);
+}
+
 /* Returns the outcome of a request that expires after its attempt began or
    ended; not_run is the result passed for the attempt. */
 static gv_outcome_t
