Pools: an order that was carried out before does not leave its host away for ever

On the platform such an order is accepted and does nothing ("also returns 200 if the operation is already done"); the pools then wait for a new target on that host for ever: the wave never ends and the host is lost to its pool.

Change: a host that a list, requested a second after the acceptance, still shows up with the same target has not gone away. The test's host interface accepts a repeated order of a wave without a second maintenance, as the protocol has it; each host must still be maintained exactly once.

pool_wave_repeated failed before: h2 was never maintained.

--- a/src/limits.h
+++ b/src/limits.h
@@ -476,6 +476,9 @@
    and otherwise. */
 #define GV_POOL_LIST_MS      300
 #define GV_POOL_LIST_IDLE_MS 600
+/* An accepted order shows in every list of hosts that is requested this long
+   after it. */
+#define GV_POOL_ORDER_SHOWS_MS 1000
 /* From a failed order to the next attempt. */
 #define GV_POOL_RETRY_MS 300
 /* Short tasks on a host that is due for maintenance are stopped after this
--- a/src/pool.c
+++ b/src/pool.c
@@ -194,6 +194,26 @@
     g_hash_table_destroy(now);
 }
 
+/* Ends the absence of a host that is listed as up: with another target, or
+   with the same one long after its order was accepted. The platform accepts an
+   order that it has carried out before, for an earlier leader, and does
+   nothing. */
+static void
+check_absence(gv_pools_t *p, gv_host_t *h, int64_t now_ms)
+{
+    if (g_strcmp0(h->target, h->old_target) != 0) {
+        if (now_ms - h->since_ms > GV_POOL_LIST_MS) {
+            end_absence(p, h, now_ms);
+        }
+        return;
+    }
+    if (h->target != NULL &&
+        p->list_sent_ms - h->since_ms >= GV_POOL_ORDER_SHOWS_MS) {
+        GvEvlog_Write("host", "host=%s has not gone away", h->id);
+        end_absence(p, h, now_ms);
+    }
+}
+
 /* Handles a complete list of the hosts; ok is false if it could not be read.
    Hosts that are missing in it have left the fleet. */
 void
@@ -222,10 +242,8 @@
             GvEvlog_Write("host", "host=%s left the fleet", h->id);
             g_hash_table_iter_remove(&it);
         }
-        else if (h->operation == GV_OPERATION_AWAY && h->state == GV_HOST_UP &&
-                 now_ms - h->since_ms > GV_POOL_LIST_MS &&
-                 g_strcmp0(h->target, h->old_target) != 0) {
-            end_absence(p, h, now_ms);
+        else if (h->operation == GV_OPERATION_AWAY && h->state == GV_HOST_UP) {
+            check_absence(p, h, now_ms);
         }
     }
     p->hosts_known = true;
--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -329,6 +329,7 @@
         self.lock = threading.Lock()
         self.targets = {"m-" + t.name: t for t in targets}
         self.states = {host: "up" for host in self.targets}
+        self.done = set()  # (host, wave)
         self.maintained = []  # (host, fence), in the order of the calls
         for host, target in self.targets.items():
             target.on_crash = lambda h=host: self.crash(h)
@@ -345,8 +346,12 @@
             if path != "/api/machine-upkeep":
                 return 400, b""
             host = unpack(body)["machine"]
+            wave = unpack(body)["wave"]
+            if (host, wave) in self.done:
+                return 200, b""  # it does nothing a second time
             if self.states[host] != "up":
                 return 409, pack({"reason": "busy"})
+            self.done.add((host, wave))
             self.maintained.append((host, int(headers["Fencing-Token"])))
             self.states[host] = "upkeep"
             self.store.put("keyed.servers", self.targets[host].name, b"")
