Scheduler: a quarter of a service's targets for suspects while other tasks wait

A backlog of suspects took one target each, before all other tasks, so that most room stayed free.

Change: while others wait, at most a quarter of the targets are set aside; what is empty after them is for suspects too. A suspect that has waited 2.5 s where most room is free may join other suspects, and others only if there are none.

--- a/src/limits.h
+++ b/src/limits.h
@@ -379,7 +379,7 @@
 /* A job fails after so many crashes of targets soon after starts of one task,
    and after so many with those at other times, also if other tasks ran beside
    it; the last one counts twice if none did. */
-#define GV_SCHED_CRASHES_MAX  3
+#define GV_SCHED_CRASHES_MAX  4
 #define GV_SCHED_DOUBTFUL_MAX 5
 /* A target that does not check its room gets no start while the records of the
    targets were read longer ago than this. One that has shrunk reports it
@@ -394,9 +394,10 @@
    for ever if long-running ones are on every target. */
 #define GV_SCHED_ALONE_WAIT_MS     2500
 #define GV_SCHED_ALONE_WAIT_MAX_MS 10000
-/* Targets of a service, divided by this, that are emptied for suspects at the
-   same time. */
-#define GV_SCHED_EMPTIED_DIVISOR 4
+/* Targets of a service, divided by this, that are set aside for suspects at
+   the same time while other tasks wait: one target holds about ten tasks, but
+   a single suspect. */
+#define GV_SCHED_ASIDE_DIVISOR 4
 /* The demand of tasks that will miss their deadline anyway is divided by this,
    so that they do not take hosts from tasks that can meet theirs. */
 #define GV_SCHED_LATE_DIVISOR 4
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -88,7 +88,6 @@
         need.cpu = 0;
     }
     return tgt->listed && !tgt->info.draining && !tgt->reserved &&
-           tgt->n_isolated == 0 &&
            (!tgt->room_kept || r->active->long_running) &&
            tgt->n_strays == 0 && tgt->n_unread == 0 &&
            now_ms >= tgt->avoid_until_ms && GvResources_Fit(need, *free) &&
@@ -120,9 +119,26 @@
     if (tgt->failures > 0) {
         score -= 2;
     }
+    if (t->suspect && tgt->n_isolated > 0) {
+        score += 16; /* rather beside suspects than beside other tasks */
+    }
     return score;
 }
 
+/* Returns true if a task may be beside what runs on the target: a suspect
+   alone or, if it may share, beside other suspects or beside none; another
+   task not beside suspects, and not where their target is being emptied. */
+static bool
+may_join(const gv_sched_target_t *tgt, const gv_task_t *t, bool share)
+{
+    if (!t->suspect) {
+        return tgt->n_isolated == 0 && !tgt->kept_empty;
+    }
+    return tgt->runs->len == 0 ||
+           (share &&
+            (tgt->n_isolated == 0 || tgt->n_isolated == (int)tgt->runs->len));
+}
+
 /* Returns true if most of a service's cpu is free. */
 static bool
 is_mostly_free(const gv_sched_service_t *sv)
@@ -154,7 +170,7 @@
 choose_target(gv_sched_t *s, const gv_ready_step_t *r, const gv_task_t *t,
               int64_t now_ms)
 {
-    bool alone = t->suspect && !may_share(r->active, now_ms);
+    bool share = t->suspect && may_share(r->active, now_ms);
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     double best_score = 0;
@@ -162,8 +178,7 @@
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
         GvResources_Subtract(&free, tgt->used);
-        if ((t->suspect ? alone && tgt->runs->len > 0 : tgt->kept_empty) ||
-            !may_run(tgt, r, &free, now_ms) ||
+        if (!may_join(tgt, t, share) || !may_run(tgt, r, &free, now_ms) ||
             (r->needs_advice && GvSched_FindTicket(s, r->active->job, r->first,
                                                    tgt->id, now_ms) == NULL)) {
             continue;
@@ -216,6 +231,19 @@
     }
 }
 
+/* Returns true if as many targets of a service as may be are set aside for
+   suspects: they run alone there, or are to. */
+static bool
+enough_set_aside(const gv_sched_service_t *sv)
+{
+    guint n = 0;
+    for (guint i = 0; i < sv->targets->len; i++) {
+        const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
+        n += tgt->kept_empty || tgt->n_isolated > 0 ? 1 : 0;
+    }
+    return n >= MAX(sv->targets->len / GV_SCHED_ASIDE_DIVISOR, 1);
+}
+
 /* Keeps one more target of the service for suspects: the one with the fewest
    runs, if none of these is of a long-running task. */
 static void
@@ -223,21 +251,21 @@
 {
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
-    guint kept = 0;
+    if (enough_set_aside(r->active->service)) {
+        return;
+    }
     for (guint i = 0; i < targets->len; i++) {
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
-        kept += tgt->kept_empty ? 1 : 0;
-        if (!tgt->kept_empty && tgt->n_long_running == 0 &&
-            may_run(tgt, r, &free, now_ms) &&
+        if (!tgt->kept_empty && tgt->n_isolated == 0 &&
+            tgt->n_long_running == 0 && may_run(tgt, r, &free, now_ms) &&
             (best == NULL || tgt->runs->len < best->runs->len ||
              (tgt->runs->len == best->runs->len &&
               strcmp(tgt->id, best->id) < 0))) {
             best = tgt;
         }
     }
-    if (best != NULL &&
-        kept < MAX(targets->len / GV_SCHED_EMPTIED_DIVISOR, 1)) {
+    if (best != NULL) {
         best->kept_empty = true;
     }
 }
@@ -320,16 +348,19 @@
     }
 }
 
-/* Places the suspects of a step, each on an empty target. */
+/* Places the suspects of a step, each on an empty target. With others waiting,
+   only as long as not too many targets are set aside. */
 static void
-place_suspects(gv_sched_t *s, const gv_ready_step_t *r, int64_t now_ms)
+place_suspects(gv_sched_t *s, const gv_ready_step_t *r, bool others_wait,
+               int64_t now_ms)
 {
     for (int i = 0; i < r->step->count; i++) {
         gv_task_t *t = &r->active->job->tasks[r->first + i];
         if (t->state != GV_TASK_WAITING || !t->suspect) {
             continue;
         }
-        gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
+        bool held = others_wait && enough_set_aside(r->active->service);
+        gv_sched_target_t *tgt = held ? NULL : choose_target(s, r, t, now_ms);
         note_suspect(r, tgt != NULL, now_ms);
         if (tgt != NULL) {
             t->run++;
@@ -339,6 +370,19 @@
     }
 }
 
+/* Places the suspects of all steps. */
+static void
+place_all_suspects(gv_sched_t *s, const GArray *ready, bool others_wait,
+                   int64_t now_ms)
+{
+    for (guint i = 0; i < ready->len; i++) {
+        const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
+        if (r->active->has_suspects && !r->step->gang) {
+            place_suspects(s, r, others_wait, now_ms);
+        }
+    }
+}
+
 /* Keeps the target with the most free cpu for a long-running task that found
    none with enough: short tasks would otherwise take what becomes free. This
    is one target of a service at a time, and the same one in each pass, as its
@@ -355,7 +399,7 @@
         if (tgt->room_kept) {
             return;
         }
-        if (!may_run(tgt, r, &free, now_ms)) {
+        if (tgt->n_isolated > 0 || !may_run(tgt, r, &free, now_ms)) {
             continue;
         }
         GvResources_Subtract(&free, tgt->used);
@@ -392,12 +436,7 @@
     sv->place_due = false;
     GArray *ready = GvSched_ReadySteps(s, sv, now_ms);
     g_array_sort(ready, compare_ready);
-    for (guint i = 0; i < ready->len; i++) {
-        const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
-        if (r->active->has_suspects && !r->step->gang) {
-            place_suspects(s, r, now_ms);
-        }
-    }
+    place_all_suspects(s, ready, true, now_ms);
     for (guint i = 0; i < ready->len; i++) {
         const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
         if (r->step->gang) {
@@ -415,6 +454,7 @@
             keep_room_free(r, now_ms);
         }
     }
+    place_all_suspects(s, ready, false, now_ms);
     g_array_free(ready, TRUE);
 }
 
