--- a/src/job.h
+++ b/src/job.h
@@ -47,7 +47,8 @@
     gv_task_state_t state;
     int failures;       /* number of failed runs */
     int crashes;        /* of its target, soon after its start */
-    int doubtful;       /* other crashes of its target */
+    int doubtful;       /* other crashes of its target, after its start */
+    int unconfirmed;    /* those where it may not have been started */
     bool suspect;       /* it may crash its targets: it gets one for itself */
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -213,7 +213,7 @@
         if (!has_row(t)) {
             continue;
         }
-        msgpack_pack_array(&pk, 10);
+        msgpack_pack_array(&pk, 11);
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
@@ -222,6 +222,7 @@
         GvPack_Str(&pk, GvStr_C(t->saved));
         GvPack_Int(&pk, t->crashes);
         GvPack_Int(&pk, t->doubtful);
+        GvPack_Int(&pk, t->unconfirmed);
         GvPack_Bool(&pk, t->suspect);
         GvPack_Int(&pk, t->target_started_ms);
     }
@@ -255,6 +256,7 @@
     if (GvUnpack_HasNext(&f)) { /* earlier versions end here */
         t->crashes = (int)GvUnpack_Int(&f);
         t->doubtful = (int)GvUnpack_Int(&f);
+        t->unconfirmed = (int)GvUnpack_Int(&f);
         t->suspect = GvUnpack_Bool(&f);
         t->target_started_ms = GvUnpack_Int(&f);
     }
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -80,15 +80,27 @@
     return tgt->n_strays == 0 && tgt->n_unread == 0;
 }
 
+static int
+all_crashes(const gv_task_t *t)
+{
+    return t->crashes + t->doubtful + t->unconfirmed;
+}
+
 /* Returns true if a task is to be given up after a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
-   on the target; or there were too many crashes. */
+   on the target; or there were too many crashes. Those of a long-running task
+   mostly come from others, unless it was alone. */
 static bool
-is_proven(const gv_task_t *t, bool soon, bool alone)
+is_proven(const gv_run_t *r, bool soon, bool alone)
 {
-    return (soon && alone && t->crashes >= 2) ||
-           t->crashes >= GV_SCHED_CRASHES_MAX ||
-           t->crashes + t->doubtful + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
+    const gv_task_t *t = &r->active->job->tasks[r->task];
+    if (soon && alone && t->crashes >= 2) {
+        return true;
+    }
+    return (alone || !r->active->long_running) &&
+           (t->crashes >= GV_SCHED_CRASHES_MAX ||
+            (t->crashes + t->doubtful >= 1 &&
+             all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX));
 }
 
 /* Returns true if a run of a long-running task has served for long enough, so
@@ -134,23 +146,29 @@
     if (soon) {
         t->crashes++;
     }
-    else {
+    else if (r->started_ms != 0) {
         t->doubtful++;
     }
+    else {
+        t->unconfirmed++;
+    }
     t->suspect = t->suspect || soon || r->sent_ms == 0 ||
-                 t->crashes + t->doubtful >= GV_SCHED_SUSPECT_CRASHES;
+                 all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
     a->has_suspects = a->has_suspects || t->suspect;
     GvSched_MarkDirty(s, a);
     if (t->suspect) {
         char name[GV_TASK_NAME_BYTES];
         GvSched_TaskName(a->job, r->task, name, sizeof name);
-        GvEvlog_Write("suspect",
-                      "task=%s target=%s crashes=%d doubtful=%d alone=%d",
-                      name, tgt->id, t->crashes, t->doubtful, alone);
-    }
-    if (is_proven(t, soon, alone)) {
-        GvEvlog_Write("failed", "job=%.*s crashes=%d doubtful=%d",
-                      GV_STR_ARG(a->job->id), t->crashes, t->doubtful);
+        GvEvlog_Write(
+            "suspect",
+            "task=%s target=%s crashes=%d doubtful=%d unconfirmed=%d "
+            "alone=%d",
+            name, tgt->id, t->crashes, t->doubtful, t->unconfirmed, alone);
+    }
+    if (is_proven(r, soon, alone)) {
+        GvEvlog_Write(
+            "failed", "job=%.*s crashes=%d doubtful=%d unconfirmed=%d",
+            GV_STR_ARG(a->job->id), t->crashes, t->doubtful, t->unconfirmed);
         g_ptr_array_add(s->failing, a);
     }
 }
@@ -195,11 +213,12 @@
 GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     gv_task_t *t = &r->active->job->tasks[r->task];
-    if (t->crashes + t->doubtful == 0 || !has_served(r, now_ms)) {
+    if (all_crashes(t) == 0 || !has_served(r, now_ms)) {
         return;
     }
     t->crashes = 0;
     t->doubtful = 0;
+    t->unconfirmed = 0;
     t->suspect = false;
     if (r->isolated) {
         r->isolated = false;
