--- a/src/evlog.c
+++ b/src/evlog.c
@@ -19,9 +19,9 @@
 static char *node_name;
 static char buffer[GV_EVLOG_BUFFER_BYTES];
 static size_t used;
-static int64_t second;  /* monotonic; the one that lines_left counts for */
-static int lines_left;  /* that may still be written in this second */
-static int64_t dropped; /* lines since the last one that was written */
+static int64_t second;    /* monotonic; the one that lines_left counts for */
+static int lines_left[2]; /* of each kind, in this second */
+static int64_t dropped;   /* lines since the last one that was written */
 
 /* Opens the decision log of this process and makes standard output
    non-blocking. To be called once. */
@@ -54,28 +54,29 @@
     }
 }
 
-/* Counts one line against the limit per second. Returns false if the limit is
-   reached. */
+/* Counts one line against the limit per second of its kind. Returns false if
+   the limit is reached. */
 static bool
-count_line(void)
+count_line(gv_evlog_kind_t kind)
 {
     int64_t now = GvClock_MonoMs() / 1000;
     if (now != second) {
         second = now;
-        lines_left = GV_EVLOG_LINES_PER_S;
+        lines_left[GV_EVLOG_ROUTINE] = GV_EVLOG_LINES_PER_S;
+        lines_left[GV_EVLOG_RARE] = GV_EVLOG_RARE_LINES_PER_S;
     }
-    if (lines_left == 0) {
+    if (lines_left[kind] == 0) {
         return false;
     }
-    lines_left--;
+    lines_left[kind]--;
     return true;
 }
 
 /* Adds one line to the buffer; one that is too long is cut. Does nothing
    before GvEvlog_Open, so that the library writes nothing in programs that
    embed it. */
-void
-GvEvlog_Write(const char *event, const char *fmt, ...)
+static void
+add_line(gv_evlog_kind_t kind, const char *event, const char *fmt, va_list ap)
 {
     char line[GV_EVLOG_LINE_BYTES];
     if (node_name == NULL) {
@@ -83,10 +84,7 @@
     }
     int n = snprintf(line, sizeof line, "t=%lld node=%s ev=%s ",
                      (long long)GvClock_WallMs(), node_name, event);
-    va_list ap;
-    va_start(ap, fmt);
     n += vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
-    va_end(ap);
     n = MIN(n, (int)sizeof line - 32);
     if (dropped > 0) {
         n += snprintf(line + n, sizeof line - (size_t)n, " dropped=%lld",
@@ -96,7 +94,7 @@
     if (used + (size_t)n > sizeof buffer) {
         GvEvlog_Flush();
     }
-    if (used + (size_t)n > sizeof buffer || !count_line()) {
+    if (used + (size_t)n > sizeof buffer || !count_line(kind)) {
         dropped++;
         GvCounter_Add(&lines_dropped, 1);
         return;
@@ -105,3 +103,24 @@
     memcpy(buffer + used, line, (size_t)n);
     used += (size_t)n;
 }
+
+/* Writes a routine line. */
+void
+GvEvlog_Write(const char *event, const char *fmt, ...)
+{
+    va_list ap;
+    va_start(ap, fmt);
+    add_line(GV_EVLOG_ROUTINE, event, fmt, ap);
+    va_end(ap);
+}
+
+/* Writes a line of that kind. */
+void
+GvEvlog_WriteKind(gv_evlog_kind_t kind, const char *event, const char *fmt,
+                  ...)
+{
+    va_list ap;
+    va_start(ap, fmt);
+    add_line(kind, event, fmt, ap);
+    va_end(ap);
+}
--- a/src/limits.h
+++ b/src/limits.h
@@ -300,6 +300,9 @@
 #define GV_EVLOG_LINE_BYTES   600
 #define GV_EVLOG_BUFFER_BYTES (64 * 1024)
 #define GV_EVLOG_LINES_PER_S  1000
+/* Limit for lines about long-running tasks: some hundred run, and each is
+   started and stopped a few times in an hour. */
+#define GV_EVLOG_RARE_LINES_PER_S 200
 
 /* Jobs */
 #define GV_JOB_ID_BYTES   16
@@ -327,6 +330,9 @@
 /* Full name of a task: its job's identifier and three numbers. */
 #define GV_TASK_NAME_BYTES 64
 
+/* Interval of the log lines about a job whose long-running tasks wait. */
+#define GV_SCHED_WAIT_LOG_MS 500
+
 /* Lease of a target on its tasks, renewed by each hold order. It outlasts one
    lost hold and a change of the leader, and is no longer than that: tasks of a
    target that stops responding start elsewhere only after it has ended. */
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -153,8 +153,9 @@
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
         record_start(s, r, now_ms);
-        GvEvlog_Write("start", "task=%s run=%u target=%s tries=%d", task, run,
-                      target, r->tries);
+        GvEvlog_WriteKind(GvSched_LogKind(r->active), "start",
+                          "task=%s run=%u target=%s tries=%d", task, run,
+                          target, r->tries);
         return;
     case GV_ORDER_NO_ANSWER:
         start_unanswered(s, r, now_ms);
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -56,12 +56,13 @@
         return;
     }
     GvSched_TaskName(r->active->job, r->task, name, sizeof name);
-    GvEvlog_Write("lost",
-                  "task=%s run=%u target=%s loss=%s started=%d ran_ms=%lld "
-                  "beside=%u why=\"%s\"",
-                  name, r->run, r->tgt->id, names[loss], r->started_ms != 0,
-                  (long long)(r->sent_ms == 0 ? -1 : end_ms - r->sent_ms),
-                  r->tgt->runs->len - 1, why);
+    GvEvlog_WriteKind(
+        GvSched_LogKind(r->active), "lost",
+        "task=%s run=%u target=%s loss=%s started=%d ran_ms=%lld "
+        "beside=%u why=\"%s\"",
+        name, r->run, r->tgt->id, names[loss], r->started_ms != 0,
+        (long long)(r->sent_ms == 0 ? -1 : end_ms - r->sent_ms),
+        r->tgt->runs->len - 1, why);
     count_loss(loss);
     GvSched_DropRun(s, r, NULL);
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -414,6 +414,37 @@
     }
 }
 
+/* Logs every GV_SCHED_WAIT_LOG_MS that a step of long-running tasks waits, and
+   for which target. */
+static void
+log_waiting(const gv_ready_step_t *r, int64_t now_ms)
+{
+    const GPtrArray *targets = r->active->service->targets;
+    const gv_sched_target_t *kept = NULL;
+    gv_resources_t free = {0};
+    char name[GV_TASK_NAME_BYTES];
+    if (now_ms - r->active->wait_logged_ms < GV_SCHED_WAIT_LOG_MS) {
+        return;
+    }
+    r->active->wait_logged_ms = now_ms;
+    for (guint i = 0; i < targets->len && kept == NULL; i++) {
+        const gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
+        kept = tgt->room_kept ? tgt : NULL;
+    }
+    if (kept != NULL) {
+        free = kept->info.room;
+        GvResources_Subtract(&free, kept->used);
+    }
+    GvSched_TaskName(r->active->job, r->first, name, sizeof name);
+    GvEvlog_WriteKind(GV_EVLOG_RARE, "waiting",
+                      "step_of=%s tasks=%d cpu=%lld memory=%lld targets=%u "
+                      "kept=%s free_cpu=%lld free_memory=%lld",
+                      name, r->active->n_waiting, (long long)r->step->need.cpu,
+                      (long long)r->step->need.memory, targets->len,
+                      kept == NULL ? "" : kept->id, (long long)free.cpu,
+                      (long long)free.memory);
+}
+
 /* Ends what keep_room_free, keep_empty and note_full did in the pass
    before. */
 static void
@@ -452,6 +483,7 @@
         else if (r->active->long_running &&
                  GvSched_HasWaiting(r->active, r->first, r->step->count)) {
             keep_room_free(r, now_ms);
+            log_waiting(r, now_ms);
         }
     }
     place_all_suspects(s, ready, false, now_ms);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef GV_SCHED_PRIVATE_H
 #define GV_SCHED_PRIVATE_H
 
+#include "evlog.h"
 #include "load.h"
 #include "sched.h"
 
@@ -75,6 +76,7 @@
     bool end_due;        /* in ended_jobs of the scheduler */
     bool long_running;
     bool has_suspects;      /* some task is or was one */
+    int64_t wait_logged_ms; /* newest log line about its waiting tasks */
     int64_t alone_since_ms; /* since when a suspect finds no empty target;
                                0: none does */
     bool started;    /* a target has confirmed a start, or may have done so
@@ -199,6 +201,7 @@
 void GvSched_MarkDirty(gv_sched_t *s, gv_active_job_t *a);
 void GvSched_SetTaskState(gv_active_job_t *a, int task, gv_task_state_t state);
 
+gv_evlog_kind_t GvSched_LogKind(const gv_active_job_t *a);
 gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
                          gv_sched_target_t *tgt, gv_run_phase_t phase,
                          int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -18,6 +18,13 @@
     return need;
 }
 
+/* Returns the kind of log lines about runs of the job. */
+gv_evlog_kind_t
+GvSched_LogKind(const gv_active_job_t *a)
+{
+    return a->long_running ? GV_EVLOG_RARE : GV_EVLOG_ROUTINE;
+}
+
 /* Adds a run of a task on a target, with the task's present run number. For a
    new placement (GV_RUN_STORING) the progress of the job is to be stored. */
 gv_run_t *
@@ -61,8 +68,9 @@
     if (why != NULL) {
         char name[GV_TASK_NAME_BYTES];
         GvSched_TaskName(a->job, r->task, name, sizeof name);
-        GvEvlog_Write("dropped", "task=%s run=%u target=%s why=\"%s\"", name,
-                      r->run, r->tgt->id, why);
+        GvEvlog_WriteKind(GvSched_LogKind(a), "dropped",
+                          "task=%s run=%u target=%s why=\"%s\"", name, r->run,
+                          r->tgt->id, why);
     }
     if (t->state == GV_TASK_PLACED) {
         GvSched_SetTaskState(a, r->task, GV_TASK_WAITING);
@@ -189,8 +197,9 @@
     }
     char name[GV_TASK_NAME_BYTES];
     GvSched_TaskName(r->active->job, r->task, name, sizeof name);
-    GvEvlog_Write("stop", "task=%s run=%u target=%s why=\"%s\"", name, r->run,
-                  r->tgt->id, why);
+    GvEvlog_WriteKind(GvSched_LogKind(r->active), "stop",
+                      "task=%s run=%u target=%s why=\"%s\"", name, r->run,
+                      r->tgt->id, why);
     r->phase = GV_RUN_STOPPING;
     r->tries = 0;
     r->confirmed_ms = 0;
@@ -310,9 +319,10 @@
                                         "lapsed", "broken", "alone"};
     gv_active_job_t *a = r->active;
     int task = r->task;
-    GvEvlog_Write("end", "task=%.*s run=%u target=%s how=%s ms=%lld",
-                  GV_STR_ARG(e->task), r->run, r->tgt->id, names[e->how],
-                  (long long)(now_ms - r->placed_ms));
+    GvEvlog_WriteKind(GvSched_LogKind(a), "end",
+                      "task=%.*s run=%u target=%s how=%s ms=%lld",
+                      GV_STR_ARG(e->task), r->run, r->tgt->id, names[e->how],
+                      (long long)(now_ms - r->placed_ms));
     update_failures(r->tgt, e->how, now_ms);
     a->started = true;
     GvSched_SetSavedState(a, task, e->saved);
