Pools: a list of hosts that was read partly does not show that hosts have left

Cause: an entry of the list without an id or a known state is skipped, since nothing may be concluded from it. The list then counted as whole: the host was taken out as having left the fleet, and a wave went on without it and was reported as done, though the host had no maintenance. Change: the adapter says whether a list was read whole; hosts leave only by a whole list.

--- a/src/pool.c
+++ b/src/pool.c
@@ -214,17 +214,18 @@
     }
 }
 
-/* Handles a complete list of the hosts; ok is false if it could not be read.
-   Hosts that are missing in it have left the fleet. */
+/* Handles a list of the hosts. Hosts that are missing in a whole one have left
+   the fleet. */
 void
-GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n, bool ok,
-               int64_t now_ms)
+GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n,
+               gv_host_list_t list, int64_t now_ms)
 {
+    bool whole = list == GV_HOST_LIST_WHOLE && n > 0;
     GHashTableIter it;
     gpointer value;
     p->listing = false;
     p->listed_ms = now_ms;
-    if (!ok) {
+    if (list == GV_HOST_LIST_FAILED) {
         return;
     }
     g_hash_table_iter_init(&it, p->hosts);
@@ -238,11 +239,12 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
-        if (!h->listed && h->operation != GV_OPERATION_ORDERED) {
+        if (whole && !h->listed && h->operation != GV_OPERATION_ORDERED) {
             GvEvlog_Write("host", "host=%s left the fleet", h->id);
             g_hash_table_iter_remove(&it);
         }
-        else if (h->operation == GV_OPERATION_AWAY && h->state == GV_HOST_UP) {
+        else if (h->listed && h->operation == GV_OPERATION_AWAY &&
+                 h->state == GV_HOST_UP) {
             check_absence(p, h, now_ms);
         }
     }
--- a/src/pool.h
+++ b/src/pool.h
@@ -59,6 +59,13 @@
     int move_ms;        /* duration of a move */
 } gv_pool_opts_t;
 
+/* How much of the list of hosts was read. */
+typedef enum {
+    GV_HOST_LIST_FAILED,
+    GV_HOST_LIST_PARTLY, /* some entries could not be read */
+    GV_HOST_LIST_WHOLE
+} gv_host_list_t;
+
 gv_pools_t *GvPools_New(const gv_pool_opts_t *o);
 void GvPools_Free(gv_pools_t *p);
 void GvPools_SetServices(gv_pools_t *p, const gv_service_info_t *services,
@@ -66,8 +73,8 @@
 void GvPools_SetWave(gv_pools_t *p, int wave, const gv_str_t *hosts, int n,
                      int64_t duration_ms, int cap, gv_str_t stored,
                      int64_t now_ms, int64_t wall_ms);
-void GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n, bool ok,
-                    int64_t now_ms);
+void GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n,
+                    gv_host_list_t list, int64_t now_ms);
 void GvPools_SetTarget(gv_pools_t *p, gv_str_t host, gv_str_t target,
                        gv_str_t pool, int64_t now_ms);
 void GvPools_Moved(gv_pools_t *p, const char *host, gv_pool_result_t r,
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -75,9 +75,8 @@
     pools = GvPools_New(&o);
 }
 
-/* pool_list HOST:TARGET:STATE ...: the answer to a list. STATE is up, moving,
-   maintenance or down. */
-GV_VERB("pool_list", pool_list)
+static void
+take_list(int argc, char **argv, gv_host_list_t list)
 {
     gv_host_info_t hosts[8] = {0};
     char **words[8];
@@ -92,12 +91,25 @@
             .cpu = 4000,
         };
     }
-    GvPools_Listed(pools, hosts, argc - 1, true, now);
+    GvPools_Listed(pools, hosts, argc - 1, list, now);
     for (int i = 1; i < argc; i++) {
         g_strfreev(words[i - 1]);
     }
 }
 
+/* pool_list HOST:TARGET:STATE ...: the answer to a list. STATE is up, moving,
+   maintenance or down. */
+GV_VERB("pool_list", pool_list)
+{
+    take_list(argc, argv, GV_HOST_LIST_WHOLE);
+}
+
+/* pool_list_partly ...: the same with entries that could not be read. */
+GV_VERB("pool_list_partly", pool_list_partly)
+{
+    take_list(argc, argv, GV_HOST_LIST_PARTLY);
+}
+
 /* pool_wave N CAP HOST ...: a wave is requested; it continues from what is
    stored. */
 GV_VERB("pool_wave", pool_wave)
