Scheduler: a recorded run on a target that is on no host ends at once

Cause: the leader that had stopped it could not store this, as the store turned it away, and the emptied host was taken down. The next leader read the run as placed on a target whose record was gone. It had never seen that record, so it did not know the target's host, could not use the list of hosts, and kept the run for the longest time that earlier leases can last, 12 s, again after each change of the leader. Class: absence of evidence kept as a state until a time-out, although another source has the answer. Change: a target that only progress records name has ended if a whole list of hosts, requested by this leader, has it on no host. Hosts with an order on its way count with their newest target.

--- a/src/pool.c
+++ b/src/pool.c
@@ -170,10 +170,9 @@
     h->listed = true;
 }
 
-/* Passes the scheduler the state of each listed host. Hosts with an order in
-   flight are left out. */
+/* Passes the scheduler the state of each listed host. */
 static void
-report_targets(gv_pools_t *p, int64_t now_ms)
+report_targets(gv_pools_t *p, bool whole, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
@@ -182,15 +181,18 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
-        if (h->listed && h->operation != GV_OPERATION_ORDERED) {
-            bool up = h->state == GV_HOST_UP && h->target != NULL;
+        if (h->listed) {
+            bool ordered = h->operation == GV_OPERATION_ORDERED;
+            bool up = (ordered || h->state == GV_HOST_UP) && h->target != NULL;
             gv_listed_host_t *listed = g_new0(gv_listed_host_t, 1);
             listed->target = up ? h->target : "";
             listed->down = h->state == GV_HOST_DOWN;
+            listed->ordered = ordered;
             g_hash_table_insert(now, h->id, listed);
         }
     }
-    GvSched_CheckHosts(p->opts.sched, now, p->list_sent_ms, now_ms);
+    gv_listed_hosts_t list = {now, whole, p->list_sent_ms};
+    GvSched_CheckHosts(p->opts.sched, &list, now_ms);
     g_hash_table_destroy(now);
 }
 
@@ -235,7 +237,7 @@
     for (int i = 0; i < n; i++) {
         update_host(p, &hosts[i], now_ms);
     }
-    report_targets(p, now_ms);
+    report_targets(p, whole, now_ms);
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
--- a/src/sched.c
+++ b/src/sched.c
@@ -359,12 +359,43 @@
     }
 }
 
+/* Returns true if some listed host has the target. */
+static bool
+is_on_host(const gv_listed_hosts_t *list, const char *target)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, list->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (strcmp(((const gv_listed_host_t *)value)->target, target) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Drops the runs of a target that only the progress of jobs names: its record
+   was gone before this scheduler began, so that its host is not known. It has
+   ended if it is on no host. */
+static void
+check_unseen_target(gv_sched_t *s, gv_sched_target_t *tgt,
+                    const gv_listed_hosts_t *list, int64_t now_ms)
+{
+    if (list->whole && tgt->runs->len > 0 && tgt->first_listed_ms == 0 &&
+        !is_on_host(list, tgt->id)) {
+        GvEvlog_Write("target", "target=%s is on no host runs=%u", tgt->id,
+                      tgt->runs->len);
+        GvSched_DropTargetRuns(s, tgt, GV_LOSS_UNANSWERED,
+                               "target is on no host", now_ms);
+        tgt->lease_until_ms = now_ms;
+    }
+}
+
 /* Drops the runs of targets that the platform's list of hosts shows to be
-   gone, without waiting for their leases to end. The table has a
-   gv_listed_host_t for each host. Targets that were first listed after
-   asked_ms, when the list was requested, are skipped. */
+   gone, without waiting for their leases to end. Targets that were first
+   listed after the list was requested are skipped. */
 void
-GvSched_CheckHosts(gv_sched_t *s, GHashTable *listed_hosts, int64_t asked_ms,
+GvSched_CheckHosts(gv_sched_t *s, const gv_listed_hosts_t *list,
                    int64_t now_ms)
 {
     GHashTableIter it;
@@ -372,12 +403,14 @@
     g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_target_t *tgt = value;
-        if (tgt->info.host.n == 0 || tgt->first_listed_ms >= asked_ms) {
+        if (tgt->info.host.n == 0) {
+            check_unseen_target(s, tgt, list, now_ms);
             continue;
         }
         const gv_listed_host_t *h =
-            g_hash_table_lookup(listed_hosts, tgt->info.host.p);
-        if (h == NULL || strcmp(h->target, tgt->id) == 0) {
+            g_hash_table_lookup(list->hosts, tgt->info.host.p);
+        if (tgt->first_listed_ms >= list->asked_ms || h == NULL ||
+            h->ordered || strcmp(h->target, tgt->id) == 0) {
             continue;
         }
         bool ordered_away = !h->down && *h->target == '\0';
--- a/src/sched.h
+++ b/src/sched.h
@@ -222,10 +222,18 @@
 typedef struct {
     const char *target; /* that is up on it; empty for none */
     bool down;          /* it has failed; else it is up, or was ordered away */
+    bool ordered;       /* an order for it has no result yet: its target may
+                           have ended since or not */
 } gv_listed_host_t;
 
-void GvSched_CheckHosts(gv_sched_t *s, GHashTable *listed_hosts,
-                        int64_t asked_ms, int64_t now_ms);
+typedef struct {
+    GHashTable *hosts; /* id -> gv_listed_host_t * */
+    bool whole;        /* no host of the fleet is missing */
+    int64_t asked_ms;  /* when the list was requested */
+} gv_listed_hosts_t;
+
+void GvSched_CheckHosts(gv_sched_t *s, const gv_listed_hosts_t *list,
+                        int64_t now_ms);
 int GvSched_CountUnresponsive(const gv_sched_t *s);
 
 /* What the planning of pools needs to know of a target. */
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -19,7 +19,8 @@
 typedef enum {
     GV_LOSS_CRASHED,    /* its incarnation ended without an order or notice */
     GV_LOSS_PLANNED,    /* its host was moved or maintained, or it drained */
-    GV_LOSS_UNANSWERED, /* the leases ended; it may have been unreachable */
+    GV_LOSS_UNANSWERED, /* the leases ended, or it is on no host any more: it
+                           may have been unreachable or taken down */
 } gv_loss_t;
 
 typedef struct gv_sched_target_s gv_sched_target_t;
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -157,28 +157,45 @@
     GvSched_RemoveTarget(sched, ARG(1), now);
 }
 
-/* sched_hosts HOST=TARGET|down|away ...: the platform's list of hosts, with
-   the target on each, or none as it has failed or was ordered away. */
-GV_VERB("sched_hosts", sched_hosts)
+static void
+check_hosts(int argc, char **argv, bool whole)
 {
     gv_listed_host_t listed[16];
     char **kept[16];
-    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    gv_listed_hosts_t list = {g_hash_table_new(g_str_hash, g_str_equal), whole,
+                              now};
     for (int i = 1; i < argc; i++) {
-        char **w = g_strsplit(argv[i], "=", 2);
+        char **w = kept[i] = g_strsplit(argv[i], "=", 2);
+        char *how = strchr(w[1], ':');
+        if (how != NULL) {
+            *how = '\0';
+        }
         bool down = strcmp(w[1], "down") == 0;
         bool none = down || strcmp(w[1], "away") == 0;
-        kept[i] = w;
-        listed[i] = (gv_listed_host_t){none ? "" : w[1], down};
-        g_hash_table_insert(hosts, w[0], &listed[i]);
+        listed[i] = (gv_listed_host_t){none ? "" : w[1], down, how != NULL};
+        g_hash_table_insert(list.hosts, w[0], &listed[i]);
     }
-    GvSched_CheckHosts(sched, hosts, now, now);
-    g_hash_table_destroy(hosts);
+    GvSched_CheckHosts(sched, &list, now);
+    g_hash_table_destroy(list.hosts);
     while (argc > 1) {
         g_strfreev(kept[--argc]);
     }
 }
 
+/* sched_hosts HOST=TARGET[:ordered]|down|away ...: the platform's list of
+   hosts, with the target on each, or none as it has failed or was ordered
+   away. ordered: an order for the host has no result yet. */
+GV_VERB("sched_hosts", sched_hosts)
+{
+    check_hosts(argc, argv, true);
+}
+
+/* sched_hosts_partly ...: the same with entries that could not be read. */
+GV_VERB("sched_hosts_partly", sched_hosts_partly)
+{
+    check_hosts(argc, argv, false);
+}
+
 /* Parses a step, which is words separated by commas: count=N, cpu=N, max=N
    (per target), max_unavailable=N, goal=MS (of the tail latency),
    after=N (index of a step), label=L, rack=R, and the flags long_running,
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -695,14 +695,15 @@
 list_hosts(void)
 {
     gv_listed_host_t listed[TARGETS];
-    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    gv_listed_hosts_t list = {g_hash_table_new(g_str_hash, g_str_equal), true,
+                              now};
     for (int i = 0; i < TARGETS; i++) {
         listed[i] = (gv_listed_host_t){targets[i].up ? targets[i].id : "",
-                                       !targets[i].up};
-        g_hash_table_insert(hosts, targets[i].host, &listed[i]);
+                                       !targets[i].up, false};
+        g_hash_table_insert(list.hosts, targets[i].host, &listed[i]);
     }
-    GvSched_CheckHosts(sched, hosts, now, now);
-    g_hash_table_destroy(hosts);
+    GvSched_CheckHosts(sched, &list, now);
+    g_hash_table_destroy(list.hosts);
 }
 
 /* Adds a random job of 1 to 3 steps; in one of ten a task is deadly. */
