Scheduler: the target kept for a long-running task can hold it

Cause: the target that is kept free for it was the one with the most free cpu. Change: only targets that could hold the task without their short tasks are kept, the one first that lacks least of any resource.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -383,30 +383,67 @@
     }
 }
 
-/* Keeps the target with the most free cpu for a long-running task that found
-   none with enough: short tasks would otherwise take what becomes free. This
-   is one target of a service at a time, and the same one in each pass, as its
-   free cpu only grows. */
+/* Returns what a target would have free for long-running tasks if all other
+   tasks on it had ended. */
+static gv_resources_t
+room_for_long_running(const gv_sched_target_t *tgt)
+{
+    gv_resources_t free = tgt->info.room;
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        const gv_run_t *run = g_ptr_array_index(tgt->runs, i);
+        if (run->active->long_running) {
+            GvResources_Subtract(&free, run->need);
+        }
+    }
+    return free;
+}
+
+/* Returns true if a long-running task of this step could start on a target
+   once the other tasks there have ended. */
+static bool
+could_hold(const gv_sched_target_t *tgt, const gv_ready_step_t *r,
+           int64_t now_ms)
+{
+    gv_resources_t free = room_for_long_running(tgt);
+    return tgt->n_isolated == 0 && may_run(tgt, r, &free, now_ms);
+}
+
+/* Returns the part of a need that is free on a target, of the resource that
+   lacks most; at most 1. */
+static double
+free_part(const gv_sched_target_t *tgt, const gv_resources_t *need)
+{
+    gv_resources_t free = tgt->info.room;
+    GvResources_Subtract(&free, tgt->used);
+    double cpu = (double)free.cpu / (double)MAX(need->cpu, 1);
+    double memory = (double)free.memory / (double)MAX(need->memory, 1);
+    return MIN(MIN(cpu, memory), 1);
+}
+
+/* Keeps a target for a long-running task that found none with enough free
+   resources: short tasks would otherwise take what becomes free. This is one
+   target of a service at a time: of those that could hold the task once
+   their other tasks have ended, the one that lacks least. It stays the same
+   one in each pass, as what it has free only grows. */
 static void
 keep_room_free(const gv_ready_step_t *r, int64_t now_ms)
 {
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
-    int64_t most = 0;
+    double most = 0;
     for (guint i = 0; i < targets->len; i++) {
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
-        gv_resources_t free = tgt->info.room;
         if (tgt->room_kept) {
             return;
         }
-        if (tgt->n_isolated > 0 || !may_run(tgt, r, &free, now_ms)) {
+        if (!could_hold(tgt, r, now_ms)) {
             continue;
         }
-        GvResources_Subtract(&free, tgt->used);
-        if (best == NULL || free.cpu > most ||
-            (free.cpu == most && strcmp(tgt->id, best->id) < 0)) {
+        double part = free_part(tgt, &r->step->need);
+        if (best == NULL || part > most ||
+            (part == most && strcmp(tgt->id, best->id) < 0)) {
             best = tgt;
-            most = free.cpu;
+            most = part;
         }
     }
     if (best != NULL) {
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -196,8 +196,8 @@
     check_hosts(argc, argv, false);
 }
 
-/* Parses a step, which is words separated by commas: count=N, cpu=N, max=N
-   (per target), max_unavailable=N, goal=MS (of the tail latency),
+/* Parses a step, which is words separated by commas: count=N, cpu=N, mem=N,
+   max=N (per target), max_unavailable=N, goal=MS (of the tail latency),
    after=N (index of a step), label=L, rack=R, and the flags long_running,
    gang and leftover_cpu. */
 static gv_step_t
@@ -210,6 +210,7 @@
         int n = v == NULL ? 0 : atoi(v + 1);
         s.count = g_str_has_prefix(w[i], "count=") ? n : s.count;
         s.need.cpu = g_str_has_prefix(w[i], "cpu=") ? n : s.need.cpu;
+        s.need.memory = g_str_has_prefix(w[i], "mem=") ? n : s.need.memory;
         s.max_per_target =
             g_str_has_prefix(w[i], "max=") ? n : s.max_per_target;
         s.max_unavailable =
