Scheduler: a long-running task whose start got no answer is not stopped

Cause: a start without an answer, also to its repetition, was followed by a stop at once. The start had been carried out: only its answer was lost or late. Class: no answer taken for not done. Change: such a run of a long-running task is unconfirmed, like those that an earlier leader recorded: the next hold that is sent after the start shows it live, or it is stopped then, as its start may still arrive. Short tasks are stopped at once as before, so that they start elsewhere sooner.

--- a/src/sched.c
+++ b/src/sched.c
@@ -485,7 +485,7 @@
             tgt->lease_until_ms =
                 MAX(tgt->lease_until_ms,
                     s->o.now_ms + GV_LEAD_HOLDS_MS + s->o.max_lease_ms);
-            GvSched_AddRun(s, a, i, tgt, GV_RUN_INHERITED, s->o.now_ms);
+            GvSched_AddRun(s, a, i, tgt, GV_RUN_UNCONFIRMED, s->o.now_ms);
         }
     }
     if (GvJob_Ended(copy)) {
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -110,7 +110,30 @@
     }
 }
 
-/* Repeats a start without an answer, or stops the run after the last try. */
+/* Handles a run whose start may have been carried out, but got no answer. A
+   long-running task may be at work by now, and a stop would end it: the next
+   hold shows whether it is live. Any other is stopped, so that it can start
+   elsewhere soon. */
+static void
+settle_unanswered(gv_sched_t *s, gv_run_t *r, const char *why, int64_t now_ms)
+{
+    char name[GV_TASK_NAME_BYTES];
+    r->tgt->avoid_until_ms =
+        MAX(r->tgt->avoid_until_ms, now_ms + GV_SCHED_TARGET_BACKOFF_MS);
+    if (!r->active->long_running) {
+        GvSched_StopRun(s, r, why, now_ms);
+        return;
+    }
+    GvSched_TaskName(r->active->job, r->task, name, sizeof name);
+    GvEvlog_WriteKind(GvSched_LogKind(r->active), "unconfirmed",
+                      "task=%s run=%u target=%s why=\"%s\"", name, r->run,
+                      r->tgt->id, why);
+    r->phase = GV_RUN_UNCONFIRMED;
+    r->tgt->hold_next_ms = MIN(r->tgt->hold_next_ms, now_ms);
+    GvSched_UpdateSoon(s, r->tgt);
+}
+
+/* Repeats a start without an answer, up to GV_SCHED_START_TRIES. */
 static void
 start_unanswered(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
@@ -119,8 +142,7 @@
         GvSched_SendStart(s, r, now_ms);
         return;
     }
-    r->tgt->avoid_until_ms = now_ms + GV_SCHED_TARGET_BACKOFF_MS;
-    GvSched_StopRun(s, r, "target did not answer the start", now_ms);
+    settle_unanswered(s, r, "target did not answer the start", now_ms);
 }
 
 static void
@@ -167,6 +189,10 @@
         r->started_ms = now_ms;
         return;
     case GV_ORDER_NOT_SENT:
+        if (r->maybe_started) {
+            settle_unanswered(s, r, "target not reached", now_ms);
+            return;
+        }
         start_refused(s, r, "target not reached", GV_SCHED_TARGET_BACKOFF_MS,
                       now_ms);
         return;
@@ -297,7 +323,7 @@
     r->percent = x->percent;
     GvSched_ClearSuspect(s, r, now_ms);
     GvSched_SetSavedState(a, task, x->saved);
-    if (r->phase == GV_RUN_INHERITED ||
+    if (r->phase == GV_RUN_UNCONFIRMED ||
         (r->phase == GV_RUN_SENDING && !r->order_pending)) {
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
@@ -305,9 +331,9 @@
 }
 
 /* Drops the runs that the target should have listed and has not: those whose
-   newest order it had confirmed before this hold was sent. A run of an earlier
-   scheduler is stopped first: its start may still be on its way, and a target
-   need not check the fence of a start. */
+   newest order it had confirmed before this hold was sent. An unconfirmed run
+   whose start was sent before is stopped first: the start may still be on its
+   way, and a target need not check its fence. */
 static void
 drop_missing(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
@@ -316,7 +342,8 @@
         bool settled =
             (r->phase == GV_RUN_ACTIVE || r->phase == GV_RUN_STOPPING) &&
             r->confirmed_ms > 0 && r->confirmed_ms < tgt->hold_sent_ms;
-        if (!r->listed && r->phase == GV_RUN_INHERITED) {
+        if (!r->listed && r->phase == GV_RUN_UNCONFIRMED &&
+            r->sent_ms < tgt->hold_sent_ms) {
             r->withdrawn = true;
             GvSched_CountEarlierCrash(s, r, now_ms);
             GvSched_StopRun(s, r, "not listed, may be started late", now_ms);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -8,11 +8,12 @@
 /* Included by the files of the scheduler only. */
 
 typedef enum {
-    GV_RUN_STORING,   /* placed; the record of this is not stored yet */
-    GV_RUN_SENDING,   /* its start was ordered and is not confirmed yet */
-    GV_RUN_ACTIVE,    /* the target has confirmed its start */
-    GV_RUN_STOPPING,  /* its stop was ordered */
-    GV_RUN_INHERITED, /* an earlier scheduler may have ordered its start */
+    GV_RUN_STORING,     /* placed; the record of this is not stored yet */
+    GV_RUN_SENDING,     /* its start was ordered and is not confirmed yet */
+    GV_RUN_ACTIVE,      /* the target has confirmed its start */
+    GV_RUN_STOPPING,    /* its stop was ordered */
+    GV_RUN_UNCONFIRMED, /* its start got no answer, or an earlier scheduler may
+                           have ordered it; a hold shows if it is live */
 } gv_run_phase_t;
 
 /* Why the runs on a target are lost. */
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -41,7 +41,7 @@
         case GV_RUN_STOPPING:
             r->confirmed_ms = 0;
             break;
-        case GV_RUN_INHERITED:
+        case GV_RUN_UNCONFIRMED:
             break;
         }
     }
