Pools: hosts for long-running tasks that no target of their service could hold

Cause: a pool is sized by cpu. Its long-running tasks may not share a target, or need more memory than cpu, so that all its targets can be unable to hold one though the pool has the cpu. Change: the demand of a service tells how many hosts it lacks for such tasks, once none of its targets could have held them for 300 ms; the plan gives these hosts first, less those that are on their way.

--- a/src/limits.h
+++ b/src/limits.h
@@ -330,6 +330,10 @@
 /* Full name of a task: its job's identifier and three numbers. */
 #define GV_TASK_NAME_BYTES 64
 
+/* A service gets more hosts once none of its targets could hold a long-running
+   task for this long. Targets that are avoided after a refusal are back by
+   then. */
+#define GV_SCHED_NO_ROOM_MS 300
 /* Interval of the log lines about a job whose long-running tasks wait. */
 #define GV_SCHED_WAIT_LOG_MS 500
 
--- a/src/pool_move.c
+++ b/src/pool_move.c
@@ -29,6 +29,7 @@
                        p->opts.move_ms + GV_RHYTHM_AHEAD_MS, now_ms, wall_ms);
     gv_plan_pool_t pool = {
         .need_cpu = GvPoolPlan_NeedCpu(&d),
+        .lacking_hosts = d.lacking_hosts,
         .standby = GvPools_IsStandby(p, name),
         .fixed = g_hash_table_lookup(p->services, name) == NULL,
         .min_hosts = GV_POOL_MIN_HOSTS,
@@ -57,6 +58,7 @@
     if (h->wave == 0 && (h->state == GV_HOST_UP || h->to_pool != NULL) &&
         !v.draining) {
         pl->hosts++;
+        pl->coming_hosts += h->to_pool != NULL ? 1 : 0;
         pl->host_cpu = MAX(pl->host_cpu, h->cpu);
     }
     gv_plan_host_t view = {
--- a/src/pool_plan.c
+++ b/src/pool_plan.c
@@ -29,6 +29,14 @@
     }
 }
 
+/* Returns how many hosts a pool should have, whatever its demand of cpu. */
+static int
+least_hosts(const gv_plan_pool_t *pool)
+{
+    int more = pool->lacking_hosts - pool->coming_hosts;
+    return MAX(pool->min_hosts, more > 0 ? pool->hosts + more : 0);
+}
+
 /* Returns the number of hosts that a pool should have. Only
    GV_POOL_FILL_PERCENT of a host's cpu is counted, since tasks do not divide
    evenly over hosts. */
@@ -43,12 +51,13 @@
     }
     int64_t usable = pool->host_cpu * GV_POOL_FILL_PERCENT / 100;
     int64_t wanted = (pool->need_cpu + usable - 1) / usable;
-    return (int)MAX(wanted, pool->min_hosts);
+    return (int)MAX(wanted, least_hosts(pool));
 }
 
 /* Returns the pool that gets the next host, or -1: the one that lacks most. A
-   pool below its min_hosts counts as lacking GV_POOL_MOVES_MAX more: a service
-   with a large burst must not leave another without hosts. */
+   pool with too few hosts whatever its demand of cpu counts as lacking
+   GV_POOL_MOVES_MAX more: a service with a large burst must not leave another
+   without hosts, or without a place for a long-running task. */
 static int
 pool_lacking_most(const gv_plan_pool_t *pools, const int *have, int n_pools)
 {
@@ -56,7 +65,7 @@
     int most = 0;
     for (int i = 0; i < n_pools; i++) {
         int lack = GvPoolPlan_WantedHosts(&pools[i]) - have[i];
-        if (lack > 0 && have[i] < pools[i].min_hosts) {
+        if (lack > 0 && have[i] < least_hosts(&pools[i])) {
             lack += GV_POOL_MOVES_MAX;
         }
         if (lack > most) {
@@ -113,6 +122,7 @@
 {
     gv_plan_pool_t least = *pool;
     least.min_hosts = 0;
+    least.lacking_hosts = 0;
     return have - GvPoolPlan_WantedHosts(&least);
 }
 
--- a/src/pool_plan.h
+++ b/src/pool_plan.h
@@ -11,10 +11,12 @@
    arguments only. */
 
 typedef struct {
-    int64_t need_cpu; /* see GvPoolPlan_NeedCpu */
-    int64_t host_cpu; /* of one host, thousandths of a core; 0: no host */
-    int hosts;        /* in the pool or moving there */
-    int min_hosts;    /* the pool should never have fewer */
+    int64_t need_cpu;  /* see GvPoolPlan_NeedCpu */
+    int64_t host_cpu;  /* of one host, thousandths of a core; 0: no host */
+    int hosts;         /* in the pool or moving there */
+    int min_hosts;     /* the pool should never have fewer */
+    int lacking_hosts; /* more hosts that its long-running tasks need */
+    int coming_hosts;  /* counted in `hosts`, but still moving there */
     int power_off_after_ms; /* idle time before a host may be off */
     bool fixed;             /* gets no hosts and gives none */
     bool standby;           /* hosts there are off and cost nothing */
--- a/src/sched.h
+++ b/src/sched.h
@@ -256,6 +256,8 @@
     int64_t arriving_cpu; /* of new jobs, at the present rate of arrivals */
     int64_t expected_cpu; /* of a burst that is about to begin */
     int waiting;          /* number of waiting tasks that may start now */
+    int lacking_hosts;    /* for long-running tasks that none of its targets
+                             could hold, whatever else runs there */
 } gv_demand_t;
 
 void GvSched_SetJobsLoaded(gv_sched_t *s);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -424,18 +424,18 @@
    resources: short tasks would otherwise take what becomes free. This is one
    target of a service at a time: of those that could hold the task once
    their other tasks have ended, the one that lacks least. It stays the same
-   one in each pass, as what it has free only grows. */
+   one in each pass, as what it has free only grows. Notes since when no target
+   could hold the task. */
 static void
 keep_room_free(const gv_ready_step_t *r, int64_t now_ms)
 {
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     double most = 0;
+    bool kept = false;
     for (guint i = 0; i < targets->len; i++) {
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
-        if (tgt->room_kept) {
-            return;
-        }
+        kept = kept || tgt->room_kept;
         if (!could_hold(tgt, r, now_ms)) {
             continue;
         }
@@ -447,6 +447,12 @@
         }
     }
     if (best != NULL) {
+        r->active->no_room_since_ms = 0;
+    }
+    else if (r->active->no_room_since_ms == 0) {
+        r->active->no_room_since_ms = now_ms;
+    }
+    if (best != NULL && !kept) {
         best->room_kept = true;
     }
 }
@@ -522,6 +528,9 @@
             keep_room_free(r, now_ms);
             log_waiting(r, now_ms);
         }
+        else if (r->active->long_running) {
+            r->active->no_room_since_ms = 0;
+        }
     }
     place_all_suspects(s, ready, false, now_ms);
     g_array_free(ready, TRUE);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -77,10 +77,12 @@
     int64_t path_set_ms; /* 0: not set */
     bool end_due;        /* in ended_jobs of the scheduler */
     bool long_running;
-    bool has_suspects;      /* some task is or was one */
-    int64_t wait_logged_ms; /* newest log line about its waiting tasks */
-    int64_t alone_since_ms; /* since when a suspect finds no empty target;
-                               0: none does */
+    bool has_suspects;        /* some task is or was one */
+    int64_t no_room_since_ms; /* since when no target could hold its waiting
+                                 long-running tasks; 0: some could */
+    int64_t wait_logged_ms;   /* newest log line about its waiting tasks */
+    int64_t alone_since_ms;   /* since when a suspect finds no empty target;
+                                 0: none does */
     bool started;    /* a target has confirmed a start, or may have done so
                         under an earlier scheduler */
     bool dirty;      /* progress has changed since the newest batch */
--- a/src/sched_ready.c
+++ b/src/sched_ready.c
@@ -105,16 +105,41 @@
     return out;
 }
 
-/* Returns the cpu of the largest target of a service; 0 if it has none. */
-static int64_t
+/* Returns the room of the target of a service with the most cpu; zero if it
+   has none. */
+static gv_resources_t
 largest_room(const gv_sched_service_t *sv)
 {
-    int64_t cpu = 0;
+    gv_resources_t room = {0};
     for (guint i = 0; i < sv->targets->len; i++) {
         const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
-        cpu = MAX(cpu, tgt->info.room.cpu);
+        room = tgt->info.room.cpu > room.cpu ? tgt->info.room : room;
     }
-    return cpu;
+    return room;
+}
+
+/* Returns how many more targets with this room the waiting tasks of a step
+   need; 0 unless they are long-running and no target could have held them for
+   GV_SCHED_NO_ROOM_MS. */
+static int
+lacking_hosts(const gv_ready_step_t *r, const gv_resources_t *room,
+              int64_t now_ms)
+{
+    int waiting = 0;
+    int64_t each =
+        r->step->max_per_target > 0 ? r->step->max_per_target : r->step->count;
+    if (r->active->no_room_since_ms == 0 ||
+        now_ms - r->active->no_room_since_ms < GV_SCHED_NO_ROOM_MS) {
+        return 0;
+    }
+    for (int i = 0; i < r->step->count; i++) {
+        waiting += r->active->job->tasks[r->first + i].state == GV_TASK_WAITING
+                       ? 1
+                       : 0;
+    }
+    each = MIN(each, room->cpu / MAX(r->step->need.cpu, 1));
+    each = MAX(MIN(each, room->memory / MAX(r->step->need.memory, 1)), 1);
+    return (int)((waiting + each - 1) / each);
 }
 
 /* Returns the demand of a service: of running tasks, of waiting tasks that may
@@ -131,17 +156,18 @@
         GvLoads_ExpectedBurstCpu(s->loads, service, ahead_ms, now_ms);
     const gv_sched_service_t *sv = GvSched_Service(s, service);
     s->wall_ms = wall_ms;
-    int64_t whole = largest_room(sv);
+    gv_resources_t whole = largest_room(sv);
     GArray *ready = GvSched_ReadySteps(s, sv, now_ms);
     for (guint i = 0; i < ready->len; i++) {
         const gv_ready_step_t *r = &g_array_index(ready, gv_ready_step_t, i);
         if (r->step->uses_leftover_cpu) {
             continue;
         }
+        d.lacking_hosts += lacking_hosts(r, &whole, now_ms);
         for (int k = 0; k < r->step->count; k++) {
             const gv_task_t *t = &r->active->job->tasks[r->first + k];
             if (t->state == GV_TASK_WAITING) {
-                int64_t cpu = t->suspect ? MAX(whole, r->step->need.cpu)
+                int64_t cpu = t->suspect ? MAX(whole.cpu, r->step->need.cpu)
                                          : r->step->need.cpu;
                 d.waiting++;
                 d.wanted_cpu += r->late ? cpu / GV_SCHED_LATE_DIVISOR : cpu;
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -182,13 +182,16 @@
 static int n_pools;
 static int n_hosts;
 
-/* plan_pool [need=CPU standby=0|1 fixed=0|1 min_hosts=N]: adds a pool. */
+/* plan_pool [need=CPU standby=0|1 fixed=0|1 min_hosts=N lacking=N coming=N]:
+   adds a pool. */
 GV_VERB("plan_pool", plan_pool)
 {
     pools[n_pools++] = (gv_plan_pool_t){.need_cpu = OPT("need", 0),
                                         .standby = OPT("standby", 0) != 0,
                                         .fixed = OPT("fixed", 0) != 0,
                                         .min_hosts = OPT("min_hosts", 2),
+                                        .lacking_hosts = OPT("lacking", 0),
+                                        .coming_hosts = OPT("coming", 0),
                                         .power_off_after_ms = 20000};
 }
 
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -302,6 +302,14 @@
            GvJob_StateName(GvJob_State(GvJobTable_Find(table, ARG(1)))));
 }
 
+/* sched_lacking SERVICE: prints how many hosts the service lacks for its
+   long-running tasks. */
+GV_VERB("sched_lacking", sched_lacking)
+{
+    gv_demand_t d = GvSched_Demand(sched, ARG(1), 0, now, now);
+    printf("lacking %d\n", d.lacking_hosts);
+}
+
 /* sched_cancel ID: cancels a job. */
 GV_VERB("sched_cancel", sched_cancel)
 {
