HTTP client: own epoll client in place of libcurl

Cause: the client took most of the leader's time on large deployments. With its limit reached, libcurl's connection pool is scanned at each call's end; with a larger limit, each kept connection is polled once a second.

Ruled out: other limits for libcurl's pool; both ends cost time that grows with the connections.

Change: calls.c keeps calls in order of their time-outs and permissions, connection.c has the sockets and the idle connections, response.c reads responses with http_parser. A call on a kept connection is one write and one read. Responses that have arrived are read before a call is ended by its time-out. Addresses, paths and headers with other bytes than they may have end the call before it is sent.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEBS = gcc clang clang-format clang-tidy cppcheck make pkg-config curl \
        python3 python3-hypothesis liburcu-dev libmsgpack-dev \
        libmicrohttpd-dev libneon27-dev libglib2.0-dev libjson-glib-dev \
-       liblog4c-dev libyaml-dev libxxhash-dev libcurl4-gnutls-dev libclang-rt-14-dev gnuplot-nox
+       liblog4c-dev libyaml-dev libxxhash-dev libhttp-parser-dev libclang-rt-14-dev gnuplot-nox
 
 B ?= build
 WARN = -Wall -Wextra -Werror
@@ -59,14 +59,14 @@
 # gvschedd, the adapter to the users' platform.
 ADAPTERSRC = $(wildcard platform/*.c)
 ADAPTEROBJ = $(ADAPTERSRC:platform/%.c=$(B)/platform/%.o)
-ADAPTER_FLAGS = -iquote platform $(shell pkg-config --cflags libcurl)
+ADAPTER_FLAGS = -iquote platform
+ADAPTER_LIBS = -lhttp_parser
 
 $(B)/platform/%.o: platform/%.c | $(B)/platform
 	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -MMD -MP -c $< -o $@
 
 $(B)/gvschedd: $(ADAPTEROBJ) $(LIB)
-	$(CC) $(SAN) $(ADAPTEROBJ) $(LIB) -o $@ $(LIBS) \
-	    $(shell pkg-config --libs libcurl)
+	$(CC) $(SAN) $(ADAPTEROBJ) $(LIB) -o $@ $(LIBS) $(ADAPTER_LIBS)
 
 $(B)/gypsumvalve: $(B)/gypsumvalve.o $(CMDOBJ) $(LIB)
 	$(CC) $(SAN) $< $(CMDOBJ) $(WHOLE) -o $@ $(LIBS)
@@ -86,6 +86,11 @@
 	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -fsanitize=fuzzer $< $(READERS) \
 	    $(WHOLE) -o $@ $(LIBS)
 
+CLIENT = platform/calls.c platform/connection.c platform/response.c
+$(B)/tests/test_calls: tests/test_calls.c $(CLIENT) $(LIB) | $(B)/tests
+	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) $< $(CLIENT) $(WHOLE) -o $@ \
+	    $(LIBS) $(ADAPTER_LIBS)
+
 # The example of an embedding program is built and run with the tests.
 $(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) $< $(WHOLE) -o $@ $(LIBS)
