--- a/Makefile
+++ b/Makefile
@@ -86,10 +86,10 @@
 	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -fsanitize=fuzzer $< $(READERS) \
 	    $(WHOLE) -o $@ $(LIBS)
 
-CLIENT = platform/calls.c platform/connection.c platform/response.c
+CLIENT = $(patsubst %,$(B)/platform/%.o,calls connection response)
 $(B)/tests/test_calls: tests/test_calls.c $(CLIENT) $(LIB) | $(B)/tests
-	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) $< $(CLIENT) $(WHOLE) -o $@ \
-	    $(LIBS) $(ADAPTER_LIBS)
+	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -MMD -MP $< $(CLIENT) $(WHOLE) \
+	    -o $@ $(LIBS) $(ADAPTER_LIBS)
 
 # The example of an embedding program is built and run with the tests.
 $(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)/tests
