--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -366,6 +366,30 @@
     END_TEST;
 }
 
+/* Guards against one time-out after the other on kept connections that have
+   all fallen silent, while new ones work. */
+TEST("/calls/silent_kept", test_silent_kept)
+{
+    result_t rs[4];
+    BEGIN_TEST(OK_REPLY);
+    for (int i = 0; i < 4; i++) {
+        gv_call_opts_t one = get(s.addr, &rs[i]);
+        GvCalls_Begin(c, &one);
+    }
+    RUN_UNTIL(rs[0].n + rs[1].n + rs[2].n + rs[3].n == 4);
+    g_assert_cmpint(s.accepts, ==, 4);
+    GPtrArray *silent = s.conns; /* no longer served */
+    s.conns = g_ptr_array_new();
+    o.timeout_ms = 50;
+    CALL(o, r, 0, true, false);
+    o.timeout_ms = 5000;
+    CALL(o, r, 200, true, false);
+    g_assert_cmpint(s.accepts, ==, 5);
+    g_ptr_array_extend(s.conns, silent, NULL, NULL);
+    g_ptr_array_free(silent, TRUE);
+    END_TEST;
+}
+
 static const struct {
     const char *raw;
     int status;
