Scheduler: the confirmed start of a suspect is stored

Cause: a leader that finds a target restarted counts a crash under a run of an earlier leader as unconfirmed, as nothing stored says whether the run had started. With a new leader after each start, all crashes are unconfirmed, and a job fails only if one is not: its task is started again without limit.

Ruled out: counting unconfirmed crashes alone.

Change: the progress of a suspect notes that its newest run was confirmed; one record for each start of a suspect. A crash under it counts as one after a start, also for the next leader. Records without the field are read as before.

Test: sched_suspects, which failed before (the job was still running).

--- a/src/job_record.c
+++ b/src/job_record.c
@@ -213,7 +213,7 @@
         if (!has_row(t)) {
             continue;
         }
-        msgpack_pack_array(&pk, 11);
+        msgpack_pack_array(&pk, 12);
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
@@ -225,6 +225,7 @@
         GvPack_Int(&pk, t->unconfirmed);
         GvPack_Bool(&pk, t->suspect);
         GvPack_Int(&pk, t->target_started_ms);
+        GvPack_Bool(&pk, t->confirmed);
     }
 }
 
@@ -253,13 +254,16 @@
     t->failures = (int)GvUnpack_Int(&f);
     gv_str_t target = GvUnpack_Str(&f);
     gv_str_t saved = GvUnpack_Str(&f);
-    if (GvUnpack_HasNext(&f)) { /* earlier versions end here */
+    if (GvUnpack_HasNext(&f)) { /* earlier versions end here, */
         t->crashes = (int)GvUnpack_Int(&f);
         t->doubtful = (int)GvUnpack_Int(&f);
         t->unconfirmed = (int)GvUnpack_Int(&f);
         t->suspect = GvUnpack_Bool(&f);
         t->target_started_ms = GvUnpack_Int(&f);
     }
+    if (GvUnpack_HasNext(&f)) { /* or here */
+        t->confirmed = GvUnpack_Bool(&f);
+    }
     if (f.err != GV_OK || state > GV_TASK_PLACED) {
         rows->err = GV_EINVAL;
         return;
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -124,7 +124,7 @@
 }
 
 static void
-record_start(const gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+record_start(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     GvHistogram_Observe(&start_ms, now_ms - r->placed_ms);
     if (!r->active->started && !r->active->job->timed) {
@@ -133,6 +133,7 @@
     }
     r->active->started = true;
     r->started_ms = now_ms;
+    GvSched_NoteStart(s, r);
 }
 
 /* Handles the answer to a start. */
@@ -164,6 +165,7 @@
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
         r->started_ms = now_ms;
+        GvSched_NoteStart(s, r);
         return;
     case GV_ORDER_NOT_SENT:
         start_refused(s, r, "target not reached", GV_SCHED_TARGET_BACKOFF_MS,
@@ -294,6 +296,7 @@
     r->started_ms = r->started_ms == 0 ? now_ms : r->started_ms;
     a->started = true;
     r->percent = x->percent;
+    GvSched_NoteStart(s, r);
     GvSched_ClearSuspect(s, r, now_ms);
     GvSched_SetSavedState(a, task, x->saved);
     if (r->phase == GV_RUN_INHERITED ||
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -124,6 +124,18 @@
            crash_ms - r->sent_ms <= GV_SCHED_CRASH_SOON_MS;
 }
 
+/* A run has started. That of a suspect is stored: otherwise a leader that
+   finds its target restarted could not tell whether the task was there. */
+void
+GvSched_NoteStart(gv_sched_t *s, const gv_run_t *r)
+{
+    gv_task_t *t = &r->active->job->tasks[r->task];
+    if (t->suspect && !t->confirmed) {
+        t->confirmed = true;
+        GvSched_MarkDirty(s, r->active);
+    }
+}
+
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
@@ -146,7 +158,7 @@
     if (soon) {
         t->crashes++;
     }
-    else if (r->started_ms != 0) {
+    else if (r->started_ms != 0 || t->confirmed) {
         t->doubtful++;
     }
     else {
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -36,6 +36,7 @@
         GvSched_SetTaskState(a, task, GV_TASK_PLACED);
         t->target = tgt->id;
         t->target_started_ms = tgt->started_ms;
+        t->confirmed = false;
         a->job->begun = true;
         GvSched_MarkDirty(s, a);
         g_ptr_array_add(s->unbatched, r);
