Scheduler: a task that crashes targets beside long-running ones is found out

Cause: a crash proves something about a long-running task only if that was alone on its target. Where long-running tasks are on every target, a suspect shares one after a wait and is never alone: its crashes prove nothing.

Ruled out: emptying a target for it. That ends long-running tasks that are sound, and needs room elsewhere, which full targets do not have. Counting crashes beside any other task, which failed sound jobs beside deadly ones.

Change: a long-running run that has served for GV_SCHED_SERVED_MS is no cause of a crash, by the rule that already clears suspects. A suspect is alone if all others on the target are such; if it has to share, it prefers those targets, and an empty one to any.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -66,14 +66,25 @@
     GvSched_DropRun(s, r, NULL);
 }
 
-/* Returns true if no other run was live on the target of this one. */
+/* Returns true if a run of a long-running task has served for long enough, so
+   that it is not what crashes the target. */
+bool
+GvSched_HasServed(const gv_run_t *r, int64_t now_ms)
+{
+    return r->active->long_running && r->percent >= 100 &&
+           r->started_ms != 0 && now_ms - r->started_ms >= GV_SCHED_SERVED_MS;
+}
+
+/* Returns true if no other run on the target of this one may have crashed it:
+   there was none, or all of them had served for long enough. */
 static bool
-was_alone(const gv_run_t *r)
+was_alone(const gv_run_t *r, int64_t now_ms)
 {
     const gv_sched_target_t *tgt = r->tgt;
     for (guint i = 0; i < tgt->runs->len; i++) {
         const gv_run_t *other = g_ptr_array_index(tgt->runs, i);
-        if (other != r && other->phase != GV_RUN_STORING) {
+        if (other != r && other->phase != GV_RUN_STORING &&
+            !GvSched_HasServed(other, now_ms)) {
             return false;
         }
     }
@@ -103,15 +114,6 @@
              all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX));
 }
 
-/* Returns true if a run of a long-running task has served for long enough, so
-   that it is not what crashes the target. */
-static bool
-has_served(const gv_run_t *r, int64_t now_ms)
-{
-    return r->active->long_running && r->percent >= 100 &&
-           r->started_ms != 0 && now_ms - r->started_ms >= GV_SCHED_SERVED_MS;
-}
-
 /* Returns true if the crash of its target came soon after the start of a run:
    its connections broke off then, or it has answered until now. If it fell
    silent instead, the time of the crash is not known. */
@@ -148,11 +150,11 @@
     const gv_sched_target_t *tgt = r->tgt;
     int64_t end_ms = tgt->silent_since_ms == 0 ? now_ms : tgt->silent_since_ms;
     if (r->phase == GV_RUN_STORING || r->crash_counted ||
-        has_served(r, end_ms) || GvJob_Ended(a->job)) {
+        GvSched_HasServed(r, end_ms) || GvJob_Ended(a->job)) {
         return;
     }
     bool soon = came_soon(r, now_ms);
-    bool alone = was_alone(r);
+    bool alone = was_alone(r, end_ms);
     r->crash_counted = true;
     t->target_started_ms = 0; /* a new leader must not count it again */
     if (soon) {
@@ -225,7 +227,7 @@
 GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     gv_task_t *t = &r->active->job->tasks[r->task];
-    if (all_crashes(t) == 0 || !has_served(r, now_ms)) {
+    if (all_crashes(t) == 0 || !GvSched_HasServed(r, now_ms)) {
         return;
     }
     t->crashes = 0;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -97,13 +97,41 @@
            !would_interfere(tgt, r->step);
 }
 
+/* Returns true if none of the runs on the target may crash it, so that a crash
+   soon after another start there has that one for its cause. */
+static bool
+all_served(const gv_sched_target_t *tgt, int64_t now_ms)
+{
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        if (!GvSched_HasServed(g_ptr_array_index(tgt->runs, i), now_ms)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns what a suspect adds to the score of a target: alone it proves most
+   and harms no other task, and it is rather beside suspects than beside tasks
+   whose crashes are not told from its own. */
+static double
+score_for_suspect(const gv_sched_target_t *tgt, int64_t now_ms)
+{
+    if (tgt->runs->len == 0) {
+        return 48;
+    }
+    if (all_served(tgt, now_ms)) {
+        return 32;
+    }
+    return tgt->n_isolated > 0 ? 16 : 0;
+}
+
 /* Returns the score of a target that may run a task; the highest is chosen. A
    rack that holds the task's data counts most, then a target other than the
    one where the task last failed, then the least free cpu, so that other
    targets stay empty. Tasks that use leftover cpu prefer the most free cpu. */
 static double
 score_target(const gv_sched_target_t *tgt, const gv_ready_step_t *r,
-             const gv_task_t *t, const gv_resources_t *free)
+             const gv_task_t *t, const gv_resources_t *free, int64_t now_ms)
 {
     double left = (double)free->cpu / (double)MAX(tgt->info.room.cpu, 1);
     double score = r->step->uses_leftover_cpu ? left : 1 - left;
@@ -119,10 +147,7 @@
     if (tgt->failures > 0) {
         score -= 2;
     }
-    if (t->suspect && tgt->n_isolated > 0) {
-        score += 16; /* rather beside suspects than beside other tasks */
-    }
-    return score;
+    return t->suspect ? score + score_for_suspect(tgt, now_ms) : score;
 }
 
 /* Returns true if a task may be beside what runs on the target: a suspect
@@ -188,7 +213,7 @@
             GvSched_UpdateSoon(s, tgt);
             continue;
         }
-        double score = score_target(tgt, r, t, &free);
+        double score = score_target(tgt, r, t, &free, now_ms);
         if (best == NULL || score > best_score ||
             (score == best_score && strcmp(tgt->id, best->id) < 0)) {
             best = tgt;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -224,6 +224,7 @@
 gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
 void GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt,
                           int64_t now_ms);
+bool GvSched_HasServed(const gv_run_t *r, int64_t now_ms);
 void GvSched_NoteStart(gv_sched_t *s, const gv_run_t *r);
 void GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_FailCrashers(gv_sched_t *s, int64_t now_ms);
