Scheduler: suspects do not share a target soon after their starts

Cause: a suspect that has found no empty target for 2.5 s, with most room free, started beside other suspects rather than anywhere else. These had waited for the same reason and were started in the same pass. Their target crashed under all of them, which proves nothing about any: the one that crashes targets went on, and others were counted with it.

Ruled out: more weight for crashes beside suspects. It fails sound jobs.

Beside suspects it starts after the long wait (10 s), as before, so that no task waits for ever.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -150,18 +150,34 @@
     return t->suspect ? score + score_for_suspect(tgt, now_ms) : score;
 }
 
-/* Returns true if a task may be beside what runs on the target: a suspect
-   alone or, if it may share, beside other suspects or beside none; another
-   task not beside suspects, and not where their target is being emptied. */
+/* Beside what a suspect may start. */
+typedef enum {
+    BESIDE_NONE,
+    BESIDE_OTHERS,  /* tasks that are not suspects */
+    BESIDE_SUSPECTS /* or suspects */
+} beside_t;
+
+/* Returns true if a task may be beside what runs on the target: a suspect as
+   `beside` says, but not beside both suspects and other tasks; another task
+   not beside suspects, and not where their target is being emptied. */
 static bool
-may_join(const gv_sched_target_t *tgt, const gv_task_t *t, bool share)
+may_join(const gv_sched_target_t *tgt, const gv_task_t *t, beside_t beside)
 {
     if (!t->suspect) {
         return tgt->n_isolated == 0 && !tgt->kept_empty;
     }
-    return tgt->runs->len == 0 ||
-           (share &&
-            (tgt->n_isolated == 0 || tgt->n_isolated == (int)tgt->runs->len));
+    if (tgt->runs->len == 0) {
+        return true;
+    }
+    switch (beside) {
+    case BESIDE_NONE:
+        return false;
+    case BESIDE_OTHERS:
+        return tgt->n_isolated == 0;
+    case BESIDE_SUSPECTS:
+        return tgt->n_isolated == 0 || tgt->n_isolated == (int)tgt->runs->len;
+    }
+    return false;
 }
 
 /* Returns true if most of a service's cpu is free. */
@@ -178,14 +194,19 @@
     return 2 * used < room;
 }
 
-/* Returns true if a suspect may share a target with other tasks, as it has
-   found no empty one for long. */
-static bool
+/* Returns beside what a suspect of the job may start: the longer it has found
+   no empty target, the more. Two suspects that start on one target prove
+   nothing about either when it crashes. */
+static beside_t
 may_share(const gv_active_job_t *a, int64_t now_ms)
 {
     int64_t waited = a->alone_since_ms == 0 ? 0 : now_ms - a->alone_since_ms;
-    return waited >= GV_SCHED_ALONE_WAIT_MAX_MS ||
-           (waited >= GV_SCHED_ALONE_WAIT_MS && is_mostly_free(a->service));
+    if (waited >= GV_SCHED_ALONE_WAIT_MAX_MS) {
+        return BESIDE_SUSPECTS;
+    }
+    return waited >= GV_SCHED_ALONE_WAIT_MS && is_mostly_free(a->service)
+               ? BESIDE_OTHERS
+               : BESIDE_NONE;
 }
 
 /* Returns the best target on which a task may start now, or NULL; for a
@@ -195,7 +216,8 @@
 choose_target(gv_sched_t *s, const gv_ready_step_t *r, const gv_task_t *t,
               int64_t now_ms)
 {
-    bool share = t->suspect && may_share(r->active, now_ms);
+    beside_t beside =
+        t->suspect ? may_share(r->active, now_ms) : BESIDE_OTHERS;
     const GPtrArray *targets = r->active->service->targets;
     gv_sched_target_t *best = NULL;
     double best_score = 0;
@@ -203,7 +225,7 @@
         gv_sched_target_t *tgt = g_ptr_array_index(targets, i);
         gv_resources_t free = tgt->info.room;
         GvResources_Subtract(&free, tgt->used);
-        if (!may_join(tgt, t, share) || !may_run(tgt, r, &free, now_ms) ||
+        if (!may_join(tgt, t, beside) || !may_run(tgt, r, &free, now_ms) ||
             (r->needs_advice && GvSched_FindTicket(s, r->active->job, r->first,
                                                    tgt->id, now_ms) == NULL)) {
             continue;
