Scheduler: a broken connection counts also if the target answers first after it

Cause: an answer of a target's new incarnation cleared when the connections of the one before had broken off, and only then counted its crash: by the time of the answer. A crash soon after a start was one at another time then, which makes no suspect and proves nothing, unless the records or the host list showed the restart before.

Change: the crash is counted first, then the silence ends.

--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -12,8 +12,27 @@
 GV_HISTOGRAM(first_start_ms, "job_first_start_ms",
              "From the acceptance of a job to its first confirmed start");
 
+/* Notes whether a target has answered. */
+static void
+note_silence(gv_sched_target_t *tgt, bool silent, bool broken, int64_t now_ms)
+{
+    if (!silent) {
+        tgt->silent_since_ms = 0;
+        tgt->broken_ms = 0;
+        return;
+    }
+    if (tgt->silent_since_ms == 0) {
+        tgt->silent_since_ms = now_ms;
+    }
+    if (broken && tgt->broken_ms == 0) {
+        tgt->broken_ms = now_ms;
+    }
+}
+
 /* Checks who answered, and takes the target's clock from the answer. Returns
-   false for an answer that must not be used any further. */
+   false for an answer that must not be used any further. If the incarnation
+   before has ended, its crash is counted by the time at which it fell silent.
+ */
 static bool
 apply_answer(gv_sched_t *s, gv_sched_target_t *tgt, const gv_order_answer_t *a,
              int64_t now_ms)
@@ -26,21 +45,12 @@
     }
     bool silent =
         a->result == GV_ORDER_NO_ANSWER || a->result == GV_ORDER_NOT_SENT;
-    if (!silent) {
-        tgt->silent_since_ms = 0;
-        tgt->broken_ms = 0;
-    }
-    else if (tgt->silent_since_ms == 0) {
-        tgt->silent_since_ms = now_ms;
-    }
-    if (silent && a->broken && tgt->broken_ms == 0) {
-        tgt->broken_ms = now_ms;
-    }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
         GvSched_DropTargetRuns(s, tgt, GvSched_LossOf(tgt),
                                "another target answers", now_ms);
+        note_silence(tgt, false, false, now_ms);
         tgt->synced = false;
         tgt->listed = false;
         return false;
@@ -50,6 +60,9 @@
     }
     if (restarted) {
         GvSched_HandleRestart(s, tgt, a->started_ms, now_ms);
+    }
+    note_silence(tgt, silent, a->broken, now_ms);
+    if (restarted) {
         return false;
     }
     if (a->started_ms != 0) {
