Scheduler: a restart that only the records show proves no crash by a task

Cause: the second crash soon after a start fails the job.

Ruled out: waiting for the answer. Nothing says that one comes.

Change: that proof also needs a connection that has broken off since the last answer. Other crashes count as before; the task is still a suspect.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -100,12 +100,13 @@
 /* Returns true if a task is to be given up after a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
    on the target; or there were too many crashes. Those of a long-running task
-   mostly come from others, unless it was alone. */
+   mostly come from others, unless it was alone. While no connection has broken
+   off, an answer that lists the end of the run may still arrive. */
 static bool
 is_proven(const gv_run_t *r, bool soon, bool alone)
 {
     const gv_task_t *t = &r->active->job->tasks[r->task];
-    if (soon && alone && t->crashes >= 2) {
+    if (soon && alone && t->crashes >= 2 && r->tgt->broken_ms != 0) {
         return true;
     }
     return (alone || !r->active->long_running) &&
