--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -64,6 +64,7 @@
         self.producers = {}  # (topic, part, producer) -> [epoch, seq, answers]
         # Reads of topics whose names end with this text get a 503.
         self.refused = ""
+        self.read_s = 0  # time that a read takes beside its wait
         # up; busy: every request gets a 503; silent: nothing is done and the
         # connection is closed after 3 s; lost: appends take effect, but the
         # connection is closed without a response.
@@ -88,6 +89,7 @@
         if self.refused and log_id[0].endswith(self.refused):
             return 503, b""
         if path == "/api/log-read":
+            time.sleep(self.read_s)
             return self.read(log_id, query)
         if path == "/api/log-newest":
             return self.newest(log_id)
--- /dev/null
+++ b/tests/proc_settings.py
@@ -0,0 +1,87 @@
+#!/usr/bin/env python3
+"""Settings on an entry host whose path to the store fails, with real
+processes. Guards against a host that goes on with old settings after the
+store serves it again, or beside kept connections that have become silent."""
+import sys
+import time
+
+from harness import call, pack, wait_until
+from proc_jobs import Fleet, HOST, run_scenarios
+from relay import Relay
+
+# The users' shortest bound from a change of the settings to its effect.
+APPLY_S = 2
+SETTINGS_READ = b"GET /api/log-read?topic=keyed.op&"
+
+
+class RelayedFleet(Fleet):
+    """A fleet with a relay between each daemon and the store. Each change of
+    the settings adds a queue."""
+
+    def __init__(self, build):
+        self.relays = {}
+        self.version = 3
+        super().__init__(build)
+
+    def store_addr(self, name):
+        return self.relays.setdefault(name, Relay(self.store.addr)).addr
+
+    def change_settings(self):
+        """Adds a queue and returns the path of its number of jobs."""
+        self.version += 1
+        queues = ["q"] + [f"q{n}" for n in range(4, self.version + 1)]
+        self.store.put("keyed.op", "config", pack({
+            "version": self.version,
+            "routes": [{"name": q, "host": HOST, "prefix": f"/{q}/",
+                        "service": "s", "attempts": 2, "sloMs": 600,
+                        "stretch": 1.6} for q in queues],
+            "services": [{"name": "s"}]}))
+        return f"/{queues[-1]}/"
+
+    def status(self, name, path):
+        return call(self.fronts[name], "GET", path,
+                    headers={"Host": HOST}).status
+
+    def check_applied(self, name, path):
+        begun = time.monotonic()
+        wait_until(lambda: self.status(name, path) == 200, 10, "new queue")
+        took = time.monotonic() - begun
+        assert took < APPLY_S, f"settings applied after {took:.2f} s"
+        print(f"    applied after {took:.2f} s")
+
+
+def silent_store(fleet):
+    """The store answers no read of one host for seconds. The host still waits
+    for the last of these when the store serves it again."""
+    relay = fleet.relays["host-1"]
+    relay.silence(b"GET /api/log-read")
+    time.sleep(5)
+    dropped = len(relay.dropped)
+    wait_until(lambda: any(r.startswith(SETTINGS_READ)
+                           for r in relay.dropped[dropped:]), 10,
+               "an unanswered read of the settings")
+    relay.silence(None)
+    fleet.check_applied("host-1", fleet.change_settings())
+
+
+def silent_connections(fleet):
+    """Reads were slow for a time, and later all connections that the host has
+    kept become silent."""
+    relay = fleet.relays["host-2"]
+    fleet.store.read_s = 0.8
+    wait_until(lambda: fleet.state("host-2", "f" * 16) == 410, 20,
+               "a slow read")
+    fleet.store.read_s = 0
+    time.sleep(2)
+    for _ in range(2):
+        relay.silence_open()
+        fleet.check_applied("host-2", fleet.change_settings())
+
+
+def main():
+    return run_scenarios(RelayedFleet(sys.argv[1]),
+                         (silent_store, silent_connections))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -20,6 +20,7 @@
         self.to_addr = (host, int(port))
         self.cut = False
         self.silenced = None  # first bytes of the requests of silence()
+        self.dropped = []  # first bytes of requests that were not passed on
         self.server = socket.create_server(("127.0.0.1", 0))
         self.addr = f"127.0.0.1:{self.server.getsockname()[1]}"
         self.sockets = []
@@ -62,6 +63,8 @@
                 pair["silent"] = True
                 if not data:
                     return
+                if source is not pair["far"]:
+                    self.dropped.append(data[:100])
                 continue
             if not data:
                 for s in (source, sink):
@@ -80,6 +83,11 @@
         connections that are silent stay so."""
         self.silenced = request
 
+    def silence_open(self):
+        """Makes all open connections silent; new ones work."""
+        for _, _, pair in self.sockets:
+            pair["silent"] = True
+
     def stop(self):
         self.server.close()
         for near, far, _ in self.sockets:
