--- a/tests/proc_settings.py
+++ b/tests/proc_settings.py
@@ -78,9 +78,27 @@
         fleet.check_applied("host-2", fleet.change_settings())
 
 
+def unknown_queue(fleet):
+    """A host that cannot read the settings says that a queue does not exist,
+    though it may have been added since."""
+    relay = fleet.relays["host-0"]
+    assert fleet.status("host-0", "/nowhere/") == 404
+    relay.silence(SETTINGS_READ)
+    wait_until(lambda: fleet.status("host-0", "/nowhere/") == 503, 6,
+               "a host without newer settings does not say 404")
+    path = fleet.change_settings()
+    for _ in range(20):
+        assert fleet.status("host-0", path) == 503
+        time.sleep(0.05)
+    assert fleet.status("host-0", "/q/") == 200
+    relay.silence(None)
+    fleet.check_applied("host-0", path)
+    assert fleet.status("host-0", "/nowhere/") == 404
+
+
 def main():
     return run_scenarios(RelayedFleet(sys.argv[1]),
-                         (silent_store, silent_connections))
+                         (silent_store, silent_connections, unknown_queue))
 
 
 if __name__ == "__main__":
