Scheduler: no planned stop while an earlier leader's stops may still follow

Cause: a stop takes up to 0.9 s on its target, which lists the run as live until then. A new leader reads such a list, counts the task as available, and stops another one of its step. Class: the view of a new leader does not hold the orders of the one before. Change: in its first 2 s, a leader with an earlier one stops nothing for planned work that limits how many may be unavailable.

--- a/src/limits.h
+++ b/src/limits.h
@@ -396,6 +396,9 @@
    within 1.5 s, and starts count against the smaller room 4.5 s after it has
    shrunk; this leaves an order one second to arrive. */
 #define GV_SCHED_RECORDS_MAX_AGE_MS 2000
+/* A stop by an earlier leader has ended its run by then: it was sent before the
+   claim, is answered within 0.7 s, and takes up to 0.9 s on the target. */
+#define GV_SCHED_STOP_SHOWS_MS 2000
 /* A long-running task that has served for so long does not crash its target:
    twenty times the time in which one that does is expected to. */
 #define GV_SCHED_SERVED_MS 2000
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -240,7 +240,7 @@
                      int64_t now_ms);
 void GvSched_ResetEnds(gv_sched_target_t *tgt);
 bool GvSched_IsSettling(const gv_sched_target_t *tgt);
-bool GvSched_MayStop(const gv_run_t *r, int64_t now_ms);
+bool GvSched_MayStop(const gv_sched_t *s, const gv_run_t *r, int64_t now_ms);
 bool GvSched_IsClockFresh(const gv_sched_target_t *tgt, int64_t now_ms);
 GHashTable *GvSched_NewAdvice(void);
 const char *GvSched_FindTicket(const gv_sched_t *s, const gv_job_t *job,
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -132,11 +132,19 @@
            now_ms - r->tgt->hold_answered_ms < GV_SCHED_LIST_MAX_AGE_MS;
 }
 
+/* Returns true if stops by an earlier leader may still end runs that are
+   listed as live. */
+static bool
+stops_may_follow(const gv_sched_t *s, int64_t now_ms)
+{
+    return s->o.epoch > 1 && now_ms - s->o.now_ms < GV_SCHED_STOP_SHOWS_MS;
+}
+
 /* Returns true if a run may be stopped by planned work, such as maintenance:
    with it, at most max_unavailable tasks of its step are not available, or
    there is no such limit. */
 bool
-GvSched_MayStop(const gv_run_t *r, int64_t now_ms)
+GvSched_MayStop(const gv_sched_t *s, const gv_run_t *r, int64_t now_ms)
 {
     const gv_active_job_t *a = r->active;
     const gv_step_t *step = GvJob_StepOf(a->job, r->task);
@@ -145,6 +153,9 @@
     if (step->max_unavailable == 0) {
         return true;
     }
+    if (stops_may_follow(s, now_ms)) {
+        return false;
+    }
     for (int i = first; i < first + step->count; i++) {
         away += i != r->task && !is_available(a->runs[i], now_ms) ? 1 : 0;
     }
@@ -167,7 +178,7 @@
     for (guint i = tgt->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         if (r->phase == GV_RUN_STOPPING ||
-            (r->active->long_running ? !GvSched_MayStop(r, now_ms)
+            (r->active->long_running ? !GvSched_MayStop(s, r, now_ms)
                                      : !short_too)) {
             continue;
         }
