--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,10 @@
 	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) -fsanitize=fuzzer $< $(READERS) \
 	    $(WHOLE) -o $@ $(LIBS)
 
+$(B)/tests/test_decode: tests/test_decode.c $(READERS) $(LIB) | $(B)/tests
+	$(CC) $(ALL_CFLAGS) $(ADAPTER_FLAGS) $< $(READERS) $(WHOLE) -o $@ \
+	    $(LIBS)
+
 # The example of an embedding program is built and run with the tests.
 $(B)/tests/test_embed: examples/embed.c $(LIB) | $(B)/tests
 	$(CC) $(ALL_CFLAGS) $< $(WHOLE) -o $@ $(LIBS)
--- /dev/null
+++ b/tests/test_decode.c
@@ -0,0 +1,134 @@
+#include <glib.h>
+
+#include "decode.h"
+#include "error.h"
+#include "pack.h"
+#include "platform_limits.h"
+#include "support.h"
+#include "wire.h"
+
+/* Entries of targets that another writer has left in the store. */
+
+/* A field whose value replaces the one of a valid entry: the text, or the
+   number if there is no text. */
+typedef struct {
+    const char *name;
+    gv_str_t text;
+    int64_t number;
+} field_t;
+
+static void
+put_text(msgpack_packer *pk, const char *name, const char *text,
+         const field_t *f)
+{
+    GvWire_PutStr(pk, name,
+                  g_strcmp0(f->name, name) == 0 ? f->text : GvStr_C(text));
+}
+
+static void
+put_number(msgpack_packer *pk, const char *name, int64_t number,
+           const field_t *f)
+{
+    GvWire_PutInt(pk, name,
+                  g_strcmp0(f->name, name) == 0 ? f->number : number);
+}
+
+/* Decodes an entry that is valid but for one field. */
+static int
+decode_with(gv_str_t id, const field_t *f)
+{
+    gv_target_info_t info;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 8);
+    put_text(&pk, "service", "s", f);
+    put_text(&pk, "addr", "10.0.0.1:8001", f);
+    put_text(&pk, "state", "draining", f);
+    put_text(&pk, "machine", "m-1", f);
+    put_number(&pk, "born", 1764000000000, f);
+    put_number(&pk, "remainingMs", 5000, f);
+    put_number(&pk, "warmupLeftMs", 0, f);
+    GvPack_Str(&pk, GV_STR("capacity"));
+    msgpack_pack_map(&pk, 3);
+    put_number(&pk, "cpu", 4000, f);
+    put_number(&pk, "memMb", 4000, f);
+    put_number(&pk, "gpu", 0, f);
+    int rc = GvDecode_Target(id, GvStr_N(sb.data, sb.size), &info);
+    if (rc == GV_OK) {
+        GvDecode_ClearTarget(&info);
+    }
+    msgpack_sbuffer_destroy(&sb);
+    return rc;
+}
+
+static int
+decode_text(const char *name, gv_str_t text)
+{
+    return decode_with(GV_STR("i-1"), &(field_t){name, text, 0});
+}
+
+/* Guards against calls to an address that is none: a name would be looked up,
+   and a port out of range or a line break ends in another request. */
+TEST("/decode/address", test_address)
+{
+    static const gv_str_t bad[] = {
+        GV_STR(""),
+        GV_STR("10.0.0.1"),
+        GV_STR("10.0.0.1:"),
+        GV_STR("10.0.0.1:0"),
+        GV_STR("10.0.0.1:65536"),
+        GV_STR("10.0.0.1:4294967377"),
+        GV_STR("10.0.0.1:-1"),
+        GV_STR("10.0.0.1: 80"),
+        GV_STR("10.0.0.1:80/api"),
+        GV_STR("10.0.0.1:80:80"),
+        GV_STR("10.0.0.1:80\r\nHost: a"),
+        GV_STR("10.0.0.1:80\0"),
+        GV_STR("10.0.0.256:80"),
+        GV_STR("10.0.1:80"),
+        GV_STR("target.example:80"),
+        GV_STR("user@10.0.0.1:80"),
+        GV_STR("[::1]:80"),
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpint(decode_text("addr", bad[i]), ==, GV_EINVAL);
+    }
+    ASSERT_OK(decode_text("addr", GV_STR("10.0.0.1:1")));
+    ASSERT_OK(decode_text("addr", GV_STR("255.255.255.255:65535")));
+}
+
+/* Guards against bytes that end the reader or are accepted: nesting that
+   exhausts a stack, announced sizes that are allocated, bytes that follow the
+   entry. */
+TEST("/decode/bytes", test_bytes)
+{
+    static const char *const heads[] = {"\x91", "\x81\xa1k", "\x81"};
+    static const gv_str_t bad[] = {
+        GV_STR(""),
+        GV_STR("\xc1"),
+        GV_STR("\xdd\xff\xff\xff\xff"),
+        GV_STR("\xdf\xff\xff\xff\xff"),
+        GV_STR("\xc6\xff\xff\xff\xff"),
+        GV_STR("\x80\x80"),
+    };
+    gv_target_info_t info;
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        GString *deep = g_string_new(NULL);
+        for (int n = 0; n < 100000; n++) {
+            g_string_append(deep, heads[i]);
+        }
+        g_string_append_len(deep, "\xc0", 1);
+        gv_str_t bytes = GvStr_N(deep->str, deep->len);
+        g_assert_cmpint(GvDecode_Target(GV_STR("i-1"), bytes, &info), ==,
+                        GV_EINVAL);
+        g_string_free(deep, TRUE);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpint(GvDecode_Target(GV_STR("i-1"), bad[i], &info), ==,
+                        GV_EINVAL);
+    }
+}
+
+TEST_MAIN
