Entries of targets: an identifier is printable and fits its buffers

Cause: identifiers of targets and hosts are used as C strings, in buffers and in the Expect-Instance header. An entry under the key "i-1\0x" replaced the address and state of target i-1, and its removal removed i-1; a key with a line break added a header to a hold; one over 110 bytes was cut in it. Test: build/tests/test_decode.

--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "decode.h"
 #include "error.h"
@@ -131,4 +132,28 @@
     }
 }
 
+/* Guards against an identifier that stands for that of another target or host
+   because it is cut at a zero byte or at the end of a buffer, and against one
+   that adds a header to an order. */
+TEST("/decode/id", test_id)
+{
+    char text[GV_TARGET_ID_BYTES + 1];
+    field_t valid = {0};
+    memset(text, 'a', sizeof text);
+    gv_str_t bad[] = {
+        GV_STR(""),    GV_STR("i-1\0x"), GV_STR("i-1\r\nA: b"),
+        GV_STR("i 1"), GV_STR("i-\xff"), GvStr_N(text, sizeof text),
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpint(decode_with(bad[i], &valid), ==, GV_EINVAL);
+        g_assert_false(GvDecode_IsId(bad[i]));
+        if (bad[i].n > 0) { /* an entry need not name a host */
+            g_assert_cmpint(decode_text("machine", bad[i]), ==, GV_EINVAL);
+        }
+    }
+    ASSERT_OK(decode_with(GvStr_N(text, GV_TARGET_ID_BYTES), &valid));
+    ASSERT_OK(decode_text("machine", GvStr_N(text, GV_TARGET_ID_BYTES)));
+    ASSERT_OK(decode_text("machine", GV_STR("")));
+}
+
 TEST_MAIN
