--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -156,4 +156,28 @@
     ASSERT_OK(decode_text("machine", GV_STR("")));
 }
 
+/* Guards against sums and products that overflow, and against a start in the
+   far future, after which no later start of the target would count. */
+TEST("/decode/numbers", test_numbers)
+{
+    static const struct {
+        const char *name;
+        int64_t max;
+    } fields[] = {
+        {"cpu", GV_TARGET_CPU_MAX_MILLICORES},
+        {"memMb", GV_TARGET_MEMORY_MAX_MB},
+        {"gpu", GV_TARGET_GPU_MAX},
+        {"born", GV_WALL_MAX_MS},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        const int64_t bad[] = {INT64_MIN, -1, fields[i].max + 1, INT64_MAX};
+        field_t f = {fields[i].name, GV_STR(""), fields[i].max};
+        ASSERT_OK(decode_with(GV_STR("i-1"), &f));
+        for (size_t k = 0; k < G_N_ELEMENTS(bad); k++) {
+            f.number = bad[k];
+            g_assert_cmpint(decode_with(GV_STR("i-1"), &f), ==, GV_EINVAL);
+        }
+    }
+}
+
 TEST_MAIN
