--- a/src/catalog.c
+++ b/src/catalog.c
@@ -23,6 +23,23 @@
     g_free(c);
 }
 
+/* Returns true if the settings name the service, by itself or in a route. */
+bool
+GvCatalog_HasService(const gv_catalog_t *c, gv_str_t service)
+{
+    for (int i = 0; i < c->n_services; i++) {
+        if (GvStr_Equal(c->services[i].name, service)) {
+            return true;
+        }
+    }
+    for (int i = 0; i < c->n_routes; i++) {
+        if (GvStr_Equal(c->routes[i].info.service, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Host names are compared without regard to upper and lower case. */
 static bool
 same_host(gv_str_t a, gv_str_t b)
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -21,6 +21,7 @@
 } gv_catalog_t;
 
 void GvCatalog_Free(gv_catalog_t *c);
+bool GvCatalog_HasService(const gv_catalog_t *c, gv_str_t service);
 const gv_route_t *GvCatalog_Match(const gv_catalog_t *c, gv_str_t host,
                                   gv_str_t path);
 
--- a/tests/proc_entries.py
+++ b/tests/proc_entries.py
@@ -5,9 +5,9 @@
 import sys
 import time
 
-from harness import wait_until
-from jobs_platform import serve
-from proc_jobs import Fleet, all_done, run_scenarios
+from harness import call, pack, unpack, wait_until
+from jobs_platform import Target, serve
+from proc_jobs import HOST, Fleet, all_done, run_scenarios
 
 LONGEST_KEY = 255  # bytes
 
@@ -20,12 +20,23 @@
         yield key.decode(errors="surrogateescape"), entry
 
 
+def odd_entries(fleet):
+    """Yields (key, entry) for entries that name no target. From the second
+    round on they claim the host of a target in turn, and a later start."""
+    n = fleet.rounds
+    valid = {**unpack(fleet.targets[n % 3].entry("s", fleet.trap)),
+             "born": int(time.time() * 1000) + 60000}
+    if n == 0:
+        valid["machine"] = "m-none"
+    yield f"odd-service-{n}", pack({**valid, "service": "other"})
+
+
 class OddFleet(Fleet):
     """A fleet whose store has odd entries from the start and returns the
     newest records one at a time. Nobody may call the address in them."""
 
     def __init__(self, build):
-        self.trap, self.calls = None, []
+        self.trap, self.calls, self.rounds = None, [], 0
         super().__init__(build, run_s=1.0)
 
     def trapped(self, *call):
@@ -42,6 +53,9 @@
     def put_all(self):
         for key, entry in odd_keys(self):
             self.store.put("keyed.servers", key, entry)
+        for key, entry in odd_entries(self):
+            self.store.put("keyed.servers", key, entry)
+        self.rounds += 1
 
     def check(self):
         super().check()
@@ -79,9 +93,32 @@
     run_jobs(fleet, 200)
 
 
+def service_named_later(fleet):
+    """Guards against an entry that is lost because its service was named
+    only after the entry had been read."""
+    target = Target("i-later", 0.2, fleet.history)
+    fleet.store.put("keyed.servers", target.name, target.entry("later"))
+    time.sleep(1)
+    assert not target.orders, target.orders
+    fleet.settings["version"] += 1
+    fleet.settings["services"].append({"name": "later"})
+    fleet.settings["routes"].append({
+        **fleet.settings["routes"][0], "name": "later", "prefix": "/later/",
+        "service": "later"})
+    fleet.store.put("keyed.op", "config", pack(fleet.settings))
+    wait_until(lambda: call(
+        fleet.fronts["host-0"], "POST", "/later/" + "a" * 16,
+        pack({"spec": "s", "steps": [{"count": 2, "cpu": 500, "memMb": 10}]}),
+        {"Host": HOST}).status == 200, 10, "the new queue")
+    wait_until(lambda: sum(what == "done" and name == target.name for
+                           _, what, name, *_ in list(fleet.history)) == 2,
+               10, "tasks of the new service done")
+
+
 def main():
     return run_scenarios(OddFleet(sys.argv[1]),
-                         (odd_from_start, odd_for_next_leader))
+                         (odd_from_start, odd_for_next_leader,
+                          service_named_later))
 
 
 if __name__ == "__main__":
--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -25,12 +25,13 @@
         self.history = []
         self.targets = [Target(f"i-{n}", run_s, self.history)
                         for n in range(targets)]
-        self.store.put("keyed.op", "config", pack({
+        self.settings = {
             "version": 3,
             "routes": [{"name": "q", "host": HOST, "prefix": "/q/",
                         "service": "s", "attempts": 2, "sloMs": 600,
                         "stretch": 1.6}],
-            "services": [{"name": "s"}]}))
+            "services": [{"name": "s"}]}
+        self.store.put("keyed.op", "config", pack(self.settings))
         for target in self.targets:
             self.store.put("keyed.servers", target.name, target.entry("s"))
         # Readers must skip a record that they can't parse.
