Scheduler: a target replaces the one before it on its host once it answers

Cause: an entry that claimed a host, with a later start, ended the runs of the target there at once: their tasks were started again elsewhere, those runs were stopped as strays, and the target got no more tasks. Nothing showed that the entry's target existed. Ruled out: refusing starts in the future. The start of another life of the same host is as late, and clocks differ. Change: the claim counts from the first hold that the target has answered. A hold is answered only by the target of that identifier. A new target gets its first hold in the turn in which its entry is read, so that the runs of the one before are still dropped after one round trip. Conclusion: an entry alone ends no run.

--- a/src/sched.c
+++ b/src/sched.c
@@ -237,11 +237,12 @@
 }
 
 /* Notes that a target is the newest one of its host. The one before has then
-   ended, and its runs with it. */
-static void
-replace_on_host(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+   ended, and its runs with it. Does nothing until the target has answered: its
+   entry alone may come from another writer. */
+void
+GvSched_ReplaceOnHost(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    if (tgt->info.host.n == 0) {
+    if (tgt->info.host.n == 0 || !tgt->listed || tgt->hold_answered_ms == 0) {
         return;
     }
     gv_sched_target_t *other =
@@ -290,7 +291,7 @@
     clear_info(&tgt->info);
     tgt->info = copy;
     tgt->listed = true;
-    replace_on_host(s, tgt, now_ms);
+    GvSched_ReplaceOnHost(s, tgt, now_ms);
     GvSched_AssignTarget(s, tgt);
     GvSched_UpdateSoon(s, tgt);
     tgt->first_listed_ms =
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -350,6 +350,7 @@
     }
     tgt->hold_failures = 0;
     tgt->hold_answered_ms = now_ms;
+    GvSched_ReplaceOnHost(s, tgt, now_ms);
     tgt->synced = true;
     tgt->clock_needed = false;
     tgt->hold_next_ms = now_ms;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -140,11 +140,11 @@
     int64_t wall_ms;
     int64_t records_read_ms; /* see GvSched_SetRecordsRead */
     GHashTable *targets;     /* interned id -> gv_sched_target_t * */
-    GHashTable
-        *by_host;       /* host -> its newest gv_sched_target_t *, not owned */
-    GHashTable *jobs;   /* gv_str_t * -> gv_active_job_t * */
-    GHashTable *queues; /* name -> gv_queue_info_t * */
-    GHashTable *services;       /* gv_str_t * -> gv_sched_service_t * */
+    GHashTable *by_host;  /* host -> newest gv_sched_target_t * on it that has
+                             answered, not owned */
+    GHashTable *jobs;     /* gv_str_t * -> gv_active_job_t * */
+    GHashTable *queues;   /* name -> gv_queue_info_t * */
+    GHashTable *services; /* gv_str_t * -> gv_sched_service_t * */
     GPtrArray *due_targets;     /* to be updated: an event has changed them */
     GPtrArray *ended_targets;   /* ends were applied since the newest batch */
     GPtrArray *batched_targets; /* ends are in the present batch */
@@ -176,6 +176,8 @@
     int64_t deadline_ms; /* when the job has to end, wall clock */
 } gv_ready_step_t;
 
+void GvSched_ReplaceOnHost(gv_sched_t *s, gv_sched_target_t *tgt,
+                           int64_t now_ms);
 gv_sched_target_t *GvSched_FindTarget(const gv_sched_t *s, const char *id);
 gv_active_job_t *GvSched_FindJob(const gv_sched_t *s, gv_str_t id);
 gv_str_t GvSched_ServiceOf(const gv_sched_t *s, const gv_job_t *job);
