--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -180,4 +180,70 @@
     }
 }
 
+/* Packs a row of the list of ended runs, decodes it and sets *out. */
+static bool
+decode_ended(int64_t number, int64_t run, gv_ended_t *out)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk = GvPack_Array(&sb, 5);
+    GvPack_Int(&pk, number);
+    GvPack_Str(&pk, GV_STR("00000000000000a1.0.0.0"));
+    GvPack_Int(&pk, run);
+    GvPack_Str(&pk, GV_STR("done"));
+    GvPack_Str(&pk, GV_STR(""));
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    bool ok = GvDecode_Ended(&un.data, out);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Packs a row of the list of runs, decodes it and sets *out. */
+static bool
+decode_running(int64_t run, int64_t percent, gv_running_t *out)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk = GvPack_Array(&sb, 4);
+    GvPack_Str(&pk, GV_STR("00000000000000a1.0.0.0"));
+    GvPack_Int(&pk, run);
+    GvPack_Str(&pk, GV_STR(""));
+    GvPack_Int(&pk, percent);
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    bool ok = GvDecode_Running(&un.data, out);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Guards against a run that is taken for another one because its number is cut
+   to 32 bits, and against an end with a negative number: all later ends of the
+   target would count as known, and their tasks would never be done. */
+TEST("/decode/rows", test_rows)
+{
+    static const int64_t bad_runs[] = {INT64_MIN, -1, 0, INT64_C(0x100000001),
+                                       INT64_MAX};
+    static const int64_t bad_ends[] = {INT64_MIN, -1, 0,
+                                       GV_TARGET_ENDS_MAX + 1, INT64_MAX};
+    gv_running_t r = {0};
+    gv_ended_t e = {0};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_runs); i++) {
+        g_assert_false(decode_running(bad_runs[i], 50, &r));
+        g_assert_false(decode_ended(1, bad_runs[i], &e));
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_ends); i++) {
+        g_assert_false(decode_ended(bad_ends[i], 1, &e));
+    }
+    g_assert_true(decode_running(UINT32_MAX, INT64_MAX, &r));
+    g_assert_cmpuint(r.run, ==, UINT32_MAX);
+    g_assert_cmpint(r.percent, ==, 100);
+    g_assert_true(decode_running(1, INT64_MIN, &r));
+    g_assert_cmpint(r.percent, ==, 0);
+    g_assert_true(decode_ended(GV_TARGET_ENDS_MAX, 1, &e));
+    g_assert_cmpuint(e.number, ==, GV_TARGET_ENDS_MAX);
+}
+
 TEST_MAIN
