Answers of targets: clock and start are checked for their range

Cause: the difference of a clock near 2^63 to that of this host overflows, and after an answer with a start in the far future every later answer of the target counts as one of an earlier incarnation. Test: build/tests/test_decode. Conclusion: such an answer changes nothing.

--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -246,4 +246,45 @@
     g_assert_cmpuint(e.number, ==, GV_TARGET_ENDS_MAX);
 }
 
+/* Decodes the times of an answer with these two. */
+static bool
+decode_times(int64_t clock_ms, int64_t started_ms, gv_order_answer_t *a)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 2);
+    GvWire_PutInt(&pk, "clockMs", clock_ms);
+    GvWire_PutInt(&pk, "born", started_ms);
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    gv_wire_t w = GvWire_Map(&un.data);
+    bool ok = GvDecode_Times(&w, a);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Guards against a clock whose difference to that of this host overflows, and
+   against a start after which no true answer of the target counts. */
+TEST("/decode/times", test_times)
+{
+    static const int64_t clocks[] = {INT64_MIN, -1, GV_TARGET_CLOCK_MAX_MS + 1,
+                                     INT64_MAX};
+    static const int64_t starts[] = {INT64_MIN, -1, GV_WALL_MAX_MS + 1,
+                                     INT64_MAX};
+    gv_order_answer_t a = {.result = GV_ORDER_DONE};
+    for (size_t i = 0; i < G_N_ELEMENTS(clocks); i++) {
+        g_assert_false(decode_times(clocks[i], 1, &a));
+        g_assert_false(decode_times(1, starts[i], &a));
+        g_assert_cmpint(a.clock_ms, ==, 0);
+        g_assert_cmpint(a.started_ms, ==, 0);
+    }
+    g_assert_true(decode_times(GV_TARGET_CLOCK_MAX_MS, GV_WALL_MAX_MS, &a));
+    g_assert_cmpint(a.clock_ms, ==, GV_TARGET_CLOCK_MAX_MS);
+    g_assert_cmpint(a.started_ms, ==, GV_WALL_MAX_MS);
+    g_assert_cmpint(a.result, ==, GV_ORDER_DONE);
+}
+
 TEST_MAIN
