List of hosts: identifiers and sizes are checked for their range

Cause: an identifier with a zero byte or of over 63 bytes was cut and stood for another host; the plan of moves multiplies the size of a host. Test: build/tests/test_decode. Conclusion: such an entry says nothing about another host.

--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -287,4 +287,50 @@
     g_assert_cmpint(a.result, ==, GV_ORDER_DONE);
 }
 
+/* Decodes a listed host that is valid but for one field. */
+static bool
+decode_host(const char *name, gv_str_t text, int64_t number)
+{
+    field_t f = {name, text, number};
+    gv_host_info_t h = {0};
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 5);
+    put_text(&pk, "machine", "m-1", &f);
+    put_text(&pk, "pool", "s", &f);
+    put_text(&pk, "state", "up", &f);
+    put_text(&pk, "id", "i-1", &f);
+    GvPack_Str(&pk, GV_STR("capacity"));
+    msgpack_pack_map(&pk, 1);
+    put_number(&pk, "cpu", 4000, &f);
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    bool ok = GvDecode_Host(&un.data, &h);
+    GvStr_Free(&h.id);
+    GvStr_Free(&h.pool);
+    GvStr_Free(&h.target);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Guards against a listed host that stands for another one because its
+   identifier is cut, and against a size for which the sums of the plan of
+   moves overflow. */
+TEST("/decode/host", test_host)
+{
+    gv_str_t none = GV_STR("");
+    g_assert_true(decode_host("", none, 0));
+    g_assert_true(decode_host("id", none, 0));
+    g_assert_true(decode_host("cpu", none, GV_TARGET_CPU_MAX_MILLICORES));
+    g_assert_false(decode_host("machine", GV_STR("m-1\0x"), 0));
+    g_assert_false(decode_host("id", GV_STR("i-1\0x"), 0));
+    g_assert_false(decode_host("state", GV_STR("asleep"), 0));
+    g_assert_false(decode_host("cpu", none, -1));
+    g_assert_false(decode_host("cpu", none, GV_TARGET_CPU_MAX_MILLICORES + 1));
+    g_assert_false(decode_host("cpu", none, INT64_MAX));
+}
+
 TEST_MAIN
