Wave requests: number and limits are checked for their range

Cause: "wave/x" was taken as wave 0 and "wave/" as wave 1, whose state was reported; a cap of 2^32 + 100 became 100, and a duration of 1e300 s is undefined as an integer. Test: build/tests/test_decode. Conclusion: only a request within its limits starts a wave.

--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "decode.h"
@@ -333,4 +334,53 @@
     g_assert_false(decode_host("cpu", none, INT64_MAX));
 }
 
+/* Decodes the limits of a wave with these figures. */
+static bool
+decode_wave(double duration_s, int64_t cap, gv_wave_limits_t *l)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 2);
+    GvPack_Str(&pk, GV_STR("durationS"));
+    msgpack_pack_double(&pk, duration_s);
+    GvWire_PutInt(&pk, "cap", cap);
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    gv_wire_t w = GvWire_Map(&un.data);
+    bool ok = GvDecode_WaveLimits(&w, l);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Guards against a wave under a number that the operator has not given, whose
+   state would be reported, and against limits that are cut to a few bits: more
+   hosts than allowed would be in maintenance at once. */
+TEST("/decode/wave", test_wave)
+{
+    static const gv_str_t bad[] = {
+        GV_STR("wave/"),    GV_STR("wave/x"),   GV_STR("wave/1x"),
+        GV_STR("wave/1\0"), GV_STR("wave/-1"),  GV_STR("wave/ 1"),
+        GV_STR("wave/0"),   GV_STR("wave/1/2"), GV_STR("wave/4294967297"),
+        GV_STR("config")};
+    gv_wave_limits_t l;
+    int number = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_false(GvDecode_WaveNumber(bad[i], &number));
+    }
+    g_assert_true(GvDecode_WaveNumber(GV_STR("wave/17"), &number));
+    g_assert_cmpint(number, ==, 17);
+    g_assert_false(decode_wave(-1, 1, &l));
+    g_assert_false(decode_wave(1e300, 1, &l));
+    g_assert_false(decode_wave(INFINITY, 1, &l));
+    g_assert_false(decode_wave(60, -1, &l));
+    g_assert_false(decode_wave(60, 0, &l));
+    g_assert_false(decode_wave(60, INT64_C(0x100000064), &l));
+    g_assert_true(decode_wave(60.5, 3, &l));
+    g_assert_cmpint(l.duration_ms, ==, 60500);
+    g_assert_cmpint(l.cap, ==, 3);
+}
+
 TEST_MAIN
