List of hosts: an answer without a list does not empty the fleet

Cause: an answer with status 200 whose body was another type, or had none or another type of list, counted as an empty list: every host had "left the fleet", and waves do not wait for hosts that have. Test: tests/proc_entries.py, odd_host_lists, with the interface to hosts beside the odd entries. Conclusion: an unreadable list says nothing about hosts.

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -343,6 +343,8 @@
         self.states = {host: "up" for host in self.targets}
         self.done = set()  # (host, wave)
         self.maintained = []  # (host, fence), in the order of the calls
+        self.odd_list = None  # body of all lists instead of the hosts
+        self.lists = 0
         for host, target in self.targets.items():
             target.on_crash = lambda h=host: self.crash(h)
         self.server, self.addr = serve(self.handle)
@@ -350,6 +352,9 @@
     def handle(self, method, path, query, headers, body):
         with self.lock:
             if path == "/api/machines":
+                self.lists += 1
+                if self.odd_list is not None:
+                    return 200, self.odd_list
                 return 200, pack({"machines": [
                     {"machine": host, "pool": "s", "state": state,
                      "id": self.targets[host].name if state == "up" else "",
--- a/tests/proc_entries.py
+++ b/tests/proc_entries.py
@@ -6,7 +6,7 @@
 import time
 
 from harness import call, pack, unpack, wait_until
-from jobs_platform import Target, serve
+from jobs_platform import HostApi, Target, serve
 from proc_jobs import HOST, Fleet, all_done, run_scenarios
 
 LONGEST_KEY = 255  # bytes
@@ -46,6 +46,8 @@
     def store_addr(self, name):
         if self.trap is None:
             self.trap = serve(self.trapped)[1]
+            self.api = HostApi(self.store, self.targets)
+            self.more_conf = f"hosts_api: {self.api.addr}\n"
             self.store.page = 1
             self.put_all()
         return self.store.addr
@@ -115,10 +117,24 @@
                10, "tasks of the new service done")
 
 
+def odd_host_lists(fleet):
+    """Guards against hosts that are taken to have left the fleet because a
+    list of them can't be read."""
+    wait_until(lambda: fleet.api.lists > 0, 10, "a list")
+    for odd in (pack([]), pack({}), pack({"machines": 5}), b"\x91" * 100000, b""):
+        seen = fleet.api.lists
+        fleet.api.odd_list = odd
+        wait_until(lambda: fleet.api.lists > seen + 1, 20, "two more lists")
+    fleet.api.odd_list = None
+    left = [line for text in fleet.procs.logs().values()
+            for line in text.split("\n") if "left the fleet" in line]
+    assert not left, left
+
+
 def main():
     return run_scenarios(OddFleet(sys.argv[1]),
                          (odd_from_start, odd_for_next_leader,
-                          service_named_later))
+                          service_named_later, odd_host_lists))
 
 
 if __name__ == "__main__":
