--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -5,11 +5,13 @@
 #include "decode.h"
 #include "error.h"
 #include "pack.h"
+#include "pages.h"
 #include "platform_limits.h"
 #include "support.h"
 #include "wire.h"
 
-/* Entries of targets that another writer has left in the store. */
+/* Messages of the platform, with what other writers may have left in its
+   store. */
 
 /* A field whose value replaces the one of a valid entry: the text, or the
    number if there is no text. */
@@ -383,4 +385,29 @@
     g_assert_cmpint(l.cap, ==, 3);
 }
 
+/* Guards against a list whose pages are read without end because a key is cut
+   in the request for the next page or returned otherwise than written. */
+TEST("/decode/pages", test_pages)
+{
+    gv_pages_t p;
+    GvPages_Init(&p);
+    g_assert_null(GvPages_EscapeLast(&p));
+    g_assert_false(GvPages_EndPage(&p)); /* without an item */
+    GvPages_SetLast(&p, GV_STR("a\0b"));
+    GvPages_SetLast(&p, GV_STR(""));
+    char *text = GvPages_EscapeLast(&p);
+    g_assert_cmpstr(text, ==, "a%00b");
+    g_free(text);
+    g_assert_true(GvPages_EndPage(&p));
+    GvPages_SetLast(&p, GV_STR("a"));
+    g_assert_true(GvPages_EndPage(&p));
+    GvPages_SetLast(&p, GV_STR("a\0b"));
+    g_assert_false(GvPages_EndPage(&p));
+    GvPages_Clear(&p);
+    g_assert_null(GvPages_EscapeLast(&p));
+    GvPages_SetLast(&p, GV_STR("a"));
+    g_assert_true(GvPages_EndPage(&p));
+    GvPages_Free(&p);
+}
+
 TEST_MAIN
