Test: more kinds of odd entries beside targets

Cause: proc_entries had odd keys and unnamed services only. Change: entries that are deeply nested, cut off, of another type, out of range or with an address that is none, each with the host of a target and a later start.

--- a/tests/proc_entries.py
+++ b/tests/proc_entries.py
@@ -28,7 +28,30 @@
              "born": int(time.time() * 1000) + 60000}
     if n == 0:
         valid["machine"] = "m-none"
-    yield f"odd-service-{n}", pack({**valid, "service": "other"})
+    odd = {
+        f"service-{n}": {"service": "other"},
+        "port": {"addr": fleet.trap.split(":")[0] + ":65536"},
+        "port-0": {"addr": fleet.trap.split(":")[0] + ":0"},
+        "name": {"addr": "target.example:80"},
+        "line": {"addr": fleet.trap + "\r\nA: b"},
+        "state": {"state": "asleep"},
+        "state-type": {"state": 1},
+        "cpu": {"capacity": {"cpu": 1 << 63, "memMb": 4000}},
+        "memory": {"capacity": {"cpu": 4000, "memMb": -1 << 63}},
+        "room-type": {"capacity": [4000, 4000]},
+        "no-service": {"service": ""},
+        "labels": {"labels": {"a": "r1-1"}},
+        "born": {"born": (1 << 63) - 1},
+        "born-type": {"born": "later"},
+        "host": {"machine": valid["machine"] + "\0x"},
+    }
+    for name, fields in odd.items():
+        yield f"odd-{name}", pack({**valid, **fields})
+    for head in (b"\x91", b"\x81\xa1k"):
+        yield f"odd-nested-{len(head)}", head * 50000 + b"\xc0"
+    yield "odd-size", b"\xdd\xff\xff\xff\xff"
+    yield "odd-cut", pack(valid)[:-3]
+    yield "odd-list", pack([valid])
 
 
 class OddFleet(Fleet):
