--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -410,4 +410,55 @@
     GvPages_Free(&p);
 }
 
+/* Decodes a job that is valid but for one field. */
+static int
+decode_job(const char *name, int64_t number)
+{
+    field_t f = {name, GV_STR(""), number};
+    gv_job_t *job = NULL;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 5);
+    GvWire_PutStr(&pk, "spec", GV_STR("s"));
+    put_number(&pk, "times", 2, &f);
+    put_number(&pk, "firstMs", 1764000000000, &f);
+    put_number(&pk, "intervalMs", 60000, &f);
+    GvPack_Str(&pk, GV_STR("steps"));
+    msgpack_pack_array(&pk, 1);
+    msgpack_pack_map(&pk, 8);
+    put_number(&pk, "count", 1, &f);
+    put_number(&pk, "cpu", 500, &f);
+    put_number(&pk, "memMb", 100, &f);
+    put_number(&pk, "gpu", 0, &f);
+    put_number(&pk, "estimateMs", 900, &f);
+    put_number(&pk, "maxPerServer", 0, &f);
+    put_number(&pk, "maxUnavailable", 0, &f);
+    put_number(&pk, "goalMs", 0, &f);
+    int rc = GvDecode_Job(GvStr_N(sb.data, sb.size), &job);
+    GvJob_Free(job);
+    msgpack_sbuffer_destroy(&sb);
+    return rc;
+}
+
+/* Guards against a job that is accepted with another number than its caller
+   gave, as it is cut to 32 bits, and against due times that overflow. */
+TEST("/decode/job", test_job)
+{
+    static const char *const fields[] = {
+        "firstMs",        "intervalMs", "count",      "cpu",
+        "memMb",          "gpu",        "estimateMs", "maxPerServer",
+        "maxUnavailable", "goalMs",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        ASSERT_OK(decode_job(fields[i], 1));
+        g_assert_cmpint(decode_job(fields[i], -1), ==, GV_EINVAL);
+        g_assert_cmpint(decode_job(fields[i], INT64_MAX), ==, GV_EINVAL);
+        g_assert_cmpint(decode_job(fields[i], INT64_MIN), ==, GV_EINVAL);
+    }
+    g_assert_cmpint(decode_job("count", INT64_C(0x100000001)), ==, GV_EINVAL);
+    g_assert_cmpint(decode_job("goalMs", INT64_C(0x100000001)), ==, GV_EINVAL);
+}
+
 TEST_MAIN
