Job records: progress with two states of one task is refused

Cause: a row for a task that the bitmap names as done, or a second row of one task, was accepted: the count of done tasks no longer matched them, so that a job could count as done while a task had not run, and the saved state of the first row leaked. Change: such a record is malformed and leaves the job as it was. This program writes none. Test: build/tests/test_jobs. Before: /jobs/contradicting-progress failed, GV_OK instead of GV_EINVAL. Conclusion: the count of done tasks always matches their states.

--- a/src/job_record.c
+++ b/src/job_record.c
@@ -238,6 +238,7 @@
     job->n_done = 0;
 }
 
+/* Reads the row of a task that is not done and had no row yet. */
 static void
 read_task(gv_unpack_t *rows, gv_job_t *job)
 {
@@ -248,6 +249,10 @@
         return;
     }
     gv_task_t *t = &job->tasks[i];
+    if (t->state != GV_TASK_WAITING || t->run != 0) {
+        rows->err = GV_EINVAL;
+        return;
+    }
     uint64_t state = GvUnpack_Uint(&f);
     t->run = (uint32_t)GvUnpack_Uint(&f);
     t->failures = (int)GvUnpack_Int(&f);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -4,6 +4,7 @@
 #include "job_record.h"
 #include "job_table.h"
 #include "limits.h"
+#include "pack.h"
 #include "support.h"
 
 /* Records of jobs and waves that are malformed or arrive out of order. */
@@ -84,6 +85,47 @@
     GvJobTable_Free(t);
 }
 
+/* Reads progress in which the first task is done or not, with a row for each
+   of these two tasks. */
+static int
+read_rows(gv_job_t *j, bool first_done, int a, int b)
+{
+    const int tasks[] = {a, b};
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk = GvPack_Array(&sb, 5);
+    GvPack_Uint(&pk, 1); /* format */
+    GvPack_Uint(&pk, 0); /* flags */
+    GvPack_Int(&pk, 0);  /* end */
+    GvPack_Bin(&pk, first_done ? GV_STR("\x01") : GV_STR("\0"));
+    msgpack_pack_array(&pk, 2);
+    for (int i = 0; i < 2; i++) {
+        msgpack_pack_array(&pk, 6);
+        GvPack_Int(&pk, tasks[i]);
+        GvPack_Uint(&pk, GV_TASK_PLACED);
+        GvPack_Uint(&pk, 2);
+        GvPack_Int(&pk, 0);
+        GvPack_Str(&pk, GV_STR("i-1"));
+        GvPack_Str(&pk, GV_STR("saved"));
+    }
+    int rc = GvJobRecord_ReadProgress(GvStr_N(sb.data, sb.size), j);
+    msgpack_sbuffer_destroy(&sb);
+    return rc;
+}
+
+/* Guards against progress with two states of one task: a job would count as
+   done while one of its tasks has not run. */
+TEST("/jobs/contradicting-progress", test_contradiction)
+{
+    gv_job_t *j = new_job();
+    g_assert_cmpint(read_rows(j, true, 0, 1), ==, GV_EINVAL);
+    g_assert_cmpint(read_rows(j, false, 1, 1), ==, GV_EINVAL);
+    g_assert_cmpint(j->n_done, ==, 0);
+    ASSERT_OK(read_rows(j, false, 0, 1));
+    g_assert_cmpuint(j->tasks[1].run, ==, 2);
+    GvJob_Free(j);
+}
+
 /* Guards against an older record of a wave, read again after the newest one,
    that makes a new leader maintain hosts a second time. */
 TEST("/jobs/older-wave-record", test_older_wave)
