--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -33,7 +33,8 @@
             n = int(self.headers.get("Content-Length", 0))
             body = self.rfile.read(n)
             url = urllib.parse.urlsplit(self.path)
-            query = dict(urllib.parse.parse_qsl(url.query))
+            query = dict(urllib.parse.parse_qsl(url.query,
+                                                errors="surrogateescape"))
             answer = handle(self.command, url.path, query, self.headers, body)
             if answer is None:
                 self.close_connection = True
@@ -54,6 +55,10 @@
     return server, f"{host}:{port}"
 
 
+def key_bytes(key):
+    return key.encode(errors="surrogateescape")
+
+
 class Store:
     """The platform's log; each record has a key. An append with a producer's
     epoch and sequence number takes effect once."""
@@ -69,6 +74,7 @@
         # connection is closed after 3 s; lost: appends take effect, but the
         # connection is closed without a response.
         self.mode = "up"
+        self.page = 500  # items of a page of the newest records
         self.server, self.addr = serve(self.handle)
 
     def put(self, topic, key, value):
@@ -92,7 +98,7 @@
             time.sleep(self.read_s)
             return self.read(log_id, query)
         if path == "/api/log-newest":
-            return self.newest(log_id)
+            return self.newest(log_id, query)
         return 404, b""
 
     @staticmethod
@@ -103,7 +109,8 @@
             n = struct.unpack_from(">I", body, at)[0]
             record = body[at + 4:at + 4 + n]
             at += 4 + n
-            yield (record[1:1 + record[0]].decode(), record[1 + record[0]:])
+            yield (record[1:1 + record[0]].decode(errors="surrogateescape"),
+                   record[1 + record[0]:])
 
     def append(self, log_id, query, body):
         with self.lock:
@@ -141,19 +148,24 @@
             log = self.parts[log_id]
             out = struct.pack(">QQ", len(log), 0)
             for key, value in log[start:]:
-                record = bytes([len(key)]) + key.encode() + value
+                raw = key_bytes(key)
+                record = bytes([len(raw)]) + raw + value
                 out += struct.pack(">I", len(record)) + record
             return 200, out
 
-    def newest(self, log_id):
-        """Returns the newest record of each key, without deleted ones."""
+    def newest(self, log_id, query):
+        """Returns a page of the newest records of each key, without deleted
+        ones."""
+        after = key_bytes(query.get("dependsOn", ""))
         with self.lock:
-            newest = {key: (i, value)
+            newest = {key_bytes(key): (i, value)
                       for i, (key, value) in enumerate(self.parts[log_id])}
             items = [{"key": key, "value": base64.b64encode(value).decode(),
                       "offset": i}
-                     for key, (i, value) in sorted(newest.items()) if value]
-            return 200, pack({"items": items, "hasMore": False,
+                     for key, (i, value) in sorted(newest.items())
+                     if value and key > after]
+            return 200, pack({"items": items[:self.page],
+                              "hasMore": len(items) > self.page,
                               "end": len(self.parts[log_id])})
 
 
@@ -333,6 +345,8 @@
         self.states = {host: "up" for host in self.targets}
         self.done = set()  # (host, wave)
         self.maintained = []  # (host, fence), in the order of the calls
+        self.odd_list = None  # body of all lists instead of the hosts
+        self.lists = 0
         for host, target in self.targets.items():
             target.on_crash = lambda h=host: self.crash(h)
         self.server, self.addr = serve(self.handle)
@@ -340,6 +354,9 @@
     def handle(self, method, path, query, headers, body):
         with self.lock:
             if path == "/api/machines":
+                self.lists += 1
+                if self.odd_list is not None:
+                    return 200, self.odd_list
                 return 200, pack({"machines": [
                     {"machine": host, "pool": "s", "state": state,
                      "id": self.targets[host].name if state == "up" else "",
