Settings: several large versions are read in parts

Cause: the host had missed three versions of 1,579 routes each, about 240 KB. All of them were asked for at once. On a link of 10 Mbit/s that the reads of twelve other partitions share, the response takes longer than the time-out of the read, which then begins at its start again.

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -147,9 +147,12 @@
                     break
             log = self.parts[log_id]
             out = struct.pack(">QQ", len(log), 0)
+            most = int(query.get("maxKb", 1024)) * 1024
             for key, value in log[start:]:
                 raw = key_bytes(key)
                 record = bytes([len(raw)]) + raw + value
+                if len(out) > 16 and len(out) + len(record) > most:
+                    break
                 out += struct.pack(">I", len(record)) + record
             return 200, out
 
--- a/tests/proc_settings.py
+++ b/tests/proc_settings.py
@@ -11,6 +11,9 @@
 
 # The users' shortest bound from a change of the settings to its effect.
 APPLY_S = 2
+# The users' shortest time after which a host that the store serves again is
+# held to its bounds.
+CONTACT_S = 3
 SETTINGS_READ = b"GET /api/log-read?topic=keyed.op&"
 
 
@@ -26,8 +29,9 @@
     def store_addr(self, name):
         return self.relays.setdefault(name, Relay(self.store.addr)).addr
 
-    def change_settings(self):
-        """Adds a queue and returns the path of its number of jobs."""
+    def change_settings(self, filler=b""):
+        """Adds a queue and returns the path of its number of jobs. The filler
+        makes the settings larger."""
         self.version += 1
         queues = ["q"] + [f"q{n}" for n in range(4, self.version + 1)]
         self.store.put("keyed.op", "config", pack({
@@ -35,18 +39,18 @@
             "routes": [{"name": q, "host": HOST, "prefix": f"/{q}/",
                         "service": "s", "attempts": 2, "sloMs": 600,
                         "stretch": 1.6} for q in queues],
-            "services": [{"name": "s"}]}))
+            "services": [{"name": "s"}], "filler": filler}))
         return f"/{queues[-1]}/"
 
     def status(self, name, path):
         return call(self.fronts[name], "GET", path,
                     headers={"Host": HOST}).status
 
-    def check_applied(self, name, path):
+    def check_applied(self, name, path, bound_s=APPLY_S):
         begun = time.monotonic()
         wait_until(lambda: self.status(name, path) == 200, 10, "new queue")
         took = time.monotonic() - begun
-        assert took < APPLY_S, f"settings applied after {took:.2f} s"
+        assert took < bound_s, f"settings applied after {took:.2f} s"
         print(f"    applied after {took:.2f} s")
 
 
@@ -96,9 +100,25 @@
     assert fleet.status("host-0", "/nowhere/") == 404
 
 
+def large_versions(fleet):
+    """A host has missed four large versions, and reads them over a slow link.
+    They take longer than the time-out of one read."""
+    relay = fleet.relays["host-0"]
+    relay.silence(SETTINGS_READ)
+    time.sleep(2)
+    for _ in range(4):
+        path = fleet.change_settings(b"x" * 250000)
+    time.sleep(2)
+    relay.bytes_per_s = 800000
+    relay.silence(None)
+    fleet.check_applied("host-0", path, CONTACT_S)
+    relay.bytes_per_s = None
+
+
 def main():
     return run_scenarios(RelayedFleet(sys.argv[1]),
-                         (silent_store, silent_connections, unknown_queue))
+                         (silent_store, silent_connections, unknown_queue,
+                          large_versions))
 
 
 if __name__ == "__main__":
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -19,6 +19,7 @@
         host, port = to_addr.rsplit(":", 1)
         self.to_addr = (host, int(port))
         self.cut = False
+        self.bytes_per_s = None  # on each connection, towards clients
         self.silenced = None  # first bytes of the requests of silence()
         self.dropped = []  # first bytes of requests that were not passed on
         self.server = socket.create_server(("127.0.0.1", 0))
@@ -74,6 +75,8 @@
             try:
                 sink.sendall(self.edit(data) if source is pair["far"]
                              else data)
+                if self.bytes_per_s and source is pair["far"]:
+                    time.sleep(len(data) / self.bytes_per_s)
             except OSError:
                 return
 
