Scheduler: a refused repetition does not show that a start was not carried out

Cause: the start of a long-running task gets no answer. Its repetition is refused (busy, late, no room, ticket), or is not sent as the records of the targets are too old, the target's entry is gone or the ticket has expired. Then the run was stopped at once, though the first start may have been carried out and the task be at work. Class: no answer taken for not done. Ruled out: the same for a job that has ended, a target that drains and one that has shrunk; there the stop is wanted. Change: these runs too are unconfirmed, and the next hold shows if they are live. A start that is not reached in its repetition takes the same path.

--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -95,44 +95,45 @@
     return find_run(s, target, task, run);
 }
 
-/* A start was certainly not carried out: drops the run, or stops it if an
-   earlier order to start it may be carried out. The target is avoided. */
-static void
-start_refused(gv_sched_t *s, gv_run_t *r, const char *why, int avoid_ms,
-              int64_t now_ms)
-{
-    r->tgt->avoid_until_ms = MAX(r->tgt->avoid_until_ms, now_ms + avoid_ms);
-    if (r->maybe_started) {
-        GvSched_StopRun(s, r, why, now_ms);
-    }
-    else {
-        GvSched_DropRun(s, r, why);
-    }
-}
-
 /* Handles a run whose start may have been carried out, but got no answer. A
    long-running task may be at work by now, and a stop would end it: the next
    hold shows whether it is live. Any other is stopped, so that it can start
-   elsewhere soon. */
-static void
-settle_unanswered(gv_sched_t *s, gv_run_t *r, const char *why, int64_t now_ms)
+   elsewhere soon, as is one that is not wanted on its target. */
+void
+GvSched_SettleUnanswered(gv_sched_t *s, gv_run_t *r, const char *why,
+                         int64_t now_ms)
 {
     char name[GV_TASK_NAME_BYTES];
-    r->tgt->avoid_until_ms =
-        MAX(r->tgt->avoid_until_ms, now_ms + GV_SCHED_TARGET_BACKOFF_MS);
-    if (!r->active->long_running) {
+    const gv_sched_target_t *tgt = r->tgt;
+    if (!r->active->long_running || GvJob_Ended(r->active->job) ||
+        tgt->info.draining || !GvResources_Fit(tgt->used, tgt->info.room)) {
         GvSched_StopRun(s, r, why, now_ms);
         return;
     }
     GvSched_TaskName(r->active->job, r->task, name, sizeof name);
     GvEvlog_WriteKind(GvSched_LogKind(r->active), "unconfirmed",
                       "task=%s run=%u target=%s why=\"%s\"", name, r->run,
-                      r->tgt->id, why);
+                      tgt->id, why);
     r->phase = GV_RUN_UNCONFIRMED;
     r->tgt->hold_next_ms = MIN(r->tgt->hold_next_ms, now_ms);
     GvSched_UpdateSoon(s, r->tgt);
 }
 
+/* The newest order to start a run was certainly not carried out: drops the
+   run, unless an earlier order may be carried out. The target is avoided. */
+static void
+start_refused(gv_sched_t *s, gv_run_t *r, const char *why, int avoid_ms,
+              int64_t now_ms)
+{
+    r->tgt->avoid_until_ms = MAX(r->tgt->avoid_until_ms, now_ms + avoid_ms);
+    if (r->maybe_started) {
+        GvSched_SettleUnanswered(s, r, why, now_ms);
+    }
+    else {
+        GvSched_DropRun(s, r, why);
+    }
+}
+
 /* Repeats a start without an answer, up to GV_SCHED_START_TRIES. */
 static void
 start_unanswered(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
@@ -142,7 +143,9 @@
         GvSched_SendStart(s, r, now_ms);
         return;
     }
-    settle_unanswered(s, r, "target did not answer the start", now_ms);
+    r->tgt->avoid_until_ms =
+        MAX(r->tgt->avoid_until_ms, now_ms + GV_SCHED_TARGET_BACKOFF_MS);
+    GvSched_SettleUnanswered(s, r, "target did not answer the start", now_ms);
 }
 
 static void
@@ -189,10 +192,6 @@
         r->started_ms = now_ms;
         return;
     case GV_ORDER_NOT_SENT:
-        if (r->maybe_started) {
-            settle_unanswered(s, r, "target not reached", now_ms);
-            return;
-        }
         start_refused(s, r, "target not reached", GV_SCHED_TARGET_BACKOFF_MS,
                       now_ms);
         return;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -219,6 +219,8 @@
 void GvSched_MarkDone(gv_sched_t *s, gv_active_job_t *a, int task);
 void GvSched_SetSavedState(gv_active_job_t *a, int task, gv_str_t saved);
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
+void GvSched_SettleUnanswered(gv_sched_t *s, gv_run_t *r, const char *why,
+                              int64_t now_ms);
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 int64_t GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt,
                          int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -143,7 +143,7 @@
         GvSched_FindTicket(s, r->active->job, r->task, r->tgt->id, now_ms);
     const char *obstacle = start_obstacle(s, r, ticket, now_ms);
     if (obstacle != NULL && r->maybe_started) {
-        GvSched_StopRun(s, r, obstacle, now_ms);
+        GvSched_SettleUnanswered(s, r, obstacle, now_ms);
         return;
     }
     if (obstacle != NULL) {
