Waves: a host that was not read yet has not left the fleet

Cause: a list that was read partly no longer removes hosts, but the wave took every host that the pools do not know as one that has left. A new leader whose lists were all read partly does not know the host of an unreadable entry: the wave was reported as done without its maintenance, and one whose maintenance an earlier leader has ordered counted as back, so that more hosts than the cap allows were maintained. Change: an unknown host has left only if the newest list was whole. Test: pool_list_partly fails without it (wave 10 done at 3300, h2 maintained at 2100 beside h1); mutants unread-host-has-left and unread-host-is-back. All tests/pool_*.script pass.

--- a/src/pool.c
+++ b/src/pool.c
@@ -251,6 +251,7 @@
         }
     }
     p->hosts_known = true;
+    p->hosts_whole = whole;
 }
 
 /* Begins an operation of a host: a move to to_pool, or maintenance in a wave
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -61,6 +61,7 @@
     bool fenced;          /* an order was fenced: gives no more orders */
     bool listing;         /* a list was asked for */
     bool hosts_known;     /* a list of the hosts was read */
+    bool hosts_whole;     /* the newest one: no host of the fleet is missing */
     int64_t list_sent_ms; /* when the newest list was asked for */
     int64_t listed_ms;    /* when its answer came; 0: list at once */
     int64_t stepped_ms;   /* newest step of all hosts */
--- a/src/pool_wave.c
+++ b/src/pool_wave.c
@@ -111,14 +111,15 @@
     }
 }
 
-/* Returns true if a host whose maintenance was ordered is up again, or is no
-   longer listed. */
+/* Returns true if a host whose maintenance was ordered is up again, or has
+   left the fleet. */
 static bool
 is_back(const gv_pools_t *p, const char *id)
 {
     const gv_host_t *h = GvPools_FindHost(p, id);
-    return h == NULL ||
-           (h->operation == GV_OPERATION_NONE && h->state == GV_HOST_UP);
+    return h == NULL
+               ? p->hosts_whole
+               : h->operation == GV_OPERATION_NONE && h->state == GV_HOST_UP;
 }
 
 /* Returns the rank of a host, -1 if it cannot be maintained now; the lowest
@@ -169,7 +170,7 @@
     int waiting;
     int open;    /* from GV_OPERATION_EMPTYING until up again */
     int lasting; /* open ones that still have long-running tasks */
-    int missing; /* of the waiting ones, those not in the list */
+    int missing; /* of the waiting ones, those that have left the fleet */
 } gv_wave_count_t;
 
 /* Counts the hosts of a wave by state; marks those that are up again as
@@ -193,7 +194,7 @@
         }
         c.waiting++;
         if (h == NULL) {
-            c.missing++;
+            c.missing += p->hosts_whole ? 1 : 0;
         }
         else if (h->operation == GV_OPERATION_NONE &&
                  h->state == GV_HOST_MAINTENANCE) {
