HTTP client: the own delay of a call on a new connection is not its peer's silence

Cause: a call on a new connection needs two turns of the event loop: one to see that it is connected, one to read the response. If the first came after the time-out, the request was not sent and the call ended as not reached. Class: the own delay taken for a peer's silence. Ruled out: longer time-outs for all calls, as a silent peer is then noticed later.

--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -315,12 +315,18 @@
     g_usleep((GV_CALL_CONNECT_TIMEOUT_MS + 100) * 1000);
     RUN_UNTIL(r.n == 3);
     g_assert_cmpint(r.reply.status, ==, 200);
+    o.timeout_ms = 300;
+    GvCalls_Begin(c, &o);
+    g_usleep(400000);
+    RUN_UNTIL(r.n == 4);
+    g_assert_cmpint(r.reply.status, ==, 200);
+    o.new_connection = false;
     g_string_assign(s.reply, "");
     o.timeout_ms = 50;
     GvCalls_Begin(c, &o);
     g_usleep(100000);
     GvCalls_Step(c, NULL, 0, 0);
-    g_assert_cmpint(r.n, ==, 4);
+    g_assert_cmpint(r.n, ==, 5);
     g_assert_cmpint(r.reply.status, ==, 0);
     END_TEST;
 }
