HTTP client: a response that came before the permission's end is read

Cause: a turn broke off the calls whose permission has ended before it read their sockets. After a long turn or a pause of the leader, starts and stops that targets had answered in time counted as unanswered. Class: the own delay taken for a peer's silence.

--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -357,6 +357,19 @@
     g_assert_cmpint(GvClock_BootMs(), >=, soon.end_ms);
     RUN_UNTIL(s.resets > resets);
     g_string_assign(s.reply, OK_REPLY);
+    /* A response that came in time counts, also after a delay. */
+    o.limits = NULL;
+    CALL(o, r, 200, true, false);
+    s.requests = 0;
+    soon.end_ms = GvClock_BootMs() + 500;
+    o.limits = &soon;
+    int before = r.n;
+    GvCalls_Begin(c, &o);
+    WAIT_FOR((server_step(&s), s.requests == 1), 5000);
+    g_usleep(600000);
+    GvCalls_Step(c, NULL, 0, 0);
+    g_assert_cmpint(r.n, ==, before + 1);
+    g_assert_cmpint(r.reply.status, ==, 200);
     o.limits = NULL;
     CALL(o, r, 200, true, false);
     g_string_assign(s.reply, "");
