Test of the HTTP client: the end of a permission breaks a call off

Cause: /calls/permission also passed if a call was not broken off at the end of its permission, but ended by its time-out: mutant no-break-off was missed. Change: the test checks that the call ends before its time-out.

--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -352,9 +352,11 @@
     RUN_UNTIL(s.conns->len == 1);
     gv_call_limits_t soon = {INT64_MAX, GvClock_BootMs() + 500};
     int resets = s.resets;
+    int64_t time_out = GvClock_MonoMs() + o.timeout_ms;
     o.limits = &soon;
     CALL(o, r, 0, true, false);
     g_assert_cmpint(GvClock_BootMs(), >=, soon.end_ms);
+    g_assert_cmpint(GvClock_MonoMs(), <, time_out);
     RUN_UNTIL(s.resets > resets);
     g_string_assign(s.reply, OK_REPLY);
     /* A response that came in time counts, also after a delay. */
