--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -315,12 +315,18 @@
     g_usleep((GV_CALL_CONNECT_TIMEOUT_MS + 100) * 1000);
     RUN_UNTIL(r.n == 3);
     g_assert_cmpint(r.reply.status, ==, 200);
+    o.timeout_ms = 300;
+    GvCalls_Begin(c, &o);
+    g_usleep(400000);
+    RUN_UNTIL(r.n == 4);
+    g_assert_cmpint(r.reply.status, ==, 200);
+    o.new_connection = false;
     g_string_assign(s.reply, "");
     o.timeout_ms = 50;
     GvCalls_Begin(c, &o);
     g_usleep(100000);
     GvCalls_Step(c, NULL, 0, 0);
-    g_assert_cmpint(r.n, ==, 4);
+    g_assert_cmpint(r.n, ==, 5);
     g_assert_cmpint(r.reply.status, ==, 0);
     END_TEST;
 }
@@ -346,11 +352,26 @@
     RUN_UNTIL(s.conns->len == 1);
     gv_call_limits_t soon = {INT64_MAX, GvClock_BootMs() + 500};
     int resets = s.resets;
+    int64_t time_out = GvClock_MonoMs() + o.timeout_ms;
     o.limits = &soon;
     CALL(o, r, 0, true, false);
     g_assert_cmpint(GvClock_BootMs(), >=, soon.end_ms);
+    g_assert_cmpint(GvClock_MonoMs(), <, time_out);
     RUN_UNTIL(s.resets > resets);
     g_string_assign(s.reply, OK_REPLY);
+    /* A response that came in time counts, also after a delay. */
+    o.limits = NULL;
+    CALL(o, r, 200, true, false);
+    s.requests = 0;
+    soon.end_ms = GvClock_BootMs() + 500;
+    o.limits = &soon;
+    int before = r.n;
+    GvCalls_Begin(c, &o);
+    WAIT_FOR((server_step(&s), s.requests == 1), 5000);
+    g_usleep(600000);
+    GvCalls_Step(c, NULL, 0, 0);
+    g_assert_cmpint(r.n, ==, before + 1);
+    g_assert_cmpint(r.reply.status, ==, 200);
     o.limits = NULL;
     CALL(o, r, 200, true, false);
     g_string_assign(s.reply, "");
