Pools: only hosts that help long-running tasks are asked for

Cause: found in review, shown by script. A service without a target asked for one host a task; tasks that no target can hold, or that need a label, asked for a host again and again; jobs that one host could hold together asked for one each. Such a pool takes hosts before all others. Change: no request if the service has no target of the size (it gets its least hosts first), or for a label; the most that one step lacks, not the sum. Test: sched_lasting_hosts (lacking 9, 1 and 2 before); mutant hosts-that-help.

--- a/src/sched_ready.c
+++ b/src/sched_ready.c
@@ -120,7 +120,8 @@
 
 /* Returns how many more targets with this room the waiting tasks of a step
    need; 0 unless they are long-running and no target could have held them for
-   GV_SCHED_NO_ROOM_MS. */
+   GV_SCHED_NO_ROOM_MS. Also 0 if such a target might not hold them either: it
+   is too small, or they need a label. */
 static int
 lacking_hosts(const gv_ready_step_t *r, const gv_resources_t *room,
               int64_t now_ms)
@@ -129,7 +130,8 @@
     int64_t each =
         r->step->max_per_target > 0 ? r->step->max_per_target : r->step->count;
     if (r->active->no_room_since_ms == 0 ||
-        now_ms - r->active->no_room_since_ms < GV_SCHED_NO_ROOM_MS) {
+        now_ms - r->active->no_room_since_ms < GV_SCHED_NO_ROOM_MS ||
+        r->step->label.n > 0 || !GvResources_Fit(r->step->need, *room)) {
         return 0;
     }
     for (int i = 0; i < r->step->count; i++) {
@@ -163,7 +165,10 @@
         if (r->step->uses_leftover_cpu) {
             continue;
         }
-        d.lacking_hosts += lacking_hosts(r, &whole, now_ms);
+        /* Not the sum: a host may hold tasks of several steps. What is still
+           lacking once it has come is asked for then. */
+        d.lacking_hosts =
+            MAX(d.lacking_hosts, lacking_hosts(r, &whole, now_ms));
         for (int k = 0; k < r->step->count; k++) {
             const gv_task_t *t = &r->active->job->tasks[r->first + k];
             if (t->state == GV_TASK_WAITING) {
