--- a/review/standins.py
+++ b/review/standins.py
@@ -168,6 +168,9 @@
         self.highest = {}
         self.ends = self.fence = self.seq = 0
         self.lease = 0
+        # Ends that were listed when the lease lapsed: they don't count as
+        # noted any more.
+        self.expired = set()
         self.life = object()
         self.up = True
         self.server, _ = serve(self.handle, self.addr)
@@ -224,6 +227,8 @@
                 if self.life is not life:
                     return
                 now = time.monotonic()
+                if self.clock() > self.lease and self.ended:
+                    self.expired.update(e[0] for e in self.ended)
                 for task, r in list(self.running.items()):
                     if self.clock() > self.lease:
                         self.end(task, "lapsed")
@@ -311,7 +316,8 @@
         seen = rq.get("lastSeen", 0)
         for number, task, run, how, _ in self.ended:
             if number <= seen:
-                self.fleet.ran(self, task, run, f"noted {how}")
+                self.fleet.ran(self, task, run, f"noted {how}" + (
+                    " after a lapse" if number in self.expired else ""))
         self.ended = [e for e in self.ended if e[0] > seen]
         end = time.monotonic() + rq.get("waitMs", 0) / 1000
         while not self.ended and self.life is life and not self.cut:
