--- a/review/standins.py
+++ b/review/standins.py
@@ -267,7 +267,7 @@
             self.fence = rq.get("fence", 0)
             if rq.get("deadlineMs"):
                 self.lease = max(self.lease, min(rq["deadlineMs"],
-                                                 self.clock() + HOLD_MAX_MS))
+                                                 self.clock() + self.fleet.hold_max_ms))
             if path == "/api/run-start":
                 got = self.start(rq)
             elif path == "/api/run-stop":
@@ -416,7 +416,8 @@
 class Fleet:
     """A small deployment: the store, workers on machines, and daemons."""
 
-    def __init__(self, folder, daemons=3, services=("s",), attempts=2):
+    def __init__(self, folder, daemons=4, services=("s",), attempts=2):
+        self.hold_max_ms = HOLD_MAX_MS
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.history = []  # (seconds, worker, task, run, what)
         self.beats = {}
@@ -458,7 +459,7 @@
             f'front: "{front}"\nready: "{ready}"\n'
             f'metrics: "{free_addr()}"\nstore: "{store.addr}"\n'
             f'store_parts: 8\nhosts_api: "{self.machines.addr}"\n'
-            f'max_lease_ms: {HOLD_MAX_MS}\nlease_wait_ms: 3000\n'
+            f'max_lease_ms: {self.hold_max_ms}\nlease_wait_ms: 3000\n'
             'maintenance_s: 2\nmove_s: 1.5\nshow_ended_s: 120\n')
         env = {"PATH": os.environ["PATH"], "HOME": self.dir.name,
                "LANG": "C.UTF-8", "GYPSUMVALVE_CONFIG": str(conf)}
