--- a/review/standins.py
+++ b/review/standins.py
@@ -126,14 +126,35 @@
 
 class StoreAddress:
     """One machine's address of the store. `answer`: None, or a function
-    (method, path, query, body) -> answer or None, asked before the store."""
+    (method, path, query, body) -> answer or None, asked before the store.
+    `compact`: a topic whose records are deleted, but for the newest of each
+    key, before the next read that has not read all of them yet."""
 
     def __init__(self, store):
         self.store = store
         self.answer = None
+        self.compact = None
+        self.first = {}  # topic -> first offset that is kept
         self.server, self.addr = serve(self.handle)
 
+    def compacted(self, path, query):
+        """Returns 410 to a read of deleted records, else None."""
+        topic = query.get("topic")
+        if path != "/api/log-read":
+            return None
+        start = int(query["from"])
+        end = len(self.store.parts[topic, int(query["part"])])
+        if topic == self.compact and start < end:
+            self.first[topic] = end
+            self.compact = None
+        if start < self.first.get(topic, 0):
+            return 410, pack({"first": self.first[topic]})
+        return None
+
     def handle(self, method, path, query, headers, body):
+        got = self.compacted(path, query)
+        if got is not None:
+            return got
         if self.answer is not None:
             got = self.answer(method, path, query, body)
             if got is not None:
@@ -401,7 +422,9 @@
             self.states[machine] = "upkeep"
             worker = self.fleet.workers[machine]
             worker.crash()
-            self.fleet.store.put("keyed.servers", worker.name, b"")
+            # The entry is removed after three heartbeat intervals of silence.
+            threading.Timer(3 * HEARTBEAT_S, self.fleet.store.put, (
+                "keyed.servers", worker.name, b"")).start()
             threading.Timer(self.upkeep_s, self.finish, (machine,)).start()
             return 200, b""
 
