--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,16 @@
 """A submission is refused with 503, but its job runs: the append of its record
 took effect, its connection was reset, and the store refused the hidden
 repetition of the call."""
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(HERE.parent))
+# An import that fails is not a broken rule.
+sys.excepthook = lambda *e: (sys.__excepthook__(*e), os._exit(2))
 
 from standins import RESET, main, wait_until  # noqa: E402
 
@@ -53,4 +57,4 @@
     return not (status in (429, 503) and started)
 
 
-main(test, HERE)
+main(test, HERE, TROUBLE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,12 +2,16 @@
 500 ends gather on a worker, which returns 500 at a time, and runs whose ends
 are in the rest of the list count as vanished."""
 import collections
+import os
 import pathlib
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(HERE.parent))
+# An import that fails is not a broken rule.
+sys.excepthook = lambda *e: (sys.__excepthook__(*e), os._exit(2))
 
 from standins import main, wait_until  # noqa: E402
 
@@ -59,4 +63,4 @@
     return not again
 
 
-main(test, HERE)
+main(test, HERE, TROUBLE)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,13 +2,17 @@
 former clock of a restarted worker makes its lease longer than the scheduler
 takes it to be, so that the scheduler starts the task elsewhere too early when
 the worker is cut off."""
+import os
 import pathlib
 import sys
 import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(HERE.parent))
+# An import that fails is not a broken rule.
+sys.excepthook = lambda *e: (sys.__excepthook__(*e), os._exit(2))
 
 from standins import main, wait_until  # noqa: E402
 
@@ -71,4 +75,4 @@
     return not twice
 
 
-main(test, HERE)
+main(test, HERE, TROUBLE)
--- a/review/standins.py
+++ b/review/standins.py
@@ -27,6 +27,7 @@
 HOLD_MAX_MS = 6000
 STOP_S = 0.05
 HEARTBEAT_S = 1.5
+LIMIT_S = 110
 
 
 class Record:
@@ -556,21 +557,31 @@
         return fields.get("state", status)
 
 
-def main(test, folder):
+def main(test, folder, trouble):
     """Runs test(fleet, trouble), which returns whether the rule held. Exit
-    status: 0 it held, 1 it was broken, 2 the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = Fleet(folder)
-    code = 2
+    status: 0 it held, 1 it was broken, 2 the case could not run. A SIGTERM, or
+    LIMIT_S, ends the case and its processes with 2."""
+    def interrupt(*_):
+        raise RuntimeError("interrupted")
+
+    signal.signal(signal.SIGTERM, interrupt)
+    signal.signal(signal.SIGALRM, interrupt)
+    signal.alarm(LIMIT_S)
+    code, fleet = 2, None
     try:
+        fleet = Fleet(folder)
+        fleet.record.note("test", f"disruption: {trouble}")
         held = test(fleet, trouble)
         fleet.record.note("test", "the rule held" if held
                           else "the rule was broken")
         code = 0 if held else 1
     except Exception as e:  # the case could not run
-        fleet.record.note("test", f"could not run: {e!r}")
+        if fleet is not None:
+            fleet.record.note("test", f"could not run: {e!r}")
         print(repr(e), file=sys.stderr)
     finally:
-        fleet.close()
+        signal.alarm(0)
+        if fleet is not None:
+            fleet.close()
     sys.stdout.flush()
     os._exit(code)
