HTTP client: do not repeat a request that may have been executed

Cause: when a kept connection broke before a response, the client sent the request once more, also if it had left, and reported the reply to the second sending only. The intake took its 503 as proof that nothing was stored. Evidence: record of the case (one append stored, connection reset, then 503); the client's own test repeats any request on a stale connection.

Ruled out: a store that stores what it refuses, and the intake's own repetition, which never refuses a batch that may be stored.

Change: a request is repeated only if no byte of it was sent or a second execution is harmless (GET, holds, advice). Any other ends without an answer, which every caller of the client handles already.

Why it works: each reply now belongs to the only sending of its request, or to one whose answer means the same.

--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -251,6 +251,41 @@
     END_TEST;
 }
 
+/* Guards against a reply to a hidden repetition: a POST whose connection broke
+   off may have been executed, and the refusal of a second one would tell the
+   caller that it was not. */
+TEST("/calls/not_repeated", test_not_repeated)
+{
+    const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    BEGIN_TEST(OK_REPLY);
+    o.post = true;
+    o.body = GV_STR("body");
+    s.drop_after = 1;
+    CALL(o, r, 200, true, false);
+    s.requests = 0;
+    CALL(o, r, 0, true, true);
+    g_assert_cmpint(s.requests, ==, 1);
+    g_assert_cmpint(s.accepts, ==, 1);
+    /* One that may be executed twice is repeated. */
+    o.idempotent = true;
+    CALL(o, r, 200, true, false);
+    CALL(o, r, 200, true, false);
+    g_assert_cmpint(s.requests, ==, 4);
+    /* So is one that could not be sent at all. */
+    o.idempotent = false;
+    s.drop_after = INT_MAX;
+    CALL(o, r, 200, true, false);
+    s.requests = 0;
+    server_conn_t *sc = g_ptr_array_index(s.conns, 0);
+    g_assert_cmpint(
+        setsockopt(sc->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset), ==,
+        0);
+    server_drop(&s, sc);
+    CALL(o, r, 200, true, false);
+    g_assert_cmpint(s.requests, ==, 1);
+    END_TEST;
+}
+
 /* Guards against a wrong conclusion about a peer that refuses, breaks off or
    does not answer. */
 TEST("/calls/failures", test_failures)
