Scheduler: reckon with deadlines on a former clock of a target

Cause: the target was restarted under its identifier. The next start had a deadline on its former clock, which the new incarnation took for the longest lease that it grants (10 s). The scheduler saw the restart in the answer and reckoned with its own 4.5 s from then on. Evidence: record of the case (deadlineMs 486292 at clockMs 106); the code never raised lease_until_ms for orders that were sent with the offset of the former clock.

Ruled out: the slack for slow clocks (0.3 s, the run was live for 2 s more), and the list of runs (the target was not reached).

Change: a restart raises the end of the leases to the longest one that targets grant, counted from the latest time at which such an order can be executed. The clock of a restarted target is unknown until it is read; holds used to go on with deadlines on the former one. A new leader reckons with the longest lease for targets that began shortly before it.

Why it works: the end of the leases is now counted from what the target can have made of the orders, not from what they meant.

--- a/src/limits.h
+++ b/src/limits.h
@@ -342,6 +342,11 @@
    target that stops responding start elsewhere only after it has ended. */
 #define GV_SCHED_LEASE_MS       4500
 #define GV_SCHED_LEASE_SLACK_MS 300
+/* Clocks of targets may run slow by this. */
+#define GV_SCHED_SLOW_CLOCK_PERCENT 2
+/* An order without an answer may be carried out up to this long after it was
+   sent: 2 to 12 s were seen. */
+#define GV_SCHED_LATE_ORDER_MS 12000
 /* A target delays its response to a hold for up to this time until a task
    ends; about a quarter of the lease. */
 #define GV_SCHED_HOLD_WAIT_MS 1000
@@ -350,7 +355,7 @@
 /* From a failed hold to the next. */
 #define GV_SCHED_HOLD_RETRY_MS 150
 /* A target's clock offset is used for this long after its last response.
-   Clocks of targets may run 2% slow; the error is then 0.2 s, which the lease
+   With GV_SCHED_SLOW_CLOCK_PERCENT the error is then 0.2 s, which the lease
    slack covers. */
 #define GV_SCHED_CLOCK_VALID_MS 10000
 /* Longest time between two passes of placement over all services. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -255,7 +255,7 @@
         GvSched_DropTargetRuns(s, other, GvSched_LossOf(other),
                                "host has another target", now_ms);
         other->listed = false;
-        other->lease_until_ms = now_ms;
+        GvSched_EndLeases(other, now_ms);
     }
     g_hash_table_replace(s->by_host, g_strdup(tgt->info.host.p), tgt);
 }
@@ -325,7 +325,8 @@
         return;
     }
     GvEvlog_Write("target", "target=%s gone runs=%u lease_left=%lld", tgt->id,
-                  tgt->runs->len, (long long)(tgt->lease_until_ms - now_ms));
+                  tgt->runs->len,
+                  (long long)(GvSched_LeaseEndMs(s, tgt, now_ms) - now_ms));
     tgt->listed = false;
 }
 
@@ -356,7 +357,7 @@
         GvSched_DropTargetRuns(s, tgt, GV_LOSS_PLANNED, "host was taken down",
                                now_ms);
         tgt->listed = false;
-        tgt->lease_until_ms = now_ms;
+        GvSched_EndLeases(tgt, now_ms);
     }
 }
 
@@ -388,7 +389,7 @@
                       tgt->runs->len);
         GvSched_DropTargetRuns(s, tgt, GV_LOSS_UNANSWERED,
                                "target is on no host", now_ms);
-        tgt->lease_until_ms = now_ms;
+        GvSched_EndLeases(tgt, now_ms);
     }
 }
 
@@ -424,7 +425,7 @@
         GvSched_DropTargetRuns(s, tgt, loss,
                                "host is down or has another target", now_ms);
         tgt->listed = false;
-        tgt->lease_until_ms = now_ms;
+        GvSched_EndLeases(tgt, now_ms);
     }
 }
 
@@ -483,9 +484,7 @@
         a->n_waiting += t->state == GV_TASK_WAITING ? 1 : 0;
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
             gv_sched_target_t *tgt = find_or_add_target(s, t->target);
-            tgt->lease_until_ms =
-                MAX(tgt->lease_until_ms,
-                    s->o.now_ms + GV_LEAD_HOLDS_MS + s->o.max_lease_ms);
+            tgt->inherited = true;
             GvSched_AddRun(s, a, i, tgt, GV_RUN_UNCONFIRMED, s->o.now_ms);
         }
     }
--- a/src/sched.h
+++ b/src/sched.h
@@ -111,7 +111,7 @@
     gv_sched_ops_t ops;
     uint64_t epoch;   /* of this leader; fencing token of every order */
     int lease_ms;     /* a target ends runs that no hold renews for so long */
-    int max_lease_ms; /* longest lease that an earlier scheduler set */
+    int max_lease_ms; /* longest lease that a target grants */
     /* Targets that do not check their room get no starts while their records
        were read longer ago than this; 0: no limit. */
     int records_max_age_ms;
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -32,10 +32,10 @@
 /* Checks who answered, and takes the target's clock from the answer. Returns
    false for an answer that must not be used any further. If the incarnation
    before has ended, its crash is counted by the time at which it fell silent.
- */
+   The order was sent at sent_ms. */
 static bool
 apply_answer(gv_sched_t *s, gv_sched_target_t *tgt, const gv_order_answer_t *a,
-             int64_t now_ms)
+             int64_t sent_ms, int64_t now_ms)
 {
     if (a->result == GV_ORDER_FENCED) {
         GvEvlog_Write("fenced", "target=%s epoch=%llu", tgt->id,
@@ -45,6 +45,9 @@
     }
     bool silent =
         a->result == GV_ORDER_NO_ANSWER || a->result == GV_ORDER_NOT_SENT;
+    if (a->result == GV_ORDER_NO_ANSWER) {
+        tgt->unanswered_ms = MAX(tgt->unanswered_ms, sent_ms);
+    }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
@@ -62,9 +65,6 @@
         GvSched_HandleRestart(s, tgt, a->started_ms, now_ms);
     }
     note_silence(tgt, silent, a->broken, now_ms);
-    if (restarted) {
-        return false;
-    }
     if (a->started_ms != 0) {
         tgt->started_ms = a->started_ms;
     }
@@ -72,7 +72,7 @@
         tgt->clock_offset_ms = a->clock_ms - now_ms;
         tgt->clock_read_ms = now_ms;
     }
-    return true;
+    return !restarted;
 }
 
 static gv_run_t *
@@ -96,13 +96,15 @@
 {
     gv_sched_target_t *tgt = GvSched_FindTarget(s, target);
     gv_run_t *r = find_run(s, target, task, run);
+    int64_t sent_ms = now_ms;
     if (r != NULL) {
         r->order_pending = false; /* also if an earlier incarnation answers */
+        sent_ms = r->sent_ms == 0 ? now_ms : r->sent_ms;
     }
     if (tgt != NULL) {
         GvSched_UpdateSoon(s, tgt);
     }
-    if (tgt == NULL || !apply_answer(s, tgt, a, now_ms)) {
+    if (tgt == NULL || !apply_answer(s, tgt, a, sent_ms, now_ms)) {
         return NULL;
     }
     return find_run(s, target, task, run);
@@ -382,7 +384,7 @@
                       tgt->n_strays == 0 && tgt->n_unread == 0;
     tgt->hold_pending = false;
     GvSched_UpdateSoon(s, tgt);
-    bool ours = apply_answer(s, tgt, &a->answer, now_ms);
+    bool ours = apply_answer(s, tgt, &a->answer, tgt->hold_sent_ms, now_ms);
     if (!ours || a->answer.result != GV_ORDER_DONE) {
         if (tgt->hold_failures++ == 0) {
             GvEvlog_Write("target", "target=%s hold failed result=%d", tgt->id,
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -117,7 +117,11 @@
     int64_t hold_answered_ms; /* when it last answered a hold */
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
-    int64_t lease_until_ms; /* none of its runs lives longer unless renewed */
+    int64_t lease_until_ms;   /* no lease that this scheduler has given ends
+                                 later */
+    bool inherited;           /* an earlier scheduler may have given leases */
+    int64_t unanswered_ms;    /* when the newest order without an answer was
+                                 sent; 0: none */
     /* Number of the newest end that was applied, is in the batch, is stored,
        and may be forgotten by the target. */
     uint64_t ends_applied;
@@ -226,6 +230,9 @@
 void GvSched_SendStop(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 int64_t GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt,
                          int64_t now_ms);
+int64_t GvSched_LeaseEndMs(const gv_sched_t *s, const gv_sched_target_t *tgt,
+                           int64_t now_ms);
+void GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms);
 void GvSched_HandleRestart(gv_sched_t *s, gv_sched_target_t *tgt,
                            int64_t started_ms, int64_t now_ms);
 void GvSched_DropTargetRuns(gv_sched_t *s, gv_sched_target_t *tgt,
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -98,17 +98,6 @@
     g_free(r);
 }
 
-/* Returns the end of a lease that begins now, on the target's clock, and sets
-   lease_until_ms to when it has certainly ended there, with a slow clock. */
-int64_t
-GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
-{
-    int64_t until =
-        now_ms + s->o.lease_ms + s->o.lease_ms / 50 + GV_SCHED_LEASE_SLACK_MS;
-    tgt->lease_until_ms = MAX(tgt->lease_until_ms, until);
-    return now_ms + tgt->clock_offset_ms + s->o.lease_ms;
-}
-
 /* Returns why the first order to start a run must not be sent any more, or
    NULL: things may have changed while its record was being stored. */
 static const char *
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -4,6 +4,82 @@
 /* Targets of the scheduler: sends holds that renew the leases of their runs,
    and drops runs whose lease has ended. */
 
+/* Returns how long a lease of that length lasts at most, in the time of this
+   host. */
+static int64_t
+longest_ms(int64_t lease_ms)
+{
+    return lease_ms + lease_ms * GV_SCHED_SLOW_CLOCK_PERCENT / 100 +
+           GV_SCHED_LEASE_SLACK_MS;
+}
+
+/* Returns the end of a lease that begins now, on the target's clock, and sets
+   lease_until_ms to when it has certainly ended there. */
+int64_t
+GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    tgt->lease_until_ms =
+        MAX(tgt->lease_until_ms, now_ms + longest_ms(s->o.lease_ms));
+    return now_ms + tgt->clock_offset_ms + s->o.lease_ms;
+}
+
+/* Returns when every lease that earlier schedulers gave a target has ended.
+   Until its clock was read anew they may have sent deadlines on that of a
+   former incarnation, so that a target that began lately may hold the longest
+   lease that it grants. */
+static int64_t
+inherited_until(const gv_sched_t *s, const gv_sched_target_t *tgt,
+                int64_t now_ms)
+{
+    int64_t longest = longest_ms(s->o.max_lease_ms);
+    int64_t age_ms =
+        s->wall_ms - tgt->info.started_ms - (now_ms - s->o.now_ms);
+    bool is_new = tgt->info.started_ms != 0 &&
+                  age_ms < GV_SCHED_CLOCK_VALID_MS + longest;
+    return s->o.now_ms + GV_LEAD_HOLDS_MS + (is_new ? longest : s->o.lease_ms);
+}
+
+/* Returns when every lease that a target may hold has ended: none of its runs
+   lives longer unless it is renewed. */
+int64_t
+GvSched_LeaseEndMs(const gv_sched_t *s, const gv_sched_target_t *tgt,
+                   int64_t now_ms)
+{
+    return tgt->inherited
+               ? MAX(tgt->lease_until_ms, inherited_until(s, tgt, now_ms))
+               : tgt->lease_until_ms;
+}
+
+/* Notes that the incarnation of a target has ended, and its leases with it. */
+void
+GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms)
+{
+    tgt->lease_until_ms = now_ms;
+    tgt->inherited = false;
+    tgt->unanswered_ms = 0;
+}
+
+/* Deadlines on the clock of a former incarnation say nothing to the present
+   one, which takes those ahead of its own clock for the longest lease that it
+   grants. It may have received them until now, or until later if some order
+   got no answer yet. */
+static void
+cover_former_deadlines(const gv_sched_t *s, gv_sched_target_t *tgt,
+                       int64_t now_ms)
+{
+    bool open = tgt->hold_pending;
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        open =
+            open ||
+            ((const gv_run_t *)g_ptr_array_index(tgt->runs, i))->order_pending;
+    }
+    int64_t sent_ms = open ? now_ms : tgt->unanswered_ms;
+    int64_t received_ms =
+        sent_ms == 0 ? now_ms : MAX(now_ms, sent_ms + GV_SCHED_LATE_ORDER_MS);
+    tgt->lease_until_ms =
+        MAX(tgt->lease_until_ms, received_ms + longest_ms(s->o.max_lease_ms));
+}
+
 /* Forgets the numbers of ends: a new incarnation starts again at the first. */
 void
 GvSched_ResetEnds(gv_sched_target_t *tgt)
@@ -25,6 +101,7 @@
                       int64_t started_ms, int64_t now_ms)
 {
     gv_loss_t loss = GvSched_LossOf(tgt);
+    cover_former_deadlines(s, tgt, now_ms);
     if (loss == GV_LOSS_CRASHED) {
         GvSched_CountCrashes(s, tgt, now_ms);
     }
@@ -48,6 +125,7 @@
     GvSched_ResetEnds(tgt);
     tgt->started_ms = started_ms;
     tgt->synced = false;
+    tgt->clock_read_ms = 0; /* no deadline before its clock is read */
     GvSched_FailCrashers(s, now_ms);
 }
 
@@ -192,7 +270,7 @@
 static void
 update_target(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    if (tgt->runs->len > 0 && now_ms > tgt->lease_until_ms) {
+    if (tgt->runs->len > 0 && now_ms > GvSched_LeaseEndMs(s, tgt, now_ms)) {
         drop_expired_runs(s, tgt, now_ms);
     }
     for (guint i = 0; i < tgt->runs->len; i++) {
@@ -238,7 +316,7 @@
         update_target(s, tgt, now_ms);
         if (!tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
             !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
-            now_ms > tgt->lease_until_ms) {
+            now_ms > GvSched_LeaseEndMs(s, tgt, now_ms)) {
             GvSched_RemoveFromService(tgt);
             if (tgt->info.host.n > 0 &&
                 g_hash_table_lookup(s->by_host, tgt->info.host.p) == tgt) {
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -60,9 +60,9 @@
     return GvStr_C(GvScript_Option(argc, argv, name, ""));
 }
 
-/* sched_new [now=MS epoch=N jobs_loaded=0|1 max_age=MS]: replaces the
-   scheduler and empties the store. jobs_loaded: all stored jobs have been
-   read; max_age: of the targets' records. */
+/* sched_new [now=MS epoch=N jobs_loaded=0|1 max_age=MS max_lease=MS]: replaces
+   the scheduler and empties the store. jobs_loaded: all stored jobs have been
+   read; max_age: of the targets' records; max_lease: that targets grant. */
 GV_VERB("sched_new", sched_new)
 {
     if (sched != NULL) {
@@ -76,7 +76,7 @@
     gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
                          .epoch = (uint64_t)OPT("epoch", 1),
                          .lease_ms = 4500,
-                         .max_lease_ms = 4500,
+                         .max_lease_ms = OPT("max_lease", 4500),
                          .records_max_age_ms = (int)OPT("max_age", 0),
                          .now_ms = now};
     sched = GvSched_New(&o);
@@ -85,18 +85,21 @@
     }
 }
 
-/* sched_replace epoch=N JOB ...: a new leader's scheduler takes over, with the
-   stored progress of these jobs. */
+/* sched_replace epoch=N max_lease=MS JOB ...: a new leader's scheduler takes
+   over, with the stored progress of these jobs. */
 GV_VERB("sched_replace", sched_replace)
 {
     gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
                          .epoch = (uint64_t)OPT("epoch", 2),
                          .lease_ms = 4500,
-                         .max_lease_ms = 4500,
+                         .max_lease_ms = OPT("max_lease", 4500),
                          .now_ms = now};
     GvSched_Free(sched);
     sched = GvSched_New(&o);
     for (int i = 2; i < argc; i++) {
+        if (strchr(argv[i], '=') != NULL) {
+            continue;
+        }
         GvSched_AddJob(sched, GvJobTable_Find(table, ARG(i)), now);
     }
     GvSched_SetJobsLoaded(sched);
@@ -346,16 +349,18 @@
     GvSched_ConfirmBatch(sched, now);
 }
 
-/* Returns a target's answer to an order; its clock is 5 s ahead. */
+/* Returns a target's answer to an order; its clock is 5 s ahead, unless the
+   option clock gives its time, 0 for none. */
 static gv_order_answer_t
 answer_of(int argc, char **argv, const char *word)
 {
+    const char *clock = GvScript_Option(argc, argv, "clock", NULL);
     return (gv_order_answer_t){
         .result = (gv_order_result_t)INDEX(
             word, "done", "no-answer", "not-sent", "busy", "no-room",
             "old-run", "late", "fenced", "other-instance", "no-ticket",
             "refused"),
-        .clock_ms = now + 5000,
+        .clock_ms = clock == NULL ? now + 5000 : atoll(clock),
         .started_ms = OPT("started", 0),
         .broken = OPT("broken", 0) != 0,
     };
@@ -386,9 +391,9 @@
                                 "broken", "alone");
 }
 
-/* sched_held TARGET RESULT [started=MS broken=0|1] [run:TASK:RUN:PERCENT]...
-   [end:N:TASK:RUN:HOW]...: the answer to a hold, with the live and the ended
-   runs. N is the number of the end. */
+/* sched_held TARGET RESULT [started=MS broken=0|1]
+   [run:TASK:RUN:PERCENT]... [end:N:TASK:RUN:HOW]...: the answer to a hold,
+   with the live and the ended runs. N is the number of the end. */
 GV_VERB("sched_held", sched_held)
 {
     gv_running_t running[16];
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -26,6 +26,7 @@
 #define RUNS_MAX      64
 #define EVENTS_MAX    512
 #define LEASE_MS      4500
+#define LEASE_MAX_MS  10000 /* the longest lease that a target grants */
 #define ORDER_WAIT_MS 700
 /* A target whose CPU has shrunk reports it within REPORT_MS; starts count
    against the smaller CPU from SHRUNK_MS on. */
@@ -94,6 +95,7 @@
     int64_t at_ms;
     int64_t deadline_ms;
     int64_t started_ms; /* of the incarnation that received the order */
+    int64_t clock_ms;   /* of the target, when it answered */
     int64_t wait_ms;    /* the target delays its answer to a hold */
     uint64_t fence;
     uint64_t ends_stored;
@@ -338,6 +340,13 @@
     }
 }
 
+/* Returns the time on a target's clock, which begins with its incarnation. */
+static int64_t
+clock_of(const model_target_t *t)
+{
+    return now - t->started_ms + 1;
+}
+
 /* Makes a target answer the holds that it delays. */
 static void
 answer_holds(const model_target_t *t)
@@ -383,7 +392,7 @@
     if (e->run <= t->highest_run[job][index]) {
         return GV_ORDER_OLD_RUN;
     }
-    if (e->deadline_ms < now) {
+    if (e->deadline_ms < clock_of(t)) {
         return GV_ORDER_LATE;
     }
     const gv_step_t *step = GvJob_StepOf(jobs[job].job, index);
@@ -488,8 +497,8 @@
     else if (reached) {
         t->fence = MAX(t->fence, e->fence);
         if (e->deadline_ms > 0) {
-            t->lease_until_ms =
-                MAX(t->lease_until_ms, MIN(e->deadline_ms, now + LEASE_MS));
+            int64_t lease_ms = MIN(e->deadline_ms - clock_of(t), LEASE_MAX_MS);
+            t->lease_until_ms = MAX(t->lease_until_ms, now + lease_ms);
         }
         e->result = GV_ORDER_DONE;
         switch (e->kind) {
@@ -505,6 +514,7 @@
         }
     }
     e->started_ms = t->started_ms;
+    e->clock_ms = clock_of(t);
     e->broken = !t->up;
     if (e->late) {
         e->used = false;
@@ -534,6 +544,7 @@
         e->broken = true;
         return;
     }
+    e->clock_ms = clock_of(t);
     list_runs(t, e);
 }
 
@@ -545,7 +556,7 @@
     char id[16];
     bool silent = e->result == GV_ORDER_NO_ANSWER;
     gv_order_answer_t a = {.result = e->result,
-                           .clock_ms = silent ? 0 : now,
+                           .clock_ms = silent ? 0 : e->clock_ms,
                            .started_ms = silent ? 0 : e->started_ms,
                            .broken = e->broken};
     g_snprintf(id, sizeof id, "t%d", e->target);
@@ -672,7 +683,7 @@
         .ops = {.start = on_start, .stop = on_stop, .hold = on_hold},
         .epoch = (uint64_t)epoch,
         .lease_ms = LEASE_MS,
-        .max_lease_ms = LEASE_MS,
+        .max_lease_ms = LEASE_MAX_MS,
         .now_ms = now};
     sched = GvSched_New(&o);
     bool behind = chance(50);
@@ -752,6 +763,7 @@
     t->n_ended = 0;
     t->last_end = 0;
     t->fence = 0;
+    t->lease_until_ms = 0;
     memset(t->highest_run, 0, sizeof t->highest_run);
 }
 
