Scheduler: do not take a cut list of ends for whole

Cause: targets list 500 ends at a time and the others once those are stored. A confirmed run that was neither live nor among the listed ends was dropped as "not on its target". Evidence: record of the case, 140 starts after `done`, all from the ends after the 500th; drop_missing runs whatever the length of the list.

Ruled out: leases (none lapsed in the case) and ends forgotten too early (ends_stored stays behind while the store is down).

Change: the adapter says that a list of 500 ends may be cut; the scheduler then drops no run that is not listed.

Why it works: the ends that follow are listed once the first ones are stored, and a list that is not cut then shows which runs are missing.

--- a/src/sched.h
+++ b/src/sched.h
@@ -177,6 +177,7 @@
     int n_running;
     const gv_ended_t *ended;
     int n_ended;
+    bool ends_cut; /* the target may have more ends than these */
 } gv_hold_answer_t;
 
 gv_sched_t *GvSched_New(const gv_sched_opts_t *o);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -411,7 +411,13 @@
     for (int i = 0; i < a->n_running; i++) {
         apply_running(s, tgt, &a->running[i], now_ms);
     }
-    if (all_ends) {
+    if (all_ends && a->ends_cut) {
+        /* A run that is not listed may be among the ends that follow: the
+           target lists these once the first ones are stored. */
+        GvEvlog_Write("target", "target=%s list of ends is cut after %d",
+                      tgt->id, a->n_ended);
+    }
+    else if (all_ends) {
         drop_missing(s, tgt, now_ms);
         GvSched_FailCrashers(s, now_ms);
         if (GvSched_IsSettling(tgt)) {
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -391,9 +391,10 @@
                                 "broken", "alone");
 }
 
-/* sched_held TARGET RESULT [started=MS broken=0|1]
+/* sched_held TARGET RESULT [started=MS broken=0|1 cut=0|1]
    [run:TASK:RUN:PERCENT]... [end:N:TASK:RUN:HOW]...: the answer to a hold,
-   with the live and the ended runs. N is the number of the end. */
+   with the live and the ended runs. N is the number of the end; cut: others
+   may follow. */
 GV_VERB("sched_held", sched_held)
 {
     gv_running_t running[16];
@@ -402,7 +403,8 @@
     int n_kept = 0;
     gv_hold_answer_t a = {.answer = answer_of(argc, argv, argv[2]),
                           .running = running,
-                          .ended = ended};
+                          .ended = ended,
+                          .ends_cut = OPT("cut", 0) != 0};
     for (int i = 3; i < argc; i++) {
         char **w = g_strsplit(argv[i], ":", -1);
         kept[n_kept++] = w;
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -249,6 +249,52 @@
     g_assert_cmpuint(e.number, ==, GV_TARGET_ENDS_MAX);
 }
 
+/* Decodes the answer to a hold with n ended runs, the last of them numbered
+   `last`, and returns whether its lists are well-formed. */
+static bool
+decode_hold(int n, int last, gv_hold_answer_t *a)
+{
+    msgpack_unpacked un;
+    msgpack_sbuffer sb;
+    msgpack_packer pk;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+    msgpack_pack_map(&pk, 1);
+    GvPack_Str(&pk, GV_STR("finished"));
+    msgpack_pack_array(&pk, (size_t)n);
+    for (int i = 1; i <= n; i++) {
+        msgpack_pack_array(&pk, 4);
+        GvPack_Int(&pk, i == n ? last : i);
+        GvPack_Str(&pk, GV_STR("00000000000000a1.0.0.0"));
+        GvPack_Int(&pk, 1);
+        GvPack_Str(&pk, GV_STR("done"));
+    }
+    ASSERT_OK(GvUnpack_Root(&un, GvStr_N(sb.data, sb.size)));
+    gv_wire_t w = GvWire_Map(&un.data);
+    *a = (gv_hold_answer_t){0};
+    bool ok = GvDecode_Hold(&w, a);
+    GvDecode_ClearHold(a);
+    msgpack_unpacked_destroy(&un);
+    msgpack_sbuffer_destroy(&sb);
+    return ok;
+}
+
+/* Guards against a list of ends that was cut and is read as whole, and against
+   one with a malformed row: runs that it leaves out would count as vanished.
+ */
+TEST("/decode/hold", test_hold)
+{
+    gv_hold_answer_t a;
+    g_assert_true(decode_hold(GV_TARGET_ENDS_LISTED - 1, 1000, &a));
+    g_assert_cmpint(a.n_ended, ==, GV_TARGET_ENDS_LISTED - 1);
+    g_assert_false(a.ends_cut);
+    g_assert_true(decode_hold(GV_TARGET_ENDS_LISTED, 1000, &a));
+    g_assert_cmpint(a.n_ended, ==, GV_TARGET_ENDS_LISTED);
+    g_assert_true(a.ends_cut);
+    g_assert_false(decode_hold(GV_TARGET_ENDS_LISTED, 0, &a));
+    g_assert_true(a.ends_cut);
+}
+
 /* Decodes the times of an answer with these two. */
 static bool
 decode_times(int64_t clock_ms, int64_t started_ms, gv_order_answer_t *a)
