Store: do not take a list of targets that ended early for whole

What would be seen: after a reload of the newest entries that ended early, as its pages repeated, the targets that had not been read counted as gone and got no tasks until they wrote again. A page without items was taken for the last one although more were to follow.

Cause: a load that may be partial reported its end like a whole one; end_page tested for items before it tested for more pages.

Tests: proc_entries cut_list (on: "not within 20 s: jobs done"), /decode/job (fails there for `times`).

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -75,6 +75,10 @@
         # connection is closed without a response.
         self.mode = "up"
         self.page = 500  # items of a page of the newest records
+        self.first = collections.Counter()  # (topic, part) -> first offset kept
+        # How the newest records of the targets are listed: whole, repeat (each
+        # page is the first one) or empty (pages have no items).
+        self.target_pages = "whole"
         self.server, self.addr = serve(self.handle)
 
     def put(self, topic, key, value):
@@ -82,6 +86,14 @@
             self.parts[topic, 0].append((key, value))
             self.lock.notify_all()
 
+    def drop_history(self, topic):
+        """Deletes all records but the newest of each key, with one that no
+        reader has seen."""
+        with self.lock:
+            self.parts[topic, 0].append(("dropped", b""))
+            self.first[topic, 0] = len(self.parts[topic, 0])
+            self.lock.notify_all()
+
     def handle(self, method, path, query, headers, body):
         if self.mode == "busy":
             return 503, b""
@@ -146,7 +158,9 @@
                 if left <= 0 or not self.lock.wait(left):
                     break
             log = self.parts[log_id]
-            out = struct.pack(">QQ", len(log), 0)
+            if start < self.first[log_id]:
+                return 410, pack({"first": self.first[log_id]})
+            out = struct.pack(">QQ", len(log), self.first[log_id])
             most = int(query.get("maxKb", 1024)) * 1024
             for key, value in log[start:]:
                 raw = key_bytes(key)
@@ -160,6 +174,8 @@
         """Returns a page of the newest records of each key, without deleted
         ones."""
         after = key_bytes(query.get("dependsOn", ""))
+        cut = self.target_pages if log_id[0] == "keyed.servers" else "whole"
+        after = b"" if cut == "repeat" else after
         with self.lock:
             newest = {key_bytes(key): (i, value)
                       for i, (key, value) in enumerate(self.parts[log_id])}
@@ -167,6 +183,9 @@
                       "offset": i}
                      for key, (i, value) in sorted(newest.items())
                      if value and key > after]
+            if cut == "empty":
+                return 200, pack({"hasMore": True,
+                                  "end": len(self.parts[log_id])})
             return 200, pack({"items": items[:self.page],
                               "hasMore": len(items) > self.page,
                               "end": len(self.parts[log_id])})
--- a/tests/proc_entries.py
+++ b/tests/proc_entries.py
@@ -154,10 +154,27 @@
     assert not left, left
 
 
+def cut_list(fleet):
+    """Guards against targets that are taken to be gone because a list of the
+    newest entries has ended before theirs: they would get no tasks."""
+    for n, pages in enumerate(("repeat", "empty")):
+        fleet.store.target_pages = pages
+        ends = "newest records of keyed.servers/0: pages repeat"
+        seen = sum(text.count(ends) for text in fleet.procs.logs().values())
+        fleet.store.drop_history("keyed.servers")
+        wait_until(lambda: sum(text.count(ends) for text in
+                               fleet.procs.logs().values()) > seen,
+                   10, "a list that was cut")
+        jobs = [fleet.submit(f"host-{k % 3}", 300 + 10 * n + k)[0]
+                for k in range(6)]
+        all_done(fleet, "host-0", jobs, 20)
+        fleet.store.target_pages = "whole"
+
+
 def main():
     return run_scenarios(OddFleet(sys.argv[1]),
                          (odd_from_start, odd_for_next_leader,
-                          service_named_later, odd_host_lists))
+                          service_named_later, odd_host_lists, cut_list))
 
 
 if __name__ == "__main__":
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -489,13 +489,14 @@
 }
 
 /* Guards against a job that is accepted with another number than its caller
-   gave, as it is cut to 32 bits, and against due times that overflow. */
+   gave, as it is cut to 32 bits or to the most tasks of a job, and against due
+   times that overflow. */
 TEST("/decode/job", test_job)
 {
     static const char *const fields[] = {
         "firstMs",        "intervalMs", "count",      "cpu",
         "memMb",          "gpu",        "estimateMs", "maxPerServer",
-        "maxUnavailable", "goalMs",
+        "maxUnavailable", "goalMs",     "times",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         ASSERT_OK(decode_job(fields[i], 1));
