Pools: "busy" after an order without an answer is no refusal

What would be seen: a second host in maintenance over the cap of its wave (LIMIT).

Cause: the order for a host was carried out and its answer lost; the platform answers the repeated order that the host is busy, and the pools took that as the answer to the order, ended the operation and began the next host 50 ms later.

Change: after an order without an answer, "busy" makes the host count as away until a list shows that it is back or never left.

--- a/src/pool.c
+++ b/src/pool.c
@@ -279,6 +279,7 @@
 {
     GvSched_Reserve(p->opts.sched, GvStr_C(h->target), false);
     h->operation = GV_OPERATION_NONE;
+    h->unanswered = false;
     h->wave = 0;
     h->idle_since_ms = 0;
     g_clear_pointer(&h->to_pool, g_free);
@@ -356,12 +357,20 @@
         return false;
     case GV_POOL_NOT_NOW:
     case GV_POOL_INVALID:
+        p->listed_ms = 0;
+        if (h->unanswered) {
+            /* The host may be away because of the order before. The list
+               shows whether it was. */
+            h->operation = GV_OPERATION_AWAY;
+            h->since_ms = now_ms;
+            return false;
+        }
         GvPools_EndOperation(p, h);
         h->next_ms = now_ms + GV_POOL_RETRY_MS;
-        p->listed_ms = 0;
         return false;
     case GV_POOL_RETRY:
     case GV_POOL_UNKNOWN:
+        h->unanswered = h->unanswered || r == GV_POOL_UNKNOWN;
         h->operation = GV_OPERATION_EMPTYING;
         h->next_ms = now_ms + GV_POOL_RETRY_MS;
         return false;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -23,6 +23,8 @@
     gv_host_state_t state;
     int64_t cpu;
     gv_operation_t operation;
+    bool unanswered;       /* an order of the operation got no answer: it may
+                              have been carried out */
     int wave;              /* of a maintenance; 0: none */
     bool listed;           /* in the newest list */
     int64_t since_ms;      /* begin of the operation, or of being away */
