Intake: no "not run" while an earlier submission may be stored

One more cause on the same path, by reading: a second attempt of a caller at the same host was answered 503 when its own record was refused, though that of the first attempt could be stored.

Ruled out: a store that executes what it refuses (nothing in the record).

Change: the intake remembers for 12 s which submissions have no certain result and answers a further attempt that it cannot store with 504.

--- a/src/intake.c
+++ b/src/intake.c
@@ -20,11 +20,18 @@
     GPtrArray *requests; /* gv_intake_request_t * */
 } gv_batch_t;
 
+/* A submission whose append has no certain result. */
+typedef struct {
+    gv_str_t id; /* of the job */
+    int64_t until_ms;
+} gv_unsettled_t;
+
 struct gv_intake_s {
     gv_intake_ops_t ops;
     gv_job_table_t *table;
     GQueue waiting; /* gv_intake_request_t * without a batch */
     gv_batch_t batches[GV_INTAKE_APPENDS];
+    GQueue unsettled; /* gv_unsettled_t *, oldest first */
 };
 
 /* Returns an intake that looks jobs up in a table; it doesn't own the table.
@@ -36,6 +43,7 @@
     in->ops = *ops;
     in->table = table;
     g_queue_init(&in->waiting);
+    g_queue_init(&in->unsettled);
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         in->batches[i].records = g_byte_array_new();
         in->batches[i].requests = g_ptr_array_new();
@@ -43,9 +51,18 @@
     return in;
 }
 
+static void
+free_unsettled(gpointer p)
+{
+    gv_unsettled_t *u = p;
+    GvStr_Free(&u->id);
+    g_free(u);
+}
+
 void
 GvIntake_Free(gv_intake_t *in)
 {
+    g_queue_clear_full(&in->unsettled, free_unsettled);
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         g_byte_array_free(in->batches[i].records, TRUE);
         g_ptr_array_free(in->batches[i].requests, TRUE);
@@ -77,6 +94,70 @@
     in->ops.reply(in->ops.user, rq, &r);
 }
 
+/* Notes that a submission may be stored, or become so up to GV_INTAKE_LATE_MS
+   after now_ms. Forgets those for which that time is over. */
+static void
+note_unsettled(gv_intake_t *in, const gv_intake_request_t *rq, int64_t now_ms)
+{
+    const gv_unsettled_t *oldest = g_queue_peek_head(&in->unsettled);
+    while (oldest != NULL &&
+           (now_ms >= oldest->until_ms ||
+            in->unsettled.length >= GV_INTAKE_UNSETTLED_MAX)) {
+        free_unsettled(g_queue_pop_head(&in->unsettled));
+        oldest = g_queue_peek_head(&in->unsettled);
+    }
+    if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
+        gv_unsettled_t *u = g_new(gv_unsettled_t, 1);
+        *u = (gv_unsettled_t){GvStr_Dup(rq->id), now_ms + GV_INTAKE_LATE_MS};
+        g_queue_push_tail(&in->unsettled, u);
+    }
+}
+
+/* Returns true if another submission of the same job may be stored: its append
+   is in flight or has ended without a certain result. */
+static bool
+is_unsettled(const gv_intake_t *in, const gv_intake_request_t *rq,
+             int64_t now_ms)
+{
+    for (const GList *l = in->unsettled.head; l != NULL; l = l->next) {
+        const gv_unsettled_t *u = l->data;
+        if (now_ms < u->until_ms && GvStr_Equal(u->id, rq->id)) {
+            return true;
+        }
+    }
+    for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
+        const gv_batch_t *b = &in->batches[i];
+        bool open = b->in_flight || b->maybe_stored;
+        for (guint k = 0; b->used && open && k < b->requests->len; k++) {
+            const gv_intake_request_t *other =
+                g_ptr_array_index(b->requests, k);
+            if (other != rq && other->kind == GV_INTAKE_KIND_SUBMIT &&
+                GvStr_Equal(other->id, rq->id)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* Refuses a request whose record was not sent or not stored. A submission is
+   refused as not run only if no earlier one of the same job may be stored. */
+static void
+refuse(gv_intake_t *in, gv_intake_request_t *rq, const char *why,
+       int64_t now_ms)
+{
+    gv_intake_reply_t r = {
+        .result = GV_INTAKE_NOT_RUN, .retry_after_ms = 1000, .why = why};
+    if (rq->kind != GV_INTAKE_KIND_SUBMIT) {
+        r.result = GV_INTAKE_UNAVAILABLE;
+    }
+    else if (is_unsettled(in, rq, now_ms)) {
+        r = (gv_intake_reply_t){.result = GV_INTAKE_UNKNOWN,
+                                .why = "an earlier submission may be stored"};
+    }
+    reply(in, rq, r);
+}
+
 static void
 reply_state(gv_intake_t *in, gv_intake_request_t *rq, const gv_job_t *job)
 {
@@ -153,10 +234,7 @@
     }
     if (rq->kind == GV_INTAKE_KIND_SUBMIT &&
         !in->ops.store_available(in->ops.user, now_ms)) {
-        reply(in, rq,
-              (gv_intake_reply_t){.result = GV_INTAKE_NOT_RUN,
-                                  .retry_after_ms = 1000,
-                                  .why = "store does not answer"});
+        refuse(in, rq, "store does not answer", now_ms);
         return;
     }
     if (rq->kind == GV_INTAKE_KIND_SUBMIT ||
@@ -283,16 +361,10 @@
 
 /* Refuses the requests of a batch that cannot have been stored. */
 static void
-batch_refused(gv_intake_t *in, gv_batch_t *b, const char *why)
+batch_refused(gv_intake_t *in, gv_batch_t *b, const char *why, int64_t now_ms)
 {
     for (guint i = 0; i < b->requests->len; i++) {
-        gv_intake_request_t *rq = g_ptr_array_index(b->requests, i);
-        reply(in, rq,
-              (gv_intake_reply_t){.result = rq->kind == GV_INTAKE_KIND_CANCEL
-                                                ? GV_INTAKE_UNAVAILABLE
-                                                : GV_INTAKE_NOT_RUN,
-                                  .retry_after_ms = 1000,
-                                  .why = why});
+        refuse(in, g_ptr_array_index(b->requests, i), why, now_ms);
     }
     end_batch(b);
 }
@@ -319,7 +391,8 @@
             batch_refused(in, b,
                           a->result == GV_STORE_UNREACHABLE
                               ? "store unreachable"
-                              : "store refuses");
+                              : "store refuses",
+                          now_ms);
             break;
         }
         b->next_ms = now_ms + GV_INTAKE_RETRY_MS;
@@ -340,6 +413,7 @@
         gv_intake_request_t *rq = g_ptr_array_index(b->requests, i - 1);
         if (now_ms >= rq->deadline_ms) {
             g_ptr_array_remove_index(b->requests, i - 1);
+            note_unsettled(in, rq, now_ms);
             reply(in, rq,
                   (gv_intake_reply_t){.result = GV_INTAKE_UNKNOWN,
                                       .why = "store has not answered"});
@@ -373,11 +447,6 @@
             break;
         }
         g_queue_pop_head(&in->waiting);
-        reply(in, rq,
-              (gv_intake_reply_t){.result = rq->kind == GV_INTAKE_KIND_CANCEL
-                                                ? GV_INTAKE_UNAVAILABLE
-                                                : GV_INTAKE_NOT_RUN,
-                                  .retry_after_ms = 1000,
-                                  .why = "no append could start in time"});
+        refuse(in, rq, "no append could start in time", now_ms);
     }
 }
--- a/src/limits.h
+++ b/src/limits.h
@@ -455,6 +455,12 @@
 #define GV_INTAKE_BATCH   64
 /* From an append without a certain result to its repetition. */
 #define GV_INTAKE_RETRY_MS 80
+/* An append without a certain result may be executed for so long; a store call
+   was seen to be executed as late as an order. */
+#define GV_INTAKE_LATE_MS 12000
+/* Submissions remembered whose append has no certain result; beyond that the
+   oldest ones are forgotten. */
+#define GV_INTAKE_UNSETTLED_MAX 4096
 /* Greatest age of the number of pending jobs in a response; if the data is
    older, the store is read first. */
 #define GV_INTAKE_COUNT_AGE_MS 2000
--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -70,6 +70,8 @@
         # Reads of topics whose names end with this text get a 503.
         self.refused = ""
         self.read_s = 0  # time that a read takes beside its wait
+        self.append_s = 0  # time that an append takes
+        self.appending = 0  # appends in progress
         # up; busy: every request gets a 503; silent: nothing is done and the
         # connection is closed after 3 s; lost: appends take effect, but the
         # connection is closed without a response.
@@ -103,7 +105,13 @@
         log_id = (query.get("topic"), int(query.get("part", 0)))
         if path == "/api/log-append":
             answer = self.append(log_id, query, body)
-            return None if self.mode == "lost" else answer
+            with self.lock:
+                self.appending += 1
+            time.sleep(self.append_s)
+            with self.lock:
+                self.appending -= 1
+            # One that is in progress when the store goes down takes effect.
+            return None if self.mode in ("lost", "busy") else answer
         if self.refused and log_id[0].endswith(self.refused):
             return 503, b""
         if path == "/api/log-read":
