Pools: an entry of an ended target says nothing about its host

Cause: while a host was away, the entry of any target but the one stopped last counted as its new target. After a reload of the newest entries that of an earlier target is read again. The starts of the targets were not compared. Evidence: record of the case (`back target=` names a target that had ended).

Ruled out: the list of hosts (it shows the host as away).

Change: the pools keep the newest known start of a target on each host and ignore entries with an earlier one; the list corrects it.

Why it works: the target that was stopped has the newest start until the new one has begun.

--- a/src/pool.c
+++ b/src/pool.c
@@ -117,22 +117,25 @@
     GvPools_EndOperation(p, h);
 }
 
-/* Notes on which host a target runs, as the target reports it. A host that was
-   away is up again if the target is a new one. */
+/* Notes on which host a target runs, as its entry says, and when it started. A
+   host that was away is up again if the target is a new one. Entries of
+   targets that have ended may be read again at any time: one that started
+   before the newest known target of the host says nothing. */
 void
 GvPools_SetTarget(gv_pools_t *p, gv_str_t host, gv_str_t target, gv_str_t pool,
-                  int64_t now_ms)
+                  int64_t started_ms, int64_t now_ms)
 {
     char *id = g_strndup(host.p, host.n);
     gv_host_t *h = GvPools_FindHost(p, id);
     g_free(id);
-    if (h == NULL) {
+    if (h == NULL || started_ms < h->started_ms) {
         return;
     }
     if (h->operation == GV_OPERATION_AWAY && h->old_target != NULL &&
         GvStr_Equal(GvStr_C(h->old_target), target)) {
         return; /* reported by the target that has been stopped */
     }
+    h->started_ms = started_ms;
     set_text(&h->target, target);
     set_text(&h->pool, pool);
     if (h->operation == GV_OPERATION_AWAY) {
@@ -165,6 +168,9 @@
     }
     set_text(&h->pool, info->pool);
     set_text(&h->target, info->target);
+    /* The list is right where an entry of another writer is not. */
+    int64_t started = GvSched_TargetStartMs(p->opts.sched, info->target);
+    h->started_ms = started != 0 ? started : h->started_ms;
     h->state = info->state;
     h->cpu = info->cpu > 0 ? info->cpu : h->cpu;
     h->listed = true;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -17,9 +17,10 @@
 typedef struct {
     char *id;
     char *pool;
-    char *target;     /* newest on the host; NULL for none */
-    char *old_target; /* target at the time of the order, or NULL */
-    char *to_pool;    /* pool of a move in progress; NULL: maintenance */
+    char *target;       /* newest on the host; NULL for none */
+    int64_t started_ms; /* newest known start of a target, wall clock */
+    char *old_target;   /* target at the time of the order, or NULL */
+    char *to_pool;      /* pool of a move in progress; NULL: maintenance */
     gv_host_state_t state;
     int64_t cpu;
     gv_operation_t operation;
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -110,6 +110,14 @@
     take_list(argc, argv, GV_HOST_LIST_PARTLY);
 }
 
+/* pool_target HOST TARGET STARTED: the entry of a target is read. STARTED is
+   the time of its start. */
+GV_VERB("pool_target", pool_target)
+{
+    GvPools_SetTarget(pools, ARG(1), ARG(2), GV_STR("s"), (int64_t)NUM(3),
+                      now);
+}
+
 /* pool_wave N CAP HOST ...: a wave is requested; it continues from what is
    stored. */
 GV_VERB("pool_wave", pool_wave)
