Scheduler: do not fail a long-running job for crashes of its targets

Cause: crashes count as proof that a task crashes its targets, whatever they come from, and a proven one fails its job. A long-running task has no limit of attempts: it has to run until its job is cancelled.

Ruled out: ends `failed` (none in the case).

Change: such a task waits 4 s before its next start, alone on a target as before; its job is not failed.

--- a/src/job.h
+++ b/src/job.h
@@ -51,6 +51,7 @@
     int unconfirmed;    /* those where it may not have been started */
     bool suspect;       /* it may crash its targets: it gets one for itself */
     bool confirmed;     /* its newest run was started; noted of suspects */
+    int64_t retry_ms;   /* no start before, monotonic; not stored */
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
     int64_t target_started_ms; /* of its incarnation then; 0: unknown */
--- a/src/limits.h
+++ b/src/limits.h
@@ -396,6 +396,11 @@
    it; the last one counts twice if none did. */
 #define GV_SCHED_CRASHES_MAX  4
 #define GV_SCHED_DOUBTFUL_MAX 5
+/* A long-running task that crashes its targets is not given up. It starts
+   again after this wait: short of the 6 s in which such a task has to run
+   again, and long against the 0.3 s in which it would take one target after
+   the other. */
+#define GV_SCHED_CRASHER_WAIT_MS 4000
 /* A target that does not check its room gets no start while the records of the
    targets were read longer ago than this. One that has shrunk reports it
    within 1.5 s, and starts count against the smaller room 4.5 s after it has
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -98,7 +98,7 @@
     return t->crashes + t->doubtful + t->unconfirmed;
 }
 
-/* Returns true if a task is to be given up after a crash of its target: this
+/* Returns true if a task counts as the cause of a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
    on the target; or there were too many crashes. Those of a long-running task
    mostly come from others, unless it was alone. While no connection has broken
@@ -181,7 +181,11 @@
             "alone=%d",
             name, tgt->id, t->crashes, t->doubtful, t->unconfirmed, alone);
     }
-    if (is_proven(r, soon, alone)) {
+    if (is_proven(r, soon, alone) && a->long_running) {
+        /* It has to run until it is cancelled; only its starts are spaced. */
+        t->retry_ms = now_ms + GV_SCHED_CRASHER_WAIT_MS;
+    }
+    else if (is_proven(r, soon, alone)) {
         GvEvlog_Write(
             "failed", "job=%.*s crashes=%d doubtful=%d unconfirmed=%d",
             GV_STR_ARG(a->job->id), t->crashes, t->doubtful, t->unconfirmed);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -403,7 +403,8 @@
 {
     for (int i = 0; i < r->step->count; i++) {
         gv_task_t *t = &r->active->job->tasks[r->first + i];
-        if (t->state != GV_TASK_WAITING || !t->suspect) {
+        if (t->state != GV_TASK_WAITING || !t->suspect ||
+            now_ms < t->retry_ms) {
             continue;
         }
         bool held = others_wait && enough_set_aside(r->active->service);
