Scheduler: a job whose only starts got no answer has not begun

Cause: a job counts as begun when its first task is placed. Its target is cut off then; the start gets no answer and the run is kept until the lease ends, up to 5 s in which nothing has begun.

Ruled out: an old count (its host had read within 2 s, or it would answer 503).

Change: the first start without an answer takes the mark back until some start of the job is confirmed.

--- a/src/sched.c
+++ b/src/sched.c
@@ -481,6 +481,10 @@
     for (int i = 0; i < copy->n_tasks; i++) {
         gv_task_t *t = &copy->tasks[i];
         a->has_suspects = a->has_suspects || t->suspect;
+        /* The wait of such a task is not stored. */
+        if (a->long_running && t->suspect && t->crashes >= 2) {
+            t->retry_ms = now_ms + GV_SCHED_CRASHER_WAIT_MS;
+        }
         a->n_waiting += t->state == GV_TASK_WAITING ? 1 : 0;
         if (t->state == GV_TASK_PLACED && t->target != NULL) {
             gv_sched_target_t *tgt = find_or_add_target(s, t->target);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -154,6 +154,10 @@
 start_unanswered(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     r->maybe_started = true;
+    if (!r->active->started && r->active->job->begun) {
+        r->active->job->begun = false; /* until some start is confirmed */
+        GvSched_MarkDirty(s, r->active);
+    }
     if (r->tries < GV_SCHED_START_TRIES) {
         GvSched_SendStart(s, r, now_ms);
         return;
@@ -171,7 +175,7 @@
         GvHistogram_Observe(&first_start_ms,
                             s->wall_ms - r->active->job->accepted_ms);
     }
-    r->active->started = true;
+    GvSched_NoteBegun(s, r->active);
     r->started_ms = now_ms;
     GvSched_NoteStart(s, r);
 }
@@ -335,7 +339,7 @@
     }
     r->listed = true;
     r->started_ms = r->started_ms == 0 ? now_ms : r->started_ms;
-    a->started = true;
+    GvSched_NoteBegun(s, a);
     r->percent = x->percent;
     GvSched_NoteStart(s, r);
     GvSched_ClearSuspect(s, r, now_ms);
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -215,6 +215,7 @@
 gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
                          gv_sched_target_t *tgt, gv_run_phase_t phase,
                          int64_t now_ms);
+void GvSched_NoteBegun(gv_sched_t *s, gv_active_job_t *a);
 void GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why);
 void GvSched_StopRun(gv_sched_t *s, gv_run_t *r, const char *why,
                      int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -60,6 +60,17 @@
     return r;
 }
 
+/* Some start of the job is confirmed, or was under an earlier scheduler. */
+void
+GvSched_NoteBegun(gv_sched_t *s, gv_active_job_t *a)
+{
+    a->started = true;
+    if (!a->job->begun) {
+        a->job->begun = true;
+        GvSched_MarkDirty(s, a);
+    }
+}
+
 /* Removes a run that is certainly not live; an unfinished task waits again. */
 void
 GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why)
@@ -314,7 +325,7 @@
                       GV_STR_ARG(e->task), r->run, r->tgt->id, names[e->how],
                       (long long)(now_ms - r->placed_ms));
     update_failures(r->tgt, e->how, now_ms);
-    a->started = true;
+    GvSched_NoteBegun(s, a);
     GvSched_SetSavedState(a, task, e->saved);
     if (e->how == GV_END_DONE) {
         GvSched_MarkDone(s, a, task);
