Pools: remember the former targets of a host

Cause: the last target of the host was known from the list only, so the newest known start was that of the one before it, whose entry then counted as new.

Ruled out: an entry of the target that was stopped last (its id is compared).

Change: former targets of each host are remembered; their entries say nothing unless the host was down meanwhile.

Test: pool_ended_target; mutants entry-of-an-ended-target (its scene is now one that the memory does not cover) and entry-of-a-former-target.

--- a/src/limits.h
+++ b/src/limits.h
@@ -493,6 +493,9 @@
 #define GV_POOL_MOVE_WAIT_MS  2500
 /* Time between two steps of the operations of all hosts. */
 #define GV_POOL_STEP_MS 50
+/* Former targets remembered of each host. Entries of ended targets lapse after
+   4.5 s; two moves take at least 3 s. */
+#define GV_POOL_FORMER_MAX 8
 /* Time between two plans and between two log lines of pool sizes; most moves
    in one plan. */
 #define GV_POOL_PLAN_MS   100
--- a/src/pool.c
+++ b/src/pool.c
@@ -12,6 +12,7 @@
     g_free(h->id);
     g_free(h->pool);
     g_free(h->target);
+    g_queue_clear_full(&h->former, g_free);
     g_free(h->old_target);
     g_free(h->to_pool);
     g_free(h);
@@ -106,6 +107,37 @@
     *at = text.n == 0 ? NULL : g_strndup(text.p, text.n);
 }
 
+/* Sets the target of a host and remembers the one before. */
+static void
+set_target(gv_host_t *h, gv_str_t target)
+{
+    if (h->target != NULL && !GvStr_Equal(GvStr_C(h->target), target)) {
+        g_queue_push_tail(&h->former, g_strdup(h->target));
+        if (h->former.length > GV_POOL_FORMER_MAX) {
+            g_free(g_queue_pop_head(&h->former));
+        }
+    }
+    set_text(&h->target, target);
+}
+
+/* Returns true if a target was on a host before the present one. It can only
+   be there again if the host was down meanwhile: it is then restarted. */
+static bool
+is_former(const gv_host_t *h, gv_str_t target)
+{
+    bool down = h->target == NULL && h->operation != GV_OPERATION_AWAY;
+    if (down ||
+        (h->target != NULL && GvStr_Equal(GvStr_C(h->target), target))) {
+        return false;
+    }
+    for (const GList *l = h->former.head; l != NULL; l = l->next) {
+        if (GvStr_Equal(GvStr_C(l->data), target)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Ends the operation of a host that was away. */
 static void
 end_absence(gv_pools_t *p, gv_host_t *h, int64_t now_ms)
@@ -119,8 +151,8 @@
 
 /* Notes on which host a target runs, as its entry says, and when it started. A
    host that was away is up again if the target is a new one. Entries of
-   targets that have ended may be read again at any time: one that started
-   before the newest known target of the host says nothing. */
+   targets that have ended may be read again at any time: that of a former
+   target, or of one that started before the newest known, says nothing. */
 void
 GvPools_SetTarget(gv_pools_t *p, gv_str_t host, gv_str_t target, gv_str_t pool,
                   int64_t started_ms, int64_t now_ms)
@@ -128,7 +160,7 @@
     char *id = g_strndup(host.p, host.n);
     gv_host_t *h = GvPools_FindHost(p, id);
     g_free(id);
-    if (h == NULL || started_ms < h->started_ms) {
+    if (h == NULL || started_ms < h->started_ms || is_former(h, target)) {
         return;
     }
     if (h->operation == GV_OPERATION_AWAY && h->old_target != NULL &&
@@ -136,7 +168,7 @@
         return; /* reported by the target that has been stopped */
     }
     h->started_ms = started_ms;
-    set_text(&h->target, target);
+    set_target(h, target);
     set_text(&h->pool, pool);
     if (h->operation == GV_OPERATION_AWAY) {
         end_absence(p, h, now_ms);
@@ -167,7 +199,7 @@
                       GV_STR_ARG(info->target));
     }
     set_text(&h->pool, info->pool);
-    set_text(&h->target, info->target);
+    set_target(h, info->target);
     /* The list is right where an entry of another writer is not. */
     int64_t started = GvSched_TargetStartMs(p->opts.sched, info->target);
     h->started_ms = started != 0 ? started : h->started_ms;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -18,6 +18,7 @@
     char *id;
     char *pool;
     char *target;       /* newest on the host; NULL for none */
+    GQueue former;      /* char *: targets before it, GV_POOL_FORMER_MAX */
     int64_t started_ms; /* newest known start of a target, wall clock */
     char *old_target;   /* target at the time of the order, or NULL */
     char *to_pool;      /* pool of a move in progress; NULL: maintenance */
