Platform client: an append whose answer cannot be read is not refused

What would be seen: the caller of `gventryd`'s appender is told that a record is not in the log (GV_EREFUSED) although the platform had stored it.

Cause: GvHttp_Do returns GV_ETOOBIG and GV_EINVAL for a response that is too long or has no length; GvPlatform_Append passed these on, and the appender took them for the platform's refusals.

--- a/src/platform.c
+++ b/src/platform.c
@@ -91,9 +91,8 @@
 
 /* Appends n records, in order and with consecutive offsets. Returns 0 with the
    offset of the first, or GV_EINVAL or GV_ETOOBIG if the platform refused them
-   and nothing was appended. GvHttp_Do returns these two also for a response
-   without a length or with a body that is too long. After GV_ECONN,
-   GV_ETIMEDOUT or GV_EIO the records may have been appended, unless *sent is
+   and nothing was appended. After GV_ECONN, GV_ETIMEDOUT or GV_EIO (a response
+   that cannot be read) the records may have been appended, unless *sent is
    false. */
 int
 GvPlatform_Append(gv_platform_t *p, const gv_str_t *records, int n,
@@ -112,8 +111,15 @@
                             .timeout_ms = GV_PLATFORM_TIMEOUT_MS,
                             .max_body = 1024};
     gv_http_response_t a;
-    int err = call(p, &rq, &a);
+    rq.addr = p->addr;
+    int err = GvHttp_Do(p->http, &rq, &a);
     *sent = a.sent;
+    if (err == GV_OK) {
+        err = status_error(a.status);
+    }
+    else if (a.sent && (err == GV_EINVAL || err == GV_ETOOBIG)) {
+        err = GV_EIO; /* of the response, not a refusal */
+    }
     if (err == GV_OK && read_appended(a.body, n, first) != GV_OK) {
         err = GV_EIO;
     }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -162,6 +162,14 @@
     fake_answer(&f, 0, GV_STR("\x92\x00\x02")); /* wrong count */
     g_assert_cmpint(GvPlatform_Append(p, &rec, 1, &first, &sent), ==, GV_EIO);
     g_assert_true(sent);
+    char *text = g_strnfill(2000, 'x'); /* longer than any answer */
+    fake_answer(&f, 0, GvStr_C(text));
+    g_assert_cmpint(GvPlatform_Append(p, &rec, 1, &first, &sent), ==, GV_EIO);
+    g_assert_true(sent);
+    g_free(text);
+    fake_answer(&f, 413, GV_STR(""));
+    g_assert_cmpint(GvPlatform_Append(p, &rec, 1, &first, &sent), ==,
+                    GV_ETOOBIG);
     fake_answer(&f, 0, GV_STR(""));
     static const int map[][2] = {
         {404, GV_ENOENT}, {409, GV_ESTALE}, {400, GV_EINVAL}, {503, GV_ECONN}};
