Scheduler: forget a target as that of its host when its entry names none

Cause: by_host is cleaned by the host of the newest entry when a target is freed; if that names another host or none, the freed target stays in it.

Change: the target is forgotten when its entry names another host.

--- a/src/sched.c
+++ b/src/sched.c
@@ -236,6 +236,17 @@
     return tgt;
 }
 
+/* Forgets that a target is the newest one of its host: it is to be freed, or
+   its entry names another host. */
+void
+GvSched_ForgetHost(gv_sched_t *s, const gv_sched_target_t *tgt)
+{
+    if (tgt->info.host.n > 0 &&
+        g_hash_table_lookup(s->by_host, tgt->info.host.p) == tgt) {
+        g_hash_table_remove(s->by_host, tgt->info.host.p);
+    }
+}
+
 /* Notes that a target is the newest one of its host. The one before has then
    ended, and its runs with it. Does nothing until the target has answered: its
    entry alone may come from another writer. */
@@ -280,6 +291,9 @@
                    !GvStr_Equal(tgt->info.service, info->service) ||
                    !GvResources_Equal(tgt->info.room, info->room) ||
                    !GvStr_Equal(tgt->info.labels, info->labels);
+    if (!GvStr_Equal(tgt->info.host, info->host)) {
+        GvSched_ForgetHost(s, tgt);
+    }
     gv_target_info_t copy = *info;
     copy.id = GvStr_Dup(info->id);
     copy.host = GvStr_Dup(info->host);
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -318,10 +318,7 @@
             !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
             now_ms > GvSched_LeaseEndMs(s, tgt, now_ms)) {
             GvSched_RemoveFromService(tgt);
-            if (tgt->info.host.n > 0 &&
-                g_hash_table_lookup(s->by_host, tgt->info.host.p) == tgt) {
-                g_hash_table_remove(s->by_host, tgt->info.host.p);
-            }
+            GvSched_ForgetHost(s, tgt);
             g_hash_table_iter_remove(&it);
         }
     }
