Repeat at once what a broken connection has left open

Change: the intake, the leader and the scheduler send the first repetition at once after a broken connection; further ones wait. Each of them knows that the first may have been executed.

Tests: intake_repeated; mutant pause-before-the-first-repetition.

--- a/src/intake.c
+++ b/src/intake.c
@@ -371,7 +371,8 @@
 
 /* Handles the result of an append. A batch that may have been stored is tried
    again also when the store refuses it: an earlier append may still take
-   effect, so its requests cannot be refused. */
+   effect, so its requests cannot be refused. The first repetition is sent at
+   once after a broken connection, which may have been closed while idle. */
 void
 GvIntake_Appended(gv_intake_t *in, int batch, const gv_append_answer_t *a,
                   int64_t now_ms)
@@ -399,7 +400,8 @@
         break;
     case GV_STORE_UNKNOWN:
         b->maybe_stored = true;
-        b->next_ms = now_ms + GV_INTAKE_RETRY_MS;
+        b->next_ms =
+            now_ms + (a->broken && b->tries == 1 ? 0 : GV_INTAKE_RETRY_MS);
         break;
     }
     GvIntake_Step(in, now_ms);
--- a/src/leader.c
+++ b/src/leader.c
@@ -364,8 +364,11 @@
     case GV_STORE_BUSY:
     case GV_STORE_UNREACHABLE:
     case GV_STORE_UNKNOWN:
+        /* A kept connection may have been closed while it was idle. */
+        if (c->new_connection || !a->broken) {
+            c->next_ms = now_ms + GV_LEAD_RETRY_MS;
+        }
         c->new_connection = a->result != GV_STORE_BUSY;
-        c->next_ms = now_ms + GV_LEAD_RETRY_MS;
         GvEvlog_Write("lead", "append result=%d, tried again", a->result);
         return;
     }
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -256,6 +256,9 @@
     if (r->phase == GV_RUN_STOPPING && a->result == GV_ORDER_DONE) {
         r->confirmed_ms = now_ms;
     }
+    if (a->result == GV_ORDER_NO_ANSWER && a->broken && r->tries == 1) {
+        r->next_stop_ms = now_ms; /* a kept connection may have been closed */
+    }
 }
 
 /* Stops a listed run that is not known here; repeated until it is gone. */
--- a/src/store_result.h
+++ b/src/store_result.h
@@ -1,6 +1,7 @@
 #ifndef GV_STORE_RESULT_H
 #define GV_STORE_RESULT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Result of an append to the store. */
@@ -18,6 +19,8 @@
     gv_store_result_t result;
     uint64_t end; /* offset after the last record, if the store sent one */
     uint64_t expected; /* next sequence number, with SEQUENCE */
+    bool broken; /* with UNKNOWN: the connection broke off, as a kept one that
+                    the store has closed does */
 } gv_append_answer_t;
 
 #endif
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -131,13 +131,14 @@
     GvIntake_Request(intake, rq, now);
 }
 
-/* appended BATCH done|moved|fenced|sequence|busy|unreached|unknown: the
-   store's answer to the append of a batch. */
+/* appended BATCH done|moved|fenced|sequence|busy|unreached|unknown
+   [broken=0|1]: the store's answer to the append of a batch. */
 GV_VERB("appended", appended)
 {
     gv_append_answer_t a = {.result = (gv_store_result_t)INDEX(
                                 argv[2], "done", "moved", "fenced", "sequence",
-                                "busy", "unreached", "unknown")};
+                                "busy", "unreached", "unknown"),
+                            .broken = OPT("broken", 0) != 0};
     printf("appended %s\n", argv[2]);
     GvIntake_Appended(intake, (int)NUM(1), &a, now);
 }
