--- a/src/limits.h
+++ b/src/limits.h
@@ -345,7 +345,7 @@
 /* Clocks of targets may run slow by this. */
 #define GV_SCHED_SLOW_CLOCK_PERCENT 2
 /* An order without an answer may be carried out up to this long after it was
-   sent: 2 to 12 s were seen. */
+   sent: the users' page names 2 to 12 s. */
 #define GV_SCHED_LATE_ORDER_MS 12000
 /* A target delays its response to a hold for up to this time until a task
    ends; about a quarter of the lease. */
@@ -460,9 +460,9 @@
 #define GV_INTAKE_BATCH   64
 /* From an append without a certain result to its repetition. */
 #define GV_INTAKE_RETRY_MS 80
-/* An append without a certain result may be executed for so long; a store call
-   was seen to be executed as late as an order. */
-#define GV_INTAKE_LATE_MS 12000
+/* An append without a certain result may be executed for so long: "seconds" by
+   the platform's page, taken to be as long as for orders. */
+#define GV_INTAKE_LATE_MS GV_SCHED_LATE_ORDER_MS
 /* Submissions remembered whose append has no certain result; beyond that the
    oldest ones are forgotten. */
 #define GV_INTAKE_UNSETTLED_MAX 4096
