Decision log: why a target's runs are lost is kept, and what the list of hosts stood against

The lines about lost runs of short tasks share the limit of all lines and were missing in the users' record. They have the limit of rare lines now. The line about a target that the list of hosts ends says for how long the target was listed, when it last answered and when the list was requested, so that a list that is behind can be told from a target that is gone.

--- a/src/sched.c
+++ b/src/sched.c
@@ -432,9 +432,15 @@
         bool ordered_away = !h->down && *h->target == '\0';
         gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
         if (tgt->listed || tgt->runs->len > 0) {
-            GvEvlog_Write("target",
-                          "target=%s ended with host=%s now=%s down=%d",
-                          tgt->id, tgt->info.host.p, h->target, h->down);
+            GvEvlog_WriteKind(
+                GV_EVLOG_RARE, "target",
+                "target=%s ended with host=%s now=%s down=%d runs=%u "
+                "first_listed_ago=%lld answered_ago=%lld asked_ago=%lld",
+                tgt->id, tgt->info.host.p, h->target, h->down, tgt->runs->len,
+                (long long)(now_ms - tgt->first_listed_ms),
+                (long long)(tgt->answered_ms == 0 ? -1
+                                                  : now_ms - tgt->answered_ms),
+                (long long)(now_ms - list->asked_ms));
         }
         GvSched_DropTargetRuns(s, tgt, loss,
                                "host is down or has another target", now_ms);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -17,6 +17,7 @@
 note_silence(gv_sched_target_t *tgt, bool silent, bool broken, int64_t now_ms)
 {
     if (!silent) {
+        tgt->answered_ms = now_ms;
         tgt->silent_since_ms = 0;
         tgt->broken_ms = 0;
         return;
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -57,7 +57,7 @@
     }
     GvSched_TaskName(r->active->job, r->task, name, sizeof name);
     GvEvlog_WriteKind(
-        GvSched_LogKind(r->active), "lost",
+        GV_EVLOG_RARE, "lost",
         "task=%s run=%u target=%s loss=%s started=%d ran_ms=%lld "
         "beside=%u why=\"%s\"",
         name, r->run, r->tgt->id, names[loss], r->started_ms != 0,
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -115,6 +115,7 @@
     int64_t hold_next_ms;
     int64_t clock_read_ms;    /* when its clock was last read */
     int64_t hold_answered_ms; /* when it last answered a hold */
+    int64_t answered_ms;      /* when it last answered any order; 0: never */
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
     int64_t lease_until_ms;   /* no lease that this scheduler has given ends
