--- /dev/null
+++ b/src/sched_host.c
@@ -0,0 +1,133 @@
+#include <string.h>
+
+#include "evlog.h"
+#include "limits.h"
+#include "sched_private.h"
+
+/* Targets and the hosts that they run on: what a new target on a host, the
+   platform's list of hosts and orders for hosts say about runs. */
+
+/* Forgets that a target is the newest one of its host: it is to be freed, or
+   its entry names another host. */
+void
+GvSched_ForgetHost(gv_sched_t *s, const gv_sched_target_t *tgt)
+{
+    if (tgt->info.host.n > 0 &&
+        g_hash_table_lookup(s->by_host, tgt->info.host.p) == tgt) {
+        g_hash_table_remove(s->by_host, tgt->info.host.p);
+    }
+}
+
+/* Notes that a target is the newest one of its host. The one before has then
+   ended, and its runs with it. Does nothing until the target has answered: its
+   entry alone may come from another writer. */
+void
+GvSched_ReplaceOnHost(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    if (tgt->info.host.n == 0 || !tgt->listed || tgt->hold_answered_ms == 0) {
+        return;
+    }
+    gv_sched_target_t *other =
+        g_hash_table_lookup(s->by_host, tgt->info.host.p);
+    if (other == tgt ||
+        (other != NULL && other->info.started_ms >= tgt->info.started_ms)) {
+        return;
+    }
+    if (other != NULL) {
+        GvSched_DropTargetRuns(s, other, GvSched_LossOf(other),
+                               "host has another target", now_ms);
+        other->listed = false;
+        GvSched_EndLeases(other, now_ms);
+    }
+    g_hash_table_replace(s->by_host, g_strdup(tgt->info.host.p), tgt);
+}
+
+/* Drops all runs on a target whose incarnation has ended: the platform has
+   reported that its host was taken down or that it was restarted. */
+void
+GvSched_EndTarget(gv_sched_t *s, gv_str_t target, int64_t now_ms)
+{
+    char *name = g_strndup(target.p, target.n);
+    gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
+    g_free(name);
+    if (tgt != NULL) {
+        GvSched_DropTargetRuns(s, tgt, GV_LOSS_PLANNED, "host was taken down",
+                               now_ms);
+        tgt->listed = false;
+        GvSched_EndLeases(tgt, now_ms);
+    }
+}
+
+/* Returns true if some listed host has the target. */
+static bool
+is_on_host(const gv_listed_hosts_t *list, const char *target)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, list->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (strcmp(((const gv_listed_host_t *)value)->target, target) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Drops the runs of a target that only the progress of jobs names: its record
+   was gone before this scheduler began, so that its host is not known. It has
+   ended if it is on no host. */
+static void
+check_unseen_target(gv_sched_t *s, gv_sched_target_t *tgt,
+                    const gv_listed_hosts_t *list, int64_t now_ms)
+{
+    if (list->whole && tgt->runs->len > 0 && tgt->first_listed_ms == 0 &&
+        !is_on_host(list, tgt->id)) {
+        GvEvlog_Write("target", "target=%s is on no host runs=%u", tgt->id,
+                      tgt->runs->len);
+        GvSched_DropTargetRuns(s, tgt, GV_LOSS_UNANSWERED,
+                               "target is on no host", now_ms);
+        GvSched_EndLeases(tgt, now_ms);
+    }
+}
+
+/* Drops the runs of targets that the platform's list of hosts shows to be
+   gone, without waiting for their leases to end. Targets that were first
+   listed after the list was requested are skipped. */
+void
+GvSched_CheckHosts(gv_sched_t *s, const gv_listed_hosts_t *list,
+                   int64_t now_ms)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, s->targets);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        gv_sched_target_t *tgt = value;
+        if (tgt->info.host.n == 0) {
+            check_unseen_target(s, tgt, list, now_ms);
+            continue;
+        }
+        const gv_listed_host_t *h =
+            g_hash_table_lookup(list->hosts, tgt->info.host.p);
+        if (tgt->first_listed_ms >= list->asked_ms || h == NULL ||
+            h->ordered || strcmp(h->target, tgt->id) == 0) {
+            continue;
+        }
+        bool ordered_away = !h->down && *h->target == '\0';
+        gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
+        if (tgt->listed || tgt->runs->len > 0) {
+            GvEvlog_WriteKind(
+                GV_EVLOG_RARE, "target",
+                "target=%s ended with host=%s now=%s down=%d runs=%u "
+                "first_listed_ago=%lld answered_ago=%lld asked_ago=%lld",
+                tgt->id, tgt->info.host.p, h->target, h->down, tgt->runs->len,
+                (long long)(now_ms - tgt->first_listed_ms),
+                (long long)(tgt->answered_ms == 0 ? -1
+                                                  : now_ms - tgt->answered_ms),
+                (long long)(now_ms - list->asked_ms));
+        }
+        GvSched_DropTargetRuns(s, tgt, loss,
+                               "host is down or has another target", now_ms);
+        tgt->listed = false;
+        GvSched_EndLeases(tgt, now_ms);
+    }
+}
