Scheduler: a list of hosts does not end a target that answers

A host was moved, its new target had an entry, answered and ran tasks, but the list of hosts, which may be behind, still had the host as away or with the target before: CheckHosts dropped the runs at once and ended the reckoned lease, and the tasks started elsewhere while the first runs were live.

A list now says nothing about a target until it must have it: some list has had it, it was first listed a second before the request, or it began long ago. Runs are dropped only if the target is silent as well, or is listed as down after some list has had it and it has not answered since the request. A host that is up without naming its target says nothing.

--- a/src/limits.h
+++ b/src/limits.h
@@ -406,6 +406,9 @@
    within 1.5 s, and starts count against the smaller room 4.5 s after it has
    shrunk; this leaves an order one second to arrive. */
 #define GV_SCHED_RECORDS_MAX_AGE_MS 2000
+/* The list of hosts may be this much behind the entries of the targets: as
+   long as it may be behind an accepted order. */
+#define GV_SCHED_HOST_LIST_LAG_MS 1000
 /* A stop by an earlier leader has ended its run by then: it was sent before
    the claim, is answered within 0.7 s, and takes up to 0.9 s on the target. */
 #define GV_SCHED_STOP_SHOWS_MS 2000
--- a/src/pool.c
+++ b/src/pool.c
@@ -224,6 +224,7 @@
             bool up = (ordered || h->state == GV_HOST_UP) && h->target != NULL;
             gv_listed_host_t *listed = g_new0(gv_listed_host_t, 1);
             listed->target = up ? h->target : "";
+            listed->unnamed = h->state == GV_HOST_UP && h->target == NULL;
             listed->down = h->state == GV_HOST_DOWN;
             listed->ordered = ordered;
             g_hash_table_insert(now, h->id, listed);
--- a/src/sched.h
+++ b/src/sched.h
@@ -222,6 +222,7 @@
 /* What the platform's list of hosts says of one host. */
 typedef struct {
     const char *target; /* that is up on it; empty for none */
+    bool unnamed;       /* it is up, but its target is not named */
     bool down;          /* it has failed; else it is up, or was ordered away */
     bool ordered;       /* an order for it has no result yet: its target may
                            have ended since or not */
--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -58,7 +58,7 @@
     }
 }
 
-/* Returns true if some listed host has the target. */
+/* Returns true if some listed host has the target, or may have it. */
 static bool
 is_on_host(const gv_listed_hosts_t *list, const char *target)
 {
@@ -66,7 +66,8 @@
     gpointer value;
     g_hash_table_iter_init(&it, list->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (strcmp(((const gv_listed_host_t *)value)->target, target) == 0) {
+        const gv_listed_host_t *h = value;
+        if (h->unnamed || strcmp(h->target, target) == 0) {
             return true;
         }
     }
@@ -90,9 +91,58 @@
     }
 }
 
-/* Drops the runs of targets that the platform's list of hosts shows to be
-   gone, without waiting for their leases to end. Targets that were first
-   listed after the list was requested are skipped. */
+/* Returns true if the list must have the target if that is still up: the list
+   may be behind the entry of a new target. */
+static bool
+must_have(const gv_sched_t *s, const gv_sched_target_t *tgt,
+          const gv_listed_hosts_t *list)
+{
+    int64_t begun_ms = tgt->info.started_ms;
+    return tgt->on_listed_host ||
+           list->asked_ms - tgt->first_listed_ms >=
+               GV_SCHED_HOST_LIST_LAG_MS ||
+           (begun_ms != 0 &&
+            s->wall_ms - begun_ms > GV_POOL_TARGET_MIN_AGE_MS);
+}
+
+/* Handles a target whose host is listed without it. It gets no new tasks. Its
+   runs are dropped without waiting for their leases to end if it no longer
+   answers either, or is said to have failed and has not answered since: a list
+   alone may be wrong about a target that is up. */
+static void
+end_listed_target(gv_sched_t *s, gv_sched_target_t *tgt,
+                  const gv_listed_host_t *h, const gv_listed_hosts_t *list,
+                  int64_t now_ms)
+{
+    bool failed =
+        h->down && tgt->on_listed_host && tgt->answered_ms < list->asked_ms;
+    bool answers = tgt->runs->len > 0 && tgt->silent_since_ms == 0 && !failed;
+    bool ordered_away = !h->down && *h->target == '\0';
+    gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
+    if (tgt->listed || (tgt->runs->len > 0 && !answers)) {
+        GvEvlog_WriteKind(
+            GV_EVLOG_RARE, "target",
+            "target=%s %s with host=%s now=%s down=%d runs=%u "
+            "first_listed_ago=%lld answered_ago=%lld asked_ago=%lld",
+            tgt->id, answers ? "kept, not silent" : "ended", tgt->info.host.p,
+            h->target, h->down, tgt->runs->len,
+            (long long)(now_ms - tgt->first_listed_ms),
+            (long long)(tgt->answered_ms == 0 ? -1
+                                              : now_ms - tgt->answered_ms),
+            (long long)(now_ms - list->asked_ms));
+    }
+    tgt->listed = false;
+    if (answers) {
+        return;
+    }
+    GvSched_DropTargetRuns(s, tgt, loss, "host is down or has another target",
+                           now_ms);
+    GvSched_EndLeases(tgt, now_ms);
+}
+
+/* Checks the targets against the platform's list of hosts. Targets that were
+   first listed after the list was requested are skipped, as are those whose
+   host has an order without a result. */
 void
 GvSched_CheckHosts(gv_sched_t *s, const gv_listed_hosts_t *list,
                    int64_t now_ms)
@@ -108,26 +158,13 @@
         }
         const gv_listed_host_t *h =
             g_hash_table_lookup(list->hosts, tgt->info.host.p);
-        if (tgt->first_listed_ms >= list->asked_ms || h == NULL ||
-            h->ordered || strcmp(h->target, tgt->id) == 0) {
-            continue;
+        if (h != NULL && strcmp(h->target, tgt->id) == 0) {
+            tgt->on_listed_host = true;
         }
-        bool ordered_away = !h->down && *h->target == '\0';
-        gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
-        if (tgt->listed || tgt->runs->len > 0) {
-            GvEvlog_WriteKind(
-                GV_EVLOG_RARE, "target",
-                "target=%s ended with host=%s now=%s down=%d runs=%u "
-                "first_listed_ago=%lld answered_ago=%lld asked_ago=%lld",
-                tgt->id, tgt->info.host.p, h->target, h->down, tgt->runs->len,
-                (long long)(now_ms - tgt->first_listed_ms),
-                (long long)(tgt->answered_ms == 0 ? -1
-                                                  : now_ms - tgt->answered_ms),
-                (long long)(now_ms - list->asked_ms));
+        else if (h != NULL && !h->ordered && !h->unnamed &&
+                 tgt->first_listed_ms < list->asked_ms &&
+                 must_have(s, tgt, list)) {
+            end_listed_target(s, tgt, h, list, now_ms);
         }
-        GvSched_DropTargetRuns(s, tgt, loss,
-                               "host is down or has another target", now_ms);
-        tgt->listed = false;
-        GvSched_EndLeases(tgt, now_ms);
     }
 }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -100,6 +100,7 @@
     gv_target_info_t info;
     bool listed;             /* the platform's list of targets has it */
     int64_t first_listed_ms; /* when it was first listed; 0: never */
+    bool on_listed_host;     /* some list of hosts had it on its host */
     bool reserved;           /* gets no new tasks: it is to be moved or
                                 maintained */
     bool synced;             /* a hold was answered since the last event that
