Pools: a host's new target is kept free, and a list behind its entry is ignored

(1) The answer to an order for a host is lost after it was carried out; its new target is not reserved, gets tasks, and the repeated order is accepted as done before, upon which the scheduler drops the runs of that target: they start elsewhere while they are live. A host with an operation now reserves each target that its entries or lists name. (2) A list that is behind set the host's target back to the one before; a wave then found nothing running on the host and ordered it away with the tasks of its present target. Such a list now says nothing of that host.

--- a/src/pool.c
+++ b/src/pool.c
@@ -107,6 +107,18 @@
     *at = text.n == 0 ? NULL : g_strndup(text.p, text.n);
 }
 
+/* Keeps tasks away from the target of a host that is being emptied or has an
+   order without a result: also from a new target, which an earlier order that
+   got no answer may have brought. */
+static void
+reserve_target(const gv_pools_t *p, const gv_host_t *h)
+{
+    if (h->operation == GV_OPERATION_EMPTYING ||
+        h->operation == GV_OPERATION_ORDERED) {
+        GvSched_Reserve(p->opts.sched, GvStr_C(h->target), true);
+    }
+}
+
 /* Sets the target of a host and remembers the one before. */
 static void
 set_target(gv_host_t *h, gv_str_t target)
@@ -168,13 +180,28 @@
         return; /* reported by the target that has been stopped */
     }
     h->started_ms = started_ms;
+    if (h->target == NULL || !GvStr_Equal(GvStr_C(h->target), target)) {
+        h->entered_ms = now_ms;
+    }
     set_target(h, target);
     set_text(&h->pool, pool);
+    reserve_target(p, h);
     if (h->operation == GV_OPERATION_AWAY) {
         end_absence(p, h, now_ms);
     }
 }
 
+/* Returns true if the list may be older than the entry of the present target,
+   which it does not have. */
+static bool
+is_list_behind(const gv_pools_t *p, const gv_host_t *h,
+               const gv_host_info_t *info)
+{
+    return h->target != NULL && h->entered_ms != 0 &&
+           p->list_sent_ms - h->entered_ms < GV_SCHED_HOST_LIST_LAG_MS &&
+           !GvStr_Equal(GvStr_C(h->target), info->target);
+}
+
 /* Adds or updates a host from the list. */
 static void
 update_host(gv_pools_t *p, const gv_host_info_t *info, int64_t now_ms)
@@ -189,6 +216,11 @@
     else {
         g_free(id);
     }
+    h->listed = true;
+    h->list_behind = is_list_behind(p, h, info);
+    if (h->list_behind) {
+        return;
+    }
     if (h->pool == NULL || !GvStr_Equal(GvStr_C(h->pool), info->pool)) {
         h->pool_since_ms = now_ms;
     }
@@ -199,13 +231,16 @@
                       GV_STR_ARG(info->target));
     }
     set_text(&h->pool, info->pool);
+    if (h->target == NULL || !GvStr_Equal(GvStr_C(h->target), info->target)) {
+        h->entered_ms = 0;
+    }
     set_target(h, info->target);
+    reserve_target(p, h);
     /* The list is right where an entry of another writer is not. */
     int64_t started = GvSched_TargetStartMs(p->opts.sched, info->target);
     h->started_ms = started != 0 ? started : h->started_ms;
     h->state = info->state;
     h->cpu = info->cpu > 0 ? info->cpu : h->cpu;
-    h->listed = true;
 }
 
 /* Passes the scheduler the state of each listed host. */
@@ -219,7 +254,7 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
-        if (h->listed) {
+        if (h->listed && !h->list_behind) {
             bool ordered = h->operation == GV_OPERATION_ORDERED;
             bool up = (ordered || h->state == GV_HOST_UP) && h->target != NULL;
             gv_listed_host_t *listed = g_new0(gv_listed_host_t, 1);
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -20,6 +20,8 @@
     char *target;       /* newest on the host; NULL for none */
     GQueue former;      /* char *: targets before it, GV_POOL_FORMER_MAX */
     int64_t started_ms; /* newest known start of a target, wall clock */
+    int64_t entered_ms; /* when an entry first named the present target; 0:
+                           only lists did */
     char *old_target;   /* target at the time of the order, or NULL */
     char *to_pool;      /* pool of a move in progress; NULL: maintenance */
     gv_host_state_t state;
@@ -29,6 +31,7 @@
                               have been carried out */
     int wave;              /* of a maintenance; 0: none */
     bool listed;           /* in the newest list */
+    bool list_behind;      /* which is older than what an entry has said */
     int64_t since_ms;      /* begin of the operation, or of being away */
     int64_t next_ms;       /* earliest time of the next order */
     int64_t idle_since_ms; /* up and without runs since then; 0: is not */
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "error.h"
 #include "pool.h"
 #include "script.h"
 
@@ -118,6 +119,65 @@
                       now);
 }
 
+/* pool_entry HOST TARGET STARTED: the same, and the scheduler reads it too. */
+GV_VERB("pool_entry", pool_entry)
+{
+    gv_target_info_t t = {
+        .id = ARG(2),
+        .host = ARG(1),
+        .addr = GV_STR("127.0.0.1:1"),
+        .service = GV_STR("s"),
+        .room = {4000, 4000, 0},
+        .started_ms = (int64_t)NUM(3),
+    };
+    GvSched_SetTarget(sched, &t, now);
+    GvPools_SetTarget(pools, ARG(1), ARG(2), GV_STR("s"), (int64_t)NUM(3),
+                      now);
+}
+
+/* pool_lapsed TARGET: the entry of a target has lapsed. */
+GV_VERB("pool_lapsed", pool_lapsed)
+{
+    GvSched_RemoveTarget(sched, ARG(1), now);
+}
+
+/* pool_run JOB TARGET: a task of a new job runs on a target. */
+GV_VERB("pool_run", pool_run)
+{
+    gv_job_t *j = GvJob_New();
+    j->id = GvStr_Dup(ARG(1));
+    j->queue = GvStr_Dup(GV_STR("q"));
+    j->service = GvStr_Dup(GV_STR("s"));
+    j->attempts = 2;
+    j->steps = g_new0(gv_step_t, 1);
+    j->steps[0] = (gv_step_t){.count = 1, .need = {1000, 100, 0}};
+    j->n_steps = 1;
+    g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    j->tasks[0].state = GV_TASK_PLACED;
+    j->tasks[0].run = 1;
+    j->tasks[0].target = g_intern_string(argv[2]);
+    GvSched_AddJob(sched, j, now);
+    GvJob_Free(j);
+}
+
+/* pool_services NAME ...: replaces the services. */
+GV_VERB("pool_services", pool_services)
+{
+    gv_service_info_t services[8] = {0};
+    for (int i = 1; i < argc; i++) {
+        services[i - 1].name = ARG(i);
+    }
+    GvPools_SetServices(pools, services, argc - 1);
+}
+
+/* pool_reserved TARGET: prints whether a target is kept free of new tasks. */
+GV_VERB("pool_reserved", pool_reserved)
+{
+    gv_target_view_t v;
+    bool known = GvSched_View(sched, ARG(1), &v);
+    printf("%s reserved %d\n", argv[1], known && v.reserved);
+}
+
 /* pool_wave N CAP HOST ...: a wave is requested; it continues from what is
    stored. */
 GV_VERB("pool_wave", pool_wave)
