Pools: a move waits for runs on a target whose entry has lapsed

A host is being emptied for a move and the entry of its target lapses, as it may while the store is down: the pools saw no runs on it and gave the order, which ends the tasks that run there. They are counted now whether the target is listed or not; a move is still given up after GV_POOL_MOVE_WAIT_MS. Test pool_list_behind, third scene: "move h2 to t" without the change (mutant, caught).

--- a/src/pool.c
+++ b/src/pool.c
@@ -371,9 +371,7 @@
     }
     bool all = h->wave != 0 && now_ms - h->since_ms > GV_POOL_WAVE_WAIT_MS;
     if (h->to_pool != NULL) {
-        gv_target_view_t v;
-        return GvSched_View(p->opts.sched, GvStr_C(h->target), &v) ? v.runs
-                                                                   : 0;
+        return GvSched_CountRuns(p->opts.sched, GvStr_C(h->target));
     }
     return GvSched_Evacuate(p->opts.sched, GvStr_C(h->target), all, now_ms);
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -487,6 +487,16 @@
     return true;
 }
 
+/* Returns the number of runs on a target, whether it is listed or not. */
+int
+GvSched_CountRuns(const gv_sched_t *s, gv_str_t target)
+{
+    char *name = g_strndup(target.p, target.n);
+    const gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
+    g_free(name);
+    return tgt == NULL ? 0 : (int)tgt->runs->len;
+}
+
 /* Sets whether a target is reserved: a reserved one gets no new tasks. */
 void
 GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved)
