Scheduler: a target that refuses connections has ended, whatever the list knows

If connections break off and a second hold fails as well, the list is believed at once. Test sched_list_behind, fourth scene.

--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -91,14 +91,16 @@
     }
 }
 
-/* Returns true if the list must have the target if that is still up: the list
-   may be behind the entry of a new target. */
+/* Returns true if the list would have the target if that were still up: it may
+   be behind the entry of a new target. One that breaks off its connections and
+   does not answer on a new one has ended, whatever the list knows. */
 static bool
-must_have(const gv_sched_t *s, const gv_sched_target_t *tgt,
-          const gv_listed_hosts_t *list)
+would_have(const gv_sched_t *s, const gv_sched_target_t *tgt,
+           const gv_listed_hosts_t *list)
 {
     int64_t begun_ms = tgt->info.started_ms;
-    return tgt->on_listed_host ||
+    bool refuses = tgt->broken_ms != 0 && tgt->hold_failures > 1;
+    return tgt->on_listed_host || refuses ||
            list->asked_ms - tgt->first_listed_ms >=
                GV_SCHED_HOST_LIST_LAG_MS ||
            (begun_ms != 0 &&
@@ -163,7 +165,7 @@
         }
         else if (h != NULL && !h->ordered && !h->unnamed &&
                  tgt->first_listed_ms < list->asked_ms &&
-                 must_have(s, tgt, list)) {
+                 would_have(s, tgt, list)) {
             end_listed_target(s, tgt, h, list, now_ms);
         }
     }
