--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -3,6 +3,7 @@
 the users' platform. Guards against jobs that are lost, run twice at the same
 time or again after their end, or reported wrongly, when a leader is killed or
 stopped, the store fails or a target stops responding."""
+import functools
 import json
 import sys
 import time
@@ -188,6 +189,25 @@
     target.silent = False
 
 
+def answered_after_start(fleet):
+    """Guards against a task that starts elsewhere while it runs on a target
+    that has carried its start out and answers with a server error."""
+    left = [6]
+
+    def start(target, rq):
+        answer = type(target).start(target, rq)
+        if answer[0] == 200 and left[0] > 0:
+            left[0] -= 1
+            return 500, b""
+        return answer
+
+    for target in fleet.targets:
+        target.start = functools.partial(start, target)
+    jobs = [fleet.submit("host-2", 450 + n, steps=1)[0] for n in range(4)]
+    all_done(fleet, "host-2", jobs, 30)
+    assert left[0] == 0
+
+
 def unread_jobs(fleet):
     """Guards against a task that runs again after a change of the leader. The
     new leader can't read the accepted jobs yet when targets report the ends
@@ -274,7 +294,7 @@
 def main():
     return run_scenarios(Fleet(sys.argv[1]), (
         accepts_and_runs, malformed_submission, survives_leader, refusals_match_store,
-        silent_target, unread_jobs, outdated_count, graceful_stop))
+        silent_target, answered_after_start, unread_jobs, outdated_count, graceful_stop))
 
 
 if __name__ == "__main__":
