Scripts: pools over targets with runs, lists that were requested earlier

The verbs of pools had a scheduler of their own without targets, so that no script could show what the result of an order for a host does to runs there. pool_new runs=1 uses the scheduler of the verbs sched_*. sched_hosts_asked sets when the next list of hosts was requested, and sched_target takes an address. The existing scripts of sched_* and pool_* give the same output as before.

--- a/tests/script.h
+++ b/tests/script.h
@@ -27,6 +27,8 @@
 /* Returns the ledger to which the ledger verbs append; NULL before the first
    record. */
 const struct gv_ledger_s *GvScript_Ledger(void);
+/* Returns the scheduler of the verbs sched_*; NULL before sched_new. */
+struct gv_sched_s *GvScript_Sched(void);
 
 /* Registers a verb with this name, run by the function fn; id_ is a unique
    identifier. */
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -7,9 +7,10 @@
 #include "script.h"
 
 /* Verbs for maintenance waves. Each order and report is printed when it is
-   given. Hosts have no runs. Times are in ms. */
+   given. Hosts have no runs, unless the pools use the scheduler of the verbs
+   sched_*. Times are in ms. */
 
-static gv_sched_t *sched;
+static gv_sched_t *sched; /* NULL: that of the verbs sched_* */
 static gv_pools_t *pools;
 static int64_t now;
 
@@ -54,21 +55,26 @@
     g_byte_array_append(stored, (const guint8 *)bytes.p, (guint)bytes.n);
 }
 
-/* pool_new [now=MS]: replaces the pools; what is stored about waves is kept.
- */
+/* pool_new [now=MS runs=0|1]: replaces the pools; what is stored about waves
+   is kept. runs: the pools use the scheduler of the verbs sched_*. */
 GV_VERB("pool_new", pool_new)
 {
     now = OPT("now", 1000);
     if (pools != NULL) {
         GvPools_Free(pools);
+    }
+    if (sched != NULL) {
         GvSched_Free(sched);
+        sched = NULL;
     }
     stored = stored == NULL ? g_byte_array_new() : stored;
     gv_sched_opts_t so = {.now_ms = now};
-    sched = GvSched_New(&so);
+    if (OPT("runs", 0) == 0) {
+        sched = GvSched_New(&so);
+    }
     gv_pool_opts_t o = {
         .ops = {NULL, on_list, on_move, on_maintain, on_report, on_store},
-        .sched = sched,
+        .sched = sched == NULL ? GvScript_Sched() : sched,
         .now_ms = now,
         .maintenance_ms = 2000,
         .move_ms = 1500};
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -53,6 +53,13 @@
     printf("  advise %s about %d\n", o->step, o->n_targets);
 }
 
+/* Returns the scheduler of these verbs; NULL before sched_new. */
+gv_sched_t *
+GvScript_Sched(void)
+{
+    return sched;
+}
+
 /* Returns the value of the argument "name=value", or an empty string. */
 static gv_str_t
 text_of(int argc, char **argv, const char *name)
@@ -126,14 +133,15 @@
     GvSched_SetQueues(sched, &q, 1);
 }
 
-/* sched_target ID [service=S host=H rack=R labels=L cpu=N mem=N draining=0|1
-   started=MS]: adds or updates a target; started is the time of its start. */
+/* sched_target ID [service=S host=H addr=A rack=R labels=L cpu=N mem=N
+   draining=0|1 started=MS]: adds or updates a target; started is the time of
+   its start. */
 GV_VERB("sched_target", sched_target)
 {
     gv_target_info_t t = {
         .id = ARG(1),
         .host = text_of(argc, argv, "host"),
-        .addr = GV_STR("127.0.0.1:1"),
+        .addr = GvStr_C(GvScript_Option(argc, argv, "addr", "127.0.0.1:1")),
         .service = text_of(argc, argv, "service"),
         .rack = text_of(argc, argv, "rack"),
         .labels = text_of(argc, argv, "labels"),
@@ -160,13 +168,16 @@
     GvSched_RemoveTarget(sched, ARG(1), now);
 }
 
+static int64_t asked_ms; /* when the next list was requested; 0: now */
+
 static void
 check_hosts(int argc, char **argv, bool whole)
 {
     gv_listed_host_t listed[16];
     char **kept[16];
     gv_listed_hosts_t list = {g_hash_table_new(g_str_hash, g_str_equal), whole,
-                              now};
+                              asked_ms == 0 ? now : asked_ms};
+    asked_ms = 0;
     for (int i = 1; i < argc; i++) {
         char **w = kept[i] = g_strsplit(argv[i], "=", 2);
         char *how = strchr(w[1], ':');
@@ -185,6 +196,12 @@
     }
 }
 
+/* sched_hosts_asked: the next list of hosts is requested now. */
+GV_VERB("sched_hosts_asked", sched_hosts_asked)
+{
+    asked_ms = now;
+}
+
 /* sched_hosts HOST=TARGET[:ordered]|down|away ...: the platform's list of
    hosts, with the target on each, or none as it has failed or was ordered
    away. ordered: an order for the host has no result yet. */
