Scheduler: a run that a restarted target may have started is not lost

A target is restarted under its identifier while idle; the leader starts tasks on it before it knows. A run that no answer with the incarnation's start has confirmed or listed is now kept until the next hold lists or misses it.

--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -198,6 +198,7 @@
     case GV_ORDER_DONE:
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
+        r->identified = a->started_ms != 0;
         record_start(s, r, now_ms);
         GvEvlog_WriteKind(GvSched_LogKind(r->active), "start",
                           "task=%s run=%u target=%s tries=%d", task, run,
@@ -342,6 +343,7 @@
         return;
     }
     r->listed = true;
+    r->identified = true;
     r->started_ms = r->started_ms == 0 ? now_ms : r->started_ms;
     GvSched_NoteBegun(s, a);
     r->percent = x->percent;
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -206,13 +206,18 @@
 }
 
 /* Counts the crash of a target against the tasks that may have run there.
+   restarted: runs that its new incarnation may have started are left out.
    GvSched_FailCrashers has to follow, once no run of the target is used any
    more. */
 void
-GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt, bool restarted,
+                     int64_t now_ms)
 {
     for (guint i = 0; i < tgt->runs->len; i++) {
-        count_crash(s, g_ptr_array_index(tgt->runs, i), now_ms);
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i);
+        if (!restarted || !GvSched_MayBeNew(r)) {
+            count_crash(s, r, now_ms);
+        }
     }
 }
 
@@ -258,7 +263,7 @@
         GvCounter_Add(&targets_crashed, 1);
     }
     if (loss == GV_LOSS_CRASHED) {
-        GvSched_CountCrashes(s, tgt, now_ms);
+        GvSched_CountCrashes(s, tgt, false, now_ms);
     }
     for (guint i = tgt->runs->len; i > 0; i--) {
         GvSched_LoseRun(s, g_ptr_array_index(tgt->runs, i - 1), loss, why,
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -51,6 +51,8 @@
     bool order_pending;   /* the newest order has no answer yet */
     bool maybe_started;   /* an order to start it got no answer */
     bool listed;          /* the newest hold answer has it as running */
+    bool identified;      /* an answer that names the target's incarnation has
+                             confirmed or listed it */
     int64_t started_ms;   /* when the target was first known to have started
                              it; 0: not yet */
     bool isolated;        /* its target gets no other tasks */
@@ -245,7 +247,7 @@
                      const char *why, int64_t now_ms);
 gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
 void GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt,
-                          int64_t now_ms);
+                          bool restarted, int64_t now_ms);
 bool GvSched_HasServed(const gv_run_t *r, int64_t now_ms);
 void GvSched_NoteStart(gv_sched_t *s, const gv_run_t *r);
 void GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
@@ -253,6 +255,7 @@
 void GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_FailJob(gv_sched_t *s, gv_active_job_t *a, const char *why,
                      int64_t now_ms);
+bool GvSched_MayBeNew(const gv_run_t *r);
 void GvSched_ResetEnds(gv_sched_target_t *tgt);
 bool GvSched_IsSettling(const gv_sched_target_t *tgt);
 bool GvSched_MayStop(const gv_sched_t *s, const gv_run_t *r, int64_t now_ms);
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -90,10 +90,20 @@
     tgt->ends_acked = 0;
 }
 
-/* A target was restarted under the same identifier. Confirmed runs ended with
-   its former incarnation. A start that was on its way may be carried out by
-   the new one, so that run is stopped there; a run of an earlier scheduler is
-   kept until the first answer to a hold lists or misses it. One that was not
+/* Returns true if a confirmed run may be one of a target's new incarnation:
+   only an answer that does not name the incarnation has confirmed it. */
+bool
+GvSched_MayBeNew(const gv_run_t *r)
+{
+    return r->phase == GV_RUN_ACTIVE && !r->identified;
+}
+
+/* A target was restarted under the same identifier. Runs that its former
+   incarnation has confirmed ended with it. Answers to starts need not name the
+   incarnation: a run that only such an answer has confirmed may be one of the
+   new incarnation, and is kept until the next answer to a hold lists or misses
+   it, as is a run of an earlier scheduler. A start that was on its way may be
+   carried out by the new one, so that run is stopped there. One that was not
    ordered yet is dropped: a hold that is still on its way could make the new
    incarnation forget its end. */
 void
@@ -103,12 +113,20 @@
     gv_loss_t loss = GvSched_LossOf(tgt);
     cover_former_deadlines(s, tgt, now_ms);
     if (loss == GV_LOSS_CRASHED) {
-        GvSched_CountCrashes(s, tgt, now_ms);
+        GvSched_CountCrashes(s, tgt, true, now_ms);
     }
     for (guint i = tgt->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         switch (r->phase) {
         case GV_RUN_ACTIVE:
+            if (GvSched_MayBeNew(r)) {
+                r->phase = GV_RUN_UNCONFIRMED;
+                r->confirmed_ms = 0;
+            }
+            else {
+                GvSched_LoseRun(s, r, loss, "target was restarted", now_ms);
+            }
+            break;
         case GV_RUN_STORING:
             GvSched_LoseRun(s, r, loss, "target was restarted", now_ms);
             break;
