Scheduler: a restarted target may have an earlier start than before

A target is restarted under its identifier after its wall clock was set back: each of its answers was ignored as one of an earlier incarnation, its runs were taken for lost after the usual lease and started elsewhere, though it listed them as live. An answer to an order that was sent after the present start was known is of a later incarnation, whatever start it gives.

--- a/src/sched.c
+++ b/src/sched.c
@@ -277,6 +277,7 @@
         tgt->first_listed_ms == 0 ? now_ms : tgt->first_listed_ms;
     if (tgt->started_ms == 0) {
         tgt->started_ms = info->started_ms;
+        tgt->started_known_ms = now_ms;
     }
     else if (info->started_ms > tgt->started_ms) {
         GvSched_HandleRestart(s, tgt, info->started_ms, now_ms);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -59,15 +59,19 @@
         tgt->listed = false;
         return false;
     }
-    if (restarted && a->started_ms < tgt->started_ms) {
-        return false; /* from an earlier incarnation */
+    if (restarted && a->started_ms < tgt->started_ms &&
+        sent_ms <= tgt->started_known_ms) {
+        /* From an earlier incarnation. A later one may also have an earlier
+           start, as its wall clock may have been set back. */
+        return false;
     }
     if (restarted) {
         GvSched_HandleRestart(s, tgt, a->started_ms, now_ms);
     }
     note_silence(tgt, silent, a->broken, now_ms);
-    if (a->started_ms != 0) {
+    if (a->started_ms != 0 && tgt->started_ms == 0) {
         tgt->started_ms = a->started_ms;
+        tgt->started_known_ms = now_ms;
     }
     if (a->clock_ms != 0) {
         tgt->clock_offset_ms = a->clock_ms - now_ms;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -121,6 +121,7 @@
     int64_t answered_ms;      /* when it last answered any order; 0: never */
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
+    int64_t started_known_ms; /* since when that is known */
     int64_t lease_until_ms;   /* no lease that this scheduler has given ends
                                  later */
     bool inherited;           /* an earlier scheduler may have given leases */
