Scheduler: an order without an answer outlasts the target's incarnation

A hold to a target that went down got no answer; carried out late by the next incarnation, it brings the longest lease, as its deadline is on the former clock. EndLeases and the removal of the target forgot that order, and a task was started elsewhere after the usual lease while its run was live on the target, which was cut off.

--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -50,13 +50,13 @@
                : tgt->lease_until_ms;
 }
 
-/* Notes that the incarnation of a target has ended, and its leases with it. */
+/* Notes that the incarnation of a target has ended, and its leases with it. An
+   order without an answer may still reach the next one. */
 void
 GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms)
 {
     tgt->lease_until_ms = now_ms;
     tgt->inherited = false;
-    tgt->unanswered_ms = 0;
 }
 
 /* Deadlines on the clock of a former incarnation say nothing to the present
@@ -310,9 +310,22 @@
     }
 }
 
+/* Returns true if nothing is to be remembered of a target: it is not listed
+   and has no runs and no lease, and no order to it may still be carried out.
+ */
+static bool
+may_forget(const gv_sched_t *s, const gv_sched_target_t *tgt, int64_t now_ms)
+{
+    bool late_order = tgt->unanswered_ms != 0 &&
+                      now_ms - tgt->unanswered_ms < GV_SCHED_LATE_ORDER_MS;
+    return !tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
+           !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
+           !late_order && now_ms > GvSched_LeaseEndMs(s, tgt, now_ms);
+}
+
 /* Updates the targets that an event has changed. Every GV_SCHED_SWEEP_MS
-   updates all, because leases end with time alone, and removes those that are
-   not listed and have no runs and no lease. Returns when to call again if no
+   updates all, because leases end with time alone, and removes those of which
+   nothing is to be remembered. Returns when to call again if no
    event comes before. */
 int64_t
 GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms)
@@ -333,9 +346,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_target_t *tgt = value;
         update_target(s, tgt, now_ms);
-        if (!tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
-            !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
-            now_ms > GvSched_LeaseEndMs(s, tgt, now_ms)) {
+        if (may_forget(s, tgt, now_ms)) {
             GvSched_RemoveFromService(tgt);
             GvSched_ForgetHost(s, tgt);
             g_hash_table_iter_remove(&it);
