Scheduler: another target's answer counts only from the present address

A target crashes while a start is on its way and is back under its identifier at another address. Answers say when their order was sent; one sent before the present incarnation was known no longer counts.

--- a/src/sched.h
+++ b/src/sched.h
@@ -137,6 +137,8 @@
     gv_order_result_t result;
     int64_t clock_ms;   /* of the target; 0: not in the answer */
     int64_t started_ms; /* of its incarnation; 0: not in the answer */
+    int64_t sent_ms;    /* when the order was sent; 0: when the run or the hold
+                           was last ordered */
     bool broken;        /* without an answer: its connection was refused or
                            broken off, as when its process has ended */
 } gv_order_answer_t;
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -33,11 +33,12 @@
 /* Checks who answered, and takes the target's clock from the answer. Returns
    false for an answer that must not be used any further. If the incarnation
    before has ended, its crash is counted by the time at which it fell silent.
-   The order was sent at sent_ms. */
+   The run or the hold was last ordered at ordered_ms. */
 static bool
 apply_answer(gv_sched_t *s, gv_sched_target_t *tgt, const gv_order_answer_t *a,
-             int64_t sent_ms, int64_t now_ms)
+             int64_t ordered_ms, int64_t now_ms)
 {
+    int64_t sent_ms = a->sent_ms == 0 ? ordered_ms : a->sent_ms;
     if (a->result == GV_ORDER_FENCED) {
         GvEvlog_Write("fenced", "target=%s epoch=%llu", tgt->id,
                       (unsigned long long)s->o.epoch);
@@ -51,6 +52,10 @@
     }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
+    if (a->result == GV_ORDER_OTHER_INSTANCE &&
+        sent_ms <= tgt->started_known_ms) {
+        return false; /* the order went to the address of a former one */
+    }
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
         GvSched_DropTargetRuns(s, tgt, GvSched_LossOf(tgt),
                                "another target answers", now_ms);
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -370,7 +370,7 @@
 }
 
 /* Returns a target's answer to an order; its clock is 5 s ahead, unless the
-   option clock gives its time, 0 for none. */
+   option clock gives its time, 0 for none. sent: when the order was sent. */
 static gv_order_answer_t
 answer_of(int argc, char **argv, const char *word)
 {
@@ -382,6 +382,7 @@
             "refused"),
         .clock_ms = clock == NULL ? now + 5000 : atoll(clock),
         .started_ms = OPT("started", 0),
+        .sent_ms = OPT("sent", 0),
         .broken = OPT("broken", 0) != 0,
     };
 }
