--- a/src/sched.h
+++ b/src/sched.h
@@ -137,6 +137,8 @@
     gv_order_result_t result;
     int64_t clock_ms;   /* of the target; 0: not in the answer */
     int64_t started_ms; /* of its incarnation; 0: not in the answer */
+    int64_t sent_ms;    /* when the order was sent; 0: when the run or the hold
+                           was last ordered */
     bool broken;        /* without an answer: its connection was refused or
                            broken off, as when its process has ended */
 } gv_order_answer_t;
@@ -222,6 +224,7 @@
 /* What the platform's list of hosts says of one host. */
 typedef struct {
     const char *target; /* that is up on it; empty for none */
+    bool unnamed;       /* it is up, but its target is not named */
     bool down;          /* it has failed; else it is up, or was ordered away */
     bool ordered;       /* an order for it has no result yet: its target may
                            have ended since or not */
@@ -269,6 +272,7 @@
 void GvSched_ReplayArrivals(gv_sched_t *s, const gv_job_t *const *jobs, int n,
                             int64_t now_ms, int64_t wall_ms);
 int64_t GvSched_TargetStartMs(const gv_sched_t *s, gv_str_t target);
+int GvSched_CountRuns(const gv_sched_t *s, gv_str_t target);
 void GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved);
 int GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
                      int64_t now_ms);
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -17,6 +17,7 @@
 note_silence(gv_sched_target_t *tgt, bool silent, bool broken, int64_t now_ms)
 {
     if (!silent) {
+        tgt->answered_ms = now_ms;
         tgt->silent_since_ms = 0;
         tgt->broken_ms = 0;
         return;
@@ -32,11 +33,12 @@
 /* Checks who answered, and takes the target's clock from the answer. Returns
    false for an answer that must not be used any further. If the incarnation
    before has ended, its crash is counted by the time at which it fell silent.
-   The order was sent at sent_ms. */
+   The run or the hold was last ordered at ordered_ms. */
 static bool
 apply_answer(gv_sched_t *s, gv_sched_target_t *tgt, const gv_order_answer_t *a,
-             int64_t sent_ms, int64_t now_ms)
+             int64_t ordered_ms, int64_t now_ms)
 {
+    int64_t sent_ms = a->sent_ms == 0 ? ordered_ms : a->sent_ms;
     if (a->result == GV_ORDER_FENCED) {
         GvEvlog_Write("fenced", "target=%s epoch=%llu", tgt->id,
                       (unsigned long long)s->o.epoch);
@@ -50,6 +52,10 @@
     }
     bool restarted = a->started_ms != 0 && tgt->started_ms != 0 &&
                      a->started_ms != tgt->started_ms;
+    if (a->result == GV_ORDER_OTHER_INSTANCE &&
+        sent_ms <= tgt->started_known_ms) {
+        return false; /* the order went to the address of a former one */
+    }
     if (a->result == GV_ORDER_OTHER_INSTANCE) {
         GvSched_DropTargetRuns(s, tgt, GvSched_LossOf(tgt),
                                "another target answers", now_ms);
@@ -58,15 +64,19 @@
         tgt->listed = false;
         return false;
     }
-    if (restarted && a->started_ms < tgt->started_ms) {
-        return false; /* from an earlier incarnation */
+    if (restarted && a->started_ms < tgt->started_ms &&
+        sent_ms <= tgt->started_known_ms) {
+        /* From an earlier incarnation. A later one may also have an earlier
+           start, as its wall clock may have been set back. */
+        return false;
     }
     if (restarted) {
         GvSched_HandleRestart(s, tgt, a->started_ms, now_ms);
     }
     note_silence(tgt, silent, a->broken, now_ms);
-    if (a->started_ms != 0) {
+    if (a->started_ms != 0 && tgt->started_ms == 0) {
         tgt->started_ms = a->started_ms;
+        tgt->started_known_ms = now_ms;
     }
     if (a->clock_ms != 0) {
         tgt->clock_offset_ms = a->clock_ms - now_ms;
@@ -197,6 +207,7 @@
     case GV_ORDER_DONE:
         r->phase = GV_RUN_ACTIVE;
         r->confirmed_ms = now_ms;
+        r->identified = a->started_ms != 0;
         record_start(s, r, now_ms);
         GvEvlog_WriteKind(GvSched_LogKind(r->active), "start",
                           "task=%s run=%u target=%s tries=%d", task, run,
@@ -341,6 +352,7 @@
         return;
     }
     r->listed = true;
+    r->identified = true;
     r->started_ms = r->started_ms == 0 ? now_ms : r->started_ms;
     GvSched_NoteBegun(s, a);
     r->percent = x->percent;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -51,6 +51,8 @@
     bool order_pending;   /* the newest order has no answer yet */
     bool maybe_started;   /* an order to start it got no answer */
     bool listed;          /* the newest hold answer has it as running */
+    bool identified;      /* an answer that names the target's incarnation has
+                             confirmed or listed it */
     int64_t started_ms;   /* when the target was first known to have started
                              it; 0: not yet */
     bool isolated;        /* its target gets no other tasks */
@@ -100,6 +102,7 @@
     gv_target_info_t info;
     bool listed;             /* the platform's list of targets has it */
     int64_t first_listed_ms; /* when it was first listed; 0: never */
+    bool on_listed_host;     /* some list of hosts had it on its host */
     bool reserved;           /* gets no new tasks: it is to be moved or
                                 maintained */
     bool synced;             /* a hold was answered since the last event that
@@ -115,8 +118,10 @@
     int64_t hold_next_ms;
     int64_t clock_read_ms;    /* when its clock was last read */
     int64_t hold_answered_ms; /* when it last answered a hold */
+    int64_t answered_ms;      /* when it last answered any order; 0: never */
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
+    int64_t started_known_ms; /* since when that is known */
     int64_t lease_until_ms;   /* no lease that this scheduler has given ends
                                  later */
     bool inherited;           /* an earlier scheduler may have given leases */
@@ -243,7 +248,7 @@
                      const char *why, int64_t now_ms);
 gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
 void GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt,
-                          int64_t now_ms);
+                          bool restarted, int64_t now_ms);
 bool GvSched_HasServed(const gv_run_t *r, int64_t now_ms);
 void GvSched_NoteStart(gv_sched_t *s, const gv_run_t *r);
 void GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
@@ -251,6 +256,7 @@
 void GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_FailJob(gv_sched_t *s, gv_active_job_t *a, const char *why,
                      int64_t now_ms);
+bool GvSched_MayBeNew(const gv_run_t *r);
 void GvSched_ResetEnds(gv_sched_target_t *tgt);
 bool GvSched_IsSettling(const gv_sched_target_t *tgt);
 bool GvSched_MayStop(const gv_sched_t *s, const gv_run_t *r, int64_t now_ms);
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -50,13 +50,13 @@
                : tgt->lease_until_ms;
 }
 
-/* Notes that the incarnation of a target has ended, and its leases with it. */
+/* Notes that the incarnation of a target has ended, and its leases with it. An
+   order without an answer may still reach the next one. */
 void
 GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms)
 {
     tgt->lease_until_ms = now_ms;
     tgt->inherited = false;
-    tgt->unanswered_ms = 0;
 }
 
 /* Deadlines on the clock of a former incarnation say nothing to the present
@@ -90,10 +90,20 @@
     tgt->ends_acked = 0;
 }
 
-/* A target was restarted under the same identifier. Confirmed runs ended with
-   its former incarnation. A start that was on its way may be carried out by
-   the new one, so that run is stopped there; a run of an earlier scheduler is
-   kept until the first answer to a hold lists or misses it. One that was not
+/* Returns true if a confirmed run may be one of a target's new incarnation:
+   only an answer that does not name the incarnation has confirmed it. */
+bool
+GvSched_MayBeNew(const gv_run_t *r)
+{
+    return r->phase == GV_RUN_ACTIVE && !r->identified;
+}
+
+/* A target was restarted under the same identifier. Runs that its former
+   incarnation has confirmed ended with it. Answers to starts need not name the
+   incarnation: a run that only such an answer has confirmed may be one of the
+   new incarnation, and is kept until the next answer to a hold lists or misses
+   it, as is a run of an earlier scheduler. A start that was on its way may be
+   carried out by the new one, so that run is stopped there. One that was not
    ordered yet is dropped: a hold that is still on its way could make the new
    incarnation forget its end. */
 void
@@ -103,12 +113,20 @@
     gv_loss_t loss = GvSched_LossOf(tgt);
     cover_former_deadlines(s, tgt, now_ms);
     if (loss == GV_LOSS_CRASHED) {
-        GvSched_CountCrashes(s, tgt, now_ms);
+        GvSched_CountCrashes(s, tgt, true, now_ms);
     }
     for (guint i = tgt->runs->len; i > 0; i--) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i - 1);
         switch (r->phase) {
         case GV_RUN_ACTIVE:
+            if (GvSched_MayBeNew(r)) {
+                r->phase = GV_RUN_UNCONFIRMED;
+                r->confirmed_ms = 0;
+            }
+            else {
+                GvSched_LoseRun(s, r, loss, "target was restarted", now_ms);
+            }
+            break;
         case GV_RUN_STORING:
             GvSched_LoseRun(s, r, loss, "target was restarted", now_ms);
             break;
@@ -124,6 +142,7 @@
     }
     GvSched_ResetEnds(tgt);
     tgt->started_ms = started_ms;
+    tgt->started_known_ms = now_ms;
     tgt->synced = false;
     tgt->clock_read_ms = 0; /* no deadline before its clock is read */
     GvSched_FailCrashers(s, now_ms);
@@ -291,9 +310,22 @@
     }
 }
 
+/* Returns true if nothing is to be remembered of a target: it is not listed
+   and has no runs and no lease, and no order to it may still be carried out.
+ */
+static bool
+may_forget(const gv_sched_t *s, const gv_sched_target_t *tgt, int64_t now_ms)
+{
+    bool late_order = tgt->unanswered_ms != 0 &&
+                      now_ms - tgt->unanswered_ms < GV_SCHED_LATE_ORDER_MS;
+    return !tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
+           !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
+           !late_order && now_ms > GvSched_LeaseEndMs(s, tgt, now_ms);
+}
+
 /* Updates the targets that an event has changed. Every GV_SCHED_SWEEP_MS
-   updates all, because leases end with time alone, and removes those that are
-   not listed and have no runs and no lease. Returns when to call again if no
+   updates all, because leases end with time alone, and removes those of which
+   nothing is to be remembered. Returns when to call again if no
    event comes before. */
 int64_t
 GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms)
@@ -314,9 +346,7 @@
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_target_t *tgt = value;
         update_target(s, tgt, now_ms);
-        if (!tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
-            !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
-            now_ms > GvSched_LeaseEndMs(s, tgt, now_ms)) {
+        if (may_forget(s, tgt, now_ms)) {
             GvSched_RemoveFromService(tgt);
             GvSched_ForgetHost(s, tgt);
             g_hash_table_iter_remove(&it);
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -3,13 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "error.h"
 #include "pool.h"
 #include "script.h"
 
 /* Verbs for maintenance waves. Each order and report is printed when it is
-   given. Hosts have no runs. Times are in ms. */
+   given. Hosts have no runs, unless the pools use the scheduler of the verbs
+   sched_*. Times are in ms. */
 
-static gv_sched_t *sched;
+static gv_sched_t *sched; /* NULL: that of the verbs sched_* */
 static gv_pools_t *pools;
 static int64_t now;
 
@@ -54,21 +56,26 @@
     g_byte_array_append(stored, (const guint8 *)bytes.p, (guint)bytes.n);
 }
 
-/* pool_new [now=MS]: replaces the pools; what is stored about waves is kept.
- */
+/* pool_new [now=MS runs=0|1]: replaces the pools; what is stored about waves
+   is kept. runs: the pools use the scheduler of the verbs sched_*. */
 GV_VERB("pool_new", pool_new)
 {
     now = OPT("now", 1000);
     if (pools != NULL) {
         GvPools_Free(pools);
+    }
+    if (sched != NULL) {
         GvSched_Free(sched);
+        sched = NULL;
     }
     stored = stored == NULL ? g_byte_array_new() : stored;
     gv_sched_opts_t so = {.now_ms = now};
-    sched = GvSched_New(&so);
+    if (OPT("runs", 0) == 0) {
+        sched = GvSched_New(&so);
+    }
     gv_pool_opts_t o = {
         .ops = {NULL, on_list, on_move, on_maintain, on_report, on_store},
-        .sched = sched,
+        .sched = sched == NULL ? GvScript_Sched() : sched,
         .now_ms = now,
         .maintenance_ms = 2000,
         .move_ms = 1500};
@@ -118,6 +125,65 @@
                       now);
 }
 
+/* pool_entry HOST TARGET STARTED: the same, and the scheduler reads it too. */
+GV_VERB("pool_entry", pool_entry)
+{
+    gv_target_info_t t = {
+        .id = ARG(2),
+        .host = ARG(1),
+        .addr = GV_STR("127.0.0.1:1"),
+        .service = GV_STR("s"),
+        .room = {4000, 4000, 0},
+        .started_ms = (int64_t)NUM(3),
+    };
+    GvSched_SetTarget(sched, &t, now);
+    GvPools_SetTarget(pools, ARG(1), ARG(2), GV_STR("s"), (int64_t)NUM(3),
+                      now);
+}
+
+/* pool_lapsed TARGET: the entry of a target has lapsed. */
+GV_VERB("pool_lapsed", pool_lapsed)
+{
+    GvSched_RemoveTarget(sched, ARG(1), now);
+}
+
+/* pool_run JOB TARGET: a task of a new job runs on a target. */
+GV_VERB("pool_run", pool_run)
+{
+    gv_job_t *j = GvJob_New();
+    j->id = GvStr_Dup(ARG(1));
+    j->queue = GvStr_Dup(GV_STR("q"));
+    j->service = GvStr_Dup(GV_STR("s"));
+    j->attempts = 2;
+    j->steps = g_new0(gv_step_t, 1);
+    j->steps[0] = (gv_step_t){.count = 1, .need = {1000, 100, 0}};
+    j->n_steps = 1;
+    g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    j->tasks[0].state = GV_TASK_PLACED;
+    j->tasks[0].run = 1;
+    j->tasks[0].target = g_intern_string(argv[2]);
+    GvSched_AddJob(sched, j, now);
+    GvJob_Free(j);
+}
+
+/* pool_services NAME ...: replaces the services. */
+GV_VERB("pool_services", pool_services)
+{
+    gv_service_info_t services[8] = {0};
+    for (int i = 1; i < argc; i++) {
+        services[i - 1].name = ARG(i);
+    }
+    GvPools_SetServices(pools, services, argc - 1);
+}
+
+/* pool_reserved TARGET: prints whether a target is kept free of new tasks. */
+GV_VERB("pool_reserved", pool_reserved)
+{
+    gv_target_view_t v;
+    bool known = GvSched_View(sched, ARG(1), &v);
+    printf("%s reserved %d\n", argv[1], known && v.reserved);
+}
+
 /* pool_wave N CAP HOST ...: a wave is requested; it continues from what is
    stored. */
 GV_VERB("pool_wave", pool_wave)
