Pace reads of the store by its refusals

Cause: the store carries out 2,000 reads a second of all entry hosts together and refuses the others with 429. Each host reads the progress up to 12.5 times a second, eight partitions of accepted jobs every 1.5 s and the settings every 0.8 s: 19 a second, 5,700 with 300 hosts, two thirds of which are refused at each host. A host claims the lease only if none of its reads of the progress has failed for 2 s, so that after the leader was killed no host ever could.

No host knows how many others there are. So each one lengthens its intervals by half when a read is refused, up to 8 times, and shortens them by 2% a second. If none of a host's reads is carried out, its rate is not the reason, and nothing changes.

--- a/src/limits.h
+++ b/src/limits.h
@@ -470,6 +470,19 @@
    older, the store is read first. */
 #define GV_INTAKE_COUNT_AGE_MS 2000
 
+/* Pace of reads of the store by one entry host: a refused read makes the
+   intervals half as long again, at most once in GV_READ_PACE_LENGTHEN_MS and
+   up to GV_READ_PACE_MAX_PERMILLE of the usual ones, if another read was
+   carried out within GV_READ_PACE_ANSWERED_MS. Each GV_READ_PACE_SHORTEN_MS
+   they lose one part in GV_READ_PACE_SHORTEN_DIVISOR: slow against the growth,
+   so that few reads are refused. The longest mean interval of progress, 640
+   ms, leaves three reads within GV_LEAD_TIMEOUT_MS. */
+#define GV_READ_PACE_LENGTHEN_MS     400
+#define GV_READ_PACE_MAX_PERMILLE    8000
+#define GV_READ_PACE_ANSWERED_MS     500
+#define GV_READ_PACE_SHORTEN_MS      1000
+#define GV_READ_PACE_SHORTEN_DIVISOR 50
+
 /* Pools of hosts. Only this part of a host's cpu counts as capacity, since
    tasks do not divide evenly over hosts. */
 #define GV_POOL_FILL_PERCENT 85
