test_sched: show the model's events in the trace

GV_TRACE showed only the scheduler's lines, and of these at most 1,000 a second, which is less than a seed writes: what targets did, and when, was missing. Without GV_TRACE nothing changes.

--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -37,6 +37,9 @@
 #define DOWN_MS            3000 /* a target that was crashed by a task is back then */
 #define LIST_MS            300 /* between two lists of the hosts */
 #define ROOMS_MAX          64
+/* A step takes so long with a trace, so that the limit of lines per second
+   drops none. */
+#define TRACE_STEP_US 1000
 
 typedef struct {
     char task[64];
@@ -95,6 +98,10 @@
 
 typedef enum { ORDER_START, ORDER_STOP, ORDER_HOLD } order_kind_t;
 
+static const char *const order_names[] = {"start", "stop", "hold"};
+static const char *const answer_names[] = {"start answered", "stop answered",
+                                           "hold answered"};
+
 typedef struct {
     int64_t sent_ms;
     int64_t at_ms;
@@ -142,6 +149,18 @@
 static bool targets_check_fence;
 static bool hosts_listed; /* the platform's list of hosts can be read */
 static int64_t store_slow_until_ms;
+static bool is_traced; /* the decisions and the model's events are shown */
+
+/* Writes a line with the model's time to the trace, if there is one. value is
+   a time, a number or a result, by what happened; -1 for a connection that was
+   broken off. */
+static void
+trace(const char *what, const char *target, const char *task, uint32_t run,
+      int64_t value)
+{
+    GvEvlog_Write("model", "now=%lld %s target=%s task=%s run=%u value=%lld",
+                  (long long)now, what, target, task, run, (long long)value);
+}
 
 /* Returns true with this probability. */
 static bool
@@ -383,6 +402,7 @@
         MAX(t->highest_run[r.job][r.index], r.run);
     jobs[r.job].ends_done[r.index] += how == GV_END_DONE ? 1 : 0;
     jobs[r.job].ends_failed[r.index] += how == GV_END_FAILED ? 1 : 0;
+    trace("end", t->id, r.task, r.run, (int64_t)how);
     answer_holds(t);
 }
 
@@ -410,6 +430,7 @@
     }
     check_start(t, job, index, e);
     n_started++;
+    trace("runs", t->id, e->task, e->run, 0);
     model_run_t *r = &t->runs[t->n_runs++];
     g_strlcpy(r->task, e->task, sizeof r->task);
     r->run = e->run;
@@ -522,6 +543,9 @@
             break;
         }
     }
+    trace(e->late ? "late, sent at" : "sent at", t->id, e->task, e->run,
+          e->sent_ms);
+    trace(order_names[e->kind], t->id, e->task, e->run, (int64_t)e->result);
     e->started_ms = t->started_ms;
     e->clock_ms = clock_of(t);
     e->broken = !t->up;
@@ -573,6 +597,8 @@
         e->used = false;
         return;
     }
+    trace(answer_names[e->kind], id, e->task, e->run,
+          e->broken ? -1 : (int64_t)e->result);
     switch (e->kind) {
     case ORDER_START:
         GvSched_HandleStartAnswer(sched, id, e->task, e->run, &a, now);
@@ -688,6 +714,7 @@
     }
     g_hash_table_remove_all(batch);
     epoch++;
+    trace("replaced", "", "", 0, epoch);
     gv_sched_opts_t o = {
         .ops = {.start = on_start, .stop = on_stop, .hold = on_hold},
         .epoch = (uint64_t)epoch,
@@ -767,6 +794,7 @@
     for (int i = 0; i < t->n_runs; i++) {
         jobs[t->runs[i].job].crashes[t->runs[i].index]++;
     }
+    trace("crash", t->id, "", 0, t->n_runs);
     answer_holds(t); /* they are broken off */
     t->n_runs = 0;
     t->n_ended = 0;
@@ -788,6 +816,7 @@
             t->up = true;
             t->started_ms = now;
             changed = true;
+            trace("up", t->id, "", 0, 0);
         }
         if (now >= t->report_ms && t->reported_cpu != room_of(t)) {
             t->reported_cpu = room_of(t);
@@ -824,9 +853,11 @@
     }
     else if (chance(10)) {
         store_slow_until_ms = now + g_rand_int_range(rnd, 500, 8000);
+        trace("store slow", "", "", 0, store_slow_until_ms);
     }
     else if (chance(30)) {
         t->silent_until_ms = now + g_rand_int_range(rnd, 100, 8000);
+        trace("silent", t->id, "", 0, t->silent_until_ms);
     }
     else if (chance(30)) {
         crash(t);
@@ -876,6 +907,9 @@
 step(bool with_faults)
 {
     now += 10;
+    if (is_traced) {
+        g_usleep(TRACE_STEP_US);
+    }
     step_targets();
     report_targets();
     for (int i = 0; i < EVENTS_MAX; i++) {
@@ -1027,7 +1061,8 @@
     g_rand_free(rnd);
 }
 
-/* Runs the seeds GV_FIRST (1) to GV_SEEDS (400). */
+/* Runs the seeds GV_FIRST (1) to GV_SEEDS (400). GV_TRACE shows what the
+   scheduler and the model do. */
 static void
 test_random(void)
 {
@@ -1048,7 +1083,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     if (g_getenv("GV_TRACE") != NULL) {
-        GvEvlog_Open("test"); /* shows the decisions of a failing seed */
+        GvEvlog_Open("test");
+        is_traced = true;
     }
     g_test_add_func("/sched/random", test_random);
     return g_test_run();
