Scheduler: count a suspect whose target is on no host for the next leader

Cause: after its start the leader is replaced, and the record of the crashed target is gone by then. The next leader knows the target from the progress only, finds it on no host and drops the run as lost without an answer, which counts for nothing: it may have been taken down as planned.

Change: for a suspect it counts, as doubtful if its start was stored as confirmed, else as unconfirmed. Planned work waits until a target has no runs, so that a recorded run on a target that was taken down takes a stop whose record was not stored. Other tasks do not count: a sound one would get a target for itself.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -220,6 +220,20 @@
     }
 }
 
+/* Counts the end of a target against the suspects that an earlier leader has
+   started there. It may have been taken down after a stop that was not stored,
+   which would make suspects of sound tasks, so that others do not count. */
+static void
+count_suspects(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        gv_run_t *r = g_ptr_array_index(tgt->runs, i);
+        if (r->active->job->tasks[r->task].suspect) {
+            count_crash(s, r, now_ms);
+        }
+    }
+}
+
 /* Fails the jobs with a task that crashes its targets. */
 void
 GvSched_FailCrashers(gv_sched_t *s, int64_t now_ms)
@@ -261,8 +275,15 @@
     if (loss == GV_LOSS_CRASHED && tgt->listed) {
         GvCounter_Add(&targets_crashed, 1);
     }
-    if (loss == GV_LOSS_CRASHED) {
+    switch (loss) {
+    case GV_LOSS_CRASHED:
         GvSched_CountCrashes(s, tgt, now_ms);
+        break;
+    case GV_LOSS_UNANSWERED:
+        count_suspects(s, tgt, now_ms);
+        break;
+    case GV_LOSS_PLANNED:
+        break;
     }
     for (guint i = tgt->runs->len; i > 0; i--) {
         GvSched_LoseRun(s, g_ptr_array_index(tgt->runs, i - 1), loss, why,
