Scheduler: count a crash before a change of the leader also for a task that is

no suspect yet

Change: such a run counts for every task, as unconfirmed. Other than a crash that is known it does not make a sound task a suspect; three crashes do.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -147,9 +147,10 @@
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
-   one after GV_SCHED_SUSPECT_CRASHES. */
+   one after GV_SCHED_SUSPECT_CRASHES. So does one that may have been planned
+   work of an earlier leader. */
 static void
-count_crash(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+count_crash(gv_sched_t *s, gv_run_t *r, bool maybe_planned, int64_t now_ms)
 {
     gv_active_job_t *a = r->active;
     gv_task_t *t = &a->job->tasks[r->task];
@@ -172,7 +173,7 @@
     else {
         t->unconfirmed++;
     }
-    t->suspect = t->suspect || soon || r->sent_ms == 0 ||
+    t->suspect = t->suspect || soon || (r->sent_ms == 0 && !maybe_planned) ||
                  all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
     a->has_suspects = a->has_suspects || t->suspect;
     GvSched_MarkDirty(s, a);
@@ -205,33 +206,26 @@
     const gv_task_t *t = &r->active->job->tasks[r->task];
     if (t->target_started_ms != 0 &&
         r->tgt->started_ms > t->target_started_ms) {
-        count_crash(s, r, now_ms);
+        count_crash(s, r, false, now_ms);
     }
 }
 
-/* Counts the crash of a target against the tasks that may have run there.
-   GvSched_FailCrashers has to follow, once no run of the target is used any
-   more. */
-void
-GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+static void
+count_crashes(gv_sched_t *s, gv_sched_target_t *tgt, bool maybe_planned,
+              int64_t now_ms)
 {
     for (guint i = 0; i < tgt->runs->len; i++) {
-        count_crash(s, g_ptr_array_index(tgt->runs, i), now_ms);
+        count_crash(s, g_ptr_array_index(tgt->runs, i), maybe_planned, now_ms);
     }
 }
 
-/* Counts the end of a target against the suspects that an earlier leader has
-   started there. It may have been taken down after a stop that was not stored,
-   which would make suspects of sound tasks, so that others do not count. */
-static void
-count_suspects(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+/* Counts the crash of a target against the tasks that may have run there.
+   GvSched_FailCrashers has to follow, once no run of the target is used any
+   more. */
+void
+GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    for (guint i = 0; i < tgt->runs->len; i++) {
-        gv_run_t *r = g_ptr_array_index(tgt->runs, i);
-        if (r->active->job->tasks[r->task].suspect) {
-            count_crash(s, r, now_ms);
-        }
-    }
+    count_crashes(s, tgt, false, now_ms);
 }
 
 /* Fails the jobs with a task that crashes its targets. */
@@ -280,7 +274,9 @@
         GvSched_CountCrashes(s, tgt, now_ms);
         break;
     case GV_LOSS_UNANSWERED:
-        count_suspects(s, tgt, now_ms);
+        /* It is on no host: it crashed, or was taken down after stops that
+           were not stored. */
+        count_crashes(s, tgt, true, now_ms);
         break;
     case GV_LOSS_PLANNED:
         break;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -1062,7 +1062,7 @@
 }
 
 /* Seeds beyond the first 400 that have failed. */
-static const guint32 failed_before[] = {3896, 5296, 31080};
+static const guint32 failed_before[] = {3896, 5296, 6961, 8009, 31080, 38891};
 
 static void
 play(guint32 seed)
