--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -101,8 +101,10 @@
 /* Returns true if a task counts as the cause of a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
    on the target; or there were too many crashes. Those of a long-running task
-   mostly come from others, unless it was alone. While no connection has broken
-   off, an answer that lists the end of the run may still arrive. */
+   mostly come from others, unless it was alone; it only has to wait then, and
+   its count begins anew once it has served, so that fewer suffice. While no
+   connection has broken off, an answer that lists the end of the run may still
+   arrive. */
 static bool
 is_proven(const gv_run_t *r, bool soon, bool alone)
 {
@@ -110,10 +112,12 @@
     if (soon && alone && t->crashes >= 2 && r->tgt->broken_ms != 0) {
         return true;
     }
-    return (alone || !r->active->long_running) &&
-           (t->crashes >= GV_SCHED_CRASHES_MAX ||
-            (t->crashes + t->doubtful >= 1 &&
-             all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX));
+    if (r->active->long_running) {
+        return alone && all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
+    }
+    return t->crashes >= GV_SCHED_CRASHES_MAX ||
+           (t->crashes + t->doubtful >= 1 &&
+            all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX);
 }
 
 /* Returns true if the crash of its target came soon after the start of a run:
@@ -143,9 +147,10 @@
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
-   one after GV_SCHED_SUSPECT_CRASHES. */
+   one after GV_SCHED_SUSPECT_CRASHES. So does one that may have been planned
+   work of an earlier leader. */
 static void
-count_crash(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
+count_crash(gv_sched_t *s, gv_run_t *r, bool maybe_planned, int64_t now_ms)
 {
     gv_active_job_t *a = r->active;
     gv_task_t *t = &a->job->tasks[r->task];
@@ -168,7 +173,7 @@
     else {
         t->unconfirmed++;
     }
-    t->suspect = t->suspect || soon || r->sent_ms == 0 ||
+    t->suspect = t->suspect || soon || (r->sent_ms == 0 && !maybe_planned) ||
                  all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
     a->has_suspects = a->has_suspects || t->suspect;
     GvSched_MarkDirty(s, a);
@@ -201,7 +206,16 @@
     const gv_task_t *t = &r->active->job->tasks[r->task];
     if (t->target_started_ms != 0 &&
         r->tgt->started_ms > t->target_started_ms) {
-        count_crash(s, r, now_ms);
+        count_crash(s, r, false, now_ms);
+    }
+}
+
+/* Counts what may have been a crash of the target, or planned work. */
+static void
+count_doubtful_crashes(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
+{
+    for (guint i = 0; i < tgt->runs->len; i++) {
+        count_crash(s, g_ptr_array_index(tgt->runs, i), true, now_ms);
     }
 }
 
@@ -216,7 +230,7 @@
     for (guint i = 0; i < tgt->runs->len; i++) {
         gv_run_t *r = g_ptr_array_index(tgt->runs, i);
         if (!restarted || !GvSched_MayBeNew(r)) {
-            count_crash(s, r, now_ms);
+            count_crash(s, r, false, now_ms);
         }
     }
 }
@@ -262,8 +276,17 @@
     if (loss == GV_LOSS_CRASHED && tgt->listed) {
         GvCounter_Add(&targets_crashed, 1);
     }
-    if (loss == GV_LOSS_CRASHED) {
+    switch (loss) {
+    case GV_LOSS_CRASHED:
         GvSched_CountCrashes(s, tgt, false, now_ms);
+        break;
+    case GV_LOSS_UNANSWERED:
+        /* It is on no host: it crashed, or was taken down after stops that
+           were not stored. */
+        count_doubtful_crashes(s, tgt, now_ms);
+        break;
+    case GV_LOSS_PLANNED:
+        break;
     }
     for (guint i = tgt->runs->len; i > 0; i--) {
         GvSched_LoseRun(s, g_ptr_array_index(tgt->runs, i - 1), loss, why,
