Scheduler: what is known of a target is known of one incarnation

What a list has had, and since when a target is known, now begin anew with the incarnation; the start of the one before is remembered; only holds in a row whose connections were refused or broken off count as refused.

--- a/src/sched.c
+++ b/src/sched.c
@@ -279,7 +279,8 @@
         tgt->started_ms = info->started_ms;
         tgt->started_known_ms = now_ms;
     }
-    else if (info->started_ms > tgt->started_ms) {
+    else if (info->started_ms > tgt->started_ms &&
+             info->started_ms != tgt->former_start_ms) {
         GvSched_HandleRestart(s, tgt, info->started_ms, now_ms);
     }
     for (guint i = 0; drains && i < tgt->runs->len; i++) {
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -409,10 +409,12 @@
             GvEvlog_Write("target", "target=%s hold failed result=%d", tgt->id,
                           a->answer.result);
         }
+        tgt->broken_holds = a->answer.broken ? tgt->broken_holds + 1 : 0;
         tgt->hold_next_ms = now_ms + GV_SCHED_HOLD_RETRY_MS;
         return;
     }
     tgt->hold_failures = 0;
+    tgt->broken_holds = 0;
     tgt->hold_answered_ms = now_ms;
     GvSched_ReplaceOnHost(s, tgt, now_ms);
     tgt->synced = true;
--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -91,6 +91,13 @@
     }
 }
 
+/* Returns since when the present incarnation of a listed target is known. */
+static int64_t
+known_since_ms(const gv_sched_target_t *tgt)
+{
+    return MAX(tgt->first_listed_ms, tgt->started_known_ms);
+}
+
 /* Returns true if the list would have the target if that were still up: it may
    be behind the entry of a new target. One that breaks off its connections and
    does not answer on a new one has ended, whatever the list knows. */
@@ -98,11 +105,10 @@
 would_have(const gv_sched_t *s, const gv_sched_target_t *tgt,
            const gv_listed_hosts_t *list)
 {
-    int64_t begun_ms = tgt->info.started_ms;
-    bool refuses = tgt->broken_ms != 0 && tgt->hold_failures > 1;
+    int64_t begun_ms = tgt->started_ms;
+    bool refuses = tgt->broken_holds > 1;
     return tgt->on_listed_host || refuses ||
-           list->asked_ms - tgt->first_listed_ms >=
-               GV_SCHED_HOST_LIST_LAG_MS ||
+           list->asked_ms - known_since_ms(tgt) >= GV_SCHED_HOST_LIST_LAG_MS ||
            (begun_ms != 0 &&
             s->wall_ms - begun_ms > GV_POOL_TARGET_MIN_AGE_MS);
 }
@@ -142,8 +148,8 @@
     GvSched_EndLeases(tgt, now_ms);
 }
 
-/* Checks the targets against the platform's list of hosts. Targets that were
-   first listed after the list was requested are skipped, as are those whose
+/* Checks the targets against the platform's list of hosts. Targets that became
+   known after the list was requested are skipped, as are those whose
    host has an order without a result. */
 void
 GvSched_CheckHosts(gv_sched_t *s, const gv_listed_hosts_t *list,
@@ -164,7 +170,7 @@
             tgt->on_listed_host = true;
         }
         else if (h != NULL && !h->ordered && !h->unnamed &&
-                 tgt->first_listed_ms < list->asked_ms &&
+                 known_since_ms(tgt) < list->asked_ms &&
                  would_have(s, tgt, list)) {
             end_listed_target(s, tgt, h, list, now_ms);
         }
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -102,7 +102,8 @@
     gv_target_info_t info;
     bool listed;             /* the platform's list of targets has it */
     int64_t first_listed_ms; /* when it was first listed; 0: never */
-    bool on_listed_host;     /* some list of hosts had it on its host */
+    bool on_listed_host;     /* some list of hosts had it on its host, in its
+                                present incarnation */
     bool reserved;           /* gets no new tasks: it is to be moved or
                                 maintained */
     bool synced;             /* a hold was answered since the last event that
@@ -110,6 +111,8 @@
     bool clock_needed;       /* a start waits until its clock is read again */
     bool hold_pending;
     int hold_failures;
+    int broken_holds;        /* the newest ones, in a row, whose connection was
+                                refused        or broken off */
     int64_t silent_since_ms; /* first unanswered order since its last answer;
                                 0: it has answered since */
     int64_t
@@ -122,6 +125,7 @@
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
     int64_t started_known_ms; /* since when that is known */
+    int64_t former_start_ms;  /* of the incarnation before; 0: unknown */
     int64_t lease_until_ms;   /* no lease that this scheduler has given ends
                                  later */
     bool inherited;           /* an earlier scheduler may have given leases */
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -141,8 +141,10 @@
         }
     }
     GvSched_ResetEnds(tgt);
+    tgt->former_start_ms = tgt->started_ms;
     tgt->started_ms = started_ms;
     tgt->started_known_ms = now_ms;
+    tgt->on_listed_host = false;
     tgt->synced = false;
     tgt->clock_read_ms = 0; /* no deadline before its clock is read */
     GvSched_FailCrashers(s, now_ms);
