--- a/src/pool.c
+++ b/src/pool.c
@@ -14,6 +14,7 @@
     g_free(h->target);
     g_queue_clear_full(&h->former, g_free);
     g_free(h->old_target);
+    g_free(h->reserved);
     g_free(h->to_pool);
     g_free(h);
 }
@@ -107,16 +108,31 @@
     *at = text.n == 0 ? NULL : g_strndup(text.p, text.n);
 }
 
+/* Lets the target that was reserved for a host's operation get tasks again. */
+static void
+release_target(const gv_pools_t *p, gv_host_t *h)
+{
+    if (h->reserved != NULL) {
+        GvSched_Reserve(p->opts.sched, GvStr_C(h->reserved), false);
+        g_clear_pointer(&h->reserved, g_free);
+    }
+}
+
 /* Keeps tasks away from the target of a host that is being emptied or has an
    order without a result: also from a new target, which an earlier order that
    got no answer may have brought. */
 static void
-reserve_target(const gv_pools_t *p, const gv_host_t *h)
+reserve_target(const gv_pools_t *p, gv_host_t *h)
 {
-    if (h->operation == GV_OPERATION_EMPTYING ||
-        h->operation == GV_OPERATION_ORDERED) {
-        GvSched_Reserve(p->opts.sched, GvStr_C(h->target), true);
+    if (h->target == NULL || (h->operation != GV_OPERATION_EMPTYING &&
+                              h->operation != GV_OPERATION_ORDERED)) {
+        return;
+    }
+    if (g_strcmp0(h->reserved, h->target) != 0) {
+        release_target(p, h);
+        h->reserved = g_strdup(h->target);
     }
+    GvSched_Reserve(p->opts.sched, GvStr_C(h->target), true);
 }
 
 /* Sets the target of a host and remembers the one before. */
@@ -191,6 +207,16 @@
     }
 }
 
+/* Sets the target of a host that a list has named; empty for none. */
+static void
+set_listed_target(gv_host_t *h, gv_str_t target)
+{
+    if (h->target == NULL || !GvStr_Equal(GvStr_C(h->target), target)) {
+        h->entered_ms = 0;
+    }
+    set_target(h, target);
+}
+
 /* Returns true if the list may be older than the entry of the present target,
    which it does not have. */
 static bool
@@ -217,6 +243,7 @@
         g_free(id);
     }
     h->listed = true;
+    h->unnamed = info->state == GV_HOST_UP && info->target.n == 0;
     h->list_behind = is_list_behind(p, h, info);
     if (h->list_behind) {
         return;
@@ -231,11 +258,10 @@
                       GV_STR_ARG(info->target));
     }
     set_text(&h->pool, info->pool);
-    if (h->target == NULL || !GvStr_Equal(GvStr_C(h->target), info->target)) {
-        h->entered_ms = 0;
+    if (!h->unnamed) {
+        set_listed_target(h, info->target);
+        reserve_target(p, h);
     }
-    set_target(h, info->target);
-    reserve_target(p, h);
     /* The list is right where an entry of another writer is not. */
     int64_t started = GvSched_TargetStartMs(p->opts.sched, info->target);
     h->started_ms = started != 0 ? started : h->started_ms;
@@ -254,12 +280,13 @@
     g_hash_table_iter_init(&it, p->hosts);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_host_t *h = value;
+        whole = whole && !(h->listed && h->list_behind);
         if (h->listed && !h->list_behind) {
             bool ordered = h->operation == GV_OPERATION_ORDERED;
             bool up = (ordered || h->state == GV_HOST_UP) && h->target != NULL;
             gv_listed_host_t *listed = g_new0(gv_listed_host_t, 1);
-            listed->target = up ? h->target : "";
-            listed->unnamed = h->state == GV_HOST_UP && h->target == NULL;
+            listed->target = up && !h->unnamed ? h->target : "";
+            listed->unnamed = h->unnamed;
             listed->down = h->state == GV_HOST_DOWN;
             listed->ordered = ordered;
             g_hash_table_insert(now, h->id, listed);
@@ -344,14 +371,14 @@
     h->next_ms = now_ms;
     g_free(h->to_pool);
     h->to_pool = g_strdup(to_pool);
-    GvSched_Reserve(p->opts.sched, GvStr_C(h->target), true);
+    reserve_target(p, h);
 }
 
 /* Ends a host's operation; its target gets tasks again. */
 void
 GvPools_EndOperation(gv_pools_t *p, gv_host_t *h)
 {
-    GvSched_Reserve(p->opts.sched, GvStr_C(h->target), false);
+    release_target(p, h);
     h->operation = GV_OPERATION_NONE;
     h->unanswered = false;
     h->wave = 0;
--- a/src/pool_private.h
+++ b/src/pool_private.h
@@ -23,7 +23,8 @@
     int64_t entered_ms; /* when an entry first named the present target; 0:
                            only lists did */
     char *old_target;   /* target at the time of the order, or NULL */
-    char *to_pool;      /* pool of a move in progress; NULL: maintenance */
+    char *reserved; /* target that gets no tasks for the operation, or NULL */
+    char *to_pool;  /* pool of a move in progress; NULL: maintenance */
     gv_host_state_t state;
     int64_t cpu;
     gv_operation_t operation;
@@ -32,6 +33,7 @@
     int wave;              /* of a maintenance; 0: none */
     bool listed;           /* in the newest list */
     bool list_behind;      /* which is older than what an entry has said */
+    bool unnamed;          /* which has it as up without naming its target */
     int64_t since_ms;      /* begin of the operation, or of being away */
     int64_t next_ms;       /* earliest time of the next order */
     int64_t idle_since_ms; /* up and without runs since then; 0: is not */
