--- a/tests/proc_jobs.py
+++ b/tests/proc_jobs.py
@@ -20,9 +20,11 @@
     """A store, targets and scheduler daemons."""
 
     more_conf = ""  # lines of every daemon's settings
+    n_hosts = HOSTS
+    parts = 2  # of the accepted jobs
 
-    def __init__(self, build, run_s=0.3, targets=3):
-        self.store = Store()
+    def __init__(self, build, run_s=0.3, targets=3, store=None):
+        self.store = store or Store()
         self.history = []
         self.targets = [Target(f"i-{n}", run_s, self.history)
                         for n in range(targets)]
@@ -39,7 +41,10 @@
         self.store.put("keyed.servers", "i-bad", b"\xc1garbage")
         self.procs = Processes(build)
         self.fronts = {}
-        for n in range(HOSTS):
+        self.start_all()
+
+    def start_all(self):
+        for n in range(self.n_hosts):
             self.start(f"host-{n}")
 
     def store_addr(self, name):
@@ -48,6 +53,13 @@
 
     def start(self, name):
         """Starts a daemon and waits until it is ready."""
+        ready = self.spawn(name)
+        # A daemon binds this address after that of its front.
+        wait_until(lambda: is_ok(call(ready, "GET", "/api/readyz")), 10,
+                   f"{name} ready")
+
+    def spawn(self, name):
+        """Starts a daemon; returns the address of its readiness checks."""
         front, ready = free_addr(), free_addr()
         conf = f"{self.procs.dir.name}/{name}.yaml"
         with open(conf, "w", encoding="utf-8") as out:
@@ -55,14 +67,12 @@
                       f"front: {front}\n"
                       f"ready: {ready}\nstore: {self.store_addr(name)}\n"
                       f"{self.more_conf}"
-                      "store_parts: 2\nmax_lease_ms: 6000\n"
+                      f"store_parts: {self.parts}\nmax_lease_ms: 6000\n"
                       "lease_wait_ms: 3000\n"
                       "maintenance_s: 2\nmove_s: 1.5\nshow_ended_s: 120\n")
         self.procs.spawn(name, "gvschedd", "--config", conf, addr=front)
         self.fronts[name] = front
-        # A daemon binds this address after that of its front.
-        wait_until(lambda: is_ok(call(ready, "GET", "/api/readyz")), 10,
-                   f"{name} ready")
+        return ready
 
     def submit(self, name, n, count=2, steps=2, spec="s"):
         """Submits job n through a daemon: steps of count tasks each, one after
