Scheduler: a crash that an earlier leader has counted against a run counts once

Its only task lost its target once. Its second start never arrived, as the target was silent, and that target crashed three times, empty, under three leaders.

Cause: the run stays recorded until a hold tells that it is not there. Each leader counts one crash of its target against it, and stores this. That it was counted is stored too (no start time of the target), but only the count at the first hold of a new leader looked at that; the restart that the target's entry shows counted again: unconfirmed=1, 2, 3, with crashes=1 and alone=1 enough for a proof.

Change: every count looks at it. A run whose target's start was not known when it was placed does not count for a later leader; the entries of targets have it.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -144,6 +144,15 @@
     }
 }
 
+/* Returns true if an earlier leader has counted a crash against a run that it
+   has placed. */
+static bool
+was_counted(const gv_run_t *r)
+{
+    const gv_task_t *t = &r->active->job->tasks[r->task];
+    return r->sent_ms == 0 && t->target_started_ms == 0;
+}
+
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
@@ -156,7 +165,7 @@
     gv_task_t *t = &a->job->tasks[r->task];
     const gv_sched_target_t *tgt = r->tgt;
     int64_t end_ms = tgt->silent_since_ms == 0 ? now_ms : tgt->silent_since_ms;
-    if (r->phase == GV_RUN_STORING || r->crash_counted ||
+    if (r->phase == GV_RUN_STORING || r->crash_counted || was_counted(r) ||
         GvSched_HasServed(r, end_ms) || GvJob_Ended(a->job)) {
         return;
     }
