Scheduler: a long-running task that crashes its targets waits also if never alone

Cause: crashes of a long-running task proved something only if it was alone on its target.

Change: from the fourth crash soon after a start on, the task waits also then, as a short task's job is failed from then on. If it is innocent it loses 4 s, and its count begins anew once it has served.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -100,9 +100,9 @@
 
 /* Returns true if a task counts as the cause of a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
-   on the target; or there were too many crashes. Those of a long-running task
-   mostly come from others, unless it was alone; it only has to wait then, and
-   its count begins anew once it has served, so that fewer suffice. While no
+   on the target; or there were too many crashes. A long-running one only has
+   to wait then, and its count begins anew once it has served, so that fewer
+   suffice; beside others only those soon after its start count. While no
    connection has broken off, an answer that lists the end of the run may still
    arrive. */
 static bool
@@ -112,12 +112,14 @@
     if (soon && alone && t->crashes >= 2 && r->tgt->broken_ms != 0) {
         return true;
     }
+    if (t->crashes >= GV_SCHED_CRASHES_MAX) {
+        return true;
+    }
     if (r->active->long_running) {
         return alone && all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
     }
-    return t->crashes >= GV_SCHED_CRASHES_MAX ||
-           (t->crashes + t->doubtful >= 1 &&
-            all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX);
+    return t->crashes + t->doubtful >= 1 &&
+           all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
 }
 
 /* Returns true if the crash of its target came soon after the start of a run:
