--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -123,7 +123,7 @@
                   int64_t now_ms)
 {
     bool failed =
-        h->down && tgt->on_listed_host && tgt->answered_ms < list->asked_ms;
+        h->down && tgt->on_listed_host && tgt->answered_ms <= list->asked_ms;
     bool answers = tgt->runs->len > 0 && tgt->silent_since_ms == 0 && !failed;
     bool ordered_away = !h->down && *h->target == '\0';
     gv_loss_t loss = ordered_away ? GV_LOSS_PLANNED : GvSched_LossOf(tgt);
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -100,9 +100,9 @@
 
 /* Returns true if a task counts as the cause of a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
-   on the target; or there were too many crashes. Those of a long-running task
-   mostly come from others, unless it was alone; it only has to wait then, and
-   its count begins anew once it has served, so that fewer suffice. While no
+   on the target; or there were too many crashes. A long-running one only has
+   to wait then, and its count begins anew once it has served, so that fewer
+   suffice; beside others only those soon after its start count. While no
    connection has broken off, an answer that lists the end of the run may still
    arrive. */
 static bool
@@ -112,12 +112,14 @@
     if (soon && alone && t->crashes >= 2 && r->tgt->broken_ms != 0) {
         return true;
     }
+    if (t->crashes >= GV_SCHED_CRASHES_MAX) {
+        return true;
+    }
     if (r->active->long_running) {
         return alone && all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
     }
-    return t->crashes >= GV_SCHED_CRASHES_MAX ||
-           (t->crashes + t->doubtful >= 1 &&
-            all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX);
+    return t->crashes + t->doubtful >= 1 &&
+           all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
 }
 
 /* Returns true if the crash of its target came soon after the start of a run:
@@ -144,6 +146,15 @@
     }
 }
 
+/* Returns true if an earlier leader has counted a crash against a run that it
+   has placed. */
+static bool
+was_counted(const gv_run_t *r)
+{
+    const gv_task_t *t = &r->active->job->tasks[r->task];
+    return r->sent_ms == 0 && t->target_started_ms == 0;
+}
+
 /* Counts a crash of a run's target against its task. One soon after its start,
    or after a start by an earlier leader, makes it a suspect; any other may
    have another cause, or come after an unknown end of the run, and makes it
@@ -156,7 +167,7 @@
     gv_task_t *t = &a->job->tasks[r->task];
     const gv_sched_target_t *tgt = r->tgt;
     int64_t end_ms = tgt->silent_since_ms == 0 ? now_ms : tgt->silent_since_ms;
-    if (r->phase == GV_RUN_STORING || r->crash_counted ||
+    if (r->phase == GV_RUN_STORING || r->crash_counted || was_counted(r) ||
         GvSched_HasServed(r, end_ms) || GvJob_Ended(a->job)) {
         return;
     }
@@ -293,5 +304,7 @@
                         now_ms);
     }
     GvSched_ResetEnds(tgt);
+    tgt->n_strays = 0;
+    tgt->n_unread = 0;
     GvSched_FailCrashers(s, now_ms);
 }
