Soak: real daemons under random faults, with checks of their promises

Seeded faults of daemons, connections, the store, targets, hosts and operators overlap; what callers and targets see is checked while they do.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
          outcome.h pack.h placement.h queue.h record.h registry.h reserve.h \
          retry.h settings.h slots.h str.h ticket.h wave.h
 
-.PHONY: fuzzers all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
+.PHONY: fuzzers soak all tests mutants packages check lint format demo bench fuzz fuzz-run asan tsan clean install
 all: $(PROGS:%=$(B)/%) $(B)/libgypsumvalve.so $(B)/gvschedd
 
 packages:
@@ -114,6 +114,13 @@
 mutants: packages
 	python3 tests/mutants.py
 
+# Runs COUNT seeds from SEED on; tests/soak/seeds.txt has those that failed.
+SEED ?= 1
+COUNT ?= 1
+soak: packages
+	@$(MAKE) --no-print-directory all
+	@python3 tests/soak/soak.py --build $(B) --seed $(SEED) --count $(COUNT)
+
 check: packages
 	@$(MAKE) --no-print-directory -j8 all $(TESTS)
 	@$(MAKE) --no-print-directory -j8 fuzzers $(FUZZ_ARGS)
