--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -169,7 +169,8 @@
     part, how = fault.kind.split(".")
     fleet, seconds = soak.fleet, fault.seconds
     if part == "daemon":
-        harm_daemon(soak.daemons, how, fault.who, seconds)
+        with soak.daemons.faults[fault.who]:  # a stop may take longer
+            harm_daemon(soak.daemons, how, fault.who, seconds)
     elif part == "way":
         harm_link(soak.daemons.links[fault.who], how, seconds, rng)
     elif part == "mode":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,8 @@
 from world import HOST, LEASE_MAX_MS, MAINTENANCE_S, MOVE_S, QUEUES, Fleet
 
 ANSWER_S = 3  # the callers' deadline
-CALLERS = 2
-PAUSE_S = 0.25  # mean time between the requests of a caller
+CALLERS = 3
+PAUSE_S = 0.12  # mean time between the requests of a caller
 HELD_UP_S = 0.2  # the soak itself was; such a time counts as a disruption
 
 
@@ -34,10 +34,11 @@
 
     def __init__(self, build, fleet, checks, count):
         self.procs, self.checks = Processes(build), checks
-        self.locks, self.links, self.fronts = {}, {}, {}
+        self.locks, self.faults, self.links, self.fronts = {}, {}, {}, {}
         for n in range(count):
             name = f"host-{n}"
             self.locks[name] = threading.Lock()
+            self.faults[name] = threading.RLock()
             self.fronts[name] = free_addr()
             self.links[name] = Link(fleet.store.address(name))
             with open(self.conf(name), "w", encoding="utf-8") as out:
