--- a/src/limits.h
+++ b/src/limits.h
@@ -344,6 +344,9 @@
 #define GV_SCHED_LEASE_SLACK_MS 300
 /* Clocks of targets may run slow by this. */
 #define GV_SCHED_SLOW_CLOCK_PERCENT 2
+/* The clock of a target in two answers differs by no more than this from the
+   time between them, but for its drift, unless an answer has waited here. */
+#define GV_SCHED_CLOCK_JUMP_MS 500
 /* An order without an answer may be carried out up to this long after it was
    sent: the users' page names 2 to 12 s. */
 #define GV_SCHED_LATE_ORDER_MS 12000
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -30,6 +30,21 @@
     }
 }
 
+/* Returns true if the clock in an answer is not the one that was read before:
+   that of a new incarnation begins anew. An answer may have waited here. */
+static bool
+has_jumped(const gv_sched_target_t *tgt, const gv_order_answer_t *a,
+           int64_t now_ms)
+{
+    if (a->clock_ms == 0 || tgt->clock_read_ms == 0) {
+        return false;
+    }
+    int64_t drift_ms =
+        (now_ms - tgt->clock_read_ms) * GV_SCHED_SLOW_CLOCK_PERCENT / 100;
+    int64_t jump_ms = a->clock_ms - now_ms - tgt->clock_offset_ms;
+    return ABS(jump_ms) > GV_SCHED_CLOCK_JUMP_MS + drift_ms;
+}
+
 /* Checks who answered, and takes the target's clock from the answer. Returns
    false for an answer that must not be used any further. If the incarnation
    before has ended, its crash is counted by the time at which it fell silent.
@@ -78,6 +93,13 @@
         tgt->started_ms = a->started_ms;
         tgt->started_known_ms = now_ms;
     }
+    if (a->started_ms != 0) {
+        tgt->clock_jumped = false;
+    }
+    else if (has_jumped(tgt, a, now_ms)) {
+        tgt->clock_jumped = true;
+        tgt->synced = false;
+    }
     if (a->clock_ms != 0) {
         tgt->clock_offset_ms = a->clock_ms - now_ms;
         tgt->clock_read_ms = now_ms;
@@ -366,6 +388,16 @@
     }
 }
 
+/* Returns true if a run whose stop is never confirmed, as its target answers
+   stops with errors, can no longer be started late. */
+static bool
+is_past_late_start(const gv_sched_t *s, const gv_run_t *r)
+{
+    return r->phase == GV_RUN_STOPPING &&
+           r->tgt->hold_sent_ms - MAX(r->sent_ms, s->o.now_ms) >
+               GV_SCHED_LATE_ORDER_MS;
+}
+
 /* Drops the runs that the target should have listed and has not: those whose
    newest order it had confirmed before this hold was sent. An unconfirmed run
    whose start was sent before is stopped first: the start may still be on its
@@ -384,7 +416,7 @@
             GvSched_CountEarlierCrash(s, r, now_ms);
             GvSched_StopRun(s, r, "not listed, may be started late", now_ms);
         }
-        else if (!r->listed && settled) {
+        else if (!r->listed && (settled || is_past_late_start(s, r))) {
             GvSched_DropRun(s, r, "not on its target");
         }
     }
--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -167,7 +167,11 @@
         const gv_listed_host_t *h =
             g_hash_table_lookup(list->hosts, tgt->info.host.p);
         if (h != NULL && strcmp(h->target, tgt->id) == 0) {
-            tgt->on_listed_host = true;
+            /* It may have listed the incarnation before. */
+            tgt->on_listed_host = tgt->on_listed_host ||
+                                  tgt->former_start_ms == 0 ||
+                                  list->asked_ms - known_since_ms(tgt) >=
+                                      GV_SCHED_HOST_LIST_LAG_MS;
         }
         else if (h != NULL && !h->ordered && !h->unnamed &&
                  known_since_ms(tgt) < list->asked_ms &&
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -216,7 +216,7 @@
 {
     const gv_task_t *t = &r->active->job->tasks[r->task];
     if (t->target_started_ms != 0 &&
-        r->tgt->started_ms > t->target_started_ms) {
+        r->tgt->started_ms != t->target_started_ms) {
         count_crash(s, r, false, now_ms);
     }
 }
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -187,7 +187,8 @@
     gv_hold_order_t o = {
         .target = tgt->id,
         .addr = tgt->info.addr.p,
-        .ends_stored = tgt->ends_stored,
+        /* Numbers of a former incarnation would make a new one forget ends. */
+        .ends_stored = tgt->clock_jumped ? 0 : tgt->ends_stored,
         .wait_ms = tgt->runs->len > 0 && tgt->synced && !unstored &&
                            tgt->hold_failures == 0 && !GvSched_IsSettling(tgt)
                        ? GV_SCHED_HOLD_WAIT_MS
@@ -201,7 +202,7 @@
     }
     tgt->hold_pending = true;
     tgt->hold_sent_ms = now_ms;
-    tgt->ends_acked = tgt->ends_stored;
+    tgt->ends_acked = o.ends_stored;
     s->o.ops.hold(s->o.ops.user, &o);
 }
 
