Pace of reads: hosts that no caller asks leave reads to the others

At 300 entry hosts the store's limit leaves each host 6.7 reads a second, so that progress was read about every 300 ms and jobs were shown as done that much later. But most hosts of so large a deployment serve no caller at a time. Nothing changes where the store refuses no read.

--- a/src/limits.h
+++ b/src/limits.h
@@ -482,6 +482,8 @@
 #define GV_READ_PACE_ANSWERED_MS     500
 #define GV_READ_PACE_SHORTEN_MS      1000
 #define GV_READ_PACE_SHORTEN_DIVISOR 50
+/* Reads of which little depends are rarer for so long after a refusal. */
+#define GV_READ_PACE_LIMITED_MS 60000
 
 /* Pools of hosts. Only this part of a host's cpu counts as capacity, since
    tasks do not divide evenly over hosts. */
--- a/src/read_pace.c
+++ b/src/read_pace.c
@@ -46,15 +46,22 @@
 }
 
 /* Returns when the next read is due after one that began at begun_ms and has
-   just ended; interval_ms is the usual time between the starts of two reads.
+   just ended. interval_ms is the usual time between the starts of two reads,
+   limited_ms the least for GV_READ_PACE_LIMITED_MS after the intervals were
+   lengthened, 0 for none: reads of which little depends leave room for others.
    While the intervals are longer than usual, `random` spreads the reads: one
    record ends the waiting reads of all entry hosts at the same moment. */
 int64_t
 GvReadPace_DueMs(gv_read_pace_t *p, int64_t begun_ms, int interval_ms,
-                 unsigned random, int64_t now_ms)
+                 int limited_ms, unsigned random, int64_t now_ms)
 {
-    int longer = (int)((int64_t)interval_ms *
-                       (GvReadPace_Permille(p, now_ms) - 1000) / 1000);
+    int64_t paced =
+        (int64_t)interval_ms * GvReadPace_Permille(p, now_ms) / 1000;
+    if (p->lengthened_ms != 0 &&
+        now_ms - p->lengthened_ms < GV_READ_PACE_LIMITED_MS) {
+        paced = MAX(paced, limited_ms);
+    }
+    int longer = (int)(paced - interval_ms);
     int spread = longer > 0 ? (int)(random % (unsigned)longer) : 0;
     return MAX(begun_ms + interval_ms + longer / 2 + spread,
                now_ms + spread / 2);
--- a/src/read_pace.h
+++ b/src/read_pace.h
@@ -20,6 +20,6 @@
 void GvReadPace_Refused(gv_read_pace_t *p, int64_t now_ms);
 int GvReadPace_Permille(gv_read_pace_t *p, int64_t now_ms);
 int64_t GvReadPace_DueMs(gv_read_pace_t *p, int64_t begun_ms, int interval_ms,
-                         unsigned random, int64_t now_ms);
+                         int limited_ms, unsigned random, int64_t now_ms);
 
 #endif
