--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -1077,8 +1077,9 @@
 }
 
 /* Seeds beyond the first 400 that have failed. */
-static const guint32 failed_before[] = {3896,  5296,  6961,  8009, 11809,
-                                        31080, 38891, 40907, 41080};
+static const guint32 failed_before[] = {3896,  5296,  6961,  8009,  11809,
+                                        14290, 20451, 31080, 38891, 40907,
+                                        41080, 46331, 47785, 47803};
 
 static void
 play(guint32 seed)
