Process test of runs at once: resets, late answers, drains, moved queues

A fleet of gvschedd in front of stand-ins now meets what the stand-ins did not do so far: starts that are carried out and whose connection is reset, followed by 503, 429, 409 `room` or refused connections; answers that come late or after later ones; a queue that moves to another service; a store that drops its history while targets drain and jobs are submitted again; targets that limit their connections.

The stand-ins: everything on a host ends at once with an order for it, as the protocol page says; a target no longer takes an order between its crash and the check for it.

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -5,6 +5,10 @@
 import base64
 import collections
 import http.server
+import itertools
+import math
+import os
+import socket
 import socketserver
 import struct
 import threading
@@ -17,15 +21,32 @@
 class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
     daemon_threads = True
     allow_reuse_address = True
+    max_open = None  # further connections are closed at once
+
+    def __init__(self, *args):
+        self.open = set()
+        super().__init__(*args)
+
+    def verify_request(self, request, client_address):
+        return self.max_open is None or len(self.open) < self.max_open
+
+    def process_request_thread(self, request, client_address):
+        self.open.add(client_address)
+        super().process_request_thread(request, client_address)
+        self.open.discard(client_address)
 
     def handle_error(self, request, client_address):
         """Prints nothing: tests break connections on purpose."""
 
 
+RESET = object()
+
+
 def serve(handle):
     """Starts an HTTP server on a free port; returns it and its address. It
     answers by handle(method, path, query, headers, body), which returns
-    (status, bytes), or None to close the connection without a response."""
+    (status, bytes), None to close the connection without a response, or RESET
+    to reset it."""
     class Handler(http.server.BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
@@ -36,8 +57,13 @@
             query = dict(urllib.parse.parse_qsl(url.query,
                                                 errors="surrogateescape"))
             answer = handle(self.command, url.path, query, self.headers, body)
-            if answer is None:
+            if answer is None or answer is RESET:
                 self.close_connection = True
+                if answer is RESET:
+                    self.connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+                    os.close(self.connection.detach())
                 return
             self.send_response(answer[0])
             self.send_header("Content-Length", str(len(answer[1])))
@@ -230,7 +256,10 @@
         # Numbers of the ends that the scheduler had not acknowledged when the
         # lease expired; a later acknowledgement of them does not count.
         self.expired_ends = set()
-        self.server, self.addr = serve(self.handle)
+        # wrap(target, path, do) answers an order in place of do(), which
+        # carries it out and returns its answer.
+        self.wrap = None
+        self.server, self.addr = serve(self.receive)
         threading.Thread(target=self.work, daemon=True).start()
 
     @staticmethod
@@ -251,8 +280,8 @@
         self.history.append((time.monotonic(), how, self.name, task, run))
         self.lock.notify_all()
 
-    def crash(self):
-        """Loses all runs and connections."""
+    def lose_runs(self):
+        """Ends the target and everything that runs on it."""
         with self.lock:
             self.crashed = True
             for task, (run, _) in self.running.items():
@@ -260,10 +289,17 @@
                                      task, run))
             self.running = {}
             self.lock.notify_all()
-        self.on_crash()
+
+    def close(self):
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self):
+        """Loses all runs and connections."""
+        self.lose_runs()
+        self.on_crash()
+        self.close()
+
     def resize(self, cpu):
         """Changes the target's room; its runs go on."""
         with self.lock:
@@ -293,6 +329,17 @@
                     elif now >= until:
                         self.end(task, "done")
 
+    def refuse(self, seconds):
+        """Refuses new connections for some time; open ones go on."""
+        listener = self.server.socket
+        listener.shutdown(socket.SHUT_RDWR)
+        threading.Timer(seconds, listener.listen, (16,)).start()
+
+    def receive(self, method, path, query, headers, body):
+        def do():
+            return self.handle(method, path, query, headers, body)
+        return do() if self.wrap is None else self.wrap(self, path, do)
+
     def handle(self, method, path, query, headers, body):
         if self.silent:
             time.sleep(3)
@@ -303,6 +350,8 @@
             return self.answer(421)
         rq = unpack(body)
         with self.lock:
+            if self.crashed:
+                return None
             self.orders.append((path, rq.get("fence", 0)))
             if self.checks_fence and rq.get("fence", 0) < self.fence:
                 return self.answer(409, reason="fence")
@@ -427,3 +476,150 @@
             entry = unpack(new.entry("s"))
             entry["machine"] = host
             self.store.put("keyed.servers", new.name, pack(entry))
+
+
+class MachineApi(HostApi):
+    """A host interface whose orders end everything on a host at once, and
+    whose list of hosts may differ from the entries of the targets. Each live
+    target writes its entry every BEAT_S. pools: pool of each host."""
+
+    BEAT_S = 0.4
+
+    def __init__(self, store, targets, pools, away_s):
+        self.pools = pools
+        self.list_lag_s = 0  # age of the hosts' states in a list
+        self.on_list = lambda: None  # called before the response with a list
+        self.former_ids = False  # only the targets' ids in a list are old
+        self.hide_ids = False  # the list names no targets
+        self.hide_entries = set()  # hosts whose targets have no entries
+        # Time after which a crashed target is back under its identifier;
+        # infinite: when the test calls finish(). None: another one follows.
+        self.restart_s = None
+        self.draining = set()  # hosts
+        # (delay in s, whether the response is lost) of the next orders.
+        self.faults = collections.deque()
+        self.repeated = 0  # orders that had been carried out before
+        self.made = itertools.count(len(targets))
+        self.snapshots = []  # (time in s, {host: (state, pool, id)})
+        super().__init__(store, targets, away_s)
+        with self.lock:
+            self.note()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def note(self):
+        """Remembers the present hosts for later lists."""
+        self.snapshots.append((time.monotonic(), {
+            host: (state, self.pools[host],
+                   self.targets[host].name if state == "up" else "")
+            for host, state in self.states.items()}))
+
+    def put_entry(self, host):
+        target = self.targets[host]
+        entry = unpack(target.entry(self.pools[host]))
+        entry["machine"] = host
+        entry["state"] = "draining" if host in self.draining else "ready"
+        self.store.put("keyed.servers", target.name, pack(entry))
+
+    def beat(self):
+        while True:
+            time.sleep(self.BEAT_S)
+            with self.lock:
+                for host, target in self.targets.items():
+                    if not target.crashed and host not in self.hide_entries:
+                        self.put_entry(host)
+
+    def list(self):
+        until = time.monotonic() - self.list_lag_s
+        hosts = dict(next((hosts for at, hosts in reversed(self.snapshots)
+                           if at <= until), self.snapshots[0][1]))
+        if self.former_ids:
+            former = {}
+            for at, then in self.snapshots:
+                if at <= until:
+                    former.update({h: t[2] for h, t in then.items() if t[2]})
+            hosts = {host: (state, pool, former.get(host, name))
+                     for host, (state, pool, name)
+                     in self.snapshots[-1][1].items()}
+        return 200, pack({"machines": [
+            {"machine": host, "pool": pool, "state": state,
+             "id": "" if self.hide_ids else name,
+             "capacity": {"cpu": self.targets[host].rooms[-1][1],
+                          "memMb": 4000, "gpu": 0}}
+            for host, (state, pool, name) in hosts.items()]})
+
+    def order(self, path, rq):
+        """Carries out a move or maintenance."""
+        host, pool = rq["machine"], rq.get("pool")
+        if (pool == self.pools[host] if pool
+                else (host, rq["wave"]) in self.done):
+            self.repeated += 1
+            return 200, b""
+        if self.states[host] != "up":
+            return 409, pack({"reason": "busy"})
+        if pool:
+            self.pools[host] = pool
+        else:
+            self.done.add((host, rq["wave"]))
+        self.maintained.append((host, path))
+        self.take_down(host, "moving" if pool else "upkeep")
+        return 200, b""
+
+    def take_down(self, host, state):
+        """Ends the target of a host; a new one follows."""
+        self.states[host] = state
+        self.draining.discard(host)
+        self.note()
+        target = self.targets[host]
+        target.lose_runs()
+        threading.Thread(target=target.close, daemon=True).start()
+        self.store.put("keyed.servers", target.name, b"")
+        threading.Timer(self.away_s, self.finish, (host,)).start()
+
+    def handle(self, method, path, query, headers, body):
+        if path == "/api/machines":
+            with self.lock:
+                answer = self.list()
+            self.on_list()
+            return answer
+        with self.lock:
+            answer = self.order(path, unpack(body))
+            delay_s, lost = (self.faults.popleft() if self.faults
+                             else (0, False))
+        time.sleep(delay_s)
+        return None if lost else answer
+
+    def crash(self, host):
+        with self.lock:
+            self.states[host] = "down"
+            self.note()
+        if self.restart_s != math.inf:
+            threading.Timer(self.restart_s or self.away_s, self.finish,
+                            (host,)).start()
+
+    def drain(self, host, seconds):
+        """The target of a host drains and leaves after so many seconds."""
+        def leave():
+            with self.lock:
+                self.take_down(host, "down")
+        with self.lock:
+            self.draining.add(host)
+            self.put_entry(host)
+        threading.Timer(seconds, leave).start()
+
+    def finish(self, host):
+        with self.lock:
+            old = self.targets[host]
+            name = old.name if self.restart_s else f"i-{next(self.made)}"
+            if name != old.name:
+                self.store.put("keyed.servers", old.name, b"")
+            new = type(old)(name, old.run_s, old.history)
+            new.checks_fence, new.checks_room = (old.checks_fence,
+                                                 old.checks_room)
+            new.rooms = old.rooms[-1:]
+            new.wrap = old.wrap
+            new.server.max_open = old.server.max_open
+            new.on_crash = lambda: self.crash(host)
+            self.targets[host] = new
+            self.states[host] = "up"
+            self.note()
+            self.put_entry(host)
