Scheduler: only a clock that goes back says that a target may have been restarted

An answer that waited in an overloaded leader looks like a clock that jumps, and would take the target out of use until its next hold. Compared with the time at which the order was sent, a clock that is behind cannot come from waiting.

--- a/src/limits.h
+++ b/src/limits.h
@@ -344,8 +344,8 @@
 #define GV_SCHED_LEASE_SLACK_MS 300
 /* Clocks of targets may run slow by this. */
 #define GV_SCHED_SLOW_CLOCK_PERCENT 2
-/* The clock of a target in two answers differs by no more than this from the
-   time between them, but for its drift, unless an answer has waited here. */
+/* The clock in a later answer of a target is behind that of an earlier one,
+   and the time between them, by no more than this, but for its drift. */
 #define GV_SCHED_CLOCK_JUMP_MS 500
 /* An order without an answer may be carried out up to this long after it was
    sent: the users' page names 2 to 12 s. */
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -30,19 +30,18 @@
     }
 }
 
-/* Returns true if the clock in an answer is not the one that was read before:
-   that of a new incarnation begins anew. An answer may have waited here. */
+/* Returns true if the clock in the answer to an order that was sent at sent_ms
+   is behind the one that was read before: that of a new incarnation begins
+   anew. */
 static bool
-has_jumped(const gv_sched_target_t *tgt, const gv_order_answer_t *a,
-           int64_t now_ms)
+is_clock_behind(const gv_sched_target_t *tgt, const gv_order_answer_t *a,
+                int64_t sent_ms, int64_t now_ms)
 {
-    if (a->clock_ms == 0 || tgt->clock_read_ms == 0) {
-        return false;
-    }
     int64_t drift_ms =
         (now_ms - tgt->clock_read_ms) * GV_SCHED_SLOW_CLOCK_PERCENT / 100;
-    int64_t jump_ms = a->clock_ms - now_ms - tgt->clock_offset_ms;
-    return ABS(jump_ms) > GV_SCHED_CLOCK_JUMP_MS + drift_ms;
+    return a->clock_ms != 0 && tgt->clock_read_ms != 0 &&
+           a->clock_ms < tgt->clock_offset_ms + sent_ms - drift_ms -
+                             GV_SCHED_CLOCK_JUMP_MS;
 }
 
 /* Checks who answered, and takes the target's clock from the answer. Returns
@@ -94,10 +93,10 @@
         tgt->started_known_ms = now_ms;
     }
     if (a->started_ms != 0) {
-        tgt->clock_jumped = false;
+        tgt->clock_went_back = false;
     }
-    else if (has_jumped(tgt, a, now_ms)) {
-        tgt->clock_jumped = true;
+    else if (is_clock_behind(tgt, a, sent_ms, now_ms)) {
+        tgt->clock_went_back = true;
         tgt->synced = false;
     }
     if (a->clock_ms != 0) {
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -123,9 +123,9 @@
     int64_t hold_answered_ms; /* when it last answered a hold */
     int64_t answered_ms;      /* when it last answered any order; 0: never */
     int64_t clock_offset_ms;  /* its clock minus the clock of this host */
-    bool clock_jumped;        /* it may have been restarted: its clock has
-                                 jumped since a hold last named its incarnation
-                               */
+    bool clock_went_back;     /* it may have been restarted: its clock has gone
+                                 back since an answer last named its
+                                 incarnation */
     int64_t started_ms;       /* of its incarnation; 0: unknown */
     int64_t started_known_ms; /* since when that is known */
     int64_t former_start_ms;  /* of the incarnation before; 0: unknown */
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -198,7 +198,7 @@
         .target = tgt->id,
         .addr = tgt->info.addr.p,
         /* Numbers of a former incarnation would make a new one forget ends. */
-        .ends_stored = tgt->clock_jumped ? 0 : tgt->ends_stored,
+        .ends_stored = tgt->clock_went_back ? 0 : tgt->ends_stored,
         .wait_ms = tgt->runs->len > 0 && tgt->synced && !unstored &&
                            tgt->hold_failures == 0 && !GvSched_IsSettling(tgt)
                        ? GV_SCHED_HOLD_WAIT_MS
