--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -324,6 +324,15 @@
         threading.Timer(3 * HEARTBEAT_S, lapse).start()
         threading.Timer(seconds, self.boot, (machine,)).start()
 
+    def crash_for_good(self, machine):
+        """The worker of a machine crashes, and the machine stays down."""
+        m = self.machines[machine]
+        with self.lock:
+            m["state"] = "down"
+        m["worker"].crash()
+        threading.Timer(3 * HEARTBEAT_S, self.store.put,
+                        ("keyed.servers", m["worker"].name, b"")).start()
+
     def workers(self, service=None):
         with self.lock:
             return [m["worker"] for m in self.machines.values()
