--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import re
+import signal
 import subprocess
 import sys
 import tempfile
@@ -457,10 +458,16 @@
 
 def main(case, folder):
     """Runs case() and ends with the exit status of a script: its result, or
-    NOT_RUN if it could not run."""
+    NOT_RUN if it could not run or was stopped by a signal."""
     if not (ROOT / "target" / "gvschedd").exists():
         print("target/gvschedd is missing")
         os._exit(NOT_RUN)
+
+    def stop(number, frame):
+        atexit._run_exitfuncs()
+        os._exit(NOT_RUN)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
     try:
         result, why = case()
     except Exception:
