Scheduler: a long-running task is started again however its run ends

Cause: an end as done marked the task as done without regard to its step, in GvSched_EndRun and, for a run that was taken for lost, in apply_end, which also stopped the task's present run. A gang was marked as a whole.

Ruled out: a lost or unacknowledged end. record.txt has it as noted 0.09 s after it was listed, and no start follows in 15 s.

Change: GvSched_EndsTask says whether an end ends its task; none does for a long-running one. The queue's mean run time leaves long-running tasks out.

--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -230,6 +230,14 @@
     }
 }
 
+/* Returns true if such an end of a run ends its task. A long-running task is
+   started again however its runs end. */
+bool
+GvSched_EndsTask(const gv_active_job_t *a, int task, gv_end_kind_t how)
+{
+    return how == GV_END_DONE && !GvJob_StepOf(a->job, task)->long_running;
+}
+
 /* Marks a task as done, or every task of its gang. */
 void
 GvSched_MarkDone(gv_sched_t *s, gv_active_job_t *a, int task)
@@ -327,7 +335,7 @@
     update_failures(r->tgt, e->how, now_ms);
     GvSched_NoteBegun(s, a);
     GvSched_SetSavedState(a, task, e->saved);
-    if (e->how == GV_END_DONE) {
+    if (GvSched_EndsTask(a, task, e->how)) {
         GvSched_MarkDone(s, a, task);
         GvLoads_AddRun(s->loads, a->job->queue, now_ms - r->placed_ms);
     }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -126,6 +126,25 @@
     GvJob_Free(j);
 }
 
+/* Guards against long-running tasks that never start again under a new leader,
+   as the progress that an earlier version has stored has them as done. */
+TEST("/jobs/long-running-done", test_long_running_done)
+{
+    msgpack_sbuffer sb;
+    gv_job_t *j = new_job();
+    j->steps[0].long_running = true;
+    j->tasks[0].state = GV_TASK_DONE;
+    j->tasks[1].state = GV_TASK_DONE;
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackProgress(j, &sb);
+    ASSERT_OK(GvJobRecord_ReadProgress(GvStr_N(sb.data, sb.size), j));
+    g_assert_cmpint(j->n_done, ==, 0);
+    g_assert_cmpint(j->tasks[0].state, ==, GV_TASK_WAITING);
+    g_assert_cmpint(GvJob_State(j), !=, GV_JOB_DONE);
+    msgpack_sbuffer_destroy(&sb);
+    GvJob_Free(j);
+}
+
 /* Guards against an older record of a wave, read again after the newest one,
    that makes a new leader maintain hosts a second time. */
 TEST("/jobs/older-wave-record", test_older_wave)
