Scheduler: a failed run of a gang counts once

Cause: count_failure added up the failures of all members, so that each member that was listed as failed used up an attempt.

Ruled out: more than one run. record.txt has run 1 only, its four ends in one moment, and the state failed 0.1 s later.

Change: each task keeps the number of its newest failed run, stored with the progress. A run that another member has failed in already does not count again, also under a new leader or if another target lists the end.

--- a/src/job.h
+++ b/src/job.h
@@ -45,7 +45,8 @@
 
 typedef struct {
     gv_task_state_t state;
-    int failures;       /* number of failed runs */
+    int failures;       /* failed runs; one in which several tasks of a gang
+                           have failed counts for one of them only */
     int crashes;        /* of its target, soon after its start */
     int doubtful;       /* other crashes of its target, after its start */
     int unconfirmed;    /* those where it may not have been started */
@@ -55,6 +56,7 @@
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
     int64_t target_started_ms; /* of its incarnation then; 0: unknown */
+    uint32_t failed_run;       /* number of the newest failed run; 0: none */
     char *saved;               /* state to resume from, or NULL */
 } gv_task_t;
 
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -213,7 +213,7 @@
         if (!has_row(t)) {
             continue;
         }
-        msgpack_pack_array(&pk, 12);
+        msgpack_pack_array(&pk, 13);
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
@@ -226,6 +226,7 @@
         GvPack_Bool(&pk, t->suspect);
         GvPack_Int(&pk, t->target_started_ms);
         GvPack_Bool(&pk, t->confirmed);
+        GvPack_Uint(&pk, t->failed_run);
     }
 }
 
@@ -266,9 +267,12 @@
         t->suspect = GvUnpack_Bool(&f);
         t->target_started_ms = GvUnpack_Int(&f);
     }
-    if (GvUnpack_HasNext(&f)) { /* or here */
+    if (GvUnpack_HasNext(&f)) { /* here, */
         t->confirmed = GvUnpack_Bool(&f);
     }
+    if (GvUnpack_HasNext(&f)) { /* or here */
+        t->failed_run = (uint32_t)GvUnpack_Uint(&f);
+    }
     if (f.err != GV_OK || state > GV_TASK_PLACED) {
         rows->err = GV_EINVAL;
         return;
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -266,19 +266,28 @@
     }
 }
 
-/* Counts a failed run. The job fails if its task, or all tasks of a gang
-   together, have failed as often as the queue allows. */
+/* Counts a failed run of a task. All members of a gang run under the same
+   number, and that run counts once, however many of them fail in it. The job
+   fails if its task, or its gang, has failed as often as the queue allows. */
 static void
-count_failure(gv_sched_t *s, gv_active_job_t *a, int task, int64_t now_ms)
+count_failure(gv_sched_t *s, gv_active_job_t *a, int task, uint32_t run,
+              int64_t now_ms)
 {
     const gv_step_t *step = GvJob_StepOf(a->job, task);
-    int failures = ++a->job->tasks[task].failures;
-    if (step->gang) {
-        int first = task - GvJob_PlaceOf(a->job, task).index;
-        failures = 0;
-        for (int i = 0; i < step->count; i++) {
-            failures += a->job->tasks[first + i].failures;
-        }
+    gv_task_t *t = &a->job->tasks[task];
+    int index = step->gang ? GvJob_PlaceOf(a->job, task).index : 0;
+    int members = step->gang ? step->count : 1;
+    bool counted = false;
+    int failures = 0;
+    for (int i = 0; i < members; i++) {
+        const gv_task_t *member = &a->job->tasks[task - index + i];
+        counted = counted || member->failed_run == run;
+        failures += member->failures;
+    }
+    t->failed_run = run;
+    if (!counted) {
+        t->failures++;
+        failures++;
     }
     GvSched_MarkDirty(s, a);
     if (!step->long_running && failures >= GvSched_AttemptsOf(s, a->job) &&
@@ -328,6 +337,7 @@
                                         "lapsed", "broken", "alone"};
     gv_active_job_t *a = r->active;
     int task = r->task;
+    uint32_t run = r->run;
     GvEvlog_WriteKind(GvSched_LogKind(a), "end",
                       "task=%.*s run=%u target=%s how=%s ms=%lld",
                       GV_STR_ARG(e->task), r->run, r->tgt->id, names[e->how],
@@ -341,6 +351,6 @@
     }
     GvSched_DropRun(s, r, NULL);
     if (e->how == GV_END_FAILED) {
-        count_failure(s, a, task, now_ms);
+        count_failure(s, a, task, run, now_ms);
     }
 }
