Scheduler: a task that is done does not fail its job

Callers would see a job shown as failed though the task that failed it is done: its run was taken for lost and had ended as done, and the run that replaced it ended as failed while it was being stopped.

Cause: each end as failed counted as an attempt, whatever the state of its task.

Change: it counts only while the task is not done.

--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -350,7 +350,7 @@
         GvLoads_AddRun(s->loads, a->job->queue, now_ms - r->placed_ms);
     }
     GvSched_DropRun(s, r, NULL);
-    if (e->how == GV_END_FAILED) {
+    if (e->how == GV_END_FAILED && a->job->tasks[task].state != GV_TASK_DONE) {
         count_failure(s, a, task, run, now_ms);
     }
 }
