Scheduler: a failed run that is listed late counts

A task would start a third time after two of its runs have ended as failed, with two attempts allowed: one of them was taken for lost, and its target came back and listed the end.

Cause: of ends of earlier runs apply_end used only those as done, and let the target forget the others.

Change: such an end counts unless that run has counted already, which a new leader cannot tell from the number of failures. Each task therefore keeps which of its runs have failed; for a gang these sets are united. Records of earlier versions are read as that many runs.

Evidence: sched_failed_late fails on (third start) and passes now. sched_gang_failed has a third run and a third leader now.

--- a/src/job.c
+++ b/src/job.c
@@ -202,6 +202,31 @@
     return &job->steps[GvJob_PlaceOf(job, task).step];
 }
 
+/* Notes that a run of a task has failed. Returns false if that is known. */
+bool
+GvJob_AddFailedRun(gv_job_t *job, int task, uint32_t run)
+{
+    gv_task_t *t = &job->tasks[task];
+    uint64_t bit = UINT64_C(1) << MIN(run - 1, GV_JOB_FAILED_RUNS_MAX - 1);
+    bool added = (t->failed_runs & bit) == 0;
+    t->failed_runs |= bit;
+    return added;
+}
+
+/* Returns how many runs of a task have failed, or of its gang: all members run
+   under one number, and that run counts once, however many of them failed. */
+int
+GvJob_CountFailedRuns(const gv_job_t *job, int task)
+{
+    const gv_step_t *step = GvJob_StepOf(job, task);
+    uint64_t runs = job->tasks[task].failed_runs;
+    int first = task - GvJob_PlaceOf(job, task).index;
+    for (int i = 0; step->gang && i < step->count; i++) {
+        runs |= job->tasks[first + i].failed_runs;
+    }
+    return __builtin_popcountll(runs);
+}
+
 /* Returns true if all tasks of a step are done in that occurrence. */
 bool
 GvJob_StepDone(const gv_job_t *job, int occurrence, int step)
--- a/src/job.h
+++ b/src/job.h
@@ -45,8 +45,6 @@
 
 typedef struct {
     gv_task_state_t state;
-    int failures;       /* failed runs; one in which several tasks of a gang
-                           have failed counts for one of them only */
     int crashes;        /* of its target, soon after its start */
     int doubtful;       /* other crashes of its target, after its start */
     int unconfirmed;    /* those where it may not have been started */
@@ -56,8 +54,9 @@
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
     int64_t target_started_ms; /* of its incarnation then; 0: unknown */
-    uint32_t failed_run;       /* number of the newest failed run; 0: none */
-    char *saved;               /* state to resume from, or NULL */
+    uint64_t failed_runs; /* bit N - 1: run N has failed; the last bit also
+                             stands for all later runs */
+    char *saved;          /* state to resume from, or NULL */
 } gv_task_t;
 
 typedef enum {
@@ -117,6 +116,8 @@
 int GvJob_TaskOf(const gv_job_t *job, gv_task_place_t at);
 gv_task_place_t GvJob_PlaceOf(const gv_job_t *job, int task);
 const gv_step_t *GvJob_StepOf(const gv_job_t *job, int task);
+bool GvJob_AddFailedRun(gv_job_t *job, int task, uint32_t run);
+int GvJob_CountFailedRuns(const gv_job_t *job, int task);
 bool GvJob_StepDone(const gv_job_t *job, int occurrence, int step);
 bool GvJob_StepReady(const gv_job_t *job, int occurrence, int step,
                      int64_t wall_ms);
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -217,7 +217,7 @@
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
-        GvPack_Int(&pk, t->failures);
+        GvPack_Int(&pk, __builtin_popcountll(t->failed_runs));
         GvPack_Str(&pk, GvStr_C(t->target));
         GvPack_Str(&pk, GvStr_C(t->saved));
         GvPack_Int(&pk, t->crashes);
@@ -226,7 +226,7 @@
         GvPack_Bool(&pk, t->suspect);
         GvPack_Int(&pk, t->target_started_ms);
         GvPack_Bool(&pk, t->confirmed);
-        GvPack_Uint(&pk, t->failed_run);
+        GvPack_Uint(&pk, t->failed_runs);
     }
 }
 
@@ -257,7 +257,7 @@
     }
     uint64_t state = GvUnpack_Uint(&f);
     t->run = (uint32_t)GvUnpack_Uint(&f);
-    t->failures = (int)GvUnpack_Int(&f);
+    int64_t failures = GvUnpack_Int(&f);
     gv_str_t target = GvUnpack_Str(&f);
     gv_str_t saved = GvUnpack_Str(&f);
     if (GvUnpack_HasNext(&f)) { /* earlier versions end here, */
@@ -271,7 +271,11 @@
         t->confirmed = GvUnpack_Bool(&f);
     }
     if (GvUnpack_HasNext(&f)) { /* or here */
-        t->failed_run = (uint32_t)GvUnpack_Uint(&f);
+        t->failed_runs = GvUnpack_Uint(&f);
+    }
+    else if (failures > 0) {
+        t->failed_runs = UINT64_MAX >> (GV_JOB_FAILED_RUNS_MAX -
+                                        MIN(failures, GV_JOB_FAILED_RUNS_MAX));
     }
     if (f.err != GV_OK || state > GV_TASK_PLACED) {
         rows->err = GV_EINVAL;
--- a/src/limits.h
+++ b/src/limits.h
@@ -312,6 +312,9 @@
    about 250 KB. */
 #define GV_JOB_TASKS_MAX 4096
 
+/* Runs of a task of which it is kept whether they failed: bits of a word. */
+#define GV_JOB_FAILED_RUNS_MAX 64
+
 /* Partitions of accepted work; a set of them is stored as bits of one word. */
 #define GV_JOB_PARTS_MAX 64
 /* Added to the time for which an ended job is shown: a submission may be
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -343,6 +343,12 @@
         GvSched_EndRun(s, r, e, now_ms);
         return true;
     }
+    if (a != NULL && e->how == GV_END_FAILED) {
+        /* An earlier run, dropped as lost, or one that an earlier scheduler
+           has counted. */
+        GvSched_CountFailure(s, a, task, e->run, now_ms);
+        return true;
+    }
     if (a != NULL && GvSched_EndsTask(a, task, e->how) &&
         a->job->tasks[task].state != GV_TASK_DONE) {
         /* An earlier run, dropped as lost, had ended as done. */
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -238,6 +238,8 @@
                     int64_t now_ms);
 bool GvSched_EndsTask(const gv_active_job_t *a, int task, gv_end_kind_t how);
 void GvSched_MarkDone(gv_sched_t *s, gv_active_job_t *a, int task);
+void GvSched_CountFailure(gv_sched_t *s, gv_active_job_t *a, int task,
+                          uint32_t run, int64_t now_ms);
 void GvSched_SetSavedState(gv_active_job_t *a, int task, gv_str_t saved);
 void GvSched_SendStart(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
 void GvSched_SettleUnanswered(gv_sched_t *s, gv_run_t *r, const char *why,
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -266,29 +266,19 @@
     }
 }
 
-/* Counts a failed run of a task. All members of a gang run under the same
-   number, and that run counts once, however many of them fail in it. The job
-   fails if its task, or its gang, has failed as often as the queue allows. */
-static void
-count_failure(gv_sched_t *s, gv_active_job_t *a, int task, uint32_t run,
-              int64_t now_ms)
+/* Counts a failed run of a task, unless it was counted before or the task is
+   done. The job fails if its task, or its gang, has failed as often as the
+   queue allows. */
+void
+GvSched_CountFailure(gv_sched_t *s, gv_active_job_t *a, int task, uint32_t run,
+                     int64_t now_ms)
 {
     const gv_step_t *step = GvJob_StepOf(a->job, task);
-    gv_task_t *t = &a->job->tasks[task];
-    int index = step->gang ? GvJob_PlaceOf(a->job, task).index : 0;
-    int members = step->gang ? step->count : 1;
-    bool counted = false;
-    int failures = 0;
-    for (int i = 0; i < members; i++) {
-        const gv_task_t *member = &a->job->tasks[task - index + i];
-        counted = counted || member->failed_run == run;
-        failures += member->failures;
-    }
-    t->failed_run = run;
-    if (!counted) {
-        t->failures++;
-        failures++;
+    if (a->job->tasks[task].state == GV_TASK_DONE ||
+        !GvJob_AddFailedRun(a->job, task, run)) {
+        return;
     }
+    int failures = GvJob_CountFailedRuns(a->job, task);
     GvSched_MarkDirty(s, a);
     if (!step->long_running && failures >= GvSched_AttemptsOf(s, a->job) &&
         !GvJob_Ended(a->job)) {
@@ -350,7 +340,7 @@
         GvLoads_AddRun(s->loads, a->job->queue, now_ms - r->placed_ms);
     }
     GvSched_DropRun(s, r, NULL);
-    if (e->how == GV_END_FAILED && a->job->tasks[task].state != GV_TASK_DONE) {
-        count_failure(s, a, task, run, now_ms);
+    if (e->how == GV_END_FAILED) {
+        GvSched_CountFailure(s, a, task, run, now_ms);
     }
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -104,7 +104,7 @@
         GvPack_Int(&pk, tasks[i]);
         GvPack_Uint(&pk, GV_TASK_PLACED);
         GvPack_Uint(&pk, 2);
-        GvPack_Int(&pk, 0);
+        GvPack_Int(&pk, i); /* failures */
         GvPack_Str(&pk, GV_STR("i-1"));
         GvPack_Str(&pk, GV_STR("saved"));
     }
@@ -123,6 +123,8 @@
     g_assert_cmpint(j->n_done, ==, 0);
     ASSERT_OK(read_rows(j, false, 0, 1));
     g_assert_cmpuint(j->tasks[1].run, ==, 2);
+    g_assert_cmpint(GvJob_CountFailedRuns(j, 0), ==, 0);
+    g_assert_cmpint(GvJob_CountFailedRuns(j, 1), ==, 1);
     GvJob_Free(j);
 }
 
