Pools: an entry counts for its host once its target has answered

Cause: the pools took an entry that names a host for the host's present target as soon as it was read. The host then counted as empty, or as back.

Ruled out: the list of hosts, which is right throughout and mends it a second later; the limit of the step, which holds for each host that is emptied.

Change: the pools read the entry from the scheduler, which gives it once the target has answered a hold, and ask again when it does so for the first time. The rule is the one by which the scheduler replaces targets.

--- a/src/pool.c
+++ b/src/pool.c
@@ -177,30 +177,35 @@
     GvPools_EndOperation(p, h);
 }
 
-/* Notes on which host a target runs, as its entry says, and when it started. A
+/* Notes on which host a target runs, as its entry says, and when it started.
+   To be called when the entry was read and when the target has answered:
+   before it has, the entry may come from another writer and says nothing. A
    host that was away is up again if the target is a new one. Entries of
    targets that have ended may be read again at any time: that of a former
-   target, or of one that started before the newest known, says nothing. */
+   target, or of one that started before the newest known, says nothing either.
+ */
 void
-GvPools_SetTarget(gv_pools_t *p, gv_str_t host, gv_str_t target, gv_str_t pool,
-                  int64_t started_ms, int64_t now_ms)
+GvPools_CheckTarget(gv_pools_t *p, gv_str_t target, int64_t now_ms)
 {
-    char *id = g_strndup(host.p, host.n);
-    gv_host_t *h = GvPools_FindHost(p, id);
-    g_free(id);
-    if (h == NULL || started_ms < h->started_ms || is_former(h, target)) {
+    const gv_target_info_t *entry =
+        GvSched_AnsweredEntry(p->opts.sched, target);
+    gv_host_t *h = entry == NULL || entry->host.n == 0
+                       ? NULL
+                       : GvPools_FindHost(p, entry->host.p);
+    if (h == NULL || entry->started_ms < h->started_ms ||
+        is_former(h, target)) {
         return;
     }
     if (h->operation == GV_OPERATION_AWAY && h->old_target != NULL &&
         GvStr_Equal(GvStr_C(h->old_target), target)) {
         return; /* reported by the target that has been stopped */
     }
-    h->started_ms = started_ms;
+    h->started_ms = entry->started_ms;
     if (h->target == NULL || !GvStr_Equal(GvStr_C(h->target), target)) {
         h->entered_ms = now_ms;
     }
     set_target(h, target);
-    set_text(&h->pool, pool);
+    set_text(&h->pool, entry->service);
     reserve_target(p, h);
     if (h->operation == GV_OPERATION_AWAY) {
         end_absence(p, h, now_ms);
--- a/src/pool.h
+++ b/src/pool.h
@@ -75,8 +75,7 @@
                      int64_t now_ms, int64_t wall_ms);
 void GvPools_Listed(gv_pools_t *p, const gv_host_info_t *hosts, int n,
                     gv_host_list_t list, int64_t now_ms);
-void GvPools_SetTarget(gv_pools_t *p, gv_str_t host, gv_str_t target,
-                       gv_str_t pool, int64_t started_ms, int64_t now_ms);
+void GvPools_CheckTarget(gv_pools_t *p, gv_str_t target, int64_t now_ms);
 void GvPools_Moved(gv_pools_t *p, const char *host, gv_pool_result_t r,
                    int64_t now_ms);
 void GvPools_Maintained(gv_pools_t *p, const char *host, int wave,
--- a/src/sched.h
+++ b/src/sched.h
@@ -272,6 +272,8 @@
 void GvSched_ReplayArrivals(gv_sched_t *s, const gv_job_t *const *jobs, int n,
                             int64_t now_ms, int64_t wall_ms);
 int64_t GvSched_TargetStartMs(const gv_sched_t *s, gv_str_t target);
+const gv_target_info_t *GvSched_AnsweredEntry(const gv_sched_t *s,
+                                              gv_str_t target);
 int GvSched_CountRuns(const gv_sched_t *s, gv_str_t target);
 void GvSched_Reserve(gv_sched_t *s, gv_str_t target, bool reserved);
 int GvSched_Evacuate(gv_sched_t *s, gv_str_t target, bool short_too,
--- a/src/sched_host.c
+++ b/src/sched_host.c
@@ -18,13 +18,31 @@
     }
 }
 
-/* Notes that a target is the newest one of its host. The one before has then
-   ended, and its runs with it. Does nothing until the target has answered: its
-   entry alone may come from another writer. */
+/* Returns true if a target is listed and has answered. Until then its entry
+   may come from another writer: nothing follows from what it says. */
+bool
+GvSched_HasAnswered(const gv_sched_target_t *tgt)
+{
+    return tgt->listed && tgt->hold_answered_ms != 0;
+}
+
+/* Returns the entry of a target that has answered, else NULL. It is valid
+   until the target changes. */
+const gv_target_info_t *
+GvSched_AnsweredEntry(const gv_sched_t *s, gv_str_t target)
+{
+    char *name = g_strndup(target.p, target.n);
+    const gv_sched_target_t *tgt = GvSched_FindTarget(s, name);
+    g_free(name);
+    return tgt != NULL && GvSched_HasAnswered(tgt) ? &tgt->info : NULL;
+}
+
+/* Notes that a target is the newest one of its host, once it has answered. The
+   one before has then ended, and its runs with it. */
 void
 GvSched_ReplaceOnHost(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    if (tgt->info.host.n == 0 || !tgt->listed || tgt->hold_answered_ms == 0) {
+    if (tgt->info.host.n == 0 || !GvSched_HasAnswered(tgt)) {
         return;
     }
     gv_sched_target_t *other =
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -198,6 +198,7 @@
     int64_t deadline_ms; /* when the job has to end, wall clock */
 } gv_ready_step_t;
 
+bool GvSched_HasAnswered(const gv_sched_target_t *tgt);
 void GvSched_ForgetHost(gv_sched_t *s, const gv_sched_target_t *tgt);
 void GvSched_ReplaceOnHost(gv_sched_t *s, gv_sched_target_t *tgt,
                            int64_t now_ms);
--- a/tests/script_pool.c
+++ b/tests/script_pool.c
@@ -117,28 +117,45 @@
     take_list(argc, argv, GV_HOST_LIST_PARTLY);
 }
 
-/* pool_target HOST TARGET STARTED: the entry of a target is read. STARTED is
-   the time of its start. */
-GV_VERB("pool_target", pool_target)
+/* Returns the scheduler that the pools use. */
+static gv_sched_t *
+present_sched(void)
 {
-    GvPools_SetTarget(pools, ARG(1), ARG(2), GV_STR("s"), (int64_t)NUM(3),
-                      now);
+    return sched == NULL ? GvScript_Sched() : sched;
 }
 
-/* pool_entry HOST TARGET STARTED: the same, and the scheduler reads it too. */
+/* pool_answered TARGET: a target has answered a hold for the first time. */
+GV_VERB("pool_answered", pool_answered)
+{
+    GvPools_CheckTarget(pools, ARG(1), now);
+}
+
+/* pool_entry HOST TARGET STARTED [service=S]: the entry of a target is read.
+   STARTED is the time of its start. */
 GV_VERB("pool_entry", pool_entry)
 {
     gv_target_info_t t = {
         .id = ARG(2),
         .host = ARG(1),
         .addr = GV_STR("127.0.0.1:1"),
-        .service = GV_STR("s"),
+        .service = GvStr_C(GvScript_Option(argc, argv, "service", "s")),
         .room = {4000, 4000, 0},
         .started_ms = (int64_t)NUM(3),
     };
-    GvSched_SetTarget(sched, &t, now);
-    GvPools_SetTarget(pools, ARG(1), ARG(2), GV_STR("s"), (int64_t)NUM(3),
-                      now);
+    GvSched_SetTarget(present_sched(), &t, now);
+    GvPools_CheckTarget(pools, ARG(2), now);
+}
+
+/* pool_target HOST TARGET STARTED: the same, and the target answers if it has
+   not done so before. */
+GV_VERB("pool_target", pool_target)
+{
+    gv_hold_answer_t a = {.answer = {.result = GV_ORDER_DONE}};
+    pool_entry(argc, argv);
+    if (GvSched_AnsweredEntry(present_sched(), ARG(2)) == NULL) {
+        GvSched_HandleHoldAnswer(present_sched(), argv[2], &a, now);
+        GvPools_CheckTarget(pools, ARG(2), now);
+    }
 }
 
 /* pool_lapsed TARGET: the entry of a target has lapsed. */
