Scheduler: a target's room counts once it has answered

Callers would see a long-running task wait while short tasks fill its service: an entry with much room, at whose address nothing answers, is chosen as the target to keep free for it.

Cause: tasks start only on targets that have answered, but the choice of the target that is kept free, and the demand for hosts, believed the entry.

Change: both ask for an answer, as do the list for the advice service and the counts of free and set-aside targets.

Evidence: sched_entry_room fails on (short tasks start on the freed target, no host is lacking) and passes now.

--- a/src/sched_advice.c
+++ b/src/sched_advice.c
@@ -83,8 +83,8 @@
     for (guint i = 0; i < service->targets->len && n < GV_ADVICE_TARGETS;
          i++) {
         const gv_sched_target_t *tgt = g_ptr_array_index(service->targets, i);
-        if (tgt->listed && !tgt->info.draining && !tgt->reserved &&
-            !g_hash_table_contains(a->asked, tgt->id)) {
+        if (GvSched_HasAnswered(tgt) && !tgt->info.draining &&
+            !tgt->reserved && !g_hash_table_contains(a->asked, tgt->id)) {
             out[n++] = tgt->id;
         }
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -87,7 +87,7 @@
     if (r->step->uses_leftover_cpu) {
         need.cpu = 0;
     }
-    return tgt->listed && !tgt->info.draining && !tgt->reserved &&
+    return GvSched_HasAnswered(tgt) && !tgt->info.draining && !tgt->reserved &&
            (!tgt->room_kept || r->active->long_running) &&
            tgt->n_strays == 0 && tgt->n_unread == 0 &&
            now_ms >= tgt->avoid_until_ms && GvResources_Fit(need, *free) &&
@@ -189,7 +189,7 @@
     for (guint i = 0; i < sv->targets->len; i++) {
         const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
         used += tgt->used.cpu;
-        room += tgt->listed ? tgt->info.room.cpu : 0;
+        room += GvSched_HasAnswered(tgt) ? tgt->info.room.cpu : 0;
     }
     return 2 * used < room;
 }
@@ -284,11 +284,13 @@
 enough_set_aside(const gv_sched_service_t *sv)
 {
     guint n = 0;
+    guint all = 0;
     for (guint i = 0; i < sv->targets->len; i++) {
         const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
         n += tgt->kept_empty || tgt->n_isolated > 0 ? 1 : 0;
+        all += tgt->hold_answered_ms != 0 ? 1 : 0;
     }
-    return n >= MAX(sv->targets->len / GV_SCHED_ASIDE_DIVISOR, 1);
+    return n >= MAX(all / GV_SCHED_ASIDE_DIVISOR, 1);
 }
 
 /* Keeps one more target of the service for suspects: the one with the fewest
--- a/src/sched_ready.c
+++ b/src/sched_ready.c
@@ -105,15 +105,17 @@
     return out;
 }
 
-/* Returns the room of the target of a service with the most cpu; zero if it
-   has none. */
+/* Returns the room of the target of a service with the most cpu, of those that
+   have answered; zero if there is none. */
 static gv_resources_t
 largest_room(const gv_sched_service_t *sv)
 {
     gv_resources_t room = {0};
     for (guint i = 0; i < sv->targets->len; i++) {
         const gv_sched_target_t *tgt = g_ptr_array_index(sv->targets, i);
-        room = tgt->info.room.cpu > room.cpu ? tgt->info.room : room;
+        if (tgt->hold_answered_ms != 0 && tgt->info.room.cpu > room.cpu) {
+            room = tgt->info.room;
+        }
     }
     return room;
 }
