Decode: an entry with missing fields names no target

Cause: the decoder asked for a service, an address and a state only. The platform says that an entry with fields missing or of another type names no target to use.

The targets of the tests write complete entries now.

--- a/tests/jobs_platform.py
+++ b/tests/jobs_platform.py
@@ -407,6 +407,7 @@
         """Returns the target's record in the list of hosts, packed. addr: of a
         relay in front of it."""
         return pack({"service": service, "addr": addr or self.addr, "zone": "a",
+                     "version": "v1", "slots": 8, "warmupLeftMs": 0,
                      "state": "ready", "seq": 1, "born": self.born,
                      "machine": "m-" + self.name, "labels": ["a", "r1-1"],
                      "capacity": {"cpu": self.rooms[-1][1], "memMb": 4000,
--- a/tests/proc_entries.py
+++ b/tests/proc_entries.py
@@ -47,6 +47,10 @@
     }
     for name, fields in odd.items():
         yield f"odd-{name}", pack({**valid, **fields})
+    for missing in ("zone", "version", "slots", "seq", "warmupLeftMs", "labels",
+                    "capacity"):
+        yield f"odd-no-{missing}", pack({name: value for name, value in
+                                         valid.items() if name != missing})
     for head in (b"\x91", b"\x81\xa1k"):
         yield f"odd-nested-{len(head)}", head * 50000 + b"\xc0"
     yield "odd-size", b"\xdd\xff\xff\xff\xff"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -285,6 +285,8 @@
             b"\xc1", b"\x80", pack(good | {"state": "asleep"}),
             pack(good | {"service": "nobody"}), pack(good | {"addr": 7}),
             pack({"addr": good["addr"], "service": "s"}),
+            pack({name: value for name, value in good.items()
+                  if name != self.rng.choice(("zone", "seq", "labels"))}),
             pack(good | {"addr": "nowhere", "machine": "m-x"})))
         self.store.put("keyed.servers", f"i-odd{self.rng.randrange(3)}", value)
 
--- a/tests/test_decode.c
+++ b/tests/test_decode.c
@@ -13,28 +13,61 @@
 /* Messages of the platform, with what other writers may have left in its
    store. */
 
-/* A field whose value replaces the one of a valid entry: the text, or the
-   number if there is no text. */
+/* How a field of a valid entry is changed. */
+typedef enum {
+    CHANGE_VALUE,
+    CHANGE_TYPE,   /* to a boolean */
+    CHANGE_MISSING /* the entry has another field in its place */
+} change_t;
+
+/* A field that differs from that of a valid entry. Its value, if that is what
+   differs, is the text, or the number if there is no text. */
 typedef struct {
     const char *name;
     gv_str_t text;
     int64_t number;
+    change_t change;
 } field_t;
 
+/* Packs the name of a field. Returns true if its valid value is to follow; any
+   other value has been packed. */
+static bool
+put_name(msgpack_packer *pk, const char *name, bool is_text, const field_t *f)
+{
+    bool differs = g_strcmp0(f->name, name) == 0;
+    bool missing = differs && f->change == CHANGE_MISSING;
+    GvPack_Str(pk, GvStr_C(missing ? "other" : name));
+    if (!differs || missing) {
+        return true;
+    }
+    if (f->change == CHANGE_TYPE) {
+        GvPack_Bool(pk, true);
+    }
+    else if (is_text) {
+        GvPack_Str(pk, f->text);
+    }
+    else {
+        GvPack_Int(pk, f->number);
+    }
+    return false;
+}
+
 static void
 put_text(msgpack_packer *pk, const char *name, const char *text,
          const field_t *f)
 {
-    GvWire_PutStr(pk, name,
-                  g_strcmp0(f->name, name) == 0 ? f->text : GvStr_C(text));
+    if (put_name(pk, name, true, f)) {
+        GvPack_Str(pk, GvStr_C(text));
+    }
 }
 
 static void
 put_number(msgpack_packer *pk, const char *name, int64_t number,
            const field_t *f)
 {
-    GvWire_PutInt(pk, name,
-                  g_strcmp0(f->name, name) == 0 ? f->number : number);
+    if (put_name(pk, name, false, f)) {
+        GvPack_Int(pk, number);
+    }
 }
 
 /* Decodes an entry that is valid but for one field. */
@@ -46,19 +79,33 @@
     msgpack_packer pk;
     msgpack_sbuffer_init(&sb);
     msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
-    msgpack_pack_map(&pk, 8);
+    msgpack_pack_map(&pk, 13);
     put_text(&pk, "service", "s", f);
     put_text(&pk, "addr", "10.0.0.1:8001", f);
+    put_text(&pk, "zone", "a", f);
+    put_text(&pk, "version", "v1", f);
     put_text(&pk, "state", "draining", f);
     put_text(&pk, "machine", "m-1", f);
     put_number(&pk, "born", 1764000000000, f);
     put_number(&pk, "remainingMs", 5000, f);
+    put_number(&pk, "slots", 8, f);
+    put_number(&pk, "seq", 4, f);
     put_number(&pk, "warmupLeftMs", 0, f);
-    GvPack_Str(&pk, GV_STR("capacity"));
-    msgpack_pack_map(&pk, 3);
-    put_number(&pk, "cpu", 4000, f);
-    put_number(&pk, "memMb", 4000, f);
-    put_number(&pk, "gpu", 0, f);
+    if (put_name(&pk, "labels", true, f)) {
+        msgpack_pack_array(&pk, 1);
+        if (g_strcmp0(f->name, "label") == 0) {
+            GvPack_Int(&pk, f->number);
+        }
+        else {
+            GvPack_Str(&pk, GV_STR("r1-1"));
+        }
+    }
+    if (put_name(&pk, "capacity", true, f)) {
+        msgpack_pack_map(&pk, 3);
+        put_number(&pk, "cpu", 4000, f);
+        put_number(&pk, "memMb", 4000, f);
+        put_number(&pk, "gpu", 0, f);
+    }
     int rc = GvDecode_Target(id, GvStr_N(sb.data, sb.size), &info);
     if (rc == GV_OK) {
         GvDecode_ClearTarget(&info);
@@ -70,7 +117,7 @@
 static int
 decode_text(const char *name, gv_str_t text)
 {
-    return decode_with(GV_STR("i-1"), &(field_t){name, text, 0});
+    return decode_with(GV_STR("i-1"), &(field_t){.name = name, .text = text});
 }
 
 /* Guards against calls to an address that is none: a name would be looked up,
@@ -174,7 +221,7 @@
     };
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         const int64_t bad[] = {INT64_MIN, -1, fields[i].max + 1, INT64_MAX};
-        field_t f = {fields[i].name, GV_STR(""), fields[i].max};
+        field_t f = {.name = fields[i].name, .number = fields[i].max};
         ASSERT_OK(decode_with(GV_STR("i-1"), &f));
         for (size_t k = 0; k < G_N_ELEMENTS(bad); k++) {
             f.number = bad[k];
@@ -183,6 +230,25 @@
     }
 }
 
+/* Guards against an entry of another writer that is taken for that of a
+   target: one that lacks a field, or has one of another type. */
+TEST("/decode/incomplete", test_incomplete)
+{
+    static const char *const names[] = {
+        "service", "addr",         "zone", "version", "slots",    "state",
+        "seq",     "warmupLeftMs", "cpu",  "memMb",   "capacity", "labels"};
+    static const change_t changes[] = {CHANGE_MISSING, CHANGE_TYPE};
+    ASSERT_OK(decode_with(GV_STR("i-1"), &(field_t){0}));
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        for (size_t k = 0; k < G_N_ELEMENTS(changes); k++) {
+            field_t f = {.name = names[i], .change = changes[k]};
+            g_assert_cmpint(decode_with(GV_STR("i-1"), &f), ==, GV_EINVAL);
+        }
+    }
+    field_t label = {.name = "label", .number = 1};
+    g_assert_cmpint(decode_with(GV_STR("i-1"), &label), ==, GV_EINVAL);
+}
+
 /* Packs a row of the list of ended runs, decodes it and sets *out. */
 static bool
 decode_ended(int64_t number, int64_t run, gv_ended_t *out)
@@ -340,7 +406,7 @@
 static bool
 decode_host(const char *name, gv_str_t text, int64_t number)
 {
-    field_t f = {name, text, number};
+    field_t f = {.name = name, .text = text, .number = number};
     gv_host_info_t h = {0};
     msgpack_unpacked un;
     msgpack_sbuffer sb;
@@ -460,7 +526,7 @@
 static int
 decode_job(const char *name, int64_t number)
 {
-    field_t f = {name, GV_STR(""), number};
+    field_t f = {.name = name, .number = number};
     gv_job_t *job = NULL;
     msgpack_sbuffer sb;
     msgpack_packer pk;
