Soak: long-running tasks also end by themselves

They ran until they were stopped, so that the soak could not see that one which ends as done is not started again. Half of them now end after 1 to 8 s, and have to run again at the end.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -144,8 +144,9 @@
             self.note(f"{how} {task} run {run} on {target.name}")
             if self.live.get(task) == (target, run):
                 del self.live[task]
-            if how == "done":
-                self.jobs[task.split(".")[0]].done.add(task)
+            job = self.jobs[task.split(".")[0]]
+            if how == "done" and not job.lasting:
+                job.done.add(task)
                 self.done_ends.setdefault(task, []).append(
                     (target.name, target.born, number))
 
@@ -153,6 +154,8 @@
         """The scheduler noted an end done, within the target's lease."""
         with self.lock:
             self.note(f"noted {task} end {number} of {target.name}")
+            if self.jobs[task.split(".")[0]].lasting:
+                return
             self.noted.add(task)
             start = self.doubtful.get((target.name, target.born, number))
             if start:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -200,7 +200,8 @@
         self.checks.started(self, task, run, rq["spec"], used)
         work_s = self.rng.uniform(0.1, 1.2)
         if self.fleet.checks.jobs[task.split(".")[0]].lasting:
-            work_s = float("inf")
+            # It may also end by itself, and has to start again then.
+            work_s = self.rng.choice((self.rng.uniform(1, 8), float("inf")))
         how = "failed" if self.rng.random() < FAILED_SHARE else "done"
         self.running[task] = run, time.monotonic() + work_s, how
         return self.answer(200)
