--- a/src/job_record.c
+++ b/src/job_record.c
@@ -302,10 +302,11 @@
         job->begun = (flags & JOB_BEGUN) != 0;
         job->ended_ms = GvUnpack_Int(&u);
         gv_str_t bits = GvUnpack_Str(&u);
+        bool lasts = GvJob_IsLongRunning(job);
         for (int i = 0; i < job->n_tasks && (size_t)i / 8 < bits.n; i++) {
             /* Earlier versions took long-running tasks for done. */
             if (((unsigned char)bits.p[i / 8] >> (i % 8) & 1) != 0 &&
-                !GvJob_StepOf(job, i)->long_running) {
+                !(lasts && GvJob_StepOf(job, i)->long_running)) {
                 job->tasks[i].state = GV_TASK_DONE;
                 job->n_done++;
             }
--- a/src/sched_answer.c
+++ b/src/sched_answer.c
@@ -346,6 +346,8 @@
     if (a != NULL && e->how == GV_END_FAILED) {
         /* An earlier run, dropped as lost, or one that an earlier scheduler
            has counted. */
+        GvEvlog_Write("end", "task=%.*s run=%u target=%s how=failed late=1",
+                      GV_STR_ARG(e->task), e->run, tgt->id);
         GvSched_CountFailure(s, a, task, e->run, now_ms);
         return true;
     }
