--- a/src/standin_target.c
+++ b/src/standin_target.c
@@ -209,8 +209,12 @@
     switch (end) {
     case RUN_DONE: {
         gv_str_t body = GvServerRequest_Body(rq);
+        uint64_t more = 0; /* bytes of the reply, for tests of large ones */
+        (void)GvServerRequest_QueryNumber(rq, "reply_bytes",
+                                          GV_BODY_MAX_BYTES / 2, &more);
         GString *text = g_string_new("ok ");
         g_string_append_len(text, body.p, (gssize)body.n);
+        g_string_append_printf(text, "%*s", (int)more, "");
         GvServerRequest_Reply(rq, 200, "text/plain",
                               GvStr_N(text->str, text->len));
         g_string_free(text, TRUE);
--- a/tests/proc_flood_entry.py
+++ b/tests/proc_flood_entry.py
@@ -10,28 +10,37 @@
 from harness import call
 
 
-class Flood(proc_path.Path):
+class SmallPath(proc_path.Path):
+    """Entry hosts with the settings lines more_conf."""
+    more_conf = ""
+
     def start_entry(self, name):
         path = f"{self.procs.dir.name}/{name}.yaml"
         harness.write_node(path, name, self.entries, self.platform, 8)
         with open(path, "a", encoding="utf-8") as out:
-            out.write(flood.settings(self.build, "gventryd"))
+            out.write(self.more_conf)
         self.procs.spawn(name, "gventryd", "--config", path,
                          addr=self.entries[name][1])
 
+    def ordinary(self):
+        a = call(self.e1, "POST", "/svc/routing/a", b"small")
+        return a is not None and a.status == 200
+
+
+class Flood(SmallPath):
+    def setUp(self):
+        self.more_conf = flood.settings(self.build, "gventryd")
+        super().setUp()
+
     def test_flood(self):
         """Guards against memory and descriptors that grow with the number of
         unfinished bodies, and against callers who get no answer then."""
-        def ordinary():
-            a = call(self.e1, "POST", "/svc/routing/a", b"small")
-            return a is not None and a.status == 200
-
-        self.assertTrue(ordinary())
+        self.assertTrue(self.ordinary())
         wrong = []
         for kind in flood.KINDS:
             wrong += flood.play(self.procs.procs["e1"], self.e1, kind,
                                 b"POST /svc/routing/a HTTP/1.1\r\n"
-                                b"Host: routing\r\n", ordinary)
+                                b"Host: routing\r\n", self.ordinary)
         self.assertEqual(wrong, [])
 
 
--- a/tests/proc_flood_sched.py
+++ b/tests/proc_flood_sched.py
@@ -18,6 +18,23 @@
     n_hosts = 1
 
 
+def answers(fleet):
+    """Returns a function that submits a new job and returns true if it was
+    accepted and done."""
+    numbers = itertools.count(1)
+
+    def ordinary():
+        try:
+            job, status = fleet.submit("host-0", next(numbers), count=1,
+                                       steps=1)
+        except AttributeError:  # no response
+            return False
+        if status == 200:
+            all_done(fleet, "host-0", [job], 10)
+        return status == 200
+    return ordinary
+
+
 def size_limits(fleet):
     """Returns what is wrong with bodies of the size that the users' pages
     allow, and of one over the limit, announced or in chunks. Guards against
@@ -53,20 +70,10 @@
     try:
         front = fleet.fronts["host-0"]
         proc = fleet.procs.procs["host-0"]
-        numbers = itertools.count(1)
+        ordinary = answers(fleet)
         head = (b"POST /q/00000000000000ff HTTP/1.1\r\nHost: %s\r\n"
                 % HOST.encode())
 
-        def ordinary():
-            try:
-                job, status = fleet.submit("host-0", next(numbers), count=1,
-                                           steps=1)
-            except AttributeError:  # no response
-                return False
-            if status == 200:
-                all_done(fleet, "host-0", [job], 10)
-            return status == 200
-
         assert ordinary(), "no answer in calm"
         wrong += size_limits(fleet)
         for kind in flood.KINDS:
