Servers: bound the bytes that callers sent and that were not read

Callers whose requests stop in a trailer, that send behind an open request, or that send while the process is paused, left about 100 KB each in the receive buffers, which DEPLOY counts as memory: more connections than the host's memory bears were accepted, and as many as the kernel's queue holds waited.

Cause: the receive buffers had the kernel's default size and the queue of the listening socket its default length; neither was part of the budget.

Change: listening sockets are opened by src/listener.c with a receive buffer of 16 KB (the kernel keeps up to 32 KB), which connections inherit, also before they are accepted, and with a queue of a quarter of the connections. The budget counts 88 KB a connection instead of 48: 930 connections at 160 MB, 1,500 at 260 MB and above as before.

--- a/src/body_budget.c
+++ b/src/body_budget.c
@@ -37,18 +37,23 @@
 };
 
 /* Divides the memory of a process: a quarter for bodies, and half for what
-   each connection may hold beside a large body. */
+   each connection may hold beside a large body: the server's memory, a small
+   body, and bytes that were not read, also of those not yet accepted. */
 gv_body_budget_opts_t
 GvBodyBudget_Limits(int memory_mb, int max_fds, int connections)
 {
     size_t bytes = (size_t)memory_mb * 1024 * 1024;
-    size_t per_conn = GV_BODY_POOL_BYTES + GV_BODY_SMALL_BYTES;
+    size_t unread = 2 * GV_BODY_RECEIVE_BYTES;
+    size_t per_conn = GV_BODY_POOL_BYTES + GV_BODY_SMALL_BYTES + unread +
+                      unread / GV_BODY_CONNECTIONS_PER_WAITING;
     size_t by_memory = bytes / 2 / per_conn;
     size_t by_fds = (size_t)max_fds * GV_BODY_FDS_PERCENT / 100;
     size_t n = MIN((size_t)connections, MIN(by_memory, by_fds));
-    return (gv_body_budget_opts_t){.bytes_max = bytes / 4,
-                                   .connections_max =
-                                       (int)MAX(n, GV_BODY_CONNECTIONS_MIN)};
+    n = MAX(n, GV_BODY_CONNECTIONS_MIN);
+    return (gv_body_budget_opts_t){
+        .bytes_max = bytes / 4,
+        .connections_max = (int)n,
+        .backlog = (int)(n / GV_BODY_CONNECTIONS_PER_WAITING)};
 }
 
 gv_body_budget_t *
--- a/src/body_budget.h
+++ b/src/body_budget.h
@@ -15,6 +15,7 @@
 typedef struct {
     size_t bytes_max;    /* of all bodies over GV_BODY_SMALL_BYTES */
     int connections_max; /* that the server accepts */
+    int backlog;         /* further ones that wait to be accepted */
 } gv_body_budget_opts_t;
 
 /* The limits of a process with this memory and this many descriptors, with at
--- a/src/front.c
+++ b/src/front.c
@@ -4,12 +4,14 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "clock.h"
 #include "counter.h"
 #include "error.h"
 #include "front_private.h"
 #include "limits.h"
+#include "listener.h"
 
 GV_COUNTER(callers_left, "callers_left_total",
            "Requests cancelled because their caller disconnected");
@@ -265,17 +267,26 @@
     pthread_mutex_init(&f->budget_lock, NULL);
     f->waiting_callers =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    gv_listener_opts_t listener = {.addr = &sa,
+                                   .backlog = limits.backlog,
+                                   .receive_bytes = GV_BODY_RECEIVE_BYTES};
+    int fd = GvListener_Open(&listener);
+    if (fd < 0) {
+        GvFront_Stop(f);
+        return GV_EIO;
+    }
     f->mhd = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-        ntohs(sa.sin_port), NULL, NULL, on_access, f, MHD_OPTION_SOCK_ADDR,
-        (struct sockaddr *)&sa, MHD_OPTION_THREAD_POOL_SIZE,
-        (unsigned)GV_HTTP_THREADS, MHD_OPTION_CONNECTION_LIMIT,
-        (unsigned)limits.connections_max, MHD_OPTION_NOTIFY_CONNECTION,
-        GvFront_OnConnection, f, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)GV_HTTP_HEADER_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-        (unsigned)GV_HTTP_TIMEOUT_S, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+        ntohs(sa.sin_port), NULL, NULL, on_access, f, MHD_OPTION_LISTEN_SOCKET,
+        (MHD_socket)fd, MHD_OPTION_THREAD_POOL_SIZE, (unsigned)GV_HTTP_THREADS,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)limits.connections_max,
+        MHD_OPTION_NOTIFY_CONNECTION, GvFront_OnConnection, f,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)GV_HTTP_HEADER_BYTES,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)GV_HTTP_TIMEOUT_S,
+        MHD_OPTION_URI_LOG_CALLBACK, on_uri, f, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, NULL, MHD_OPTION_END);
     if (f->mhd == NULL) {
+        close(fd);
         GvFront_Stop(f);
         return GV_EIO;
     }
--- a/src/limits.h
+++ b/src/limits.h
@@ -31,6 +31,11 @@
 #define GV_BODY_SMALL_BYTES     (16 * 1024)
 #define GV_BODY_POOL_BYTES      (32 * 1024)
 #define GV_BODY_CONNECTIONS_MIN 16
+/* Receive buffer of a connection, as it is set; the kernel keeps up to twice
+   as much. Below is one connection in the queue of the listening socket for
+   each GV_BODY_CONNECTIONS_PER_WAITING that the server accepts. */
+#define GV_BODY_RECEIVE_BYTES           (16 * 1024)
+#define GV_BODY_CONNECTIONS_PER_WAITING 4
 /* Share of the descriptors for callers; targets, the store and files need the
    others. */
 #define GV_BODY_FDS_PERCENT 37
--- a/tests/script_body.c
+++ b/tests/script_body.c
@@ -19,8 +19,8 @@
 {
     gv_body_budget_opts_t o = GvBodyBudget_Limits(
         OPT("memory_mb", 160), OPT("fds", 4100), OPT("connections", 1500));
-    printf("bodies=%zuK connections=%d\n", o.bytes_max / KB,
-           o.connections_max);
+    printf("bodies=%zuK connections=%d waiting=%d\n", o.bytes_max / KB,
+           o.connections_max, o.backlog);
 }
 
 GV_VERB("body_new", body_new)
