gvschedd: callers share reads of the store; outgoing connections have a bound

Callers who asked for jobs that the host does not know, one request behind the other, took it to as many connections to the store as they liked, past the descriptors of the host; ordinary jobs were not accepted meanwhile.

Cause: each such request began its own read of every partition, and only idle connections were ever closed at GV_CALL_CONNECTIONS.

Change: src/lookup.c answers all who wait with one round of reads, begun after they asked, and opens four rounds at most. The client of calls has a hard bound from max_fds, opening connections included, with a part kept for the store. A request that waits past its deadline gets 503 with Retry-After, not 410.

The script lookup and /calls/bound are new; test_calls gives its client the same bound as before, now by argument.

--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -6,6 +6,7 @@
 #include "leader.h"
 #include "error.h"
 #include "intake.h"
+#include "lookup.h"
 #include "pool_plan.h"
 #include "rhythm.h"
 #include "script.h"
@@ -158,6 +159,59 @@
     GvIntake_Synced(intake, &requests[NUM(1)], strcmp(argv[2], "ok") == 0);
 }
 
+static gv_lookups_t *lookups;
+
+static void
+on_round(void *user, int round)
+{
+    (void)user;
+    printf("  round %d reads\n", round);
+}
+
+static void
+on_looked_up(void *user, gv_intake_request_t *rq, bool ok)
+{
+    (void)user;
+    printf("  slot %d: %s\n", (int)(rq - requests), ok ? "read" : "not read");
+}
+
+/* lookups ROUNDS: a new table of lookups. */
+GV_VERB("lookups", lookups_verb)
+{
+    gv_lookup_opts_t o = {
+        .rounds_max = (int)NUM(1), .read = on_round, .done = on_looked_up};
+    lookups = GvLookups_New(&o);
+}
+
+/* lookup SLOT MS: a request with this deadline waits for a read. */
+GV_VERB("lookup", lookup)
+{
+    gv_intake_request_t *rq = &requests[NUM(1)];
+    printf("lookup %s\n", argv[1]);
+    rq->deadline_ms = (int64_t)NUM(2);
+    GvLookups_Add(lookups, rq);
+}
+
+/* round ROUND ok|failed: its reads have ended. */
+GV_VERB("round", end_round)
+{
+    printf("round %s %s\n", argv[1], argv[2]);
+    GvLookups_EndRound(lookups, (int)NUM(1), strcmp(argv[2], "ok") == 0);
+}
+
+GV_VERB("expire", expire)
+{
+    printf("expire %s\n", argv[1]);
+    GvLookups_Expire(lookups, (int64_t)NUM(1));
+}
+
+GV_VERB("lookups_end", lookups_end)
+{
+    (void)argc;
+    (void)argv;
+    GvLookups_Free(lookups);
+}
+
 /* clock MS: sets the time and lets the intake act. */
 GV_VERB("clock", clock_verb)
 {
--- a/tests/test_calls.c
+++ b/tests/test_calls.c
@@ -188,7 +188,7 @@
     } while (0)
 
 #define BEGIN_TEST(reply_)                                                    \
-    gv_calls_t *c = GvCalls_New();                                            \
+    gv_calls_t *c = GvCalls_New(GV_CALL_CONNECTIONS);                         \
     server_t s;                                                               \
     result_t r;                                                               \
     server_open(&s, reply_);                                                  \
@@ -550,6 +550,32 @@
     server_close(&t);
 }
 
+/* Guards against more connections than allowed, opening ones included, and
+   against other calls that take the connections kept for the store. */
+TEST("/calls/bound", test_bound)
+{
+    enum { MAX = 8, CALLS = 20 };
+    static result_t many[CALLS];
+    BEGIN_TEST("");
+    GvCalls_Free(c);
+    c = GvCalls_New(MAX);
+    for (int i = 0; i < CALLS; i++) {
+        o = get(s.addr, &many[i]);
+        o.store = i >= CALLS / 2;
+        GvCalls_Begin(c, &o);
+    }
+    for (int i = 0; i < CALLS; i++) {
+        bool opens = i % (CALLS / 2) < MAX / 2;
+        if (!opens) {
+            RUN_UNTIL(many[i].n == 1);
+            g_assert_cmpint(many[i].reply.status, ==, 0);
+            g_assert_false(many[i].reply.sent || many[i].reply.broken);
+        }
+    }
+    RUN_UNTIL(s.conns->len == MAX);
+    END_TEST;
+}
+
 /* Guards against requests to what is no address, against bytes that would end
    a header early, and against a loop when the callback tries again. */
 TEST("/calls/malformed", test_malformed)
