Servers: callers who do not take responses or send without end give way

Callers who sent one request behind the other without end, or did not read the responses, kept all connections of either daemon, of the readiness checks too: others got no connection. In gventryd a large response that was not taken was held twice and counted nowhere.

Cause: a connection with a complete request was never closed, and one between two requests was never idle long enough; the budget knew no responses.

Change: a response that is being sent gives way like a body that does not come, and its bytes count, once, in place of the request's. While crowded, connections get "Connection: close" with a response: those with most requests first, and no more than needed. A response that does not fit is replaced by a 502 with the outcome of the request. No request is closed before its response.

--- a/src/body_budget.h
+++ b/src/body_budget.h
@@ -5,8 +5,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* The memory of all request bodies of a process and its connections: whether
-   a body may grow, and which connections are closed when too little is left.
+/* The memory of all bodies of a process's requests and responses, and its
+   connections: whether a body may grow, and which connections are closed when
+   too little is left.
    Not safe for concurrent use. */
 
 typedef struct gv_body_budget_s gv_body_budget_t;
@@ -44,7 +45,16 @@
 /* The request is complete and will get a response. Returns false if the
    connection is to be closed instead. */
 bool GvBodyBudget_Complete(gv_body_conn_t *c);
-/* The request has ended, and its body was freed. */
+/* The request has a response of this many bytes, which is kept until End and
+   takes the place of the request's body. Returns 0, or GV_EFULL if it has to
+   be dropped. */
+int GvBodyBudget_Answer(gv_body_conn_t *c, size_t bytes);
+/* The response is sent from now on. Returns true if the connection is to be
+   closed after it. */
+bool GvBodyBudget_Respond(gv_body_conn_t *c, int64_t now_ms);
+/* So many bytes of the response were sent. */
+void GvBodyBudget_Sent(gv_body_conn_t *c, size_t bytes);
+/* The request has ended, and its body and response were freed. */
 void GvBodyBudget_End(gv_body_conn_t *c, int64_t now_ms);
 /* Returns the fd of the next connection to close, or -1. It counts until
    GvBodyBudget_Close. */
--- a/src/front.c
+++ b/src/front.c
@@ -86,7 +86,7 @@
     gv_call_t *call = user;
     gv_front_t *f = call->front;
     gint64 id = (gint64)rq->id;
-    call->answer = GvAnswer_Copy(a);
+    GvFront_KeepAnswer(call, a);
     call->answered = true;
     pthread_mutex_lock(&f->lock);
     g_hash_table_remove(f->waiting_callers, &id);
@@ -174,9 +174,9 @@
                               GvStr_C(call->uri), &a) != GV_OK) {
         return reply_refusal(call, 404, 0, "no such path");
     }
-    enum MHD_Result rc = GvFront_Reply(call, &a);
+    GvFront_KeepAnswer(call, &a);
     GvAnswer_Free(&a);
-    return rc;
+    return GvFront_Reply(call, &call->answer);
 }
 
 /* Refuses a body before it is read if it is too large or does not fit in the
--- a/src/front_private.h
+++ b/src/front_private.h
@@ -66,7 +66,8 @@
 bool GvFront_CompleteBody(gv_call_t *call);
 void GvFront_EndBody(gv_call_t *call);
 void GvFront_CloseSlowCallers(gv_front_t *f);
-/* Queues the response to the caller. */
+/* Responses to callers, in front_reply.c. */
+void GvFront_KeepAnswer(gv_call_t *call, const gv_answer_t *a);
 enum MHD_Result GvFront_Reply(gv_call_t *call, const gv_answer_t *a);
 
 #endif
--- a/tests/script_body.c
+++ b/tests/script_body.c
@@ -75,6 +75,19 @@
     printf("%s\n", open ? "ok" : "closing");
 }
 
+/* body_answer NAMES MS KB [sent=KB]: the requests get responses of this size,
+   of which the callers take `sent`. */
+GV_VERB("body_answer", body_answer)
+{
+    for (const char *p = argv[1]; *p != '\0'; p++) {
+        int rc = GvBodyBudget_Answer(CONN(p), NUM(3) * KB);
+        bool closes = GvBodyBudget_Respond(CONN(p), (int64_t)NUM(2));
+        GvBodyBudget_Sent(CONN(p), (size_t)OPT("sent", 0) * KB);
+        printf("%c: %s%s\n", *p, rc == GV_OK ? "ok" : Gv_StrError(rc),
+               closes ? ", closes" : "");
+    }
+}
+
 /* body_end NAME MS */
 GV_VERB("body_end", body_end)
 {
