gventryd: bound what strangers hold at the peer address

Connections to the peer address that sent half a frame of legal length, before or after a HELLO of any name, held up to 2 MB each, 1,024 of them: the process grew with their number.

Cause: a frame of 2 MB was accepted before the peer was known, incomplete frames had no bound together, and the number of connections did not follow the descriptors.

Change: the first frame announces 1 KB at most; incomplete frames take 16 MB together, beyond which the one that began first is closed; connections have 12% of the descriptors, and the oldest without HELLO gives way to a new one.

--- a/src/frame.c
+++ b/src/frame.c
@@ -15,6 +15,17 @@
     g_byte_array_append(out, (const guint8 *)body.p, (guint)body.n);
 }
 
+uint32_t
+GvFrame_Length(gv_str_t buf)
+{
+    const unsigned char *b = (const unsigned char *)buf.p;
+    if (buf.n < HEADER_BYTES) {
+        return 0;
+    }
+    return (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 | (uint32_t)b[2] << 8 |
+           b[3];
+}
+
 /* Parses the first frame in buf. Returns its total size in bytes with
    *body set to a view of its content, GV_EAGAIN when more bytes are needed,
    GV_ETOOBIG when the content exceeds GV_FRAME_MAX_BYTES, or GV_EINVAL for
@@ -26,9 +37,7 @@
     if (buf.n < HEADER_BYTES) {
         return GV_EAGAIN;
     }
-    const unsigned char *b = (const unsigned char *)buf.p;
-    uint32_t n = (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 |
-                 (uint32_t)b[2] << 8 | b[3];
+    uint32_t n = GvFrame_Length(buf);
     if (n == 0) {
         return GV_EINVAL;
     }
--- a/src/frame.h
+++ b/src/frame.h
@@ -15,4 +15,8 @@
    GV_FRAME_MAX_BYTES, or GV_EINVAL for a length of 0. */
 int GvFrame_Next(gv_str_t buf, gv_str_t *body);
 
+/* Returns the length of the content of the first frame in buf, or 0 if it is
+   not known yet. */
+uint32_t GvFrame_Length(gv_str_t buf);
+
 #endif
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -137,6 +137,7 @@
 {
     gv_peers_opts_t po = {
         .listen_addr = k->conf.peer_addr,
+        .max_fds = k->conf.max_fds,
         .self = {.entry = k->conf.name,
                  .dc = k->conf.dc,
                  .region = k->conf.region,
--- a/src/limits.h
+++ b/src/limits.h
@@ -63,6 +63,10 @@
 
 /* Links between entry hosts. A frame has to hold a whole ledger snapshot. */
 #define GV_FRAME_MAX_BYTES (2 * 1024 * 1024)
+/* The first frame of a connection, before the peer is known. */
+#define GV_FRAME_HELLO_BYTES 1024
+/* Incomplete frames of all connections together. */
+#define GV_PEER_INPUT_BYTES (16 * 1024 * 1024)
 #define GV_FRAME_VERSION   1
 /* Bytes waiting to be sent to one peer; further messages are rejected. */
 #define GV_PEER_OUTPUT_BYTES (4 * 1024 * 1024)
@@ -86,6 +90,9 @@
 /* Calls to one peer without a reply yet, and connections of all peers. */
 #define GV_PEER_CALLS_MAX   4096
 #define GV_PEER_CONNECTIONS 1024
+/* Share of the descriptors for links from peers, at most
+   GV_PEER_CONNECTIONS. */
+#define GV_PEER_FDS_PERCENT 12
 /* A request for a peer's copy of the ledger. */
 #define GV_LEDGERSYNC_TIMEOUT_MS 2000
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -22,6 +22,7 @@
 
 typedef struct {
     gv_str_t listen_addr;
+    int max_fds; /* of the process; 0: GV_PEER_CONNECTIONS may be open */
     gv_msg_hello_t self;
     /* Called on the peer thread for each message that is neither a HELLO nor
        an answer to GvPeers_Call. m is valid only until the function returns.
--- a/src/peerconn.h
+++ b/src/peerconn.h
@@ -22,6 +22,8 @@
     int64_t request_deadline_ms; /* latest deadline of the requests received */
     int64_t retired_ms;          /* when retiring was set */
     GByteArray *in;
+    size_t counted;     /* bytes of `in` that count toward the input of all */
+    int64_t behind_ms;  /* since when `in` holds an incomplete frame */
     gv_outframe_t *out; /* frame being written, or NULL */
 } gv_peerconn_t;
 
--- a/src/peerloop.c
+++ b/src/peerloop.c
@@ -20,6 +20,8 @@
 
 GV_COUNTER(malformed, "peer_malformed_total",
            "Peer links closed because of a malformed or oversize frame");
+GV_COUNTER(crowded, "peer_crowded_total",
+           "Peer links closed to make room for others");
 GV_COUNTER(refused, "peer_hello_refused_total",
            "Peer links closed because of an unexpected HELLO");
 GV_COUNTER(silent, "peer_silent_total",
@@ -70,6 +72,17 @@
     }
 }
 
+/* Counts the bytes of an incomplete frame that c holds. */
+static void
+count_input(gv_peers_t *ps, gv_peerconn_t *c, size_t bytes)
+{
+    if (c->counted == 0) {
+        c->behind_ms = ps->now_ms;
+    }
+    ps->input += bytes - c->counted;
+    c->counted = bytes;
+}
+
 /* Closes c and updates its link. clean means that the peer has read everything
    that was written to c. */
 static void
@@ -78,6 +91,7 @@
     if (c->fd < 0) {
         return;
     }
+    count_input(ps, c, 0);
     close(c->fd); /* also removes it from the epoll set */
     c->fd = -1;
     g_ptr_array_remove_fast(ps->conns, c);
@@ -325,6 +339,37 @@
     return true;
 }
 
+/* Closes the connections whose incomplete frames began first while all of them
+   take too much memory. */
+static void
+bound_input(gv_peers_t *ps)
+{
+    while (ps->input > GV_PEER_INPUT_BYTES) {
+        gv_peerconn_t *first = NULL;
+        for (guint i = 0; i < ps->conns->len; i++) {
+            gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
+            if (c->counted > 0 &&
+                (first == NULL || c->behind_ms < first->behind_ms)) {
+                first = c;
+            }
+        }
+        GvCounter_Add(&crowded, 1);
+        close_conn(ps, first, false);
+    }
+}
+
+/* Returns the next frame in the input buffer, like GvFrame_Next. Before HELLO
+   it has to be a short one. */
+static int
+next_frame(const gv_peerconn_t *c, size_t at, gv_str_t *body)
+{
+    gv_str_t buf = GvStr_N(c->in->data + at, c->in->len - at);
+    if (!c->hello_received && GvFrame_Length(buf) > GV_FRAME_HELLO_BYTES) {
+        return GV_ETOOBIG;
+    }
+    return GvFrame_Next(buf, body);
+}
+
 /* Handles all complete frames in the input buffer and removes them. Closes c
    after a malformed or unexpected one. */
 static void
@@ -335,7 +380,7 @@
     bool ok = true;
     while (ok && c->fd >= 0) {
         gv_str_t body;
-        n = GvFrame_Next(GvStr_N(c->in->data + at, c->in->len - at), &body);
+        n = next_frame(c, at, &body);
         if (n <= 0) {
             break;
         }
@@ -358,6 +403,8 @@
     }
     if (!ok) {
         close_conn(ps, c, false);
+    }
+    if (c->fd < 0) {
         return;
     }
     if (at > 0 && at == c->in->len && at > INPUT_KEEP_BYTES) {
@@ -366,7 +413,10 @@
     }
     else if (at > 0) {
         g_byte_array_remove_range(c->in, 0, (guint)at);
+        count_input(ps, c, 0); /* the next frame begins now */
     }
+    count_input(ps, c, c->in->len);
+    bound_input(ps);
 }
 
 /* Reads from c and handles its frames, for up to READ_TURN_BYTES. */
@@ -411,7 +461,38 @@
     }
 }
 
-/* Accepts waiting connections. Those over GV_PEER_CONNECTIONS are closed. */
+/* Returns how many connections may be open. */
+static guint
+connections_max(const gv_peers_t *ps)
+{
+    int by_fds = ps->opts.max_fds * GV_PEER_FDS_PERCENT / 100;
+    return (guint)(by_fds > 0 ? MIN(by_fds, GV_PEER_CONNECTIONS)
+                              : GV_PEER_CONNECTIONS);
+}
+
+/* Closes the oldest connection that was accepted and has not sent HELLO yet.
+   Returns false if there is none. */
+static bool
+close_oldest_stranger(gv_peers_t *ps)
+{
+    gv_peerconn_t *oldest = NULL;
+    for (guint i = 0; i < ps->conns->len; i++) {
+        gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
+        if (!c->outgoing && !c->hello_received &&
+            (oldest == NULL || c->opened_ms < oldest->opened_ms)) {
+            oldest = c;
+        }
+    }
+    if (oldest == NULL) {
+        return false;
+    }
+    GvCounter_Add(&crowded, 1);
+    close_conn(ps, oldest, false);
+    return true;
+}
+
+/* Accepts waiting connections. If too many are open, one that has not sent
+   HELLO gives way; if there is none, the new one is closed. */
 static void
 on_accept(gv_peers_t *ps)
 {
@@ -420,7 +501,8 @@
         if (fd < 0) {
             return;
         }
-        if (ps->conns->len >= GV_PEER_CONNECTIONS) {
+        if (ps->conns->len >= connections_max(ps) &&
+            !close_oldest_stranger(ps)) {
             close(fd);
             continue;
         }
--- a/src/peerloop.h
+++ b/src/peerloop.h
@@ -21,6 +21,7 @@
     GPtrArray *conns;
     GPtrArray *closed_conns; /* closed in this iteration, freed at its end */
     int64_t now_ms;
+    size_t input; /* bytes of incomplete frames in all connections */
 };
 
 gv_peerlink_t *GvPeers_MakeLink(gv_peers_t *ps, gv_str_t name);
