--- a/src/limits.h
+++ b/src/limits.h
@@ -67,7 +67,7 @@
 #define GV_FRAME_HELLO_BYTES 1024
 /* Incomplete frames of all connections together. */
 #define GV_PEER_INPUT_BYTES (16 * 1024 * 1024)
-#define GV_FRAME_VERSION   1
+#define GV_FRAME_VERSION    1
 /* Bytes waiting to be sent to one peer; further messages are rejected. */
 #define GV_PEER_OUTPUT_BYTES (4 * 1024 * 1024)
 #define GV_HEARTBEAT_MS      500
--- a/src/peerloop.c
+++ b/src/peerloop.c
@@ -339,22 +339,31 @@
     return true;
 }
 
-/* Closes the connections whose incomplete frames began first while all of them
-   take too much memory. */
+/* Returns the connection whose incomplete frame began first, or NULL. */
+static gv_peerconn_t *
+find_furthest_behind(const gv_peers_t *ps)
+{
+    gv_peerconn_t *first = NULL;
+    for (guint i = 0; i < ps->conns->len; i++) {
+        gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
+        if (c->counted > 0 &&
+            (first == NULL || c->behind_ms < first->behind_ms)) {
+            first = c;
+        }
+    }
+    return first;
+}
+
+/* Closes connections with incomplete frames while all of these take too much
+   memory. */
 static void
 bound_input(gv_peers_t *ps)
 {
-    while (ps->input > GV_PEER_INPUT_BYTES) {
-        gv_peerconn_t *first = NULL;
-        for (guint i = 0; i < ps->conns->len; i++) {
-            gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
-            if (c->counted > 0 &&
-                (first == NULL || c->behind_ms < first->behind_ms)) {
-                first = c;
-            }
-        }
+    gv_peerconn_t *c;
+    while (ps->input > GV_PEER_INPUT_BYTES &&
+           (c = find_furthest_behind(ps)) != NULL) {
         GvCounter_Add(&crowded, 1);
-        close_conn(ps, first, false);
+        close_conn(ps, c, false);
     }
 }
 
