gvschedd: the memory of jobs has a bound

A caller who submitted jobs of many tasks (4,096 in a body of 100 bytes) or with long texts made every host hold them: 178 and 167 MB on a host of 64 MB.

Cause: the table of jobs had no bound, and neither had the submissions that wait to be stored.

Change: both together take 18% of the memory at most, by an estimate of each job. A submission beyond that gets 503 with Retry-After: 2 before its record is sent; one over 16 KB from 75% on, so that small jobs still go through. Bodies take an eighth of the memory instead of a quarter, so that the shares add up.

--- a/src/body_budget.c
+++ b/src/body_budget.c
@@ -45,7 +45,7 @@
     int n_leaving;        /* closing ones, or closed after their response */
 };
 
-/* Divides the memory of a process: a quarter for bodies, and half for what
+/* Divides the memory of a process: an eighth for bodies, and half for what
    each connection may hold beside a large body: the server's memory, a small
    body, and bytes that were not read, also of those not yet accepted. */
 gv_body_budget_opts_t
@@ -60,7 +60,7 @@
     size_t n = MIN((size_t)connections, MIN(by_memory, by_fds));
     n = MAX(n, GV_BODY_CONNECTIONS_MIN);
     return (gv_body_budget_opts_t){
-        .bytes_max = bytes / 4,
+        .bytes_max = bytes / GV_BODY_MEMORY_SHARE,
         .connections_max = (int)n,
         .backlog = (int)(n / GV_BODY_CONNECTIONS_PER_WAITING)};
 }
--- a/src/intake.c
+++ b/src/intake.c
@@ -26,12 +26,16 @@
     int64_t until_ms;
 } gv_unsettled_t;
 
+GV_COUNTER(over_memory, "jobs_over_memory_total",
+           "Submissions refused because jobs took too much memory");
+
 struct gv_intake_s {
     gv_intake_ops_t ops;
     gv_job_table_t *table;
     GQueue waiting; /* gv_intake_request_t * without a batch */
     gv_batch_t batches[GV_INTAKE_APPENDS];
     GQueue unsettled; /* gv_unsettled_t *, oldest first */
+    size_t submitted; /* bytes of the jobs that wait to be stored */
 };
 
 /* Returns an intake that looks jobs up in a table; it doesn't own the table.
@@ -93,6 +97,9 @@
     GvCounter_Add(&accepted, r.result == GV_INTAKE_ACCEPTED ? 1 : 0);
     GvCounter_Add(&refused, r.result == GV_INTAKE_NOT_RUN ? 1 : 0);
     GvCounter_Add(&unknown, r.result == GV_INTAKE_UNKNOWN ? 1 : 0);
+    if (rq->waiting && rq->kind == GV_INTAKE_KIND_SUBMIT) {
+        in->submitted -= GvJob_Bytes(rq->job);
+    }
     rq->waiting = false;
     in->ops.reply(in->ops.user, rq, &r);
 }
@@ -147,10 +154,11 @@
    refused as not run only if no earlier one of the same job may be stored. */
 static void
 refuse(gv_intake_t *in, gv_intake_request_t *rq, const char *why,
-       int64_t now_ms)
+       int retry_after_ms, int64_t now_ms)
 {
-    gv_intake_reply_t r = {
-        .result = GV_INTAKE_NOT_RUN, .retry_after_ms = 1000, .why = why};
+    gv_intake_reply_t r = {.result = GV_INTAKE_NOT_RUN,
+                           .retry_after_ms = retry_after_ms,
+                           .why = why};
     if (rq->kind != GV_INTAKE_KIND_SUBMIT) {
         r.result = GV_INTAKE_UNAVAILABLE;
     }
@@ -228,6 +236,9 @@
 queue_for_append(gv_intake_t *in, gv_intake_request_t *rq, int64_t now_ms)
 {
     rq->waiting = true;
+    if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
+        in->submitted += GvJob_Bytes(rq->job);
+    }
     g_queue_push_tail(&in->waiting, rq);
     GvIntake_Step(in, now_ms);
 }
@@ -241,6 +252,38 @@
                             .pending = GvJobTable_Pending(in->table, rq->id)});
 }
 
+/* Returns true if there is memory for a job beside those that are known or
+   wait to be stored. */
+static bool
+fits_memory(const gv_intake_t *in, const gv_job_t *job)
+{
+    size_t bytes = GvJob_Bytes(job);
+    size_t max = in->ops.jobs_bytes_max;
+    if (bytes > GV_INTAKE_SMALL_JOB_BYTES) {
+        max = max / 100 * GV_INTAKE_LARGE_JOBS_PERCENT;
+    }
+    return in->table->bytes + in->submitted + bytes <= max;
+}
+
+/* Handles the submission of a job that is not known. It is refused before its
+   record is sent if the store does not answer or there is no memory for it. */
+static void
+submit(gv_intake_t *in, gv_intake_request_t *rq, int64_t now_ms)
+{
+    if (!in->ops.store_available(in->ops.user, now_ms)) {
+        refuse(in, rq, "store does not answer", GV_INTAKE_REFUSED_RETRY_MS,
+               now_ms);
+    }
+    else if (!fits_memory(in, rq->job)) {
+        GvCounter_Add(&over_memory, 1);
+        refuse(in, rq, "jobs take too much memory", GV_INTAKE_FULL_RETRY_MS,
+               now_ms);
+    }
+    else {
+        queue_for_append(in, rq, now_ms);
+    }
+}
+
 /* Handles a request; the reply may be sent within this call. While the store
    does not answer, submissions are refused before their records are sent: they
    can then be refused for certain. */
@@ -259,13 +302,11 @@
     if (reply_if_known(in, rq)) {
         return;
     }
-    if (rq->kind == GV_INTAKE_KIND_SUBMIT &&
-        !in->ops.store_available(in->ops.user, now_ms)) {
-        refuse(in, rq, "store does not answer", now_ms);
+    if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
+        submit(in, rq, now_ms);
         return;
     }
-    if (rq->kind == GV_INTAKE_KIND_SUBMIT ||
-        GvJobTable_Find(in->table, rq->id) != NULL) {
+    if (GvJobTable_Find(in->table, rq->id) != NULL) {
         queue_for_append(in, rq, now_ms);
         return;
     }
@@ -397,7 +438,8 @@
 batch_refused(gv_intake_t *in, gv_batch_t *b, const char *why, int64_t now_ms)
 {
     for (guint i = 0; i < b->requests->len; i++) {
-        refuse(in, g_ptr_array_index(b->requests, i), why, now_ms);
+        refuse(in, g_ptr_array_index(b->requests, i), why,
+               GV_INTAKE_REFUSED_RETRY_MS, now_ms);
     }
     end_batch(b);
 }
@@ -482,6 +524,7 @@
             break;
         }
         g_queue_pop_head(&in->waiting);
-        refuse(in, rq, "no append could start in time", now_ms);
+        refuse(in, rq, "no append could start in time",
+               GV_INTAKE_REFUSED_RETRY_MS, now_ms);
     }
 }
--- a/src/job.c
+++ b/src/job.c
@@ -85,6 +85,22 @@
     return GV_OK;
 }
 
+/* Returns about how much memory a complete job takes, with what the leader
+   keeps for its tasks. It does not change with the job's progress. */
+size_t
+GvJob_Bytes(const gv_job_t *job)
+{
+    size_t bytes = sizeof *job + job->id.n + job->queue.n + job->service.n +
+                   job->spec.n + job->account.n +
+                   (size_t)job->n_tasks * GV_JOB_TASK_BYTES;
+    for (int i = 0; i < job->n_steps; i++) {
+        const gv_step_t *s = &job->steps[i];
+        bytes += sizeof *s + (size_t)s->n_after * sizeof *s->after +
+                 s->label.n + s->rack.n + s->image.n;
+    }
+    return bytes;
+}
+
 /* Returns the state that is reported to callers. */
 gv_job_state_t
 GvJob_State(const gv_job_t *job)
--- a/src/job.h
+++ b/src/job.h
@@ -108,6 +108,7 @@
 gv_job_t *GvJob_New(void);
 void GvJob_Free(gv_job_t *job);
 int GvJob_Prepare(gv_job_t *job);
+size_t GvJob_Bytes(const gv_job_t *job);
 gv_job_state_t GvJob_State(const gv_job_t *job);
 const char *GvJob_StateName(gv_job_state_t state);
 bool GvJob_Ended(const gv_job_t *job);
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -102,6 +102,15 @@
     return GV_CHANGE_NONE;
 }
 
+/* Frees the job of an entry, which stays. */
+static void
+forget_job(gv_job_table_t *t, gv_job_entry_t *e)
+{
+    t->bytes -= e->job == NULL ? 0 : GvJob_Bytes(e->job);
+    GvJob_Free(e->job);
+    e->job = NULL;
+}
+
 /* Adds a job with the progress and cancellation that were read before its
    definition. Further definitions of the same job only mark their
    partition. */
@@ -123,6 +132,7 @@
         return malformed(t, key, rc == GV_OK ? GV_EINVAL : rc);
     }
     e->job = job;
+    t->bytes += GvJob_Bytes(job);
     job->cancelled = e->cancelled;
     if (e->progress != NULL) {
         rc = GvJobRecord_ReadProgress(
@@ -245,12 +255,12 @@
         e->cancelled_in &= ~bit;
     }
     else if (kind == GV_KEY_PROGRESS && at.offset + 1 > e->progress_offset) {
+        forget_job(t, e);
         g_hash_table_remove(t->jobs, &id);
         return GV_CHANGE_NONE;
     }
     if (e->defined_in == 0) {
-        GvJob_Free(e->job);
-        e->job = NULL;
+        forget_job(t, e);
         if (e->progress_offset == 0 && e->cancelled_in == 0) {
             g_hash_table_remove(t->jobs, &id);
         }
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -42,6 +42,7 @@
     GByteArray *run_times;     /* newest record of them, or NULL */
     uint64_t run_times_offset; /* of that record, plus 1; 0: none */
     int malformed;             /* records that could not be read */
+    size_t bytes;              /* of all jobs, see GvJob_Bytes */
 } gv_job_table_t;
 
 typedef struct {
--- a/src/limits.h
+++ b/src/limits.h
@@ -27,6 +27,7 @@
    itself keeps for a connection; it holds headers of 16,384 bytes. A body over
    GV_BODY_MAX_BYTES is read and discarded up to GV_BODY_DRAIN_MAX_BYTES,
    because a client may read the 413 only after it has sent the whole body. */
+#define GV_BODY_MEMORY_SHARE    8
 #define GV_BODY_DRAIN_MAX_BYTES (8 * GV_BODY_MAX_BYTES)
 #define GV_BODY_SMALL_BYTES     (16 * 1024)
 #define GV_BODY_POOL_BYTES      (32 * 1024)
@@ -350,6 +351,8 @@
 /* Tasks of all occurrences of a job together; limits a progress record to
    about 250 KB. */
 #define GV_JOB_TASKS_MAX 4096
+/* Memory of a task and of what the leader keeps for it. */
+#define GV_JOB_TASK_BYTES 112
 
 /* Runs of a task of which it is kept whether they failed: bits of a word. */
 #define GV_JOB_FAILED_RUNS_MAX 64
@@ -512,6 +515,16 @@
    Further submissions wait for the next append. */
 #define GV_INTAKE_APPENDS 2
 #define GV_INTAKE_BATCH   64
+/* Memory of all jobs, of that of the process. Jobs over
+   GV_INTAKE_SMALL_JOB_BYTES are refused earlier, so that they leave room for
+   others. */
+#define GV_INTAKE_JOBS_PERCENT       18
+#define GV_INTAKE_LARGE_JOBS_PERCENT 75
+#define GV_INTAKE_SMALL_JOB_BYTES    (16 * 1024)
+/* Retry-After of a request that the store did not take, and of a submission
+   for which there is no memory. */
+#define GV_INTAKE_REFUSED_RETRY_MS 1000
+#define GV_INTAKE_FULL_RETRY_MS    2000
 /* From an append without a certain result to its repetition. */
 #define GV_INTAKE_RETRY_MS 80
 /* An append without a certain result may be executed for so long: "seconds" by
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -24,17 +24,25 @@
 static void
 add_record(GByteArray *records, gv_str_t key, gv_str_t value)
 {
-    (void)value;
+    /* The value counts, but is not printed. */
     g_byte_array_append(records, (const guint8 *)key.p, (guint)key.n);
     g_byte_array_append(records, (const guint8 *)" ", 1);
+    guint n = records->len;
+    g_byte_array_set_size(records, n + (guint)value.n);
+    memset(records->data + n, 0, value.n);
 }
 
 static void
 on_append(void *user, int batch, gv_str_t records, bool fresh)
 {
     (void)user;
-    printf("  append %d: %.*s%s\n", batch, GV_STR_ARG(records),
-           fresh ? "again" : "");
+    printf("  append %d: ", batch);
+    for (size_t i = 0; i < records.n; i++) {
+        if (records.p[i] != '\0') {
+            putchar(records.p[i]);
+        }
+    }
+    printf("%s\n", fresh ? "again" : "");
 }
 
 static void
@@ -91,11 +99,14 @@
     return store_ok;
 }
 
-/* intake_new: starts an intake with an empty job table at time 0. */
+/* intake_new [jobs_kb=KB]: starts an intake with an empty job
+   table at time 0. All jobs may take jobs_kb. */
 GV_VERB("intake_new", intake_new)
 {
-    gv_intake_ops_t ops = {NULL,    add_record, on_append, on_stored,
-                           on_sync, on_reply,   age_ms,    store_available};
+    gv_intake_ops_t ops = {
+        NULL,      add_record,      on_append,
+        on_stored, on_sync,         on_reply,
+        age_ms,    store_available, OPT("jobs_kb", 4096) * (size_t)1024};
     table = GvJobTable_New();
     intake = GvIntake_New(&ops, table);
     store_ok = true;
@@ -109,10 +120,11 @@
 }
 
 /* ask SLOT submit|state|cancel|pending ID [by=MS age=MS account=NAME
-   open=QUEUE]: passes a request to the intake. by: its deadline; age: time
-   since the accepted jobs were last read completely; account: of the caller;
-   open: the queue that was asked, if every caller sees its jobs; SLOT
-   identifies the request in `synced`. The queue of every job is "q". */
+   open=QUEUE tasks=N text_kb=KB]: passes a request to the intake. by: its
+   deadline; age: time since the accepted jobs were last read completely;
+   account: of the caller; open: the queue that was asked, if every caller sees
+   its jobs; SLOT identifies the request in `synced`. The queue of every job is
+   "q". */
 GV_VERB("ask", ask)
 {
     gv_intake_request_t *rq = &requests[NUM(1)];
@@ -132,7 +144,10 @@
         j->account = GvStr_Dup(rq->account);
         j->n_steps = 1;
         j->steps = g_new0(gv_step_t, 1);
-        j->steps[0].count = 1;
+        j->steps[0].count = OPT("tasks", 1);
+        char *text = g_strnfill(OPT("text_kb", 0) * (gsize)1024, 'x');
+        j->steps[0].image = GvStr_Dup(GvStr_C(text));
+        g_free(text);
         g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
         rq->job = j;
     }
