gvschedd: no submission is refused for the large records of others

The records of submissions that arrive together go to the store in one call, which it takes whole or not at all. A caller who sent jobs with long texts made calls of up to 64 MB, of which the store takes 2 MB, and records over the 256 KB that it takes: all submissions of that call were refused with 503, also those of others, again and again. No stand-in refused them.

Change: a batch ends at 1 MB, so that a call stays below 2 MB with the largest record, and a job whose record the store would not take gets 400 by itself.

--- a/src/intake.c
+++ b/src/intake.c
@@ -252,6 +252,23 @@
                             .pending = GvJobTable_Pending(in->table, rq->id)});
 }
 
+/* Returns true if the record of a job is not larger than the store takes. Its
+   size is not computed for jobs that are much smaller. */
+static bool
+fits_record(const gv_intake_t *in, const gv_job_t *job)
+{
+    msgpack_sbuffer sb;
+    size_t tasks = (size_t)job->n_tasks * GV_JOB_TASK_BYTES;
+    if (GvJob_Bytes(job) - tasks < in->ops.record_bytes_max / 2) {
+        return true;
+    }
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackDefinition(job, &sb);
+    size_t bytes = sb.size + GV_JOB_ID_BYTES + 2;
+    msgpack_sbuffer_destroy(&sb);
+    return bytes <= in->ops.record_bytes_max;
+}
+
 /* Returns true if there is memory for a job beside those that are known or
    wait to be stored. */
 static bool
@@ -266,7 +283,8 @@
 }
 
 /* Handles the submission of a job that is not known. It is refused before its
-   record is sent if the store does not answer or there is no memory for it. */
+   record is sent if the store does not answer or would not take it, or if
+   there is no memory for it. */
 static void
 submit(gv_intake_t *in, gv_intake_request_t *rq, int64_t now_ms)
 {
@@ -274,6 +292,11 @@
         refuse(in, rq, "store does not answer", GV_INTAKE_REFUSED_RETRY_MS,
                now_ms);
     }
+    else if (!fits_record(in, rq->job)) {
+        reply(in, rq,
+              (gv_intake_reply_t){.result = GV_INTAKE_INVALID,
+                                  .why = "larger than a record"});
+    }
     else if (!fits_memory(in, rq->job)) {
         GvCounter_Add(&over_memory, 1);
         refuse(in, rq, "jobs take too much memory", GV_INTAKE_FULL_RETRY_MS,
@@ -395,7 +418,8 @@
     b->maybe_stored = false;
     b->tries = 0;
     g_byte_array_set_size(b->records, 0);
-    while (in->waiting.length > 0 && b->requests->len < GV_INTAKE_BATCH) {
+    while (in->waiting.length > 0 && b->requests->len < GV_INTAKE_BATCH &&
+           b->records->len < GV_INTAKE_BATCH_BYTES) {
         gv_intake_request_t *rq = g_queue_pop_head(&in->waiting);
         with_record(in, b, rq, add_record);
         g_ptr_array_add(b->requests, rq);
--- a/src/intake.h
+++ b/src/intake.h
@@ -55,7 +55,8 @@
     int64_t (*age_ms)(void *user, int64_t now_ms);
     /* Returns false if recent calls of the store went unanswered. */
     bool (*store_available)(void *user, int64_t now_ms);
-    size_t jobs_bytes_max; /* memory of all jobs */
+    size_t record_bytes_max; /* that the store takes */
+    size_t jobs_bytes_max;   /* memory of all jobs */
 } gv_intake_ops_t;
 
 typedef enum {
--- a/src/limits.h
+++ b/src/limits.h
@@ -515,6 +515,9 @@
    Further submissions wait for the next append. */
 #define GV_INTAKE_APPENDS 2
 #define GV_INTAKE_BATCH   64
+/* No record is added to a batch of this size: with the largest record, it
+   stays below what the store takes in one call. */
+#define GV_INTAKE_BATCH_BYTES (1024 * 1024)
 /* Memory of all jobs, of that of the process. Jobs over
    GV_INTAKE_SMALL_JOB_BYTES are refused earlier, so that they leave room for
    others. */
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -99,14 +99,21 @@
     return store_ok;
 }
 
-/* intake_new [jobs_kb=KB]: starts an intake with an empty job
-   table at time 0. All jobs may take jobs_kb. */
+/* intake_new [record_kb=KB jobs_kb=KB]: starts an intake with an empty job
+   table at time 0. The store takes records of record_kb; all jobs may take
+   jobs_kb. */
 GV_VERB("intake_new", intake_new)
 {
-    gv_intake_ops_t ops = {
-        NULL,      add_record,      on_append,
-        on_stored, on_sync,         on_reply,
-        age_ms,    store_available, OPT("jobs_kb", 4096) * (size_t)1024};
+    gv_intake_ops_t ops = {NULL,
+                           add_record,
+                           on_append,
+                           on_stored,
+                           on_sync,
+                           on_reply,
+                           age_ms,
+                           store_available,
+                           OPT("record_kb", 256) * (size_t)1024,
+                           OPT("jobs_kb", 4096) * (size_t)1024};
     table = GvJobTable_New();
     intake = GvIntake_New(&ops, table);
     store_ok = true;
