Soak: callers outside the limits beside the usual ones

A crowd of 240 connections acts on one daemon after the other, with unfinished bodies, tiny chunks, a trailer without end, lookups without end or responses that it does not read. The daemons have 96 MB and 512 descriptors, so that it takes more connections than they accept. Its kinds come from a random sequence of its own: the faults and requests of a seed are as before.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -7,6 +7,7 @@
 import selectors
 import signal
 import socket
+import sys
 import threading
 import time
 
@@ -207,3 +208,28 @@
     print(f"  {mb} MB, of these {watch.unread / 2**20:.1f} unread, "
           f"{watch.sockets} sockets, answered {answered}", flush=True)
     return wrong
+
+
+ENDLESS = 2**32
+
+
+def misbehave(addr, host, kind, count, seconds):
+    """Runs a crowd of one kind, as a process of the soak."""
+    head = f"POST /q/00000000000000fd HTTP/1.1\r\nHost: {host}\r\n".encode()
+    lookup = f"GET /q/00000000000000fe HTTP/1.1\r\nHost: {host}\r\n\r\n"
+    body = head + b"Content-Length: 1000000\r\n\r\n"
+    chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    sends = {"bodies": first_then(body, b"x", SEND_BYTES),
+             "chunks": first_then(chunked, b"1\r\nx\r\n", SEND_BYTES),
+             "trailers": first_then(chunked + b"0\r\nX: ", b"x", SEND_BYTES),
+             "lookups": repeat(lookup.encode(), ENDLESS),
+             "unread": repeat(lookup.encode(), ENDLESS)}[kind]
+    read = kind == "lookups"
+    with contextlib.closing(Crowd(addr, count, sends, read, read)):
+        time.sleep(seconds)
+
+
+KINDS = ("bodies", "chunks", "trailers", "lookups", "unread")
+
+if __name__ == "__main__":
+    misbehave(*sys.argv[1:4], int(sys.argv[4]), float(sys.argv[5]))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 sys.path[:0] = [str(pathlib.Path(__file__).resolve().parent),
                 str(pathlib.Path(__file__).resolve().parent.parent)]
 
+import crowd
 import faults
 import world
 from checks import (APPLY_S, CANCEL_S, CONTACT_S, FINISH_S, GRACE_S, REFUSED,
@@ -27,6 +28,8 @@
 
 ANSWER_S = 3  # the callers' deadline
 CALLERS = 3
+STRANGERS = 240  # connections, of which a daemon accepts fewer
+MEMORY_MB, MAX_FDS = 96, 512
 PAUSE_S = 0.12  # mean time between the requests of a caller
 HELD_UP_S = 0.2  # the soak itself was; such a time counts as a disruption
 
@@ -50,7 +53,8 @@
                     f"store: {self.links[name].addr}\nstore_parts: 2\n"
                     f"hosts_api: {fleet.api}\nmax_lease_ms: {LEASE_MAX_MS}\n"
                     f"lease_wait_ms: 3000\nmaintenance_s: {MAINTENANCE_S}\n"
-                    f"move_s: {MOVE_S}\nshow_ended_s: 120\n")
+                    f"move_s: {MOVE_S}\nshow_ended_s: 120\n"
+                    f"{crowd.settings(MEMORY_MB, MAX_FDS)}")
             self.start(name)
 
     def conf(self, name):
@@ -213,6 +217,27 @@
             self.checks.fail(f"caller {self.number}: {wrong!r}")
 
 
+class Strangers:
+    """Callers outside the limits: a crowd of one kind at one daemon for some
+    seconds, then another. They take more connections than it accepts."""
+
+    def __init__(self, soak):
+        self.soak, self.rng = soak, random.Random(f"strangers {soak.seed}")
+
+    def run(self, stop):
+        while not stop.wait(self.rng.uniform(0.5, 3)):
+            name = self.rng.choice(list(self.soak.daemons.fronts))
+            kind = self.rng.choice(crowd.KINDS)
+            seconds = self.rng.uniform(1, 6)
+            self.soak.checks.note(f"strangers at {name}: {kind}")
+            with subprocess.Popen(
+                    [sys.executable, crowd.__file__,
+                     self.soak.daemons.fronts[name], HOST, kind,
+                     str(STRANGERS), str(seconds)]) as child:
+                stop.wait(seconds + 1)
+                child.terminate()
+
+
 class Soak:
     def __init__(self, build, opts, seed):
         self.seed, self.seconds = seed, opts.seconds
@@ -299,7 +324,7 @@
                                    daemon=True)
         callers = [threading.Thread(target=caller.run, args=(stop,),
                                     daemon=True)
-                   for caller in self.callers]
+                   for caller in [*self.callers, Strangers(self)]]
         for thread in [watcher] + callers:
             thread.start()
         try:
