--- a/src/peerloop.c
+++ b/src/peerloop.c
@@ -10,6 +10,7 @@
 #include "frame.h"
 #include "limits.h"
 #include "log.h"
+#include "peerbound.h"
 
 /* Events handled for each epoll_wait, and connections accepted at a time. */
 #define EVENTS 64
@@ -72,17 +73,6 @@
     }
 }
 
-/* Counts the bytes of an incomplete frame that c holds. */
-static void
-count_input(gv_peers_t *ps, gv_peerconn_t *c, size_t bytes)
-{
-    if (c->counted == 0) {
-        c->behind_ms = ps->now_ms;
-    }
-    ps->input += bytes - c->counted;
-    c->counted = bytes;
-}
-
 /* Closes c and updates its link. clean means that the peer has read everything
    that was written to c. */
 static void
@@ -91,7 +81,7 @@
     if (c->fd < 0) {
         return;
     }
-    count_input(ps, c, 0);
+    GvPeerBound_CountInput(ps, c, 0);
     close(c->fd); /* also removes it from the epoll set */
     c->fd = -1;
     g_ptr_array_remove_fast(ps->conns, c);
@@ -339,29 +329,14 @@
     return true;
 }
 
-/* Returns the connection whose incomplete frame began first, or NULL. */
-static gv_peerconn_t *
-find_furthest_behind(const gv_peers_t *ps)
-{
-    gv_peerconn_t *first = NULL;
-    for (guint i = 0; i < ps->conns->len; i++) {
-        gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
-        if (c->counted > 0 &&
-            (first == NULL || c->behind_ms < first->behind_ms)) {
-            first = c;
-        }
-    }
-    return first;
-}
-
 /* Closes connections with incomplete frames while all of these take too much
    memory. */
 static void
 bound_input(gv_peers_t *ps)
 {
     gv_peerconn_t *c;
-    while (ps->input > GV_PEER_INPUT_BYTES &&
-           (c = find_furthest_behind(ps)) != NULL) {
+    while (GvPeerBound_InputFull(ps) &&
+           (c = GvPeerBound_FurthestBehind(ps)) != NULL) {
         GvCounter_Add(&crowded, 1);
         close_conn(ps, c, false);
     }
@@ -422,9 +397,9 @@
     }
     else if (at > 0) {
         g_byte_array_remove_range(c->in, 0, (guint)at);
-        count_input(ps, c, 0); /* the next frame begins now */
+        GvPeerBound_CountInput(ps, c, 0); /* the next frame begins now */
     }
-    count_input(ps, c, c->in->len);
+    GvPeerBound_CountInput(ps, c, c->in->len);
     bound_input(ps);
 }
 
@@ -470,28 +445,12 @@
     }
 }
 
-/* Returns how many connections may be open. */
-static guint
-connections_max(const gv_peers_t *ps)
-{
-    int by_fds = ps->opts.max_fds * GV_PEER_FDS_PERCENT / 100;
-    return (guint)(by_fds > 0 ? MIN(by_fds, GV_PEER_CONNECTIONS)
-                              : GV_PEER_CONNECTIONS);
-}
-
 /* Closes the oldest connection that was accepted and has not sent HELLO yet.
    Returns false if there is none. */
 static bool
 close_oldest_stranger(gv_peers_t *ps)
 {
-    gv_peerconn_t *oldest = NULL;
-    for (guint i = 0; i < ps->conns->len; i++) {
-        gv_peerconn_t *c = g_ptr_array_index(ps->conns, i);
-        if (!c->outgoing && !c->hello_received &&
-            (oldest == NULL || c->opened_ms < oldest->opened_ms)) {
-            oldest = c;
-        }
-    }
+    gv_peerconn_t *oldest = GvPeerBound_OldestStranger(ps);
     if (oldest == NULL) {
         return false;
     }
@@ -510,7 +469,7 @@
         if (fd < 0) {
             return;
         }
-        if (ps->conns->len >= connections_max(ps) &&
+        if (ps->conns->len >= GvPeerBound_Connections(ps) &&
             !close_oldest_stranger(ps)) {
             close(fd);
             continue;
