gvschedd: submissions do not wait through an outage of the store

Callers who submitted jobs with a deadline of an hour while the store did not answer kept all connections for that time: nobody else got any response, not even a refusal.

Cause: submissions that waited for an append whose records were never sent were refused only at their deadline, which callers choose; later ones are refused at once. A request is never closed before its response.

The requests of the two appends under way stay unknown, as before.

--- a/src/intake.c
+++ b/src/intake.c
@@ -525,11 +525,25 @@
     }
 }
 
-/* Sends waiting requests, repeats appends and replies to requests that are
-   past their deadline. */
+/* Refuses the waiting requests, whose records were not sent. */
+static void
+refuse_waiting(gv_intake_t *in, int64_t now_ms)
+{
+    while (in->waiting.length > 0) {
+        refuse(in, g_queue_pop_head(&in->waiting), "store does not answer",
+               GV_INTAKE_REFUSED_RETRY_MS, now_ms);
+    }
+}
+
+/* Sends waiting requests, or refuses them if the store does not answer.
+   Repeats appends and replies to requests that are past their deadline. */
 void
 GvIntake_Step(gv_intake_t *in, int64_t now_ms)
 {
+    if (in->waiting.length > 0 &&
+        !in->ops.store_available(in->ops.user, now_ms)) {
+        refuse_waiting(in, now_ms);
+    }
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         gv_batch_t *b = &in->batches[i];
         if (b->used) {
