--- a/src/limits.h
+++ b/src/limits.h
@@ -27,14 +27,15 @@
    itself keeps for a connection; it holds headers of 16,384 bytes. A body over
    GV_BODY_MAX_BYTES is read and discarded up to GV_BODY_DRAIN_MAX_BYTES,
    because a client may read the 413 only after it has sent the whole body. */
-#define GV_BODY_MEMORY_SHARE    8
 #define GV_BODY_DRAIN_MAX_BYTES (8 * GV_BODY_MAX_BYTES)
 #define GV_BODY_SMALL_BYTES     (16 * 1024)
 #define GV_BODY_POOL_BYTES      (32 * 1024)
 #define GV_BODY_CONNECTIONS_MIN 16
+/* Larger bodies take one part in so many of the process's memory. */
+#define GV_BODY_MEMORY_SHARE 8
 /* Receive buffer of a connection, as it is set; the kernel keeps up to twice
-   as much. Below is one connection in the queue of the listening socket for
-   each GV_BODY_CONNECTIONS_PER_WAITING that the server accepts. */
+   as much. For each GV_BODY_CONNECTIONS_PER_WAITING connections that the
+   server accepts, one may wait in the queue of the listening socket. */
 #define GV_BODY_RECEIVE_BYTES           (16 * 1024)
 #define GV_BODY_CONNECTIONS_PER_WAITING 4
 /* Share of the descriptors for callers; targets, the store and files need the
@@ -518,7 +519,7 @@
 /* No record is added to a batch of this size: with the largest record, it
    stays below what the store takes in one call. */
 #define GV_INTAKE_BATCH_BYTES (1024 * 1024)
-/* Memory of all jobs, of that of the process. Jobs over
+/* Share of the process's memory for all jobs. Jobs over
    GV_INTAKE_SMALL_JOB_BYTES are refused earlier, so that they leave room for
    others. */
 #define GV_INTAKE_JOBS_PERCENT       18
