Tests of crowds: an unobserved daemon fails; a state without a response is none

A crowd test would have passed its bounds if its sampling had ended early. No bound or crowd changes.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -24,6 +24,7 @@
 FILE_FDS = 200  # of the descriptors are for files, the others for sockets
 PEER_CROWD = 300
 SEND_BYTES = 512 * 1024  # of one caller in a test of memory
+ENDLESS = 2**32  # bytes
 SEND_S = 5
 PAUSE_S = 2
 SAMPLE_S = 0.2
@@ -203,6 +204,8 @@
         wrong.append(f"{mb} MB, bound {bounds[0]}")
     if watch.sockets > bounds[1]:
         wrong.append(f"{watch.sockets} sockets, bound {bounds[1]}")
+    if lives and watch.sockets == 0:
+        wrong.append("the daemon was not observed")
     if not answered:
         wrong.append("no answer to an ordinary request")
     print(f"  {mb} MB, of these {watch.unread / 2**20:.1f} unread, "
@@ -210,11 +213,11 @@
     return wrong
 
 
-ENDLESS = 2**32
+KINDS = ("bodies", "chunks", "trailers", "lookups", "unread")
 
 
 def misbehave(addr, host, kind, count, seconds):
-    """Runs a crowd of one kind, as a process of the soak."""
+    """Lets a crowd of one of KINDS act on a scheduler daemon."""
     head = f"POST /q/00000000000000fd HTTP/1.1\r\nHost: {host}\r\n".encode()
     lookup = f"GET /q/00000000000000fe HTTP/1.1\r\nHost: {host}\r\n\r\n"
     body = head + b"Content-Length: 1000000\r\n\r\n"
@@ -229,7 +232,6 @@
         time.sleep(seconds)
 
 
-KINDS = ("bodies", "chunks", "trailers", "lookups", "unread")
-
+# ADDR HOST KIND COUNT SECONDS, for the soak.
 if __name__ == "__main__":
     misbehave(*sys.argv[1:4], int(sys.argv[4]), float(sys.argv[5]))
--- a/tests/proc_flood_places_entry.py
+++ b/tests/proc_flood_places_entry.py
@@ -12,7 +12,6 @@
 UNKNOWN = b"GET /none HTTP/1.1\r\nHost: routing\r\n\r\n"
 LARGE = (b"GET /svc/routing/a?reply_bytes=524288 HTTP/1.1\r\n"
          b"Host: routing\r\n\r\n")
-ENDLESS = 2**32
 
 
 class Places(SmallPath):
@@ -29,13 +28,13 @@
         self.assertEqual(wrong, [])
 
     def test_responses_not_read(self):
-        self.play(crowd.repeat(UNKNOWN, ENDLESS), read=False)
+        self.play(crowd.repeat(UNKNOWN, crowd.ENDLESS), read=False)
 
     def test_large_responses_not_read(self):
         self.play(lambda: itertools.repeat(LARGE, 64), read=False)
 
     def test_requests_without_end(self):
-        self.play(crowd.repeat(UNKNOWN, ENDLESS), read=True)
+        self.play(crowd.repeat(UNKNOWN, crowd.ENDLESS), read=True)
 
 
 if __name__ == "__main__":
--- a/tests/proc_flood_places_sched.py
+++ b/tests/proc_flood_places_sched.py
@@ -14,7 +14,6 @@
 UNKNOWN = f"GET /none HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
 LOOKUP = f"GET /q/00000000000000fe HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
 CHECK = b"GET /api/readyz HTTP/1.1\r\nHost: ready\r\n\r\n"
-ENDLESS = 2**32
 HOUR = "submissions with deadlines of an hour in an outage"
 CASES = {  # what a connection sends, and whether it reads
     "jobs that nobody knows": (LOOKUP, True),
@@ -82,8 +81,8 @@
             wrong += [f"{name}: {what}" for what in play(
                 build,
                 lambda addr, r=request, again=read: crowd.Crowd(
-                    addr, crowd.PLACES_CROWD, crowd.repeat(r, ENDLESS), again,
-                    again),
+                    addr, crowd.PLACES_CROWD,
+                    crowd.repeat(r, crowd.ENDLESS), again, again),
                 lambda f, c=checks: f.ready if c else f.fronts["host-0"],
                 ready_checks if checks else answers)]
     if only in (None, HOUR):
--- a/tests/proc_flood_sched.py
+++ b/tests/proc_flood_sched.py
@@ -27,10 +27,10 @@
         try:
             job, status = fleet.submit("host-0", next(numbers), count=1,
                                        steps=1)
+            if status == 200:
+                all_done(fleet, "host-0", [job], 10)
         except AttributeError:  # no response
             return False
-        if status == 200:
-            all_done(fleet, "host-0", [job], 10)
         return status == 200
     return ordinary
 
