--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,5 @@
-"""Tasks that last are not started again for over ten seconds after their worker
-has crashed, although the workers are nearly idle."""
+"""A gang that can never be done is started again and again once it has waited
+for room."""
 import asyncio
 import pathlib
 import sys
@@ -8,70 +8,37 @@
 sys.path.insert(0, str(HERE.parent))
 import standins_3 as s3  # noqa: E402
 
-WIDE = "00000000000000aa"
-JOB = "5c0e7a21d94b36f8"
-COUNT = 8
-DOWN_S = 4.5
-CALM_S = 4.0   # before the span, and the span itself
-SPAN_S = 3.0
-BACK_S = 6.0   # from the last run to the begin of the span
-
-
-async def replace(w, worker):
-    """The machine of a crashed worker is back, with a new worker."""
-    await w.store.put("keyed.servers", worker.id, b"")
-    del w.workers[worker.id]
-    new = s3.Worker(w, worker.id + "n", worker.machine)
-    w.workers[new.id] = new
-    await new.start()
-    w.record("worker", new.id, "follows on machine", new.machine)
+GANG = "5c0e7a21d94b36f8"
+ATTEMPTS = 2
 
 
 async def case(w):
-    await w.open(workers=8, nodes=3)
-    step = {"cpu": 2700, "memMb": 4000, "serviceJob": True}
-    wide = [{"count": 8, "maxPerServer": 1, **step}]
-    if await w.submit(WIDE, wide, {}) != 200:
-        raise RuntimeError("not accepted")
-    if not await w.wait(lambda: len(w.starts(WIDE)) == 8, 10):
-        raise RuntimeError("the wide job does not run")
-    await asyncio.sleep(4)
-    if await w.submit(JOB, [{"count": COUNT, **step}], {}) != 200:
-        raise RuntimeError("not accepted")
-    if not await w.wait(lambda: len(w.starts(JOB)) == COUNT, 10):
-        raise RuntimeError("the tasks do not run")
-    await asyncio.sleep(0.1)
-    worker = w.workers[w.starts(JOB)[0][2]]
-    lost = w.record.now()
-    if s3.trouble():
-        w.record("worker", worker.id, "crashes")
-        worker.crash()
-    await asyncio.sleep(DOWN_S)
+    await w.open(workers=8, nodes=3, attempts=ATTEMPTS)
+    # Seven tasks that take three quarters of a worker each for 9 s.
     if s3.trouble():
-        await replace(w, worker)
-    calm = w.record.now()
-    least = 1 << 30
-    while w.record.now() < calm + 25:
-        await asyncio.sleep(0.1)
-        least = min(least, sum(x.cpu - sum(w.need(t)[0] for t in x.running)
-                               for x in w.workers.values()))
-    gone = {h[3] for h in w.history if h[1] == "gone" and h[3][:16] == JOB}
-    begin = max(lost + BACK_S, calm + CALM_S)
-    w.record("the span that counts: %.1f to %.1f" % (begin, begin + SPAN_S))
-    over = 0
-    for task in sorted(gone):
-        again = [h[0] for h in w.history
-                 if h[1] == "start" and h[3] == task and h[0] > lost]
-        at = again[0] if again else w.record.now()
-        w.record("task", task, "had no run for %.1f s, until %.1f" % (
-            at - lost, at))
-        over += at > begin + SPAN_S
-    w.record("%d of %d tasks had no run during the span; at least %d of %d "
-             "cpu were free all the time" % (
-                 over, len(gone), least, sum(x.cpu for x in
-                                             w.workers.values())))
-    if s3.trouble() and not gone:
-        raise RuntimeError("the crash hit no task of the job")
+        full = [{"count": 7, "cpu": 24000, "memMb": 1000, "estimateMs": 9000}]
+        if await w.submit("00000000000000aa", full, {"ms": 9000}) != 200:
+            raise RuntimeError("not accepted")
+        await w.wait(lambda: len(w.starts("00000000000000aa")) == 7, 10)
+    gang = [{"count": 8, "cpu": 16000, "memMb": 1000, "estimateMs": 900,
+             "gang": True}]
+    spec = {"gang": 8, "ms": 300, "fail": True}
+    if await w.submit(GANG, gang, spec) != 200:
+        raise RuntimeError("not accepted")
+    state = await w.wait_state(GANG, ("failed",), 30)
+    await asyncio.sleep(1)
+    failed = [h for h in w.history if h[1] == "failed"]
+    over = []
+    for h in w.starts(GANG):
+        ended = {f[4] for f in failed
+                 if f[0] < h[0] and (f[3], f[4]) in w.noted}
+        if len(ended) >= ATTEMPTS:
+            over.append(h)
+    w.record("shown as", state, "with", len(failed), "failed runs of the gang,",
+             len(over), "starts after", ATTEMPTS,
+             "of them had failed and were taken note of")
+    if state != "failed" and len(failed) < ATTEMPTS:
+        raise RuntimeError("the gang did not run often enough")
     return not over
 
 
