--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -780,11 +780,14 @@
     async def run():
         world = World(folder)
         world.record("trouble:", int(trouble()))
+        loop = asyncio.get_running_loop()
+        for sig in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(sig, asyncio.current_task().cancel)
         try:
             held = await asyncio.wait_for(case(world), 112)
             world.record("the rule held" if held else "the rule was BROKEN")
             return 0 if held else 1
-        except Exception as wrong:
+        except (Exception, asyncio.CancelledError) as wrong:
             world.record("could not run:", repr(wrong))
             return 2
         finally:
