Intake: a cancellation of an unknown job is stored before its 410

A submission was answered 504, its cancellation 410; 40 starts of the job came more than 3 s later, 8 of them more than 3 s after the last late append was executed.

Hypotheses: (1) nothing is stored for the 410, as the read finds no job; (2) a cancellation is stored, but not applied to a definition that is read later; (3) the leader has not read it. "ev=cancel said=no-job" with no cancellation in the store leaves (1). No log line was missing.

Cause: the read before the 410 shows that the job is not stored, not that it will not be. The append of the submission has no certain result and is executed late.

Change: such a cancellation is appended with its caller (key E + job + hash of the caller) and acknowledged once stored. It cancels a definition that is read before or after it, if that caller may access the job.

Related paths: another host than that of the submission (it stores the same record); a submission that waits or is in flight at the same host; leader killed, stopped or frozen (the record is in the store); a host frozen with the submission (cancelled if it stores it within a minute); the append of the cancellation without an answer (504) or refused (503); a caller without access.

Bound: 4,096 of all hosts together, and those that the host knows to be needed; beyond that 503 with Retry-After at once.

--- a/src/intake.c
+++ b/src/intake.c
@@ -26,6 +26,10 @@
     int64_t until_ms;
 } gv_unsettled_t;
 
+GV_COUNTER(early_stored, "cancellations_early_total",
+           "Cancellations of unknown jobs that were to be stored");
+GV_COUNTER(early_refused, "cancellations_early_refused_total",
+           "Cancellations of unknown jobs refused as too many are kept");
 GV_COUNTER(over_memory, "jobs_over_memory_total",
            "Submissions refused because jobs took too much memory");
 
@@ -177,13 +181,11 @@
                               .state = GvJob_State(job)});
 }
 
-/* Returns true if the caller may see and cancel the job: it is of the caller's
-   account or of none, or its queue is open. */
+/* Returns true if the caller may see and cancel the job. */
 static bool
 may_access(const gv_intake_request_t *rq, const gv_job_t *job)
 {
-    return job->account.n == 0 || GvStr_Equal(job->account, rq->account) ||
-           (rq->open_queue.n > 0 && GvStr_Equal(rq->open_queue, job->queue));
+    return GvJob_MayAccess(job, rq->account, rq->open_queue);
 }
 
 /* Replies to a request for the job of another account. */
@@ -336,10 +338,29 @@
     in->ops.sync(in->ops.user, rq);
 }
 
+/* Handles the cancellation of an unknown job. It is stored before it is
+   acknowledged: a submission of the job, at any host, may be stored after the
+   read that did not find it. */
+static void
+cancel_unknown(gv_intake_t *in, gv_intake_request_t *rq, int64_t now_ms)
+{
+    if (in->table->n_early_cancels >= GV_INTAKE_EARLY_CANCELS_MAX &&
+        !is_unsettled(in, rq, now_ms)) {
+        GvCounter_Add(&early_refused, 1);
+        refuse(in, rq, "too many cancellations of unknown jobs",
+               GV_INTAKE_FULL_RETRY_MS, now_ms);
+        return;
+    }
+    GvCounter_Add(&early_stored, 1);
+    rq->early = true;
+    queue_for_append(in, rq, now_ms);
+}
+
 /* Continues a request after the read that it asked for. If ok, the table holds
    all that was stored before the request; else the store was not read. */
 void
-GvIntake_Synced(gv_intake_t *in, gv_intake_request_t *rq, bool ok)
+GvIntake_Synced(gv_intake_t *in, gv_intake_request_t *rq, bool ok,
+                int64_t now_ms)
 {
     if (rq->kind == GV_INTAKE_KIND_PENDING && ok) {
         reply_pending(in, rq);
@@ -354,12 +375,14 @@
                                   .retry_after_ms = 1000,
                                   .why = "store not read"});
     }
-    else if (GvJobTable_Find(in->table, rq->id) == NULL) {
-        reply(in, rq, (gv_intake_reply_t){.result = GV_INTAKE_NO_JOB});
+    else if (GvJobTable_Find(in->table, rq->id) != NULL) {
+        queue_for_append(in, rq, now_ms);
+    }
+    else if (rq->kind == GV_INTAKE_KIND_CANCEL) {
+        cancel_unknown(in, rq, now_ms);
     }
     else {
-        rq->waiting = true;
-        g_queue_push_tail(&in->waiting, rq);
+        reply(in, rq, (gv_intake_reply_t){.result = GV_INTAKE_NO_JOB});
     }
 }
 
@@ -384,7 +407,15 @@
 with_record(gv_intake_t *in, gv_batch_t *b, const gv_intake_request_t *rq,
             gv_record_fn_t fn)
 {
-    char key[GV_JOB_ID_BYTES + 2];
+    char key[GV_EARLY_KEY_BYTES];
+    if (rq->early) {
+        GByteArray *caller = g_byte_array_new();
+        GvJobTable_EarlyCancelKey(rq->id, rq->account, rq->open_queue, key);
+        GvJobTable_PackEarlyCancel(rq->account, rq->open_queue, caller);
+        fn(in, b, GvStr_C(key), GvStr_N(caller->data, caller->len));
+        g_byte_array_free(caller, TRUE);
+        return;
+    }
     if (rq->kind == GV_INTAKE_KIND_CANCEL) {
         g_snprintf(key, sizeof key, "C%.*s", GV_STR_ARG(rq->id));
         fn(in, b, GvStr_C(key), GV_STR("1"));
@@ -443,11 +474,16 @@
         gv_intake_request_t *rq = g_ptr_array_index(b->requests, i);
         with_record(in, b, rq, apply_record);
         const gv_job_t *job = GvJobTable_Find(in->table, rq->id);
-        if (rq->kind == GV_INTAKE_KIND_SUBMIT && job != NULL &&
-            !may_access(rq, job)) {
+        if (job != NULL && !may_access(rq, job)) {
             reply_no_access(in, rq);
             continue;
         }
+        if (rq->early && job == NULL) {
+            reply(in, rq,
+                  (gv_intake_reply_t){.result = GV_INTAKE_NO_JOB,
+                                      .why = "cancellation stored"});
+            continue;
+        }
         reply(in, rq,
               (gv_intake_reply_t){.result = rq->kind == GV_INTAKE_KIND_CANCEL
                                                 ? GV_INTAKE_CANCELLED
--- a/src/intake.h
+++ b/src/intake.h
@@ -79,6 +79,7 @@
     gv_intake_kind_t kind;
 
     bool waiting; /* for an append: queued or in a batch */
+    bool early;   /* a cancellation whose job was not known */
 };
 
 gv_intake_t *GvIntake_New(const gv_intake_ops_t *ops, gv_job_table_t *table);
@@ -87,7 +88,8 @@
                       int64_t now_ms);
 void GvIntake_Appended(gv_intake_t *in, int batch, const gv_append_answer_t *a,
                        int64_t now_ms);
-void GvIntake_Synced(gv_intake_t *in, gv_intake_request_t *rq, bool ok);
+void GvIntake_Synced(gv_intake_t *in, gv_intake_request_t *rq, bool ok,
+                     int64_t now_ms);
 void GvIntake_Step(gv_intake_t *in, int64_t now_ms);
 
 #endif
--- a/src/job.c
+++ b/src/job.c
@@ -219,6 +219,15 @@
     return &job->steps[GvJob_PlaceOf(job, task).step];
 }
 
+/* Returns true if a caller may see and cancel the job: it is of the caller's
+   account or of none, or its queue is the open one that was asked. */
+bool
+GvJob_MayAccess(const gv_job_t *job, gv_str_t account, gv_str_t open_queue)
+{
+    return job->account.n == 0 || GvStr_Equal(job->account, account) ||
+           (open_queue.n > 0 && GvStr_Equal(open_queue, job->queue));
+}
+
 /* Notes that a run of a task has failed. Returns false if that is known. */
 bool
 GvJob_AddFailedRun(gv_job_t *job, int task, uint32_t run)
--- a/src/job.h
+++ b/src/job.h
@@ -115,6 +115,8 @@
 bool GvJob_HasPlaced(const gv_job_t *job);
 bool GvJob_IsLongRunning(const gv_job_t *job);
 bool GvJob_IsId(gv_str_t id);
+bool GvJob_MayAccess(const gv_job_t *job, gv_str_t account,
+                     gv_str_t open_queue);
 int GvJob_TaskOf(const gv_job_t *job, gv_task_place_t at);
 gv_task_place_t GvJob_PlaceOf(const gv_job_t *job, int task);
 const gv_step_t *GvJob_StepOf(const gv_job_t *job, int task);
--- a/src/job_retire.c
+++ b/src/job_retire.c
@@ -23,6 +23,22 @@
     }
 }
 
+/* Drops the early cancellations of an entry from all their partitions. */
+static void
+drop_early_cancels(const gv_job_entry_t *e, gv_drop_key_t drop, void *user)
+{
+    char key[GV_EARLY_KEY_BYTES];
+    for (const gv_early_cancel_t *c = e->early_cancels; c != NULL;
+         c = c->next) {
+        GvJobTable_EarlyCancelKey(e->id, c->account, c->open_queue, key);
+        for (int part = 0; part < GV_JOB_PARTS_MAX; part++) {
+            if ((c->stored_in >> part & 1) != 0) {
+                drop(user, GV_PARTITION_ACCEPTED, part, GvStr_C(key));
+            }
+        }
+    }
+}
+
 /* Updates and returns the time since when a job has been ready to be dropped:
    it has ended and has no run that may still exist, or its definition is gone.
    0: it is not ready. */
@@ -72,6 +88,7 @@
         drop_from(e, e->defined_in, GV_KEY_JOB, drop, user);
         if (e->job == NULL) {
             drop_from(e, e->cancelled_in, GV_KEY_CANCEL, drop, user);
+            drop_early_cancels(e, drop, user);
         }
         if (e->job == NULL && e->progress_offset != 0) {
             drop_key(e, GV_PARTITION_PROGRESS, 0, GV_KEY_PROGRESS, drop, user);
--- a/src/job_table.c
+++ b/src/job_table.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "error.h"
 #include "job_record.h"
 #include "limits.h"
@@ -9,10 +11,24 @@
 #include "pack.h"
 #include "run_time.h"
 
+static void
+free_early_cancel(gv_early_cancel_t *c)
+{
+    GvStr_Free(&c->caller);
+    GvStr_Free(&c->account);
+    GvStr_Free(&c->open_queue);
+    g_free(c);
+}
+
 static void
 free_entry(gpointer p)
 {
     gv_job_entry_t *e = p;
+    while (e->early_cancels != NULL) {
+        gv_early_cancel_t *c = e->early_cancels;
+        e->early_cancels = c->next;
+        free_early_cancel(c);
+    }
     GvStr_Free(&e->id);
     GvJob_Free(e->job);
     if (e->progress != NULL) {
@@ -111,6 +127,30 @@
     e->job = NULL;
 }
 
+/* Removes an entry with all that it holds. */
+static void
+remove_entry(gv_job_table_t *t, gv_job_entry_t *e)
+{
+    forget_job(t, e);
+    for (const gv_early_cancel_t *c = e->early_cancels; c != NULL;
+         c = c->next) {
+        t->n_early_cancels--;
+    }
+    g_hash_table_remove(t->jobs, &e->id);
+}
+
+/* Returns true if an early cancellation is by a caller who may access the job.
+ */
+static bool
+is_cancelled_early(const gv_job_entry_t *e)
+{
+    const gv_early_cancel_t *c = e->early_cancels;
+    while (c != NULL && !GvJob_MayAccess(e->job, c->account, c->open_queue)) {
+        c = c->next;
+    }
+    return c != NULL;
+}
+
 /* Adds a job with the progress and cancellation that were read before its
    definition. Further definitions of the same job only mark their
    partition. */
@@ -133,7 +173,7 @@
     }
     e->job = job;
     t->bytes += GvJob_Bytes(job);
-    job->cancelled = e->cancelled;
+    job->cancelled = e->cancelled || is_cancelled_early(e);
     if (e->progress != NULL) {
         rc = GvJobRecord_ReadProgress(
             GvStr_N(e->progress->data, e->progress->len), job);
@@ -236,6 +276,37 @@
     return GV_CHANGE_RUN_TIMES;
 }
 
+/* Removes an early cancellation from the set of those in one partition. */
+static void
+drop_early_cancel(gv_job_table_t *t, gv_job_entry_t *e, uint64_t bit,
+                  gv_str_t caller)
+{
+    for (gv_early_cancel_t **at = &e->early_cancels; *at != NULL;
+         at = &(*at)->next) {
+        gv_early_cancel_t *c = *at;
+        if (!GvStr_Equal(c->caller, caller)) {
+            continue;
+        }
+        c->stored_in &= ~bit;
+        if (c->stored_in == 0) {
+            *at = c->next;
+            free_early_cancel(c);
+            t->n_early_cancels--;
+        }
+        return;
+    }
+}
+
+/* Splits what follows the first letter of the key of an early cancellation
+   into the job's identifier and the caller. */
+static void
+split_early_key(gv_str_t *id, gv_str_t *caller)
+{
+    size_t n = MIN(id->n, GV_JOB_ID_BYTES);
+    *caller = GvStr_N(id->p + n, id->n - n);
+    id->n = n;
+}
+
 /* Handles the drop of a key. An entry is removed with its progress, which is
    dropped last, or, if it has none, with its last definition and
    cancellation. */
@@ -243,6 +314,10 @@
 apply_drop(gv_job_table_t *t, gv_record_place_t at, gv_record_key_t kind,
            gv_str_t id)
 {
+    gv_str_t caller = GV_STR("");
+    if (kind == GV_KEY_EARLY_CANCEL) {
+        split_early_key(&id, &caller);
+    }
     gv_job_entry_t *e = g_hash_table_lookup(t->jobs, &id);
     uint64_t bit = UINT64_C(1) << at.part;
     if (e == NULL) {
@@ -254,15 +329,18 @@
     else if (kind == GV_KEY_CANCEL) {
         e->cancelled_in &= ~bit;
     }
+    else if (kind == GV_KEY_EARLY_CANCEL) {
+        drop_early_cancel(t, e, bit, caller);
+    }
     else if (kind == GV_KEY_PROGRESS && at.offset + 1 > e->progress_offset) {
-        forget_job(t, e);
-        g_hash_table_remove(t->jobs, &id);
+        remove_entry(t, e);
         return GV_CHANGE_NONE;
     }
     if (e->defined_in == 0) {
         forget_job(t, e);
-        if (e->progress_offset == 0 && e->cancelled_in == 0) {
-            g_hash_table_remove(t->jobs, &id);
+        if (e->progress_offset == 0 && e->cancelled_in == 0 &&
+            e->early_cancels == NULL) {
+            remove_entry(t, e);
         }
     }
     return GV_CHANGE_NONE;
@@ -282,6 +360,59 @@
     return GV_CHANGE_CANCEL;
 }
 
+/* Returns the early cancellation of a caller, which is added to the entry if
+   there is none. */
+static gv_early_cancel_t *
+early_cancel_of(gv_job_table_t *t, gv_job_entry_t *e, gv_str_t caller)
+{
+    gv_early_cancel_t *c = e->early_cancels;
+    while (c != NULL && !GvStr_Equal(c->caller, caller)) {
+        c = c->next;
+    }
+    if (c == NULL) {
+        c = g_new0(gv_early_cancel_t, 1);
+        c->caller = GvStr_Dup(caller);
+        c->next = e->early_cancels;
+        e->early_cancels = c;
+        t->n_early_cancels++;
+    }
+    return c;
+}
+
+/* Applies a cancellation that was stored while its job was unknown: at once if
+   the job is known by now, else when its definition is read. */
+static gv_change_t
+apply_early_cancel(gv_job_table_t *t, gv_record_place_t at, gv_str_t key,
+                   gv_str_t value, gv_job_t **out)
+{
+    msgpack_unpacked un;
+    gv_str_t id = GvStr_N(key.p + 1, key.n - 1);
+    gv_str_t caller;
+    split_early_key(&id, &caller);
+    int rc = GvUnpack_Root(&un, value);
+    gv_unpack_t u = GvUnpack_Array(rc == GV_OK ? &un.data : NULL, 2);
+    gv_str_t account = u.err == GV_OK ? GvUnpack_Str(&u) : GV_STR("");
+    gv_str_t open_queue = u.err == GV_OK ? GvUnpack_Str(&u) : GV_STR("");
+    if (u.err != GV_OK || id.n != GV_JOB_ID_BYTES) {
+        msgpack_unpacked_destroy(&un);
+        return malformed(t, key, GV_EINVAL);
+    }
+    gv_job_entry_t *e = entry_of(t, id);
+    gv_early_cancel_t *c = early_cancel_of(t, e, caller);
+    c->stored_in |= UINT64_C(1) << at.part;
+    GvStr_Free(&c->account);
+    GvStr_Free(&c->open_queue);
+    c->account = GvStr_Dup(account);
+    c->open_queue = GvStr_Dup(open_queue);
+    msgpack_unpacked_destroy(&un);
+    if (e->job == NULL || e->job->cancelled || !is_cancelled_early(e)) {
+        return GV_CHANGE_NONE;
+    }
+    e->job->cancelled = true;
+    *out = e->job;
+    return GV_CHANGE_CANCEL;
+}
+
 /* Applies one record; an empty value drops its key. Records of one partition
    may be applied again or out of order after the store lost its history: older
    ones of progress, of the lease and of waves are recognised by their offsets
@@ -306,6 +437,9 @@
     if (kind == GV_KEY_CANCEL && part == GV_PARTITION_ACCEPTED) {
         return apply_cancellation(t, at, name, job);
     }
+    if (kind == GV_KEY_EARLY_CANCEL && part == GV_PARTITION_ACCEPTED) {
+        return apply_early_cancel(t, at, key, value, job);
+    }
     if (kind == GV_KEY_PROGRESS && part == GV_PARTITION_PROGRESS) {
         return apply_progress(t, at.offset, key, name, value, job);
     }
@@ -321,6 +455,33 @@
     return malformed(t, key, GV_EINVAL);
 }
 
+/* Writes the key of an early cancellation to `out`, GV_EARLY_KEY_BYTES long.
+   It ends with a hash of the caller, so that the cancellations of two callers
+   are two records. */
+void
+GvJobTable_EarlyCancelKey(gv_str_t id, gv_str_t account, gv_str_t open_queue,
+                          char *out)
+{
+    uint64_t caller =
+        XXH64(open_queue.p, open_queue.n, XXH64(account.p, account.n, 0));
+    g_snprintf(out, GV_EARLY_KEY_BYTES, "%c%.*s%016llx", GV_KEY_EARLY_CANCEL,
+               GV_STR_ARG(id), (unsigned long long)caller);
+}
+
+/* Appends the encoded caller of an early cancellation. */
+void
+GvJobTable_PackEarlyCancel(gv_str_t account, gv_str_t open_queue,
+                           GByteArray *out)
+{
+    msgpack_sbuffer sb;
+    msgpack_sbuffer_init(&sb);
+    msgpack_packer pk = GvPack_Array(&sb, 2);
+    GvPack_Str(&pk, account);
+    GvPack_Str(&pk, open_queue);
+    g_byte_array_append(out, (const guint8 *)sb.data, (guint)sb.size);
+    msgpack_sbuffer_destroy(&sb);
+}
+
 /* Appends the encoded lease. */
 void
 GvJobTable_PackLease(const gv_lease_t *lease, GByteArray *out)
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -43,13 +43,27 @@
     uint64_t run_times_offset; /* of that record, plus 1; 0: none */
     int malformed;             /* records that could not be read */
     size_t bytes;              /* of all jobs, see GvJob_Bytes */
+    int n_early_cancels;       /* of all entries */
 } gv_job_table_t;
 
+/* A cancellation that was stored while its job was unknown: the record of a
+   submission may be stored later than that. It cancels the job only if its
+   caller may access it. */
+typedef struct gv_early_cancel_s gv_early_cancel_t;
+struct gv_early_cancel_s {
+    gv_str_t caller; /* see GvJobTable_EarlyCancelKey */
+    gv_str_t account;
+    gv_str_t open_queue;
+    uint64_t stored_in; /* bit set of the partitions that hold it */
+    gv_early_cancel_t *next;
+};
+
 typedef struct {
     gv_str_t id;
     gv_job_t *job;        /* NULL until its definition is read */
     GByteArray *progress; /* read before the definition, or NULL */
     bool cancelled;
+    gv_early_cancel_t *early_cancels;
     uint64_t progress_offset; /* of the newest record, plus 1; 0: none */
     /* Bit sets of the partitions that hold its definition and its
        cancellation: a submission that is repeated at another entry host is
@@ -79,17 +93,23 @@
 gv_job_t *GvJobTable_Find(const gv_job_table_t *t, gv_str_t id);
 int GvJobTable_Pending(const gv_job_table_t *t, gv_str_t queue);
 
-/* First letter of a key; the rest is the job's identifier or the wave's
-   number, and is empty for the lease and the run times. */
+/* First letter of a key; the rest is the job's identifier, which is followed
+   by the caller for early cancellations, or the wave's number, and is empty
+   for the lease and the run times. */
 typedef enum {
     GV_KEY_JOB = 'J',
     GV_KEY_CANCEL = 'C',
+    GV_KEY_EARLY_CANCEL = 'E',
     GV_KEY_PROGRESS = 'P',
     GV_KEY_LEASE = 'L',
     GV_KEY_WAVE = 'W',
     GV_KEY_RUN_TIMES = 'T'
 } gv_record_key_t;
 
+void GvJobTable_EarlyCancelKey(gv_str_t id, gv_str_t account,
+                               gv_str_t open_queue, char *out);
+void GvJobTable_PackEarlyCancel(gv_str_t account, gv_str_t open_queue,
+                                GByteArray *out);
 void GvJobTable_PackLease(const gv_lease_t *lease, GByteArray *out);
 
 #endif
--- a/src/limits.h
+++ b/src/limits.h
@@ -348,7 +348,10 @@
 /* Jobs */
 #define GV_JOB_ID_BYTES   16
 #define GV_JOB_SPEC_BYTES 4000
-#define GV_JOB_STEPS_MAX  256
+/* Key of an early cancellation: a letter, the identifier, 16 hexadecimal
+   digits and the final 0. */
+#define GV_EARLY_KEY_BYTES (GV_JOB_ID_BYTES + 18)
+#define GV_JOB_STEPS_MAX   256
 /* Tasks of all occurrences of a job together; limits a progress record to
    about 250 KB. */
 #define GV_JOB_TASKS_MAX 4096
@@ -537,6 +540,10 @@
 /* Submissions remembered whose append has no certain result; beyond that the
    oldest ones are forgotten. */
 #define GV_INTAKE_UNSETTLED_MAX 4096
+/* Early cancellations that are kept, of all entry hosts together. Beyond that,
+   one of an unknown job is refused unless this host knows a submission of it
+   that may still be stored. */
+#define GV_INTAKE_EARLY_CANCELS_MAX 4096
 /* Greatest age of the number of pending jobs in a response; if the data is
    older, the store is read first. */
 #define GV_INTAKE_COUNT_AGE_MS 2000
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -6,6 +6,7 @@
 #include "leader.h"
 #include "error.h"
 #include "intake.h"
+#include "job_record.h"
 #include "lookup.h"
 #include "pool_plan.h"
 #include "rhythm.h"
@@ -45,14 +46,30 @@
     printf("%s\n", fresh ? "again" : "");
 }
 
+/* A record that was stored. */
+typedef struct {
+    gv_str_t key;
+    gv_str_t value;
+} gv_stored_t;
+
+static GArray *stored_records;
+
 static void
-on_stored(void *user, gv_str_t key, gv_str_t value)
+apply_record(const gv_stored_t *r)
 {
     gv_job_t *job;
-    (void)user;
     (void)GvJobTable_Apply(table,
                            (gv_record_place_t){GV_PARTITION_ACCEPTED, 0, 0},
-                           key, value, &job);
+                           r->key, r->value, &job);
+}
+
+static void
+on_stored(void *user, gv_str_t key, gv_str_t value)
+{
+    gv_stored_t r = {GvStr_Dup(key), GvStr_Dup(value)};
+    (void)user;
+    g_array_append_val(stored_records, r);
+    apply_record(&r);
 }
 
 static void
@@ -116,10 +133,77 @@
                            OPT("jobs_kb", 4096) * (size_t)1024};
     table = GvJobTable_New();
     intake = GvIntake_New(&ops, table);
+    stored_records = g_array_new(FALSE, FALSE, sizeof(gv_stored_t));
     store_ok = true;
     now = 0;
 }
 
+/* other_host: from now on the table is that of a host that has only read what
+   was stored so far. */
+GV_VERB("other_host", other_host)
+{
+    (void)argc;
+    (void)argv;
+    printf("other_host\n");
+    g_hash_table_remove_all(table->jobs);
+    table->n_early_cancels = 0;
+    for (guint i = 0; i < stored_records->len; i++) {
+        apply_record(&g_array_index(stored_records, gv_stored_t, i));
+    }
+}
+
+/* Returns a job of queue "q". */
+static gv_job_t *
+new_job(const char *id, const char *account, int tasks, int text_kb)
+{
+    gv_job_t *j = GvJob_New();
+    j->id = GvStr_Dup(GvStr_C(id));
+    j->queue = GvStr_Dup(GV_STR("q"));
+    j->account = GvStr_Dup(GvStr_C(account));
+    j->n_steps = 1;
+    j->steps = g_new0(gv_step_t, 1);
+    j->steps[0].count = tasks;
+    char *text = g_strnfill(text_kb * (gsize)1024, 'x');
+    j->steps[0].image = GvStr_Dup(GvStr_C(text));
+    g_free(text);
+    g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    return j;
+}
+
+/* late ID [account=NAME]: an append of a submission is executed late; prints
+   the state of the job. */
+GV_VERB("late", late)
+{
+    char key[GV_JOB_ID_BYTES + 2];
+    msgpack_sbuffer sb;
+    gv_job_t *j =
+        new_job(argv[1], GvScript_Option(argc, argv, "account", ""), 1, 0);
+    msgpack_sbuffer_init(&sb);
+    g_snprintf(key, sizeof key, "J%s", argv[1]);
+    GvJobRecord_PackDefinition(j, &sb);
+    on_stored(NULL, GvStr_C(key), GvStr_N(sb.data, sb.size));
+    msgpack_sbuffer_destroy(&sb);
+    GvJob_Free(j);
+    j = GvJobTable_Find(table, ARG(1));
+    printf("late %s: %s\n", argv[1], GvJob_StateName(GvJob_State(j)));
+}
+
+/* early N: N cancellations of unknown jobs are read from the store. */
+GV_VERB("early", early)
+{
+    GByteArray *caller = g_byte_array_new();
+    GvJobTable_PackEarlyCancel(GV_STR(""), GV_STR("q"), caller);
+    for (uint64_t i = 0; i < NUM(1); i++) {
+        char id[GV_JOB_ID_BYTES + 1];
+        char key[GV_EARLY_KEY_BYTES];
+        g_snprintf(id, sizeof id, "e%015llx", (unsigned long long)i);
+        GvJobTable_EarlyCancelKey(GvStr_C(id), GV_STR(""), GV_STR("q"), key);
+        on_stored(NULL, GvStr_C(key), GvStr_N(caller->data, caller->len));
+    }
+    g_byte_array_free(caller, TRUE);
+    printf("early %d\n", table->n_early_cancels);
+}
+
 /* store available|unavailable: what the intake is told of the store. */
 GV_VERB("store", store)
 {
@@ -145,18 +229,8 @@
             GvStr_Dup(GvStr_C(GvScript_Option(argc, argv, "open", ""))),
         .deadline_ms = OPT("by", 3000)};
     if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
-        gv_job_t *j = GvJob_New();
-        j->id = GvStr_Dup(ARG(3));
-        j->queue = GvStr_Dup(GV_STR("q"));
-        j->account = GvStr_Dup(rq->account);
-        j->n_steps = 1;
-        j->steps = g_new0(gv_step_t, 1);
-        j->steps[0].count = OPT("tasks", 1);
-        char *text = g_strnfill(OPT("text_kb", 0) * (gsize)1024, 'x');
-        j->steps[0].image = GvStr_Dup(GvStr_C(text));
-        g_free(text);
-        g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
-        rq->job = j;
+        rq->job = new_job(argv[3], GvScript_Option(argc, argv, "account", ""),
+                          OPT("tasks", 1), OPT("text_kb", 0));
     }
     age = OPT("age", 0);
     printf("ask %s %s\n", argv[2], argv[3]);
@@ -178,7 +252,8 @@
 /* synced SLOT ok|failed: the end of the sync for a request. */
 GV_VERB("synced", synced)
 {
-    GvIntake_Synced(intake, &requests[NUM(1)], strcmp(argv[2], "ok") == 0);
+    GvIntake_Synced(intake, &requests[NUM(1)], strcmp(argv[2], "ok") == 0,
+                    now);
 }
 
 static gv_lookups_t *lookups;
