Leases: a leader that gives up stores how long they last

Tasks that last, whose target was lost 2 s before a planned stop of the leader, had no run for 18.7 s with 94% of the cpu free; 5 s without the stop.

Hypotheses: (1) the new leader takes the former one's leases for longer than they can last; (2) its jobs or targets are not read; (3) no target has room; (4) it does not notice that the target is lost. "all jobs read" 0.1 s after "became leader" rules out (2), no "waiting" line (3), hold failures (4); "lost ... lease ended" comes 16.7 s after the start: (1).

Cause: inherited_until counted from the start of the new leader: 6 s of holds and the longest lease, as the target had begun lately. The former leader knew better.

Change: the record by which a leader gives up has the time left of each target's leases. From then on it starts nothing and renews only targets that answered, for one second, which is counted. The next leader takes a row for the incarnation that the former one knew; else the former bound stays.

Related paths: two planned stops in a row, also with jobs that the leader between has not read; late and lost answers to the claim; a leader that is frozen while it gives up; a target that was restarted, is gone or listed down.

--- a/src/job_table.c
+++ b/src/job_table.c
@@ -63,6 +63,7 @@
     g_hash_table_destroy(t->waves);
     g_hash_table_destroy(t->wave_offsets);
     GvStr_Free(&t->lease.holder);
+    GvStr_Free(&t->lease.leases);
     if (t->run_times != NULL) {
         g_byte_array_free(t->run_times, TRUE);
     }
@@ -222,10 +223,14 @@
     uint64_t epoch = u.err == GV_OK ? GvUnpack_Uint(&u) : 0;
     gv_str_t holder = u.err == GV_OK ? GvUnpack_Str(&u) : GV_STR("");
     bool resigned = u.err == GV_OK && GvUnpack_Bool(&u);
+    /* Earlier versions end here. */
+    gv_str_t leases = GvUnpack_HasNext(&u) ? GvUnpack_Str(&u) : GV_STR("");
     rc = u.err;
     if (rc == GV_OK && offset + 1 > t->lease_offset) {
         GvStr_Free(&t->lease.holder);
-        t->lease = (gv_lease_t){epoch, GvStr_Dup(holder), resigned};
+        GvStr_Free(&t->lease.leases);
+        t->lease = (gv_lease_t){epoch, GvStr_Dup(holder), resigned,
+                                GvStr_Dup(leases)};
         t->lease_offset = offset + 1;
     }
     msgpack_unpacked_destroy(&un);
@@ -488,10 +493,11 @@
 {
     msgpack_sbuffer sb;
     msgpack_sbuffer_init(&sb);
-    msgpack_packer pk = GvPack_Array(&sb, 3);
+    msgpack_packer pk = GvPack_Array(&sb, 4);
     GvPack_Uint(&pk, lease->epoch);
     GvPack_Str(&pk, lease->holder);
     GvPack_Bool(&pk, lease->resigned);
+    GvPack_Bin(&pk, lease->leases);
     g_byte_array_append(out, (const guint8 *)sb.data, (guint)sb.size);
     msgpack_sbuffer_destroy(&sb);
 }
--- a/src/job_table.h
+++ b/src/job_table.h
@@ -28,7 +28,9 @@
 typedef struct {
     uint64_t epoch; /* rises with every change of holder */
     gv_str_t holder;
-    bool resigned; /* the holder gave it up */
+    bool resigned;   /* the holder gave it up */
+    gv_str_t leases; /* then: what it packed with GvSched_PackLeases, or empty
+                      */
 } gv_lease_t;
 
 typedef struct {
--- a/src/leader.c
+++ b/src/leader.c
@@ -31,6 +31,11 @@
     int64_t sent_ms;        /* when the current append was first sent */
     int64_t renewed_ms;     /* sent_ms of the newest append that was stored */
     int64_t next_ms;        /* earliest time of the next append */
+    /* Of the leader before the newest claim */
+    uint64_t first_claim; /* first epoch that this process has claimed from it
+                             without a certain result; 0: none */
+    int64_t former_read_ms;
+    GByteArray *former_leases;
 };
 
 /* Returns the state of a process that is not the leader. */
@@ -41,6 +46,7 @@
     c->opts = *o;
     c->records = g_byte_array_new();
     c->next_records = g_byte_array_new();
+    c->former_leases = g_byte_array_new();
     c->started_ms = o->now_ms;
     return c;
 }
@@ -50,6 +56,7 @@
 {
     g_byte_array_free(c->records, TRUE);
     g_byte_array_free(c->next_records, TRUE);
+    g_byte_array_free(c->former_leases, TRUE);
     g_free(c);
 }
 
@@ -154,16 +161,46 @@
 
 /* Adds a record of the lease to the current append. */
 static void
-put_lease(gv_leader_t *c, bool resigned)
+put_lease(gv_leader_t *c, bool resigned, gv_str_t leases)
 {
     GByteArray *value = g_byte_array_new();
-    gv_lease_t lease = {c->epoch, c->opts.self, resigned};
+    gv_lease_t lease = {c->epoch, c->opts.self, resigned, leases};
     GvJobTable_PackLease(&lease, value);
     c->opts.ops.add_record(c->records, GV_STR("L"),
                            GvStr_N(value->data, value->len));
     g_byte_array_free(value, TRUE);
 }
 
+/* Adds the record by which this process gives the lease up. */
+static void
+put_resignation(gv_leader_t *c, int64_t now_ms)
+{
+    GByteArray *leases = g_byte_array_new();
+    GvSched_PackLeases(c->sched, now_ms, leases);
+    put_lease(c, true, GvStr_N(leases->data, leases->len));
+    g_byte_array_free(leases, TRUE);
+    c->resigning = true;
+}
+
+/* Keeps what the lease to be claimed says of its holder. If that is an earlier
+   claim of this process, which has not led since, what was kept then still
+   holds. */
+static void
+keep_former(gv_leader_t *c, const gv_lease_t *lease)
+{
+    if (c->first_claim != 0 && lease->epoch >= c->first_claim &&
+        GvStr_Equal(lease->holder, c->opts.self)) {
+        return;
+    }
+    c->first_claim = lease->epoch + 1;
+    c->former_read_ms = c->record_read_ms;
+    g_byte_array_set_size(c->former_leases, 0);
+    if (lease->resigned) {
+        g_byte_array_append(c->former_leases, (const guint8 *)lease->leases.p,
+                            (guint)lease->leases.n);
+    }
+}
+
 /* Claims the lease with a record that is stored only if the partition still
    ends where this process has read to: two claims of one epoch cannot both
    succeed. */
@@ -177,6 +214,7 @@
                   GV_STR_ARG(lease->holder),
                   (long long)(now_ms - c->record_read_ms),
                   (unsigned long long)next_offset);
+    keep_former(c, lease);
     c->state = CLAIMING;
     c->epoch = lease->epoch + 1;
     c->seq = c->opts.first_seq;
@@ -185,7 +223,7 @@
     c->end = next_offset;
     c->new_connection = false;
     g_byte_array_set_size(c->records, 0);
-    put_lease(c, false);
+    put_lease(c, false, GV_STR(""));
     send(c);
 }
 
@@ -205,12 +243,11 @@
                         c->next_records->len);
     g_byte_array_set_size(c->next_records, 0);
     if (c->resign && c->opts.ops.open_orders(c->opts.ops.user) == 0) {
-        put_lease(c, true);
-        c->resigning = true;
+        put_resignation(c, now_ms);
     }
     else if (c->records->len == 0 &&
              now_ms - c->renewed_ms >= c->opts.renew_ms) {
-        put_lease(c, false);
+        put_lease(c, false, GV_STR(""));
     }
     if (c->records->len > 0) {
         c->at_end = false;
@@ -292,7 +329,11 @@
     GvCounter_Set(&is_leader, 1);
     GvEvlog_Write("lead", "became leader epoch=%llu",
                   (unsigned long long)c->epoch);
-    c->sched = c->opts.ops.begin(c->opts.ops.user, c->epoch);
+    c->first_claim = 0;
+    gv_former_leader_t former = {
+        c->former_read_ms,
+        GvStr_N(c->former_leases->data, c->former_leases->len)};
+    c->sched = c->opts.ops.begin(c->opts.ops.user, c->epoch, &former);
 }
 
 /* Handles the current append once it is stored. */
--- a/src/leader.h
+++ b/src/leader.h
@@ -31,13 +31,20 @@
     bool new_connection; /* the last try may have failed with the connection */
 } gv_leader_append_t;
 
+/* What is known of the leader before. */
+typedef struct {
+    int64_t read_ms; /* when its newest record was read; 0: none was */
+    gv_str_t leases; /* see gv_lease_t */
+} gv_former_leader_t;
+
 typedef struct {
     void *user;
     void (*add_record)(GByteArray *records, gv_str_t key, gv_str_t value);
     void (*append)(void *user, const gv_leader_append_t *a);
     /* Called when this process becomes the leader under that epoch: returns
        the scheduler whose progress is to be stored. */
-    gv_sched_t *(*begin)(void *user, uint64_t epoch);
+    gv_sched_t *(*begin)(void *user, uint64_t epoch,
+                         const gv_former_leader_t *former);
     /* Called when this process is no longer the leader. */
     void (*end)(void *user, const char *why);
     /* Returns how many orders, without holds, may still be on their way. */
--- a/src/limits.h
+++ b/src/limits.h
@@ -504,6 +504,15 @@
                    GV_LEAD_ORDERS_MS + GV_LEAD_TURN_MS + GV_LEAD_WAY_MS,
                "two leaders could give orders at the same time");
 
+/* A leader that gives the lease up stores how long the leases of targets last.
+   Until then it goes on to renew those of targets that answer, for this long
+   after its first try: the next leader mostly holds them sooner. */
+#define GV_LEAD_RESIGN_HOLDS_MS 1000
+/* Largest size of that in a record: about 4,000 targets. */
+#define GV_LEAD_LEASES_BYTES (128 * 1024)
+/* No lease lasts longer; a record that says so is malformed. */
+#define GV_LEAD_LEASE_LEFT_MAX_MS 60000
+
 /* Claims of leadership by different entry hosts are delayed by up to this many
    steps; a step is longer than it takes until the others have read a claim. */
 #define GV_LEAD_RANKS   8
--- a/src/sched.c
+++ b/src/sched.c
@@ -110,6 +110,9 @@
     }
     g_hash_table_destroy(s->advice);
     g_hash_table_destroy(s->strays);
+    if (s->former_leases != NULL) {
+        g_hash_table_destroy(s->former_leases);
+    }
     g_free(s);
 }
 
--- a/src/sched.h
+++ b/src/sched.h
@@ -127,6 +127,9 @@
     int records_max_age_ms;
     bool learn_run_times; /* from finished runs, to order and place tasks */
     int64_t now_ms;
+    /* When the newest record of the former leader was read; 0: unknown, and
+       now_ms counts in its place. */
+    int64_t former_ms;
 } gv_sched_opts_t;
 
 typedef enum {
@@ -232,6 +235,8 @@
 int GvSched_TakeBatch(gv_sched_t *s, gv_sched_add_t add, void *user);
 void GvSched_ConfirmBatch(gv_sched_t *s, int64_t now_ms);
 int GvSched_LoadRunTimes(gv_sched_t *s, gv_str_t bytes);
+void GvSched_PackLeases(gv_sched_t *s, int64_t now_ms, GByteArray *out);
+int GvSched_LoadLeases(gv_sched_t *s, gv_str_t bytes);
 
 bool GvSched_IsFenced(const gv_sched_t *s);
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -603,14 +603,15 @@
 
 /* Places the waiting tasks of the services that an event has changed and,
    every GV_SCHED_TICK_MS, of all: occurrences become due and targets stop
-   being avoided with time alone. */
+   being avoided with time alone. Places none once the lease to schedule is
+   given up. */
 void
 GvSched_Place(gv_sched_t *s, int64_t now_ms)
 {
     GHashTableIter it;
     gpointer value;
     bool all = now_ms - s->placed_ms >= GV_SCHED_TICK_MS;
-    if (!s->jobs_loaded) {
+    if (!s->jobs_loaded || s->packed_ms != 0) {
         return;
     }
     s->placed_ms = all ? now_ms : s->placed_ms;
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -168,6 +168,7 @@
     int64_t lease_until_ms;   /* no lease that this scheduler has given ends
                                  later */
     bool inherited;           /* an earlier scheduler may have given leases */
+    bool renewal_packed;      /* see GvSched_PackLeases */
     int64_t unanswered_ms;    /* when the newest order without an answer was
                                  sent; 0: none */
     /* Number of the newest end that was applied, is in the batch, is stored,
@@ -192,8 +193,18 @@
     int64_t paced_ms; /* newest run in `pace` */
 };
 
+/* A lease that the former scheduler gave, as it has stored it. */
+typedef struct {
+    int64_t started_ms; /* of the target's incarnation; 0: unknown */
+    int64_t until_ms;
+} gv_former_lease_t;
+
 struct gv_sched_s {
     gv_sched_opts_t o;
+    GHashTable *former_leases; /* target id -> gv_former_lease_t *; NULL: the
+                                  former scheduler has stored none */
+    int64_t former_others_ms;  /* no lease on any other target lasts longer */
+    int64_t packed_ms;  /* when GvSched_PackLeases was called; 0: it was not */
     bool fenced;        /* a newer scheduler is the leader */
     bool batch_pending; /* a batch of progress is being stored */
     bool jobs_loaded;   /* see GvSched_SetJobsLoaded */
@@ -315,6 +326,12 @@
 int64_t GvSched_LeaseEndMs(const gv_sched_t *s, const gv_sched_target_t *tgt,
                            int64_t now_ms);
 void GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms);
+void GvSched_CoverFormerDeadlines(const gv_sched_t *s, gv_sched_target_t *tgt,
+                                  int64_t now_ms);
+bool GvSched_IsRenewed(const gv_sched_target_t *tgt);
+bool GvSched_MayRenew(const gv_sched_t *s, const gv_sched_target_t *tgt,
+                      int64_t now_ms);
+bool GvSched_HasLateOrder(const gv_sched_target_t *tgt, int64_t now_ms);
 void GvSched_HandleRestart(gv_sched_t *s, gv_sched_target_t *tgt,
                            int64_t started_ms, int64_t now_ms);
 void GvSched_DropTargetRuns(gv_sched_t *s, gv_sched_target_t *tgt,
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -118,6 +118,9 @@
                int64_t now_ms)
 {
     const gv_queue_info_t *q = GvSched_QueueOf(s, r->active->job);
+    if (s->packed_ms != 0) {
+        return "the lease to schedule is given up";
+    }
     if (GvJob_Ended(r->active->job)) {
         return "job ended before the start";
     }
--- a/src/sched_target.c
+++ b/src/sched_target.c
@@ -4,92 +4,6 @@
 /* Targets of the scheduler: sends holds that renew the leases of their runs,
    and drops runs whose lease has ended. */
 
-/* Returns how long a lease of that length lasts at most, in the time of this
-   host. */
-static int64_t
-longest_ms(int64_t lease_ms)
-{
-    return lease_ms + lease_ms * GV_SCHED_SLOW_CLOCK_PERCENT / 100 +
-           GV_SCHED_LEASE_SLACK_MS;
-}
-
-/* Returns the end of a lease that begins now, on the target's clock, and sets
-   lease_until_ms to when it has certainly ended there. */
-int64_t
-GvSched_NewLease(const gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
-{
-    tgt->lease_until_ms =
-        MAX(tgt->lease_until_ms, now_ms + longest_ms(s->o.lease_ms));
-    return now_ms + tgt->clock_offset_ms + s->o.lease_ms;
-}
-
-/* Returns true if earlier schedulers may have sent a target deadlines on the
-   clock of a former incarnation: it began after this scheduler, or so shortly
-   before it that they may not have read its clock anew. */
-static bool
-began_lately(const gv_sched_t *s, const gv_sched_target_t *tgt, int64_t now_ms)
-{
-    int64_t age_ms =
-        s->wall_ms - tgt->info.started_ms - (now_ms - s->o.now_ms);
-    return tgt->info.started_ms != 0 &&
-           age_ms < GV_SCHED_CLOCK_VALID_MS + longest_ms(s->o.max_lease_ms);
-}
-
-/* Returns when every lease that earlier schedulers gave a target has ended.
-   One that began lately may hold the longest lease that it grants. */
-static int64_t
-inherited_until(const gv_sched_t *s, const gv_sched_target_t *tgt,
-                int64_t now_ms)
-{
-    bool is_new = began_lately(s, tgt, now_ms);
-    return s->o.now_ms + GV_LEAD_HOLDS_MS +
-           (is_new ? longest_ms(s->o.max_lease_ms) : s->o.lease_ms);
-}
-
-/* Returns when every lease that a target may hold has ended: none of its runs
-   lives longer unless it is renewed. A lease holds for all of them, so that
-   one of an earlier scheduler matters also where none of its runs is recorded.
- */
-int64_t
-GvSched_LeaseEndMs(const gv_sched_t *s, const gv_sched_target_t *tgt,
-                   int64_t now_ms)
-{
-    bool has_earlier = s->o.epoch > 1 && began_lately(s, tgt, now_ms);
-    return tgt->inherited || has_earlier
-               ? MAX(tgt->lease_until_ms, inherited_until(s, tgt, now_ms))
-               : tgt->lease_until_ms;
-}
-
-/* Notes that the incarnation of a target has ended, and its leases with it. An
-   order without an answer may still reach the next one. */
-void
-GvSched_EndLeases(gv_sched_target_t *tgt, int64_t now_ms)
-{
-    tgt->lease_until_ms = now_ms;
-    tgt->inherited = false;
-}
-
-/* Deadlines on the clock of a former incarnation say nothing to the present
-   one, which takes those ahead of its own clock for the longest lease that it
-   grants. It may have received them until now, or until later if some order
-   got no answer yet. */
-static void
-cover_former_deadlines(const gv_sched_t *s, gv_sched_target_t *tgt,
-                       int64_t now_ms)
-{
-    bool open = tgt->hold_pending;
-    for (guint i = 0; i < tgt->runs->len; i++) {
-        open =
-            open ||
-            ((const gv_run_t *)g_ptr_array_index(tgt->runs, i))->order_pending;
-    }
-    int64_t sent_ms = open ? now_ms : tgt->unanswered_ms;
-    int64_t received_ms =
-        sent_ms == 0 ? now_ms : MAX(now_ms, sent_ms + GV_SCHED_LATE_ORDER_MS);
-    tgt->lease_until_ms =
-        MAX(tgt->lease_until_ms, received_ms + longest_ms(s->o.max_lease_ms));
-}
-
 /* Forgets the numbers of ends: a new incarnation starts again at the first. */
 void
 GvSched_ResetEnds(gv_sched_target_t *tgt)
@@ -122,7 +36,7 @@
 {
     gv_loss_t loss = GvSched_LossOf(tgt);
     tgt->pace = (gv_run_pace_t){0};
-    cover_former_deadlines(s, tgt, now_ms);
+    GvSched_CoverFormerDeadlines(s, tgt, now_ms);
     if (loss == GV_LOSS_CRASHED) {
         GvSched_CountCrashes(s, tgt, true, now_ms);
     }
@@ -193,7 +107,6 @@
 static void
 send_hold(gv_sched_t *s, gv_sched_target_t *tgt, int64_t now_ms)
 {
-    bool clock_known = tgt->clock_read_ms > 0;
     bool unstored = tgt->ends_applied > tgt->ends_stored;
     gv_hold_order_t o = {
         .target = tgt->id,
@@ -206,9 +119,7 @@
                        : 0,
         .retry = tgt->hold_failures > 0,
     };
-    /* While a target does not answer, its leases are not renewed: otherwise
-       those of a target that is gone would never end for this scheduler. */
-    if (clock_known && tgt->runs->len > 0 && tgt->hold_failures == 0) {
+    if (GvSched_IsRenewed(tgt) && GvSched_MayRenew(s, tgt, now_ms)) {
         o.deadline_ms = GvSched_NewLease(s, tgt, now_ms);
     }
     tgt->hold_pending = true;
@@ -330,11 +241,10 @@
 static bool
 may_forget(const gv_sched_t *s, const gv_sched_target_t *tgt, int64_t now_ms)
 {
-    bool late_order = tgt->unanswered_ms != 0 &&
-                      now_ms - tgt->unanswered_ms < GV_SCHED_LATE_ORDER_MS;
     return !tgt->listed && tgt->runs->len == 0 && !tgt->hold_pending &&
            !tgt->update_due && !tgt->end_listed && !tgt->end_batched &&
-           !late_order && now_ms > GvSched_LeaseEndMs(s, tgt, now_ms);
+           !GvSched_HasLateOrder(tgt, now_ms) &&
+           now_ms > GvSched_LeaseEndMs(s, tgt, now_ms);
 }
 
 /* Updates the targets that an event has changed. Every GV_SCHED_SWEEP_MS
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -95,9 +95,24 @@
     }
 }
 
-/* sched_replace epoch=N max_lease=MS [learn=0|1] JOB ...: a new leader's
-   scheduler takes over, with the stored progress of these jobs and, if it
-   learns run times, with the stored ones. */
+static GByteArray *leases; /* that the scheduler has packed */
+
+/* sched_resign: the scheduler packs the leases, as its leader is about to give
+   up the lease to schedule. */
+GV_VERB("sched_resign", sched_resign)
+{
+    (void)argc;
+    (void)argv;
+    printf("resign\n");
+    leases = g_byte_array_new();
+    GvSched_PackLeases(sched, now, leases);
+}
+
+/* sched_replace epoch=N max_lease=MS [learn=0|1 read=MS leases=PERCENT] JOB
+   ...: a new leader's scheduler takes over, with the stored progress of these
+   jobs and, if it learns run times, with the stored ones. read: when it read
+   the newest record of the former leader; leases: it reads so much of what that
+   one packed. */
 GV_VERB("sched_replace", sched_replace)
 {
     gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
@@ -105,9 +120,15 @@
                          .lease_ms = 4500,
                          .max_lease_ms = OPT("max_lease", 4500),
                          .learn_run_times = OPT("learn", 0) != 0,
-                         .now_ms = now};
+                         .now_ms = now,
+                         .former_ms = OPT("read", 0)};
     GvSched_Free(sched);
     sched = GvSched_New(&o);
+    if (OPT("leases", 0) > 0) {
+        int cut = (int)leases->len * OPT("leases", 0) / 100;
+        int rc = GvSched_LoadLeases(sched, GvStr_N(leases->data, cut));
+        printf("replace leases %s\n", rc == GV_OK ? "read" : "not read");
+    }
     if (table->run_times != NULL) {
         (void)GvSched_LoadRunTimes(
             sched, GvStr_N(table->run_times->data, table->run_times->len));
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -14,8 +14,8 @@
    not check fences. Every pair of faults out of a list is played: each is one
    kind, on one host, at one time and for one duration. Guards against two
    hosts with permission to give orders at the same time, an order that arrives
-   after one with a higher epoch, a planned stop that does not hand over, and a
-   fleet that stays without a leader.
+   after one with a higher epoch, a planned stop that does not hand over or
+   whose stored leases get lost, and a fleet that stays without a leader.
 
    The clocks of the hosts differ by GV_LEAD_DRIFT_PERCENT. What a host has
    sent arrives within GV_LEAD_WAY_MS, unless its network holds it up: then the
@@ -104,14 +104,26 @@
 static long n_runs;
 static long n_states;
 static long n_claims;
+/* Leases that a leader has packed and stored, while no host has led since */
+static bool leases_stored;
+static int64_t leases_stored_ms; /* true time */
+static const host_t *claimer; /* the host that has claimed since; NULL: none */
+static bool several_claimers; /* several processes have */
+static long n_leases_handed;
+
+/* Returns the clock of a host at a true time; that of the last one is slow. */
+static int64_t
+clock_at(const host_t *h, int64_t true_ms)
+{
+    return h == &hosts[HOSTS - 1]
+               ? true_ms * (100 - GV_LEAD_DRIFT_PERCENT) / 100 + 77
+               : true_ms;
+}
 
-/* Returns the clock of a host; that of the last one is slow. */
 static int64_t
 clock_of(const host_t *h)
 {
-    return h == &hosts[HOSTS - 1]
-               ? now * (100 - GV_LEAD_DRIFT_PERCENT) / 100 + 77
-               : now;
+    return clock_at(h, now);
 }
 
 static bool
@@ -170,17 +182,48 @@
                      .append = *a};
     g_byte_array_append(m->records, (const guint8 *)a->records.p,
                         (guint)a->records.n);
-    n_claims += a->at_end ? 1 : 0;
+    if (a->at_end) {
+        n_claims++;
+        several_claimers =
+            several_claimers || (claimer != NULL && claimer != h);
+        claimer = h;
+    }
     h->waits_for = lost ? -1 : m->number;
     h->answered = false;
     h->answer_ms = now + (lost ? ANSWER_MS : APPEND_MS);
 }
 
+/* Checks what a new leader is told of the leases of the former one: those that
+   the last leader has stored, also if this host's first claim got no answer,
+   and no other ones. A host that was paused may learn of its claim only after
+   a later one was stored, and has no permission then. */
+static void
+check_former(const host_t *h, uint64_t epoch, const gv_former_leader_t *former)
+{
+    if (epoch < store_epoch) {
+        return;
+    }
+    if (leases_stored && !several_claimers && former->leases.n == 0) {
+        fail("stored leases are not handed over");
+    }
+    if (former->leases.n > 0 && !leases_stored) {
+        fail("leases of an earlier leader than the last one are handed over");
+    }
+    if (former->leases.n > 0 &&
+        former->read_ms < clock_at(h, leases_stored_ms)) {
+        fail("leases count from before they were stored");
+    }
+    n_leases_handed += former->leases.n > 0 ? 1 : 0;
+    leases_stored = false;
+}
+
 static gv_sched_t *
-begin_leading(void *user, uint64_t epoch)
+begin_leading(void *user, uint64_t epoch, const gv_former_leader_t *former)
 {
     host_t *h = user;
-    gv_sched_opts_t o = {.epoch = epoch, .now_ms = clock_of(h)};
+    check_former(h, epoch, former);
+    gv_sched_opts_t o = {
+        .epoch = epoch, .now_ms = clock_of(h), .former_ms = former->read_ms};
     h->sched = GvSched_New(&o);
     return h->sched;
 }
@@ -224,6 +267,7 @@
                           .holds_ms = GV_LEAD_HOLDS_MS,
                           .first_seq = ++starts * 1000,
                           .now_ms = clock_of(h)};
+    several_claimers = several_claimers || claimer == h;
     h->leader = GvLeader_New(&o);
     h->table = GvJobTable_New();
     h->next_offset = 0;
@@ -251,6 +295,24 @@
     }
 }
 
+/* Notes a stored record of the lease. */
+static void
+note_stored(const guint8 *record, guint32 n)
+{
+    gv_job_table_t *table = GvJobTable_New();
+    gv_job_t *job;
+    gv_record_place_t at = {GV_PARTITION_PROGRESS, 0, 0};
+    (void)GvJobTable_Apply(table, at, GvStr_N((const char *)record, 1),
+                           GvStr_N((const char *)record + 5, n), &job);
+    if (table->lease.leases.n > 0) {
+        leases_stored = true;
+        leases_stored_ms = now;
+        claimer = NULL;
+        several_claimers = false;
+    }
+    GvJobTable_Free(table);
+}
+
 /* Executes an append as the store does. */
 static gv_append_answer_t
 execute(const message_t *m)
@@ -279,6 +341,7 @@
         guint32 n;
         memcpy(&n, m->records->data + at + 1, sizeof n);
         g_ptr_array_add(records, g_bytes_new(m->records->data + at, n + 5));
+        note_stored(m->records->data + at, n);
         at += n + 5;
     }
     return r;
@@ -468,6 +531,9 @@
     records = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     store_epoch = store_seq = highest_epoch = 0;
     memset(hosts, 0, sizeof hosts);
+    leases_stored = false;
+    claimer = NULL;
+    several_claimers = false;
     now = 0;
     for (int i = 0; i < HOSTS; i++) {
         start_host(&hosts[i], i);
@@ -552,6 +618,7 @@
     g_test_message("%ld runs, %ld states, %ld claims", n_runs, n_states,
                    n_claims);
     g_assert_cmpint(n_claims, >, n_runs);
+    g_assert_cmpint(n_leases_handed, >, 0);
     g_array_free(all, TRUE);
 }
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -19,7 +19,9 @@
    cancelled job that keep running. With accounts, also against a start that
    brings the live runs of an account above its limit and one task more, while
    the limit is lowered and raised, and against tasks that its limit holds back
-   for ever. Gangs are not covered: no step here is one. */
+   for ever. With planned stops, two schedulers of three pack their leases and
+   are replaced up to 1.5 s later. Gangs are not covered: no step here is one.
+   */
 
 #define TARGETS       4
 #define TARGET_CPU    4000
@@ -44,6 +46,8 @@
    drops none. */
 #define TRACE_STEP_US 1000
 
+typedef enum { PLAIN, WITH_ACCOUNTS, WITH_PLANNED_STOPS } variant_t;
+
 typedef struct {
     char task[64];
     uint32_t run;
@@ -142,6 +146,10 @@
 /* Draws of the accounts: those of rnd stay as without accounts. NULL: there
    are none. */
 static GRand *account_rnd;
+static GRand *planned_rnd; /* NULL: the scheduler packs no leases */
+static GByteArray *packed; /* leases, for the next scheduler */
+static int64_t packed_ms;
+static int64_t replace_ms; /* when the next one begins; 0: not packed */
 static model_room_t limits[LIMITS_MAX]; /* of account "a", oldest first */
 static int n_limits;
 static gv_sched_t *sched;
@@ -779,8 +787,23 @@
     update_accounts();
 }
 
-/* Replaces the scheduler with one that starts from the store. In half of the
-   cases it reads some job definitions up to 1.5 s later. */
+/* A planned stop: the scheduler packs its leases. It goes on for as long as
+   the store may take to confirm that, and is then replaced. */
+static void
+begin_planned_stop(void)
+{
+    if (replace_ms != 0) {
+        return;
+    }
+    GvSched_PackLeases(sched, now, packed);
+    packed_ms = now;
+    replace_ms = now + g_rand_int_range(planned_rnd, 10, 1500);
+    trace("packed", "", "", 0, replace_ms);
+}
+
+/* Replaces the scheduler with one that starts from the store, with the leases
+   that the former one may have packed. In half of the cases it reads some job
+   definitions up to 1.5 s later. */
 static void
 replace_scheduler(void)
 {
@@ -795,8 +818,16 @@
         .epoch = (uint64_t)epoch,
         .lease_ms = LEASE_MS,
         .max_lease_ms = LEASE_MAX_MS,
-        .now_ms = now};
+        .now_ms = now,
+        .former_ms = replace_ms == 0 ? 0 : packed_ms};
     sched = GvSched_New(&o);
+    if (replace_ms != 0) {
+        g_assert_cmpint(
+            GvSched_LoadLeases(sched, GvStr_N(packed->data, packed->len)), ==,
+            GV_OK);
+        g_byte_array_set_size(packed, 0);
+        replace_ms = 0;
+    }
     bool behind = chance(50);
     for (int i = 0; i < n_jobs; i++) {
         jobs[i].read_ms = 0;
@@ -949,7 +980,12 @@
         update_targets();
     }
     else if (chance(40)) {
-        replace_scheduler();
+        if (planned_rnd != NULL && g_rand_int_range(planned_rnd, 0, 3) > 0) {
+            begin_planned_stop();
+        }
+        else if (replace_ms == 0) {
+            replace_scheduler();
+        }
     }
     else if (n_jobs > 0) {
         model_job_t *j = &jobs[g_rand_int_range(rnd, 0, n_jobs)];
@@ -1022,6 +1058,9 @@
     if (with_faults && n_jobs < JOBS_MAX && chance(5)) {
         add_job();
     }
+    if (replace_ms != 0 && now >= replace_ms) {
+        replace_scheduler();
+    }
     add_late_jobs();
     (void)GvSched_Run(sched, now, now);
     if (g_hash_table_size(batch) > 0) {
@@ -1093,10 +1132,14 @@
    seeds the targets refuse a start that exceeds their CPU, with every other
    pair of seeds an order with an old fence. */
 static void
-run_seed(guint32 seed, bool with_accounts)
+run_seed(guint32 seed, variant_t variant)
 {
     rnd = g_rand_new_with_seed(seed);
-    account_rnd = with_accounts ? g_rand_new_with_seed(seed) : NULL;
+    planned_rnd =
+        variant == WITH_PLANNED_STOPS ? g_rand_new_with_seed(seed) : NULL;
+    packed = g_byte_array_new();
+    replace_ms = 0;
+    account_rnd = variant == WITH_ACCOUNTS ? g_rand_new_with_seed(seed) : NULL;
     limits[0] = (model_room_t){0, 3000};
     n_limits = 1;
     targets_check_cpu = seed % 2 == 0;
@@ -1155,24 +1198,29 @@
     if (account_rnd != NULL) {
         g_rand_free(account_rnd);
     }
+    if (planned_rnd != NULL) {
+        g_rand_free(planned_rnd);
+    }
+    g_byte_array_free(packed, TRUE);
 }
 
-/* Seeds beyond the first 400 that have failed. */
+/* Seeds beyond the first 400 that have failed, also with planned stops. */
+static const guint32 failed_planned[] = {758, 2272, 3059, 4714};
 static const guint32 failed_before[] = {
     3896,  5296,  6961,  8009,  11809, 14290, 20451, 27816, 29708, 31080,
     38891, 40907, 41080, 46331, 47785, 47803, 53667, 57697, 59778};
 
 static void
-play(guint32 seed, bool with_accounts)
+play(guint32 seed, variant_t variant)
 {
     g_test_message("seed %u", seed);
-    run_seed(seed, with_accounts);
+    run_seed(seed, variant);
     GvEvlog_Flush();
 }
 
 /* Runs the seeds GV_FIRST (1) to GV_SEEDS (400). */
 static void
-play_seeds(bool with_accounts)
+play_seeds(variant_t variant)
 {
     const char *last = g_getenv("GV_SEEDS");
     const char *first = g_getenv("GV_FIRST");
@@ -1180,7 +1228,7 @@
     int begin = first != NULL ? atoi(first) - 1 : 0;
     n_started = 0;
     for (int i = begin; i < seeds; i++) {
-        play((guint32)i + 1, with_accounts);
+        play((guint32)i + 1, variant);
     }
     g_assert_cmpint(n_started, >, 50 * (seeds - begin));
 }
@@ -1190,10 +1238,10 @@
 static void
 test_random(void)
 {
-    play_seeds(false);
+    play_seeds(PLAIN);
     for (guint i = 0; i < G_N_ELEMENTS(failed_before); i++) {
         if (g_getenv("GV_SEEDS") == NULL && g_getenv("GV_FIRST") == NULL) {
-            play(failed_before[i], false);
+            play(failed_before[i], PLAIN);
         }
     }
 }
@@ -1201,7 +1249,18 @@
 static void
 test_accounts(void)
 {
-    play_seeds(true);
+    play_seeds(WITH_ACCOUNTS);
+}
+
+static void
+test_planned_stops(void)
+{
+    play_seeds(WITH_PLANNED_STOPS);
+    for (guint i = 0; i < G_N_ELEMENTS(failed_planned); i++) {
+        if (g_getenv("GV_SEEDS") == NULL && g_getenv("GV_FIRST") == NULL) {
+            play(failed_planned[i], WITH_PLANNED_STOPS);
+        }
+    }
 }
 
 int
@@ -1214,5 +1273,6 @@
     }
     g_test_add_func("/sched/random", test_random);
     g_test_add_func("/sched/accounts", test_accounts);
+    g_test_add_func("/sched/planned_stops", test_planned_stops);
     return g_test_run();
 }
