Failed runs are counted whatever their numbers

A gang with two attempts that had waited for room was started 34 times in 20 s and shown as running.

Hypotheses: (1) its failures are not listed or are lost; (2) they are listed and not counted; (3) they are counted, and the job is not failed. "end ... how=failed" lines, and ends taken note of, rule out (1); no "failed" line, (3).

Cause: failed runs were bits of one word, and all numbers from 64 on shared the last bit: only the first failure among them counted. Run numbers were past 5,000.

The record has late numbers in a field of its own; earlier versions read the word as before.

Related paths: a single task whose starts were refused over sixty times; a leader replaced between two failures, with the first one listed again; an end that is listed late; members of a gang that fail in different runs; tasks that last, which have no limit.

leader.c: its function send is renamed, as it had the name of one of the C library.

--- a/src/job.c
+++ b/src/job.c
@@ -31,6 +31,7 @@
     }
     for (int i = 0; job->tasks != NULL && i < job->n_tasks; i++) {
         g_free(job->tasks[i].saved);
+        GvFailedRuns_Clear(&job->tasks[i].failed_runs);
     }
     g_free(job->steps);
     g_free(job->tasks);
@@ -228,15 +229,17 @@
            (open_queue.n > 0 && GvStr_Equal(open_queue, job->queue));
 }
 
-/* Notes that a run of a task has failed. Returns false if that is known. */
+/* Notes that a run of a task has failed. Returns false if that is known, or if
+   it is a late run of a long-running task, whose failures are not counted, and
+   another one is known. */
 bool
 GvJob_AddFailedRun(gv_job_t *job, int task, uint32_t run)
 {
-    gv_task_t *t = &job->tasks[task];
-    uint64_t bit = UINT64_C(1) << MIN(run - 1, GV_JOB_FAILED_RUNS_MAX - 1);
-    bool added = (t->failed_runs & bit) == 0;
-    t->failed_runs |= bit;
-    return added;
+    gv_failed_runs_t *f = &job->tasks[task].failed_runs;
+    if (GvJob_StepOf(job, task)->long_running) {
+        run = MIN(run, GV_FAILED_RUNS_LATE);
+    }
+    return GvFailedRuns_Add(f, run);
 }
 
 /* Returns how many runs of a task have failed, or of its gang: all members run
@@ -245,12 +248,15 @@
 GvJob_CountFailedRuns(const gv_job_t *job, int task)
 {
     const gv_step_t *step = GvJob_StepOf(job, task);
-    uint64_t runs = job->tasks[task].failed_runs;
-    int first = task - GvJob_PlaceOf(job, task).index;
-    for (int i = 0; step->gang && i < step->count; i++) {
-        runs |= job->tasks[first + i].failed_runs;
+    int first = step->gang ? task - GvJob_PlaceOf(job, task).index : task;
+    int n = step->gang ? step->count : 1;
+    const gv_failed_runs_t **list = g_new(const gv_failed_runs_t *, (gsize)n);
+    for (int i = 0; i < n; i++) {
+        list[i] = &job->tasks[first + i].failed_runs;
     }
-    return __builtin_popcountll(runs);
+    int count = GvFailedRuns_Count(list, n);
+    g_free(list);
+    return count;
 }
 
 /* Returns true if all tasks of a step are done in that occurrence. */
--- a/src/job.h
+++ b/src/job.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "failed_runs.h"
 #include "str.h"
 
 /* Jobs: each has steps, each step has tasks that run on targets. Holds the
@@ -54,9 +55,8 @@
     uint32_t run;       /* number of the newest run; 0: none yet */
     const char *target; /* interned; of the newest run */
     int64_t target_started_ms; /* of its incarnation then; 0: unknown */
-    uint64_t failed_runs; /* bit N - 1: run N has failed; the last bit also
-                             stands for all later runs */
-    char *saved;          /* state to resume from, or NULL */
+    gv_failed_runs_t failed_runs;
+    char *saved; /* state to resume from, or NULL */
 } gv_task_t;
 
 typedef enum {
--- a/src/job_record.c
+++ b/src/job_record.c
@@ -218,11 +218,12 @@
         if (!has_row(t)) {
             continue;
         }
-        msgpack_pack_array(&pk, 13);
+        const gv_failed_runs_t *failed = &t->failed_runs;
+        msgpack_pack_array(&pk, failed->late == NULL ? 13 : 14);
         GvPack_Int(&pk, i);
         GvPack_Uint(&pk, t->state);
         GvPack_Uint(&pk, t->run);
-        GvPack_Int(&pk, __builtin_popcountll(t->failed_runs));
+        GvPack_Int(&pk, GvFailedRuns_Count(&failed, 1));
         GvPack_Str(&pk, GvStr_C(t->target));
         GvPack_Str(&pk, GvStr_C(t->saved));
         GvPack_Int(&pk, t->crashes);
@@ -231,7 +232,10 @@
         GvPack_Bool(&pk, t->suspect);
         GvPack_Int(&pk, t->target_started_ms);
         GvPack_Bool(&pk, t->confirmed);
-        GvPack_Uint(&pk, t->failed_runs);
+        GvPack_Uint(&pk, GvFailedRuns_Bits(failed));
+        if (failed->late != NULL) {
+            GvFailedRuns_PackLate(failed, &pk);
+        }
     }
 }
 
@@ -240,11 +244,29 @@
 {
     for (int i = 0; i < job->n_tasks; i++) {
         g_free(job->tasks[i].saved);
+        GvFailedRuns_Clear(&job->tasks[i].failed_runs);
         job->tasks[i] = (gv_task_t){0};
     }
     job->n_done = 0;
 }
 
+/* Reads the last fields of a row: which runs of the task have failed. Earlier
+   versions have only stored how many, or the runs as bits. */
+static void
+read_failed_runs(gv_unpack_t *f, int64_t failures, gv_failed_runs_t *runs)
+{
+    if (GvUnpack_HasNext(f)) {
+        GvFailedRuns_SetBits(runs, GvUnpack_Uint(f));
+    }
+    else if (failures > 0) {
+        GvFailedRuns_SetBits(
+            runs, UINT64_MAX >> (64 - MIN(failures, GV_FAILED_RUNS_LATE)));
+    }
+    if (GvUnpack_HasNext(f) && GvFailedRuns_ReadLate(runs, f) != GV_OK) {
+        f->err = GV_EINVAL;
+    }
+}
+
 /* Reads the row of a task that is not done and had no row yet. */
 static void
 read_task(gv_unpack_t *rows, gv_job_t *job)
@@ -272,16 +294,10 @@
         t->suspect = GvUnpack_Bool(&f);
         t->target_started_ms = GvUnpack_Int(&f);
     }
-    if (GvUnpack_HasNext(&f)) { /* here, */
-        t->confirmed = GvUnpack_Bool(&f);
-    }
     if (GvUnpack_HasNext(&f)) { /* or here */
-        t->failed_runs = GvUnpack_Uint(&f);
-    }
-    else if (failures > 0) {
-        t->failed_runs = UINT64_MAX >> (GV_JOB_FAILED_RUNS_MAX -
-                                        MIN(failures, GV_JOB_FAILED_RUNS_MAX));
+        t->confirmed = GvUnpack_Bool(&f);
     }
+    read_failed_runs(&f, failures, &t->failed_runs);
     if (f.err != GV_OK || state > GV_TASK_PLACED) {
         rows->err = GV_EINVAL;
         return;
--- a/src/leader.c
+++ b/src/leader.c
@@ -145,7 +145,7 @@
 
 /* Sends the current append, for the first time or again. */
 static void
-send(gv_leader_t *c)
+send_append(gv_leader_t *c)
 {
     gv_leader_append_t a = {
         .records = GvStr_N(c->records->data, c->records->len),
@@ -224,7 +224,7 @@
     c->new_connection = false;
     g_byte_array_set_size(c->records, 0);
     put_lease(c, false, GV_STR(""));
-    send(c);
+    send_append(c);
 }
 
 static void
@@ -252,7 +252,7 @@
     if (c->records->len > 0) {
         c->at_end = false;
         c->sent_ms = now_ms;
-        send(c);
+        send_append(c);
     }
 }
 
@@ -290,7 +290,7 @@
     }
     if (c->state == LEADING) {
         if (c->records->len > 0) {
-            send(c);
+            send_append(c);
         }
         else {
             store_next(c, now_ms);
--- a/src/limits.h
+++ b/src/limits.h
@@ -358,8 +358,10 @@
 /* Memory of a task and of what the leader keeps for it. */
 #define GV_JOB_TASK_BYTES 112
 
-/* Runs of a task of which it is kept whether they failed: bits of a word. */
-#define GV_JOB_FAILED_RUNS_MAX 64
+/* Runs of a task below the first number are kept as bits of a word if they
+   failed; of later ones, so many numbers. */
+#define GV_FAILED_RUNS_LATE     64
+#define GV_FAILED_RUNS_LATE_MAX 8
 
 /* Partitions of accepted work; a set of them is stored as bits of one word. */
 #define GV_JOB_PARTS_MAX 64
--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -151,9 +151,9 @@
 }
 
 /* Returns for how long at most leases on a target last from now on, with the
-   renewals that GvSched_MayRenew allows once they are packed; 0: none. Those of
-   earlier schedulers count for any target: this one may not have read all jobs
-   yet, so that it does not know of runs there. */
+   renewals that GvSched_MayRenew allows once they are packed; 0: none. Those
+   of earlier schedulers count for any target: this one may not have read all
+   jobs yet, so that it does not know of runs there. */
 static int64_t
 left_ms(const gv_sched_t *s, const gv_sched_target_t *tgt, int64_t now_ms)
 {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -119,7 +119,7 @@
     if (r->step->long_running && tgt->n_long_running > 0) {
         score += 2; /* hosts without long-running tasks can be moved */
     }
-    if (t->failed_runs != 0 && t->target == tgt->id) {
+    if (GvFailedRuns_Any(&t->failed_runs) && t->target == tgt->id) {
         score -= 4;
     }
     if (tgt->failures > 0 || GvSched_IsSlow(tgt, now_ms)) {
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -322,10 +322,10 @@
    prints whether entry host NAME may claim the lease; see gv_lead_view_t. */
 GV_VERB("may_claim", may_claim)
 {
-    gv_lease_t lead = {
-        .epoch = (uint64_t)OPT("epoch", 1),
-        .holder = GvStr_C(GvScript_Option(argc, argv, "holder", "")),
-        .resigned = OPT("resigned", 0) != 0};
+    gv_lease_t lead = {.epoch = (uint64_t)OPT("epoch", 1),
+                       .holder =
+                           GvStr_C(GvScript_Option(argc, argv, "holder", "")),
+                       .resigned = OPT("resigned", 0) != 0};
     gv_lead_view_t v = {.self = ARG(1),
                         .lease = &lead,
                         .now_ms = OPT("now", 0),
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -111,8 +111,8 @@
 /* sched_replace epoch=N max_lease=MS [learn=0|1 read=MS leases=PERCENT] JOB
    ...: a new leader's scheduler takes over, with the stored progress of these
    jobs and, if it learns run times, with the stored ones. read: when it read
-   the newest record of the former leader; leases: it reads so much of what that
-   one packed. */
+   the newest record of the former leader; leases: it reads so much of what
+   that one packed. */
 GV_VERB("sched_replace", sched_replace)
 {
     gv_sched_opts_t o = {.ops = {NULL, on_start, on_stop, on_hold, on_advise},
@@ -332,9 +332,10 @@
     msgpack_sbuffer_destroy(&sb);
 }
 
-/* sched_job ID [queue=Q service=S account=A placed=TARGET] step:WORDS ...:
-   adds and stores a job with these steps; see read_step. placed: its first
-   task already runs on that target. */
+/* sched_job ID [queue=Q service=S account=A placed=TARGET run=N] step:WORDS
+   ...: adds and stores a job with these steps; see read_step. placed: its
+   first task already runs on that target; run: number of the newest run of its
+   tasks. */
 GV_VERB("sched_job", sched_job)
 {
     gv_job_t *j = GvJob_New();
@@ -351,6 +352,9 @@
         }
     }
     g_assert_cmpint(GvJob_Prepare(j), ==, GV_OK);
+    for (int i = 0; i < j->n_tasks; i++) {
+        j->tasks[i].run = (uint32_t)OPT("run", 0);
+    }
     const char *placed = GvScript_Option(argc, argv, "placed", NULL);
     if (placed != NULL) {
         j->tasks[0].state = GV_TASK_PLACED;
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -61,6 +61,56 @@
     return t;
 }
 
+/* Returns the progress of j as another job has read it back. */
+static gv_job_t *
+read_back(const gv_job_t *j)
+{
+    msgpack_sbuffer sb;
+    gv_job_t *out = new_job();
+    msgpack_sbuffer_init(&sb);
+    GvJobRecord_PackProgress(j, &sb);
+    g_assert_cmpint(GvJobRecord_ReadProgress(GvStr_N(sb.data, sb.size), out),
+                    ==, GV_OK);
+    msgpack_sbuffer_destroy(&sb);
+    return out;
+}
+
+/* Guards against failed runs that are counted twice or not at all, with any
+   numbers and in any order, also after the progress was stored and read. Of
+   late ones only the newest are kept, so that those here come in order. */
+TEST("/jobs/failed-runs", test_failed_runs)
+{
+    static const uint32_t runs[] = {1, 3, 63, 64, 65, 64, 2, 1000, 65, 1001};
+    gv_job_t *j = new_job();
+    int different = 0;
+    for (guint i = 0; i < G_N_ELEMENTS(runs); i++) {
+        bool known = false;
+        for (guint k = 0; k < i; k++) {
+            known = known || runs[k] == runs[i];
+        }
+        different += known ? 0 : 1;
+        j->tasks[0].run = runs[i];
+        g_assert_cmpint(GvJob_AddFailedRun(j, 0, runs[i]), ==, !known);
+        g_assert_cmpint(GvJob_CountFailedRuns(j, 0), ==, different);
+        gv_job_t *read = read_back(j);
+        GvJob_Free(j);
+        j = read;
+        g_assert_cmpint(GvJob_CountFailedRuns(j, 0), ==, different);
+    }
+    for (uint32_t run = 1002; run < 1100; run++) {
+        g_assert_true(GvJob_AddFailedRun(j, 0, run));
+        g_assert_false(GvJob_AddFailedRun(j, 0, run - 1));
+        g_assert_false(GvJob_AddFailedRun(j, 0, 64));
+        different++;
+        gv_job_t *read = read_back(j);
+        GvJob_Free(j);
+        j = read;
+    }
+    g_assert_cmpint(GvJob_CountFailedRuns(j, 0), ==, different);
+    g_assert_cmpint(GvJob_CountFailedRuns(j, 1), ==, 0);
+    GvJob_Free(j);
+}
+
 /* Guards against a job that loses its account when it is read back, which lets
    every account see it and counts it against none, and against jobs that an
    earlier version has stored without the field and that are no longer read. */
