Gangs: a try that finds no whole room changes nothing

Hypotheses: (1) starts are refused and repeated; (2) tries to place the gang cost numbers. No start was sent between the records of the job: (2). The counter gangs_without_room_total is new.

Cause: place_gang recorded each member, with the next number, and dropped them all if one found no target. Dropping marks the service to be placed and the job to be stored, so that each turn of the event loop tried and stored again.

Change: members reserve room first; the progress is recorded once all have it.

Related paths: accounts at their limit (reservations are undone without waking the services that the limit holds back); a leader replaced between tries (nothing was stored); single tasks, which are recorded only with a target.

--- a/src/sched_account.c
+++ b/src/sched_account.c
@@ -106,6 +106,18 @@
     }
 }
 
+/* Undoes GvSched_ChargeAccount for a run that was not placed after all. */
+void
+GvSched_UnchargeAccount(const gv_run_t *r)
+{
+    gv_sched_account_t *acc = r->active->account;
+    if (acc != NULL) {
+        gv_resources_t need = GvJob_StepOf(r->active->job, r->task)->need;
+        GvResources_Subtract(&acc->used, need);
+        GvResources_Subtract(&acc->used_here, need);
+    }
+}
+
 /* Undoes GvSched_ChargeAccount once the run is certainly not live; tasks of
    the account that its limit has held back may start then. */
 void
@@ -115,9 +127,7 @@
     if (acc == NULL) {
         return;
     }
-    gv_resources_t need = GvJob_StepOf(r->active->job, r->task)->need;
-    GvResources_Subtract(&acc->used, need);
-    GvResources_Subtract(&acc->used_here, need);
+    GvSched_UnchargeAccount(r);
     for (guint i = 0; i < acc->held_services->len; i++) {
         GvSched_PlaceSoon(g_ptr_array_index(acc->held_services, i));
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -1,11 +1,15 @@
 #include <string.h>
 
+#include "counter.h"
 #include "evlog.h"
 #include "limits.h"
 #include "sched_private.h"
 
 /* Chooses which waiting tasks start on which targets. */
 
+GV_COUNTER(gangs_without_room, "gangs_without_room_total",
+           "Tries to place a gang of which some task found no target");
+
 /* Returns true if the target has the label or the label is empty. */
 static bool
 has_label(const gv_sched_target_t *tgt, gv_str_t label)
@@ -317,49 +321,68 @@
     STEP_BEGUN     /* tasks were placed and its account's share has changed */
 } step_result_t;
 
+/* Reserves a target for a member of a gang. Returns false if there is none. */
+static bool
+reserve_member(gv_sched_t *s, const gv_ready_step_t *r, int task, uint32_t run,
+               int64_t now_ms)
+{
+    const gv_task_t *t = &r->active->job->tasks[task];
+    gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
+    if (tgt != NULL) {
+        (void)GvSched_ReserveRun(s, r->active, task, tgt, GV_RUN_STORING, run,
+                                 now_ms);
+    }
+    return tgt != NULL;
+}
+
+/* Records the reserved runs of a whole gang, to resume from the same state. */
+static void
+record_gang(gv_sched_t *s, const gv_ready_step_t *r, const char *saved)
+{
+    char *state = g_strdup(saved);
+    for (int i = r->first; i < r->first + r->step->count; i++) {
+        gv_task_t *t = &r->active->job->tasks[i];
+        g_free(t->saved);
+        t->saved = g_strdup(state);
+        GvSched_RecordRun(s, r->active->runs[i]);
+    }
+    g_free(state);
+}
+
 /* Places all tasks of a gang, with the same run number and the same state to
-   resume from. If one finds no target, none is placed. */
+   resume from. If one finds no target, none is placed, and nothing changes. */
 static step_result_t
 place_gang(gv_sched_t *s, const gv_ready_step_t *r, int64_t now_ms)
 {
     gv_task_t *tasks = r->active->job->tasks;
     uint32_t run = 0;
     const char *saved = NULL;
-    for (int i = 0; i < r->step->count; i++) {
-        gv_task_t *t = &tasks[r->first + i];
-        if (t->state != GV_TASK_WAITING) {
+    int end = r->first + r->step->count;
+    for (int i = r->first; i < end; i++) {
+        if (tasks[i].state != GV_TASK_WAITING) {
             return STEP_PASSED;
         }
-        run = MAX(run, t->run);
-        saved = saved == NULL ? t->saved : saved;
+        run = MAX(run, tasks[i].run);
+        saved = saved == NULL ? tasks[i].saved : saved;
     }
     if (!GvSched_AccountAllows(s, r->active, r->step, r->step->count)) {
         return STEP_AT_LIMIT;
     }
-    char *state = g_strdup(saved);
-    int placed = 0;
-    while (placed < r->step->count) {
-        gv_task_t *t = &tasks[r->first + placed];
-        gv_sched_target_t *tgt = choose_target(s, r, t, now_ms);
-        if (tgt == NULL) {
-            break;
-        }
-        t->run = run + 1;
-        g_free(t->saved);
-        t->saved = g_strdup(state);
-        GvSched_AddRun(s, r->active, r->first + placed, tgt, GV_RUN_STORING,
-                       now_ms);
-        placed++;
+    int next = r->first;
+    while (next < end && reserve_member(s, r, next, run + 1, now_ms)) {
+        next++;
     }
-    bool whole = placed == r->step->count;
     if (r->active->has_suspects) {
-        note_suspect(r, whole, now_ms);
+        note_suspect(r, next == end, now_ms);
     }
-    while (!whole && placed > 0) {
-        placed--;
-        GvSched_DropRun(s, r->active->runs[r->first + placed], NULL);
+    if (next == end) {
+        record_gang(s, r, saved);
+        return STEP_PASSED;
+    }
+    GvCounter_Add(&gangs_without_room, 1);
+    while (next > r->first) {
+        GvSched_UndoRun(r->active->runs[--next]);
     }
-    g_free(state);
     return STEP_PASSED;
 }
 
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -298,6 +298,11 @@
 gv_run_t *GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
                          gv_sched_target_t *tgt, gv_run_phase_t phase,
                          int64_t now_ms);
+gv_run_t *GvSched_ReserveRun(gv_sched_t *s, gv_active_job_t *a, int task,
+                             gv_sched_target_t *tgt, gv_run_phase_t phase,
+                             uint32_t number, int64_t now_ms);
+void GvSched_RecordRun(gv_sched_t *s, gv_run_t *r);
+void GvSched_UndoRun(gv_run_t *r);
 void GvSched_NoteBegun(gv_sched_t *s, gv_active_job_t *a);
 void GvSched_DropRun(gv_sched_t *s, gv_run_t *r, const char *why);
 void GvSched_StopRun(gv_sched_t *s, gv_run_t *r, const char *why,
@@ -373,6 +378,7 @@
 GHashTable *GvSched_NewAccounts(void);
 void GvSched_AssignAccount(gv_sched_t *s, gv_active_job_t *a);
 void GvSched_ChargeAccount(const gv_run_t *r);
+void GvSched_UnchargeAccount(const gv_run_t *r);
 void GvSched_CreditAccount(const gv_run_t *r);
 bool GvSched_AccountAllows(const gv_sched_t *s, const gv_active_job_t *a,
                            const gv_step_t *step, int n);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -25,31 +25,23 @@
     return a->long_running ? GV_EVLOG_RARE : GV_EVLOG_ROUTINE;
 }
 
-/* Adds a run of a task on a target, with the task's present run number. For a
-   new placement (GV_RUN_STORING) the progress of the job is to be stored. */
+/* Adds a run of a task on a target, under that number, which takes the
+   target's room. The progress of the job is left as it is: GvSched_RecordRun
+   or GvSched_UndoRun has to follow for a new placement (GV_RUN_STORING). */
 gv_run_t *
-GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
-               gv_sched_target_t *tgt, gv_run_phase_t phase, int64_t now_ms)
+GvSched_ReserveRun(gv_sched_t *s, gv_active_job_t *a, int task,
+                   gv_sched_target_t *tgt, gv_run_phase_t phase,
+                   uint32_t number, int64_t now_ms)
 {
-    gv_task_t *t = &a->job->tasks[task];
     gv_run_t *r = g_new0(gv_run_t, 1);
     r->tgt = tgt;
     r->active = a;
     r->task = task;
+    r->run = number;
     r->need = charged_resources(GvJob_StepOf(a->job, task));
     r->phase = phase;
     r->placed_ms = now_ms;
-    if (phase == GV_RUN_STORING) {
-        GvSched_SetTaskState(a, task, GV_TASK_PLACED);
-        t->target = tgt->id;
-        t->target_started_ms = tgt->started_ms;
-        t->confirmed = false;
-        a->job->begun = true;
-        GvSched_MarkDirty(s, a);
-        g_ptr_array_add(s->unbatched, r);
-    }
-    r->run = t->run;
-    r->isolated = t->suspect;
+    r->isolated = a->job->tasks[task].suspect;
     tgt->n_isolated += r->isolated ? 1 : 0;
     a->runs[task] = r;
     a->n_runs++;
@@ -61,6 +53,57 @@
     return r;
 }
 
+/* Records a new placement in the progress of the job, which is to be stored
+   before the run is started. */
+void
+GvSched_RecordRun(gv_sched_t *s, gv_run_t *r)
+{
+    gv_task_t *t = &r->active->job->tasks[r->task];
+    GvSched_SetTaskState(r->active, r->task, GV_TASK_PLACED);
+    t->run = r->run;
+    t->target = r->tgt->id;
+    t->target_started_ms = r->tgt->started_ms;
+    t->confirmed = false;
+    r->active->job->begun = true;
+    GvSched_MarkDirty(s, r->active);
+    g_ptr_array_add(s->unbatched, r);
+}
+
+/* Removes a run from its job and its target, whose room it frees. */
+static void
+detach_run(gv_run_t *r)
+{
+    GvResources_Subtract(&r->tgt->used, r->need);
+    r->tgt->n_long_running -= r->active->long_running ? 1 : 0;
+    r->tgt->n_isolated -= r->isolated ? 1 : 0;
+    g_ptr_array_remove_fast(r->tgt->runs, r);
+    r->active->runs[r->task] = NULL;
+    r->active->n_runs--;
+}
+
+/* Undoes GvSched_ReserveRun. */
+void
+GvSched_UndoRun(gv_run_t *r)
+{
+    GvSched_UnchargeAccount(r);
+    detach_run(r);
+    g_free(r);
+}
+
+/* Adds a run of a task on a target, with the task's present run number. For a
+   new placement (GV_RUN_STORING) the progress of the job is to be stored. */
+gv_run_t *
+GvSched_AddRun(gv_sched_t *s, gv_active_job_t *a, int task,
+               gv_sched_target_t *tgt, gv_run_phase_t phase, int64_t now_ms)
+{
+    gv_run_t *r = GvSched_ReserveRun(s, a, task, tgt, phase,
+                                     a->job->tasks[task].run, now_ms);
+    if (phase == GV_RUN_STORING) {
+        GvSched_RecordRun(s, r);
+    }
+    return r;
+}
+
 /* Some start of the job is confirmed, or was under an earlier scheduler. */
 void
 GvSched_NoteBegun(gv_sched_t *s, gv_active_job_t *a)
@@ -89,15 +132,10 @@
         GvSched_SetTaskState(a, r->task, GV_TASK_WAITING);
         GvSched_MarkDirty(s, a);
     }
-    GvResources_Subtract(&r->tgt->used, r->need);
     GvSched_CreditAccount(r);
-    r->tgt->n_long_running -= a->long_running ? 1 : 0;
-    r->tgt->n_isolated -= r->isolated ? 1 : 0;
-    g_ptr_array_remove_fast(r->tgt->runs, r);
+    detach_run(r);
     g_ptr_array_remove_fast(s->unbatched, r);
     g_ptr_array_remove_fast(s->batched, r);
-    a->runs[r->task] = NULL;
-    a->n_runs--;
     if (a->n_runs == 0 && !a->started) {
         a->job->begun = false; /* no start was carried out */
     }
