--- a/src/failed_runs.c
+++ b/src/failed_runs.c
@@ -18,8 +18,9 @@
 void
 GvFailedRuns_Clear(gv_failed_runs_t *f)
 {
+    f->early = 0;
     g_free(f->late);
-    *f = (gv_failed_runs_t){0};
+    f->late = NULL;
 }
 
 bool
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -390,6 +390,14 @@
 void GvSched_NoteUnplaced(const gv_ready_step_t *r);
 void GvSched_LogAccounts(gv_sched_t *s, const gv_sched_service_t *sv,
                          int64_t now_ms);
+bool GvSched_MayRun(const gv_sched_target_t *tgt, const gv_ready_step_t *r,
+                    const gv_resources_t *free, int64_t now_ms);
+gv_sched_target_t *GvSched_ChooseTarget(gv_sched_t *s,
+                                        const gv_ready_step_t *r,
+                                        const gv_task_t *t, int64_t now_ms);
+bool GvSched_EnoughSetAside(const gv_sched_service_t *sv);
+void GvSched_NoteSuspect(const gv_ready_step_t *r, bool placed,
+                         int64_t now_ms);
 void GvSched_Place(gv_sched_t *s, int64_t now_ms);
 int64_t GvSched_UpdateTargets(gv_sched_t *s, int64_t now_ms);
 
