Scheduler: long-running tasks that were lost in one crash start together

Eight tasks that last, whose target crashed 0.1 s after their start, came back one in 2.5 s, the last after 20.0 s, with five sixths of the cpu free.

Hypotheses: (1) the wait for an empty target begins anew with each start of a task of the job; (2) no target has room or may be used; (3) too many targets are set aside for suspects. Starts are 2.5 s apart, which is that wait: (1). "waiting" lines now have alone_ms.

Cause: all eight are suspects, no target is empty, and alone_since_ms of the job is set back whenever one of them is placed. Each then gets a target to itself, though one crash says as much of eight tasks as of one.

Change: tasks of a step that lasts which were lost on the same target, in the first crash for each, start on the target that the first of them gets, as far as there is room. One target is at risk, as before; after a second crash each starts by itself.

Related paths: a leader replaced between crash and start; one empty target; too little room together; targets restarted, replaced or listed as down (suspects as well) or gone from the lists (none).

--- a/src/sched_choose.c
+++ b/src/sched_choose.c
@@ -224,6 +224,41 @@
     return best;
 }
 
+/* Returns true if a run that is about to start is of a task that was lost with
+   t on the same target, and that was the first crash for both. */
+static bool
+is_peer(const gv_run_t *run, const gv_task_t *t)
+{
+    const gv_task_t *other = &run->active->job->tasks[run->task];
+    return run->phase == GV_RUN_STORING && run->isolated &&
+           run->former == t->target && GvSched_CrashesOf(other) == 1;
+}
+
+/* Returns a target on which a suspect of a long-running step may start as
+   tasks that were lost in the same crash are about to, or NULL. Together they
+   put no more targets at risk than one of them, and are all cleared or lost
+   again at once. After a second crash each starts by itself. */
+gv_sched_target_t *
+GvSched_PeerTarget(const gv_ready_step_t *r, const gv_task_t *t,
+                   int64_t now_ms)
+{
+    if (!r->step->long_running || GvSched_CrashesOf(t) != 1) {
+        return NULL;
+    }
+    for (int i = 0; i < r->step->count; i++) {
+        const gv_run_t *run = r->active->runs[r->first + i];
+        if (run == NULL || !is_peer(run, t)) {
+            continue;
+        }
+        gv_resources_t free = run->tgt->info.room;
+        GvResources_Subtract(&free, run->tgt->used);
+        if (GvSched_MayRun(run->tgt, r, &free, now_ms)) {
+            return run->tgt;
+        }
+    }
+    return NULL;
+}
+
 /* Returns true if as many targets of a service as may be are set aside for
    suspects: they run alone there, or are to. */
 bool
--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -92,8 +92,9 @@
     return tgt->n_strays == 0 && tgt->n_unread == 0;
 }
 
-static int
-all_crashes(const gv_task_t *t)
+/* Returns how many crashes of its targets are counted against a task. */
+int
+GvSched_CrashesOf(const gv_task_t *t)
 {
     return t->crashes + t->doubtful + t->unconfirmed;
 }
@@ -116,10 +117,10 @@
         return true;
     }
     if (r->active->long_running) {
-        return alone && all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
+        return alone && GvSched_CrashesOf(t) >= GV_SCHED_SUSPECT_CRASHES;
     }
     return t->crashes + t->doubtful >= 1 &&
-           all_crashes(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
+           GvSched_CrashesOf(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
 }
 
 /* Returns true if the crash of its target came soon after the start of a run:
@@ -185,7 +186,7 @@
         t->unconfirmed++;
     }
     t->suspect = t->suspect || soon || (r->sent_ms == 0 && !maybe_planned) ||
-                 all_crashes(t) >= GV_SCHED_SUSPECT_CRASHES;
+                 GvSched_CrashesOf(t) >= GV_SCHED_SUSPECT_CRASHES;
     a->has_suspects = a->has_suspects || t->suspect;
     GvSched_MarkDirty(s, a);
     if (t->suspect) {
@@ -263,7 +264,7 @@
 GvSched_ClearSuspect(gv_sched_t *s, gv_run_t *r, int64_t now_ms)
 {
     gv_task_t *t = &r->active->job->tasks[r->task];
-    if (all_crashes(t) == 0 || !GvSched_HasServed(r, now_ms)) {
+    if (GvSched_CrashesOf(t) == 0 || !GvSched_HasServed(r, now_ms)) {
         return;
     }
     t->crashes = 0;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -147,8 +147,8 @@
     return STEP_PASSED;
 }
 
-/* Places the suspects of a step, each on an empty target. With others waiting,
-   only as long as not too many targets are set aside. */
+/* Places the suspects of a step, each on an empty target if there are enough.
+   With others waiting, only as long as not too many targets are set aside. */
 static void
 place_suspects(gv_sched_t *s, const gv_ready_step_t *r, bool others_wait,
                int64_t now_ms)
@@ -163,6 +163,9 @@
         bool held = others_wait && GvSched_EnoughSetAside(r->active->service);
         gv_sched_target_t *tgt =
             held ? NULL : GvSched_ChooseTarget(s, r, t, now_ms);
+        if (tgt == NULL) {
+            tgt = GvSched_PeerTarget(r, t, now_ms);
+        }
         GvSched_NoteSuspect(r, tgt != NULL, now_ms);
         if (tgt != NULL) {
             t->run++;
@@ -259,8 +262,8 @@
     }
 }
 
-/* Logs every GV_SCHED_WAIT_LOG_MS that a step of long-running tasks waits, and
-   for which target. */
+/* Logs every GV_SCHED_WAIT_LOG_MS that a step of long-running tasks waits, for
+   which target, and for how long its suspects have found no empty one. */
 static void
 log_waiting(const gv_ready_step_t *r, int64_t now_ms)
 {
@@ -268,6 +271,9 @@
     const gv_sched_target_t *kept = NULL;
     gv_resources_t free = {0};
     char name[GV_TASK_NAME_BYTES];
+    int64_t alone_ms = r->active->alone_since_ms == 0
+                           ? 0
+                           : now_ms - r->active->alone_since_ms;
     if (now_ms - r->active->wait_logged_ms < GV_SCHED_WAIT_LOG_MS) {
         return;
     }
@@ -283,11 +289,11 @@
     GvSched_TaskName(r->active->job, r->first, name, sizeof name);
     GvEvlog_WriteKind(GV_EVLOG_RARE, "waiting",
                       "step_of=%s tasks=%d cpu=%lld memory=%lld targets=%u "
-                      "kept=%s free_cpu=%lld free_memory=%lld",
+                      "kept=%s free_cpu=%lld free_memory=%lld alone_ms=%lld",
                       name, r->active->n_waiting, (long long)r->step->need.cpu,
                       (long long)r->step->need.memory, targets->len,
                       kept == NULL ? "" : kept->id, (long long)free.cpu,
-                      (long long)free.memory);
+                      (long long)free.memory, (long long)alone_ms);
 }
 
 /* Ends what keep_room_free, keep_empty and note_full did in the pass
--- a/src/sched_private.h
+++ b/src/sched_private.h
@@ -88,6 +88,7 @@
     int64_t next_stop_ms; /* an unconfirmed stop is not repeated before */
     int64_t confirmed_ms; /* when the newest order was confirmed; 0: not yet */
     int64_t placed_ms;
+    const char *former; /* target of the task's run before; NULL: none */
     int64_t sent_ms; /* when its start was last sent; 0: not by this leader */
     int percent;
     bool resumed;              /* its start carried a saved state */
@@ -346,6 +347,7 @@
 gv_loss_t GvSched_LossOf(const gv_sched_target_t *tgt);
 void GvSched_CountCrashes(gv_sched_t *s, gv_sched_target_t *tgt,
                           bool restarted, int64_t now_ms);
+int GvSched_CrashesOf(const gv_task_t *t);
 bool GvSched_HasServed(const gv_run_t *r, int64_t now_ms);
 void GvSched_NoteStart(gv_sched_t *s, const gv_run_t *r);
 void GvSched_CountEarlierCrash(gv_sched_t *s, gv_run_t *r, int64_t now_ms);
@@ -395,6 +397,8 @@
 gv_sched_target_t *GvSched_ChooseTarget(gv_sched_t *s,
                                         const gv_ready_step_t *r,
                                         const gv_task_t *t, int64_t now_ms);
+gv_sched_target_t *GvSched_PeerTarget(const gv_ready_step_t *r,
+                                      const gv_task_t *t, int64_t now_ms);
 bool GvSched_EnoughSetAside(const gv_sched_service_t *sv);
 void GvSched_NoteSuspect(const gv_ready_step_t *r, bool placed,
                          int64_t now_ms);
--- a/src/sched_run.c
+++ b/src/sched_run.c
@@ -42,6 +42,7 @@
     r->phase = phase;
     r->placed_ms = now_ms;
     r->isolated = a->job->tasks[task].suspect;
+    r->former = a->job->tasks[task].target;
     tgt->n_isolated += r->isolated ? 1 : 0;
     a->runs[task] = r;
     a->n_runs++;
