Leases: a resignation that was certainly not stored is taken back

A leader that is stopped while the store refuses renewed no leases from one second after its first try to give up, though that try was certainly not executed: tasks would have ended 5.5 s later. Found by reading.

Change: while no try of the append can have been executed, its record is built anew for the next one, and the leader goes on. One that may have been is repeated unchanged, as before.

--- a/src/leader.c
+++ b/src/leader.c
@@ -14,14 +14,16 @@
     gv_leader_opts_t opts;
     gv_leader_state_t state;
     gv_sched_t *sched;
-    uint64_t epoch; /* claimed or held */
-    uint64_t seq;   /* of the current or next append */
-    bool in_flight; /* the current append has no result yet */
-    bool resign;    /* GvLeader_Resign was called */
-    bool resigning; /* the current append gives the lease up */
-    bool has_batch; /* the current append holds a batch of the scheduler */
+    uint64_t epoch;    /* claimed or held */
+    uint64_t seq;      /* of the current or next append */
+    bool in_flight;    /* the current append has no result yet */
+    bool resign;       /* GvLeader_Resign was called */
+    bool resigning;    /* the current append gives the lease up */
+    bool maybe_stored; /* a try of the current append has no certain result */
+    bool has_batch;    /* the current append holds a batch of the scheduler */
     bool new_connection;
-    GByteArray *records;      /* of the current append; empty for none */
+    GByteArray *records; /* of the current append; empty for none */
+    guint resign_at;     /* where the record that gives the lease up begins */
     GByteArray *next_records; /* added by GvLeader_AddRecord */
     bool at_end;
     uint64_t end;
@@ -176,12 +178,24 @@
 put_resignation(gv_leader_t *c, int64_t now_ms)
 {
     GByteArray *leases = g_byte_array_new();
+    c->resign_at = c->records->len;
     GvSched_PackLeases(c->sched, now_ms, leases);
     put_lease(c, true, GvStr_N(leases->data, leases->len));
     g_byte_array_free(leases, TRUE);
     c->resigning = true;
 }
 
+/* The store has certainly not executed the append that gives the lease up: the
+   leases are packed again for the next try, so that targets are held until
+   then. */
+static void
+take_resignation_back(gv_leader_t *c)
+{
+    c->resigning = false;
+    g_byte_array_set_size(c->records, c->resign_at);
+    GvSched_UnpackLeases(c->sched);
+}
+
 /* Keeps what the lease to be claimed says of its holder. If that is an earlier
    claim of this process, which has not led since, what was kept then still
    holds. */
@@ -251,6 +265,7 @@
     }
     if (c->records->len > 0) {
         c->at_end = false;
+        c->maybe_stored = false;
         c->sent_ms = now_ms;
         send_append(c);
     }
@@ -410,6 +425,10 @@
             c->next_ms = now_ms + GV_LEAD_RETRY_MS;
         }
         c->new_connection = a->result != GV_STORE_BUSY;
+        c->maybe_stored = c->maybe_stored || a->result == GV_STORE_UNKNOWN;
+        if (c->resigning && !c->maybe_stored) {
+            take_resignation_back(c);
+        }
         GvEvlog_Write("lead", "append result=%d, tried again", a->result);
         return;
     }
--- a/src/sched.h
+++ b/src/sched.h
@@ -236,6 +236,7 @@
 void GvSched_ConfirmBatch(gv_sched_t *s, int64_t now_ms);
 int GvSched_LoadRunTimes(gv_sched_t *s, gv_str_t bytes);
 void GvSched_PackLeases(gv_sched_t *s, int64_t now_ms, GByteArray *out);
+void GvSched_UnpackLeases(gv_sched_t *s);
 int GvSched_LoadLeases(gv_sched_t *s, gv_str_t bytes);
 
 bool GvSched_IsFenced(const gv_sched_t *s);
--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -273,6 +273,13 @@
     msgpack_sbuffer_destroy(&sb);
 }
 
+/* The packed leases were certainly not stored: this scheduler goes on. */
+void
+GvSched_UnpackLeases(gv_sched_t *s)
+{
+    s->packed_ms = 0;
+}
+
 /* Returns when a lease has ended of which so much was left when the record
    that was read at former_ms was stored. */
 static int64_t
--- a/tests/script_intake.c
+++ b/tests/script_intake.c
@@ -7,6 +7,7 @@
 #include "error.h"
 #include "intake.h"
 #include "job_record.h"
+#include "limits.h"
 #include "lookup.h"
 #include "pool_plan.h"
 #include "rhythm.h"
--- a/tests/script_retire.c
+++ b/tests/script_retire.c
@@ -98,20 +98,32 @@
     printf("jobs_new\n");
 }
 
-/* job define|cancel|end|malformed|cancel_early ID [part=N account=NAME]:
-   stores a record of a job in a partition: its definition, its cancellation,
-   its progress as ended, a malformed definition, or its cancellation by that
-   account before it was known. */
-GV_VERB("job", job_verb)
+/* early_cancel ID [part=N account=NAME]: stores in a partition that the
+   account has cancelled a job that was not known. */
+GV_VERB("early_cancel", early_cancel)
 {
     char key[GV_EARLY_KEY_BYTES];
-    msgpack_sbuffer sb;
+    GByteArray *caller = g_byte_array_new();
     gv_str_t account = GvStr_C(GvScript_Option(argc, argv, "account", ""));
-    int what =
-        INDEX(argv[1], "define", "cancel", "end", "malformed", "cancel_early");
+    printf("early_cancel %s\n", argv[1]);
+    GvJobTable_EarlyCancelKey(ARG(1), account, GV_STR(""), key);
+    GvJobTable_PackEarlyCancel(account, GV_STR(""), caller);
+    store(GV_PARTITION_ACCEPTED, OPT("part", 0), key,
+          GvStr_N(caller->data, caller->len));
+    g_byte_array_free(caller, TRUE);
+}
+
+/* job define|cancel|end|malformed ID [part=N]: stores a record of a job in a
+   partition: its definition, its cancellation, its progress as ended, or a
+   malformed definition. */
+GV_VERB("job", job_verb)
+{
+    char key[GV_JOB_ID_BYTES + 2];
+    msgpack_sbuffer sb;
+    int what = INDEX(argv[1], "define", "cancel", "end", "malformed");
     gv_job_t *j = job_of(argv[2], what == 2);
     msgpack_sbuffer_init(&sb);
-    g_snprintf(key, sizeof key, "%c%s", "JCPJE"[what], argv[2]);
+    g_snprintf(key, sizeof key, "%c%s", "JCPJ"[what], argv[2]);
     printf("job %s %s\n", argv[1], argv[2]);
     if (what == 2) {
         GvJobRecord_PackProgress(j, &sb);
@@ -119,13 +131,6 @@
     else if (what == 3) {
         msgpack_sbuffer_write(&sb, "?", 1);
     }
-    else if (what == 4) {
-        GvJobTable_EarlyCancelKey(GvStr_C(argv[2]), account, GV_STR(""), key);
-        GByteArray *caller = g_byte_array_new();
-        GvJobTable_PackEarlyCancel(account, GV_STR(""), caller);
-        msgpack_sbuffer_write(&sb, (const char *)caller->data, caller->len);
-        g_byte_array_free(caller, TRUE);
-    }
     else {
         GvJobRecord_PackDefinition(j, &sb);
     }
--- a/tests/script_sched.c
+++ b/tests/script_sched.c
@@ -108,6 +108,15 @@
     GvSched_PackLeases(sched, now, leases);
 }
 
+/* sched_resign_failed: what was packed was certainly not stored. */
+GV_VERB("sched_resign_failed", sched_resign_failed)
+{
+    (void)argc;
+    (void)argv;
+    printf("resign failed\n");
+    GvSched_UnpackLeases(sched);
+}
+
 /* sched_replace epoch=N max_lease=MS [learn=0|1 read=MS leases=PERCENT] JOB
    ...: a new leader's scheduler takes over, with the stored progress of these
    jobs and, if it learns run times, with the stored ones. read: when it read
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -87,6 +87,10 @@
     int64_t answer_ms; /* when its answer or the end of the wait comes */
     bool answered;
     gv_append_answer_t answer;
+    uint64_t sent_epoch; /* of the newest append */
+    uint64_t sent_seq;
+    guint sent_hash;     /* of its records */
+    bool maybe_executed; /* a try of it has no certain result */
     order_t orders[ORDERS_MAX];
     char name[16];
 } host_t;
@@ -163,10 +167,27 @@
     g_byte_array_append(out, (const guint8 *)value.p, (guint)value.n);
 }
 
+/* Checks that an append which the store may have executed is repeated
+   unchanged. */
+static void
+check_repeat(host_t *h, const gv_leader_append_t *a)
+{
+    guint hash = GvStr_Hash(a->records);
+    bool same = a->epoch == h->sent_epoch && a->seq == h->sent_seq;
+    if (same && h->maybe_executed && hash != h->sent_hash) {
+        fail("an append without a certain result is sent with other records");
+    }
+    h->maybe_executed = same && h->maybe_executed;
+    h->sent_epoch = a->epoch;
+    h->sent_seq = a->seq;
+    h->sent_hash = hash;
+}
+
 static void
 begin_append(void *user, const gv_leader_append_t *a)
 {
     host_t *h = user;
+    check_repeat(h, a);
     bool late = has_fault(h, FAULT_LATE);
     bool lost = late || has_fault(h, FAULT_LOST);
     message_t *m = messages;
@@ -403,6 +424,7 @@
         a = h->answer;
     }
     h->waits_for = 0;
+    h->maybe_executed = h->maybe_executed || a.result == GV_STORE_UNKNOWN;
     GvLeader_Appended(h->leader, &a, clock_of(h));
 }
 
@@ -622,10 +644,86 @@
     g_array_free(all, TRUE);
 }
 
+static GByteArray *newest_append;
+
+static void
+keep_append(void *user, const gv_leader_append_t *a)
+{
+    (void)user;
+    g_byte_array_set_size(newest_append, 0);
+    g_byte_array_append(newest_append, (const guint8 *)a->records.p,
+                        (guint)a->records.n);
+}
+
+static int
+no_open_orders(void *user)
+{
+    (void)user;
+    return 0;
+}
+
+/* Plays a planned stop of a leader that follows another one: the store answers
+   its first append with `first`. Returns true if the second one has the same
+   records. */
+static bool
+is_repeated_unchanged(gv_store_result_t first)
+{
+    host_t h = {0};
+    gv_leader_opts_t o = {.ops = {.user = &h,
+                                  .add_record = add_record,
+                                  .append = keep_append,
+                                  .begin = begin_leading,
+                                  .end = end_leading,
+                                  .open_orders = no_open_orders},
+                          .self = GV_STR("h"),
+                          .renew_ms = GV_LEAD_RENEW_MS,
+                          .leader_timeout_ms = GV_LEAD_TIMEOUT_MS,
+                          .orders_ms = GV_LEAD_ORDERS_MS,
+                          .holds_ms = GV_LEAD_HOLDS_MS};
+    gv_lease_t lease = {.epoch = 1, .holder = GV_STR("other")};
+    gv_append_answer_t done = {.result = GV_STORE_DONE};
+    gv_append_answer_t answer = {.result = first};
+    now = 9000;
+    newest_append = g_byte_array_new();
+    h.leader = GvLeader_New(&o);
+    GvLeader_RecordRead(h.leader, 6500);
+    GvLeader_Step(h.leader, &lease, true, 1, 0, now);
+    GvLeader_Appended(h.leader, &done, now);
+    g_assert_true(GvLeader_IsLeader(h.leader));
+    lease = (gv_lease_t){.epoch = 2, .holder = GV_STR("h")};
+    GvLeader_Resign(h.leader);
+    GvLeader_Step(h.leader, &lease, true, 2, 0, now + 50);
+    GBytes *sent = g_bytes_new(newest_append->data, newest_append->len);
+    g_byte_array_set_size(newest_append, 0);
+    GvLeader_Appended(h.leader, &answer, now + 60);
+    GvLeader_Step(h.leader, &lease, true, 2, 0, now + 200);
+    g_assert_cmpuint(newest_append->len, >, 0);
+    bool same = g_bytes_get_size(sent) == newest_append->len &&
+                memcmp(g_bytes_get_data(sent, NULL), newest_append->data,
+                       newest_append->len) == 0;
+    g_bytes_unref(sent);
+    GvSched_Free(h.sched);
+    GvLeader_Free(h.leader);
+    g_byte_array_free(newest_append, TRUE);
+    return same;
+}
+
+/* Guards against a record that gives the lease up with other leases than a try
+   that the store may have executed, and against leases that count as given up
+   since a try that it has certainly not. */
+static void
+test_resignation(void)
+{
+    g_assert_true(is_repeated_unchanged(GV_STORE_UNKNOWN));
+    g_assert_false(is_repeated_unchanged(GV_STORE_BUSY));
+    g_assert_false(is_repeated_unchanged(GV_STORE_UNREACHABLE));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/handover/resignation", test_resignation);
     g_test_add_func("/handover/pairs-of-faults", test_pairs);
     return g_test_run();
 }
