--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -192,85 +192,95 @@
     return MAX(until - now_ms, 0);
 }
 
-static void
-pack_row(msgpack_packer *pk, const char *target, int64_t started_ms,
-         int64_t left)
-{
-    msgpack_pack_array(pk, 3);
-    GvPack_Str(pk, GvStr_C(target));
-    GvPack_Int(pk, started_ms);
-    GvPack_Int(pk, left);
-}
+/* For how long the leases of a target last at most. */
+typedef struct {
+    const char *target;
+    int64_t started_ms; /* of its incarnation; 0: unknown */
+    int64_t left_ms;
+} gv_lease_row_t;
 
-/* Packs the rows of the targets that this scheduler knows. Returns their
-   number. */
-static size_t
-pack_targets(gv_sched_t *s, int64_t now_ms, msgpack_packer *pk)
+/* Adds the rows of the targets that this scheduler knows. */
+static void
+add_targets(gv_sched_t *s, int64_t now_ms, GArray *rows)
 {
     GHashTableIter it;
     gpointer value;
-    size_t n = 0;
     g_hash_table_iter_init(&it, s->targets);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         gv_sched_target_t *tgt = value;
         tgt->renewal_packed = GvSched_IsRenewed(tgt);
-        int64_t left = left_ms(s, tgt, now_ms);
-        if (left > 0 || GvSched_HasLateOrder(tgt, now_ms)) {
-            pack_row(pk, tgt->id, tgt->started_ms, left);
-            n++;
+        gv_lease_row_t row = {tgt->id, tgt->started_ms,
+                              left_ms(s, tgt, now_ms)};
+        if (row.left_ms > 0 || GvSched_HasLateOrder(tgt, now_ms)) {
+            g_array_append_val(rows, row);
         }
     }
-    return n;
 }
 
-/* Packs the rows of targets that only the former scheduler knew. Returns their
-   number. */
-static size_t
-pack_former(const gv_sched_t *s, int64_t now_ms, msgpack_packer *pk)
+/* Adds the rows of targets that only the former scheduler knew. */
+static void
+add_former(const gv_sched_t *s, int64_t now_ms, GArray *rows)
 {
     GHashTableIter it;
     gpointer key;
     gpointer value;
-    size_t n = 0;
     if (s->former_leases == NULL) {
-        return 0;
+        return;
     }
     g_hash_table_iter_init(&it, s->former_leases);
     while (g_hash_table_iter_next(&it, &key, &value)) {
         const gv_former_lease_t *f = value;
-        if (f->until_ms > now_ms && GvSched_FindTarget(s, key) == NULL) {
-            pack_row(pk, key, f->started_ms, f->until_ms - now_ms);
-            n++;
+        gv_lease_row_t row = {key, f->started_ms, f->until_ms - now_ms};
+        if (row.left_ms > 0 && GvSched_FindTarget(s, key) == NULL) {
+            g_array_append_val(rows, row);
         }
     }
-    return n;
+}
+
+/* Packs the rows. Returns false if some lease lasts for longer than a reader
+   accepts. */
+static bool
+pack_rows(const GArray *rows, msgpack_packer *pk)
+{
+    bool ok = true;
+    msgpack_pack_array(pk, rows->len);
+    for (guint i = 0; i < rows->len; i++) {
+        const gv_lease_row_t *row = &g_array_index(rows, gv_lease_row_t, i);
+        msgpack_pack_array(pk, 3);
+        GvPack_Str(pk, GvStr_C(row->target));
+        GvPack_Int(pk, row->started_ms);
+        GvPack_Int(pk, row->left_ms);
+        ok = ok && row->left_ms <= GV_LEAD_LEASE_LEFT_MAX_MS;
+    }
+    return ok;
 }
 
 /* Appends for how long each lease may last, as the last act of this scheduler
-   before its resignation is sent: from now on it renews none beyond that.
-   Appends nothing if that would exceed GV_LEAD_LEASES_BYTES. */
+   before its resignation is sent: from now on it starts nothing and renews no
+   lease beyond that. Appends nothing if that would exceed
+   GV_LEAD_LEASES_BYTES. */
 void
 GvSched_PackLeases(gv_sched_t *s, int64_t now_ms, GByteArray *out)
 {
     msgpack_sbuffer sb;
-    msgpack_sbuffer rows;
-    msgpack_sbuffer_init(&rows);
-    msgpack_packer row_pk = {&rows, msgpack_sbuffer_write};
-    size_t n = pack_targets(s, now_ms, &row_pk);
-    n += pack_former(s, now_ms, &row_pk);
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(gv_lease_row_t));
+    int64_t others = others_left_ms(s, now_ms);
+    add_targets(s, now_ms, rows);
+    add_former(s, now_ms, rows);
     msgpack_sbuffer_init(&sb);
     msgpack_packer pk = GvPack_Array(&sb, 3);
     GvPack_Uint(&pk, FORMAT_VERSION);
-    GvPack_Int(&pk, others_left_ms(s, now_ms));
-    msgpack_pack_array(&pk, n);
-    msgpack_sbuffer_write(&sb, rows.data == NULL ? "" : rows.data, rows.size);
-    msgpack_sbuffer_destroy(&rows);
-    if (sb.size <= GV_LEAD_LEASES_BYTES) {
+    GvPack_Int(&pk, others);
+    bool ok = pack_rows(rows, &pk) && others <= GV_LEAD_LEASE_LEFT_MAX_MS &&
+              sb.size <= GV_LEAD_LEASES_BYTES;
+    if (ok) {
         g_byte_array_append(out, (const guint8 *)sb.data, (guint)sb.size);
     }
     s->packed_ms = now_ms;
-    GvEvlog_Write("leases", "packed targets=%zu bytes=%zu", n, sb.size);
+    GvEvlog_Write("leases", "packed=%d targets=%u bytes=%zu", ok, rows->len,
+                  sb.size);
     msgpack_sbuffer_destroy(&sb);
+    g_array_free(rows, TRUE);
 }
 
 /* The packed leases were certainly not stored: this scheduler goes on. */
