--- a/tests/script.c
+++ b/tests/script.c
@@ -1,8 +1,10 @@
 #include "script.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 static gv_verb_t *verbs;
 
@@ -64,13 +66,61 @@
     return v == NULL ? -1 : 0;
 }
 
+/* Runs the lines of a block without printing what they print. Returns -1 for
+   an unknown block or verb. */
+static int
+run_block(const GPtrArray *lines)
+{
+    int rc = lines == NULL ? -1 : 0;
+    fflush(stdout);
+    int kept = dup(STDOUT_FILENO);
+    int null = open("/dev/null", O_WRONLY);
+    dup2(null, STDOUT_FILENO);
+    for (guint i = 0; rc == 0 && i < lines->len; i++) {
+        rc = run_line(g_ptr_array_index(lines, i));
+    }
+    fflush(stdout);
+    dup2(kept, STDOUT_FILENO);
+    close(kept);
+    close(null);
+    return rc;
+}
+
+/* Reads the lines of a block up to "end". */
+static GPtrArray *
+read_block(void)
+{
+    char line[4096];
+    GPtrArray *lines = g_ptr_array_new();
+    while (fgets(line, sizeof line, stdin) != NULL &&
+           strcmp(g_strchomp(line), "end") != 0) {
+        g_ptr_array_add(lines, g_strdup(line));
+    }
+    return lines;
+}
+
+/* Besides verbs, a script may have "block NAME", lines and "end", which
+   defines a block, and "use NAME", which runs it without printing: a common
+   beginning of several runs. */
 int
 main(void)
 {
     char line[4096];
+    GHashTable *blocks = g_hash_table_new(g_str_hash, g_str_equal);
     while (fgets(line, sizeof line, stdin) != NULL) {
+        int rc = 0;
         g_strchomp(line);
-        if (run_line(line) != 0) {
+        if (g_str_has_prefix(line, "block ")) {
+            g_hash_table_insert(blocks, g_strdup(line + 6), read_block());
+        }
+        else if (g_str_has_prefix(line, "use ")) {
+            printf("%s\n", line);
+            rc = run_block(g_hash_table_lookup(blocks, line + 4));
+        }
+        else {
+            rc = run_line(line);
+        }
+        if (rc != 0) {
             printf("unknown verb: %s\n", line);
             return 1;
         }
