--- a/src/failed_runs.c
+++ b/src/failed_runs.c
@@ -56,10 +56,14 @@
     return true;
 }
 
-/* Notes that a run has failed. Returns false if that is known. */
+/* Notes that a run has failed. Returns false if that is known, or for 0, which
+   is the number of no run. */
 bool
 GvFailedRuns_Add(gv_failed_runs_t *f, uint32_t run)
 {
+    if (run == 0) {
+        return false;
+    }
     if (run >= GV_FAILED_RUNS_LATE) {
         f->late = f->late == NULL ? g_new0(gv_late_runs_t, 1) : f->late;
         return add_late(f->late, run);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -108,6 +108,8 @@
     }
     g_assert_cmpint(GvJob_CountFailedRuns(j, 0), ==, different);
     g_assert_cmpint(GvJob_CountFailedRuns(j, 1), ==, 0);
+    g_assert_false(GvJob_AddFailedRun(j, 1, 0)); /* a malformed end */
+    g_assert_cmpint(GvJob_CountFailedRuns(j, 1), ==, 0);
     GvJob_Free(j);
 }
 
