Tests: a job that is not done in time is described

proc_twice and proc_twice_hosts said only "not within 20 s: jobs done", which does not tell a job that has failed from one that waits. The message now has the state of one such job, the runs of its tasks and what the daemons logged about them.

--- a/tests/proc_twice.py
+++ b/tests/proc_twice.py
@@ -97,9 +97,24 @@
             return not self.jobs
         try:
             wait_until(left, 20, "jobs done")
+        except AssertionError as late:
+            raise AssertionError(f"{late}\n{self.describe_job(self.jobs[0])}"
+                                 ) from late
         finally:
             self.check_runs()
 
+    def describe_job(self, job):
+        """Returns the state of a job, the runs of its tasks and what the
+        daemons logged about them."""
+        lines = [f"job {job}: {self.state_or_none(job)}"]
+        lines += [f"  {at:.3f} {what} {target} {task} run {run}"
+                  for at, what, target, task, run in sorted(self.history)
+                  if task.startswith(job)]
+        for name, text in self.procs.logs().items():
+            lines += [f"  {name}: {row}" for row in text.split("\n")
+                      if job in row or "ev=lead" in row][-40:]
+        return "\n".join(lines)
+
     def state_or_none(self, job):
         try:
             return self.state("host-0", job)
