Intake: overdue requests are refused before others are appended

What callers saw: nothing yet; shown by the script. A submission with a deadline of 3 s was appended at 70 s. Its job, cancelled elsewhere in between, would have run: the stored cancellation of an unknown job is kept for 60 to 70 s.

Cause: a step of the intake filled free places for appends with waiting requests, then refused those whose deadline was over. After a stop both happen in one step.

Change: overdue requests are refused first, all of them: also one behind a request with a later deadline, which waited for its turn to be refused.

Left: a submission that is read after the stop.

Test: intake_overdue; before: "append 0: J00000000000000a1" at 70000, "accepted stored" 1 s after the deadline. Mutant overdue-request-is-sent (the former order): caught.

--- a/src/intake.c
+++ b/src/intake.c
@@ -571,11 +571,33 @@
     }
 }
 
+/* Refuses the waiting requests that are past their deadline. After a stop of
+   the process it may be long past. */
+static void
+refuse_overdue(gv_intake_t *in, int64_t now_ms)
+{
+    GQueue overdue = G_QUEUE_INIT; /* a reply may bring further requests */
+    GList *next = NULL;
+    for (GList *l = in->waiting.head; l != NULL; l = next) {
+        const gv_intake_request_t *rq = l->data;
+        next = l->next;
+        if (now_ms >= rq->deadline_ms) {
+            g_queue_unlink(&in->waiting, l);
+            g_queue_push_tail_link(&overdue, l);
+        }
+    }
+    while (overdue.length > 0) {
+        refuse(in, g_queue_pop_head(&overdue), "no append could start in time",
+               GV_INTAKE_REFUSED_RETRY_MS, now_ms);
+    }
+}
+
 /* Sends waiting requests, or refuses them if the store does not answer.
    Repeats appends and replies to requests that are past their deadline. */
 void
 GvIntake_Step(gv_intake_t *in, int64_t now_ms)
 {
+    refuse_overdue(in, now_ms);
     if (in->waiting.length > 0 &&
         !in->ops.store_available(in->ops.user, now_ms)) {
         refuse_waiting(in, now_ms);
@@ -592,13 +614,4 @@
             begin_batch(in, i);
         }
     }
-    while (in->waiting.length > 0) {
-        gv_intake_request_t *rq = g_queue_peek_head(&in->waiting);
-        if (now_ms < rq->deadline_ms) {
-            break;
-        }
-        g_queue_pop_head(&in->waiting);
-        refuse(in, rq, "no append could start in time",
-               GV_INTAKE_REFUSED_RETRY_MS, now_ms);
-    }
 }
