Suspects: a crash before the start was answered counts once

A sound job was shown as failed, without an end as failed, after four crashes of targets by chance.

Hypotheses: given up for crashes (ev=failed); a run kept for live (no ev=lost); a change of the leader (ev=lead claim); a daemon that does not read (503).

Evidence: 0 of 288 runs of the scenario fail, 1 of 240 beside 20 busy processes: "ev=failed crashes=1 doubtful=1 unconfirmed=2", one leader throughout. The fourth target had crashed before it answered the start.

Cause: the fifth crash proves a task, and the last one counts twice if no other task was on the target. The task itself need not have been there either if its start was not answered.

Change: the last crash counts twice only if the start was answered. Deadly tasks are given up at the fifth crash as before.

Related paths: leader replaced after the start (stored as confirmed, second part of the script); target restarted, replaced, listed as down, on no host: one function.

--- a/src/sched_loss.c
+++ b/src/sched_loss.c
@@ -99,13 +99,23 @@
     return t->crashes + t->doubtful + t->unconfirmed;
 }
 
+/* Returns true if the start of a run was confirmed, to this leader or to an
+   earlier one. */
+static bool
+has_started(const gv_run_t *r)
+{
+    return r->started_ms != 0 || r->active->job->tasks[r->task].confirmed;
+}
+
 /* Returns true if a task counts as the cause of a crash of its target: this
    crash and an earlier one came soon after its start, now with no other task
-   on the target; or there were too many crashes. A long-running one only has
-   to wait then, and its count begins anew once it has served, so that fewer
-   suffice; beside others only those soon after its start count. While no
-   connection has broken off, an answer that lists the end of the run may still
-   arrive. */
+   on the target; or there were too many crashes, of which this one counts
+   twice if the task had started and nothing else ran there. A target that has
+   not answered the start may have crashed before the task ran. A long-running
+   task only has to wait then, and its count begins anew once it has served, so
+   that fewer suffice; beside others only those soon after its start count.
+   While no connection has broken off, an answer that lists the end of the run
+   may still arrive. */
 static bool
 is_proven(const gv_run_t *r, bool soon, bool alone)
 {
@@ -120,7 +130,8 @@
         return alone && GvSched_CrashesOf(t) >= GV_SCHED_SUSPECT_CRASHES;
     }
     return t->crashes + t->doubtful >= 1 &&
-           GvSched_CrashesOf(t) + (alone ? 1 : 0) >= GV_SCHED_DOUBTFUL_MAX;
+           GvSched_CrashesOf(t) + (alone && has_started(r) ? 1 : 0) >=
+               GV_SCHED_DOUBTFUL_MAX;
 }
 
 /* Returns true if the crash of its target came soon after the start of a run:
@@ -179,7 +190,7 @@
     if (soon) {
         t->crashes++;
     }
-    else if (r->started_ms != 0 || t->confirmed) {
+    else if (has_started(r)) {
         t->doubtful++;
     }
     else {
