--- a/tests/script.c
+++ b/tests/script.c
@@ -86,22 +86,32 @@
     return rc;
 }
 
-/* Reads the lines of a block up to "end". */
+/* Reads the lines of a block up to "end". Those of a block that it uses are
+   copied; the line "use NAME" of an unknown one stays, as an unknown verb. */
 static GPtrArray *
-read_block(void)
+read_block(GHashTable *blocks)
 {
     char line[4096];
     GPtrArray *lines = g_ptr_array_new();
     while (fgets(line, sizeof line, stdin) != NULL &&
            strcmp(g_strchomp(line), "end") != 0) {
-        g_ptr_array_add(lines, g_strdup(line));
+        GPtrArray *used = g_str_has_prefix(line, "use ")
+                              ? g_hash_table_lookup(blocks, line + 4)
+                              : NULL;
+        if (used == NULL) {
+            g_ptr_array_add(lines, g_strdup(line));
+            continue;
+        }
+        for (guint i = 0; i < used->len; i++) {
+            g_ptr_array_add(lines, g_strdup(g_ptr_array_index(used, i)));
+        }
     }
     return lines;
 }
 
 /* Besides verbs, a script may have "block NAME", lines and "end", which
    defines a block, and "use NAME", which runs it without printing: a common
-   beginning of several runs. */
+   beginning of several runs. A block may use an earlier one. */
 int
 main(void)
 {
@@ -111,7 +121,8 @@
         int rc = 0;
         g_strchomp(line);
         if (g_str_has_prefix(line, "block ")) {
-            g_hash_table_insert(blocks, g_strdup(line + 6), read_block());
+            g_hash_table_insert(blocks, g_strdup(line + 6),
+                                read_block(blocks));
         }
         else if (g_str_has_prefix(line, "use ")) {
             printf("%s\n", line);
