Intake: submissions without a certain result have a file of their own

No change of behaviour, but that such submissions are forgotten when the next one is noted, no longer also with a cancellation; their number is bounded as before.

--- a/src/intake.c
+++ b/src/intake.c
@@ -4,6 +4,7 @@
 #include "evlog.h"
 #include "job_record.h"
 #include "limits.h"
+#include "unsettled.h"
 
 GV_COUNTER(accepted, "jobs_accepted_total", "Jobs accepted");
 GV_COUNTER(refused, "jobs_refused_total", "Submissions refused as not run");
@@ -20,12 +21,6 @@
     GPtrArray *requests; /* gv_intake_request_t * */
 } gv_batch_t;
 
-/* A submission whose append has no certain result. */
-typedef struct {
-    gv_str_t id; /* of the job */
-    int64_t until_ms;
-} gv_unsettled_t;
-
 GV_COUNTER(early_stored, "cancellations_early_total",
            "Cancellations of unknown jobs that were to be stored");
 GV_COUNTER(early_refused, "cancellations_early_refused_total",
@@ -38,7 +33,7 @@
     gv_job_table_t *table;
     GQueue waiting; /* gv_intake_request_t * without a batch */
     gv_batch_t batches[GV_INTAKE_APPENDS];
-    GQueue unsettled; /* gv_unsettled_t *, oldest first */
+    gv_unsettled_t unsettled;
     size_t submitted; /* bytes of the jobs that wait to be stored */
 };
 
@@ -51,7 +46,7 @@
     in->ops = *ops;
     in->table = table;
     g_queue_init(&in->waiting);
-    g_queue_init(&in->unsettled);
+    GvUnsettled_Init(&in->unsettled);
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         in->batches[i].records = g_byte_array_new();
         in->batches[i].requests = g_ptr_array_new();
@@ -59,18 +54,10 @@
     return in;
 }
 
-static void
-free_unsettled(gpointer p)
-{
-    gv_unsettled_t *u = p;
-    GvStr_Free(&u->id);
-    g_free(u);
-}
-
 void
 GvIntake_Free(gv_intake_t *in)
 {
-    g_queue_clear_full(&in->unsettled, free_unsettled);
+    GvUnsettled_Clear(&in->unsettled);
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         g_byte_array_free(in->batches[i].records, TRUE);
         g_ptr_array_free(in->batches[i].requests, TRUE);
@@ -108,36 +95,14 @@
     in->ops.reply(in->ops.user, rq, &r);
 }
 
-/* Notes that a submission may be stored, or become so up to GV_INTAKE_LATE_MS
-   after now_ms. Forgets those for which that time is over. */
-static void
-note_unsettled(gv_intake_t *in, const gv_intake_request_t *rq, int64_t now_ms)
-{
-    const gv_unsettled_t *oldest = g_queue_peek_head(&in->unsettled);
-    while (oldest != NULL &&
-           (now_ms >= oldest->until_ms ||
-            in->unsettled.length >= GV_INTAKE_UNSETTLED_MAX)) {
-        free_unsettled(g_queue_pop_head(&in->unsettled));
-        oldest = g_queue_peek_head(&in->unsettled);
-    }
-    if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
-        gv_unsettled_t *u = g_new(gv_unsettled_t, 1);
-        *u = (gv_unsettled_t){GvStr_Dup(rq->id), now_ms + GV_INTAKE_LATE_MS};
-        g_queue_push_tail(&in->unsettled, u);
-    }
-}
-
 /* Returns true if another submission of the same job may be stored: its append
    is in flight or has ended without a certain result. */
 static bool
 is_unsettled(const gv_intake_t *in, const gv_intake_request_t *rq,
              int64_t now_ms)
 {
-    for (const GList *l = in->unsettled.head; l != NULL; l = l->next) {
-        const gv_unsettled_t *u = l->data;
-        if (now_ms < u->until_ms && GvStr_Equal(u->id, rq->id)) {
-            return true;
-        }
+    if (GvUnsettled_Has(&in->unsettled, rq->id, now_ms)) {
+        return true;
     }
     for (int i = 0; i < GV_INTAKE_APPENDS; i++) {
         const gv_batch_t *b = &in->batches[i];
@@ -550,7 +515,9 @@
         gv_intake_request_t *rq = g_ptr_array_index(b->requests, i - 1);
         if (now_ms >= rq->deadline_ms) {
             g_ptr_array_remove_index(b->requests, i - 1);
-            note_unsettled(in, rq, now_ms);
+            if (rq->kind == GV_INTAKE_KIND_SUBMIT) {
+                GvUnsettled_Add(&in->unsettled, rq->id, now_ms);
+            }
             reply(in, rq,
                   (gv_intake_reply_t){.result = GV_INTAKE_UNKNOWN,
                                       .why = "store has not answered"});
